Lay out the workspace and the shared model types

Cause: nothing exists yet; parts that are built side by side need settled names, reasons, load reports and configuration types first. Ruled out: one crate with the stand-ins inside it, since stand-ins must not ship in the binary. Before: nothing. Conclusion: parts can be built against these types.

--- /dev/null
+++ b/src/decision/mod.rs
@@ -0,0 +1,4 @@
+//! Decisions as pure state machines: event and time in, actions out.
+//!
+//! Nothing here reads a clock, opens a socket or draws a random number. Times are µs of the
+//! node's own monotonic clock; random draws are passed in.
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,7 @@
+//! bronzelock: a load balancer for servers whose load shifts in milliseconds.
+//!
+//! One process, the node, runs beside each backend server and is its only gate.
+//! `docs/ARCHITECTURE.md` follows one request through these modules.
+
+pub mod decision;
+pub mod model;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command line of bronzelock.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems around bronzelock.
