Add tickets that let a non-idempotent request run at most once

Cause: a caller that lost an answer repeats its request, perhaps at another node, and the second message must never run the work again. Ruled out: a claim on the log before each run (several hundred a second, none in an outage); an owner by rendezvous hashing (two views of membership run it twice); a quorum of copies (a replicated store). Change: tickets with an authenticated text form, request fingerprints, and the executor's bounded table of tickets, uses and outcomes. An issued ticket reserves its slot until it expires and its request has ended. The run state of a refusal speaks of the ticket, hence of every message that bears it: a ticket reused for another request is "not run" only if its own request was not run, and a node other than the executor may claim nothing certain about a message with a ticket (before_executor). A dispatch is allowed once. Refusal derives Hash, so that a checker can compare whole tables.

--- /dev/null
+++ b/src/decision/ticket/answer.rs
@@ -0,0 +1,37 @@
+//! Answers that an executor keeps for repeats of a request.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+
+/// One header of a stored answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct AnswerHeader {
+    /// Name, in lower case.
+    pub name: Arc<str>,
+    /// Value as the backend server sent it.
+    pub value: Bytes,
+}
+
+/// Whole answer of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct StoredAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers in their order.
+    pub headers: Vec<AnswerHeader>,
+    /// Body, complete.
+    pub body: Bytes,
+}
+
+impl StoredAnswer {
+    /// Length of headers and body, in bytes.
+    pub fn length_bytes(&self) -> usize {
+        let header_bytes: usize = self
+            .headers
+            .iter()
+            .map(|header| header.name.len() + header.value.len())
+            .sum();
+        header_bytes + self.body.len()
+    }
+}
--- /dev/null
+++ b/src/decision/ticket/mod.rs
@@ -0,0 +1,24 @@
+//! Tickets that let a non-idempotent request run at most once.
+//!
+//! A ticket names one executor and its incarnation and is the identity of one request. Only that
+//! incarnation may run the request, and only it may say that the request was not run. The
+//! executor remembers each use until the ticket expires; see `docs/design/at_most_once.md`.
+
+mod answer;
+mod fingerprint;
+mod key;
+mod refusals;
+mod settings;
+mod slot;
+mod table;
+mod token;
+mod wire;
+
+pub use answer::{AnswerHeader, StoredAnswer};
+pub use fingerprint::{Fingerprint, FingerprintParts};
+pub use key::TicketKey;
+pub use refusals::{before_executor, ticket_required};
+pub use settings::TicketTableSettings;
+pub use slot::TicketOutcome;
+pub use table::{Claim, TicketCounts, TicketTable};
+pub use token::{TICKET_TEXT_BYTES_MAX, Ticket, TicketError};
--- /dev/null
+++ b/src/decision/ticket/refusals.rs
@@ -0,0 +1,39 @@
+//! Refusals that concern tickets, with what each may claim about the run.
+//!
+//! The run state of a refusal speaks of the ticket, hence of every message that ever bears it.
+
+use crate::model::reasons::{Refusal, RefusalReason, RunState};
+
+/// Refusal of a request that may not run for lack of a ticket; send it again with one.
+pub const fn ticket_required() -> Refusal {
+    not_run(RefusalReason::TicketRequired)
+}
+
+/// What a node other than the executor may say when it refuses a message that bears a ticket.
+///
+/// Another message with the same ticket may have reached the executor by another path, so only
+/// the executor can be certain that the request was not run.
+pub const fn before_executor(refusal: Refusal) -> Refusal {
+    Refusal {
+        run_state: RunState::Unknown,
+        ..refusal
+    }
+}
+
+/// Refusal that is certain; the caller may come back at once with a fresh ticket.
+pub(super) const fn not_run(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        run_state: RunState::NotRun,
+        retry_after_ms: Some(0),
+    }
+}
+
+/// Refusal that leaves open whether the request ran.
+pub(super) const fn unknown(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        run_state: RunState::Unknown,
+        retry_after_ms: None,
+    }
+}
--- /dev/null
+++ b/src/decision/ticket/table.rs
@@ -0,0 +1,292 @@
+//! Table of the tickets that one executor incarnation has issued.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use crate::model::ids::Incarnation;
+use crate::model::names::{ServerName, ServiceName};
+use crate::model::reasons::{Refusal, RefusalReason, RunState};
+
+use super::answer::StoredAnswer;
+use super::fingerprint::Fingerprint;
+use super::refusals::{not_run, unknown};
+use super::settings::TicketTableSettings;
+use super::slot::{BoundRequest, Progress, Slot, TicketOutcome};
+use super::token::Ticket;
+
+const US_PER_MS: u64 = 1_000;
+
+/// What to do with a message that bears a ticket.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Claim {
+    /// First use: queue the request, and report its end with [`TicketTable::finish`].
+    Run,
+    /// The same request is queued or running: wait for its outcome.
+    Join,
+    /// The same request has run: give this answer.
+    Replay(Arc<StoredAnswer>),
+    /// The request may not run.
+    Refuse(Refusal),
+}
+
+/// Figures for status pages and metrics.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct TicketCounts {
+    /// Tickets issued and not yet used.
+    pub unused: usize,
+    /// Tickets whose request is queued or running.
+    pub in_progress: usize,
+    /// Tickets whose request has ended.
+    pub ended: usize,
+    /// Bytes of the answers kept.
+    pub answer_bytes: usize,
+}
+
+/// Tickets of one executor incarnation, their requests and outcomes.
+///
+/// Each issued ticket holds one slot until it expires and its request has ended, so that a use
+/// always finds room and nothing is forgotten early.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct TicketTable {
+    executor: ServerName,
+    incarnation: Incarnation,
+    settings: TicketTableSettings,
+    /// Slots by serial. All tickets live equally long, so this is the order of expiry too.
+    slots: BTreeMap<u64, Slot>,
+    next_serial: u64,
+    /// Latest time seen, in µs. Callers on several threads may present times out of order.
+    now_us: u64,
+    answers_bytes_total: usize,
+}
+
+impl TicketTable {
+    /// Makes the empty table of one executor incarnation.
+    pub const fn new(
+        executor: ServerName,
+        incarnation: Incarnation,
+        settings: TicketTableSettings,
+    ) -> Self {
+        Self {
+            executor,
+            incarnation,
+            settings,
+            slots: BTreeMap::new(),
+            next_serial: 0,
+            now_us: 0,
+            answers_bytes_total: 0,
+        }
+    }
+
+    /// Issues a ticket and reserves its slot.
+    ///
+    /// # Errors
+    /// `TicketsExhausted` when every slot is in use, with the time until the next one is free.
+    pub fn issue(&mut self, service: &ServiceName, now_us: u64) -> Result<Ticket, Refusal> {
+        self.expire(now_us);
+        if self.slots.len() >= self.settings.capacity {
+            return Err(self.exhausted());
+        }
+        let serial = self.next_serial;
+        let expires_us = self.now_us.saturating_add(self.settings.lifetime_us);
+        self.next_serial += 1;
+        self.slots.insert(
+            serial,
+            Slot {
+                expires_us,
+                request: None,
+            },
+        );
+        Ok(Ticket {
+            executor: self.executor.clone(),
+            incarnation: self.incarnation,
+            service: service.clone(),
+            serial,
+            expires_us,
+        })
+    }
+
+    /// Decides on a message that bears a ticket; the first use binds its fingerprint.
+    ///
+    /// Call it before every other check of the gate: a refusal says "not run" of the ticket, which
+    /// only this table can know.
+    pub fn claim(
+        &mut self,
+        ticket: &Ticket,
+        service: &ServiceName,
+        fingerprint: Fingerprint,
+        now_us: u64,
+    ) -> Claim {
+        self.advance(now_us);
+        if ticket.executor != self.executor || ticket.incarnation != self.incarnation {
+            return Claim::Refuse(unknown(RefusalReason::TicketExecutorGone));
+        }
+        if ticket.service != *service {
+            return Claim::Refuse(unknown(RefusalReason::TicketInvalid));
+        }
+        let now_us = self.now_us;
+        let Some(slot) = self.slots.get_mut(&ticket.serial) else {
+            return Claim::Refuse(forgotten(ticket, now_us));
+        };
+        match &slot.request {
+            Some(request) => repeat(request, fingerprint),
+            None => first_use(slot, fingerprint, now_us),
+        }
+    }
+
+    /// Whether a queued request may be dispatched now; true at most once per ticket.
+    ///
+    /// Call it right before the first byte. After false the ticket of a queued request has expired
+    /// and is remembered as not run.
+    pub fn may_dispatch(&mut self, serial: u64, now_us: u64) -> bool {
+        self.advance(now_us);
+        let Some(slot) = self.slots.get_mut(&serial) else {
+            return false;
+        };
+        let Some(BoundRequest { progress, .. }) = &mut slot.request else {
+            return false;
+        };
+        if *progress != Progress::Queued {
+            return false;
+        }
+        let in_time = self.now_us < slot.expires_us;
+        *progress = if in_time {
+            Progress::Dispatched
+        } else {
+            Progress::NotRun(not_run(RefusalReason::TicketExpired))
+        };
+        in_time
+    }
+
+    /// Records how the request of a ticket ended, for its repeats until the ticket expires.
+    ///
+    /// A certain outcome stays; an unknown one may still become known.
+    pub fn finish(&mut self, serial: u64, outcome: TicketOutcome, now_us: u64) {
+        self.advance(now_us);
+        let room_bytes = self.settings.answers_bytes_total_max - self.answers_bytes_total;
+        let answer_bytes_max = self.settings.answer_bytes_max.min(room_bytes);
+        let Some(slot) = self.slots.get_mut(&serial) else {
+            return;
+        };
+        let Some(request) = slot.request.as_mut().filter(|request| request.is_open()) else {
+            return;
+        };
+        request.progress = ended(outcome, answer_bytes_max);
+        self.answers_bytes_total += slot.answer_bytes();
+    }
+
+    /// Forgets expired tickets whose request is neither queued nor running.
+    pub fn expire(&mut self, now_us: u64) {
+        self.advance(now_us);
+        let now_us = self.now_us;
+        let forgotten: Vec<u64> = self
+            .slots
+            .iter()
+            .take_while(|(_, slot)| slot.expires_us <= now_us)
+            .filter(|(_, slot)| slot.is_forgettable(now_us))
+            .map(|(serial, _)| *serial)
+            .collect();
+        for serial in forgotten {
+            let slot = self.slots.remove(&serial);
+            self.answers_bytes_total -= slot.as_ref().map_or(0, Slot::answer_bytes);
+        }
+    }
+
+    /// Time at which the next ticket can be forgotten, in µs; none when all are in progress.
+    pub fn next_expiry_us(&self) -> Option<u64> {
+        self.slots
+            .values()
+            .find(|slot| !slot.in_progress())
+            .map(|slot| slot.expires_us)
+    }
+
+    /// Counts tickets by what has become of them.
+    pub fn counts(&self) -> TicketCounts {
+        let mut counts = TicketCounts {
+            answer_bytes: self.answers_bytes_total,
+            ..TicketCounts::default()
+        };
+        for slot in self.slots.values() {
+            match &slot.request {
+                None => counts.unused += 1,
+                Some(_) if slot.in_progress() => counts.in_progress += 1,
+                Some(_) => counts.ended += 1,
+            }
+        }
+        counts
+    }
+
+    fn advance(&mut self, now_us: u64) {
+        self.now_us = self.now_us.max(now_us);
+    }
+
+    fn exhausted(&self) -> Refusal {
+        let wait_us = self
+            .next_expiry_us()
+            .map(|expiry_us| expiry_us.saturating_sub(self.now_us));
+        Refusal {
+            reason: RefusalReason::TicketsExhausted,
+            run_state: RunState::NotRun,
+            retry_after_ms: wait_us.map(|wait_us| wait_us.div_ceil(US_PER_MS)),
+        }
+    }
+}
+
+/// Decides on the first message that bears a ticket.
+fn first_use(slot: &mut Slot, fingerprint: Fingerprint, now_us: u64) -> Claim {
+    if slot.expires_us <= now_us {
+        return Claim::Refuse(not_run(RefusalReason::TicketExpired));
+    }
+    slot.request = Some(BoundRequest {
+        fingerprint,
+        progress: Progress::Queued,
+    });
+    Claim::Run
+}
+
+/// Decides on a message whose ticket is already bound.
+fn repeat(request: &BoundRequest, fingerprint: Fingerprint) -> Claim {
+    if request.fingerprint != fingerprint {
+        return Claim::Refuse(reused(request));
+    }
+    match &request.progress {
+        Progress::Queued | Progress::Dispatched => Claim::Join,
+        Progress::Answered(answer) => Claim::Replay(Arc::clone(answer)),
+        Progress::AnswerNotHeld => Claim::Refuse(unknown(RefusalReason::AnswerNotHeld)),
+        Progress::NotRun(refusal) | Progress::Unknown(refusal) => Claim::Refuse(*refusal),
+    }
+}
+
+/// Refusal of another request with a bound ticket; it claims no more than the ticket's own run.
+fn reused(request: &BoundRequest) -> Refusal {
+    match request.progress {
+        Progress::NotRun(_) => not_run(RefusalReason::TicketReused),
+        _ => unknown(RefusalReason::TicketReused),
+    }
+}
+
+/// Refusal of a ticket that has no slot.
+const fn forgotten(ticket: &Ticket, now_us: u64) -> Refusal {
+    if ticket.expires_us <= now_us {
+        unknown(RefusalReason::TicketExpired)
+    } else {
+        unknown(RefusalReason::TicketInvalid)
+    }
+}
+
+/// Progress that remembers an outcome within the bound on kept answers, in bytes.
+fn ended(outcome: TicketOutcome, answer_bytes_max: usize) -> Progress {
+    match outcome {
+        TicketOutcome::Answered(answer) if answer.length_bytes() <= answer_bytes_max => {
+            Progress::Answered(answer)
+        }
+        TicketOutcome::Answered(_) => Progress::AnswerNotHeld,
+        TicketOutcome::NotRun(refusal) => Progress::NotRun(Refusal {
+            run_state: RunState::NotRun,
+            ..refusal
+        }),
+        TicketOutcome::Unknown(refusal) => Progress::Unknown(Refusal {
+            run_state: RunState::Unknown,
+            ..refusal
+        }),
+    }
+}
--- /dev/null
+++ b/src/decision/ticket/token.rs
@@ -0,0 +1,103 @@
+//! Tickets and their authenticated text form.
+
+use blake3::{Hash, OUT_LEN};
+
+use crate::model::ids::Incarnation;
+use crate::model::names::{ServerName, ServiceName};
+
+use super::key::TicketKey;
+use super::wire::{self, PAYLOAD_BYTES_MAX};
+
+/// Longest text form of a ticket, in bytes: payload and code, two hex digits per byte.
+pub const TICKET_TEXT_BYTES_MAX: usize = 2 * (PAYLOAD_BYTES_MAX + OUT_LEN);
+
+/// Permission to run one non-idempotent request on one incarnation of one executor.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Ticket {
+    /// Node that issued the ticket and alone may run its request.
+    pub executor: ServerName,
+    /// Run of that node's process.
+    pub incarnation: Incarnation,
+    /// Service that the request must go to.
+    pub service: ServiceName,
+    /// Number of the ticket within the incarnation.
+    pub serial: u64,
+    /// End of the ticket's lifetime, in µs of the executor's monotonic clock.
+    pub expires_us: u64,
+}
+
+/// Why a text is not a ticket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, displaydoc::Display)]
+pub enum TicketError {
+    /// ticket has {0} bytes, more than any ticket
+    TooLong(usize),
+    /// ticket is not an even count of hexadecimal digits
+    NotHex,
+    /// ticket is shorter than its authentication code
+    TooShort,
+    /// ticket's authentication code does not match
+    Forged,
+    /// ticket's content is malformed
+    Malformed,
+    /// ticket is of form {0}, which this node does not know
+    UnknownForm(u8),
+}
+
+impl std::error::Error for TicketError {}
+
+impl Ticket {
+    /// Text form for the `Bronzelock-Ticket` header, authenticated with the key.
+    pub fn encode(&self, key: &TicketKey) -> String {
+        let mut bytes = wire::to_bytes(self);
+        let code = key.authenticate(&bytes);
+        bytes.extend_from_slice(code.as_bytes());
+        hex_text(&bytes)
+    }
+
+    /// Reads a text form and verifies its code in constant time.
+    ///
+    /// # Errors
+    /// [`TicketError`] when the text is too long, malformed or authenticated by another key.
+    pub fn decode(text: &str, key: &TicketKey) -> Result<Self, TicketError> {
+        if text.len() > TICKET_TEXT_BYTES_MAX {
+            return Err(TicketError::TooLong(text.len()));
+        }
+        let bytes = hex_bytes(text).ok_or(TicketError::NotHex)?;
+        let (payload, code) = bytes
+            .split_last_chunk::<OUT_LEN>()
+            .ok_or(TicketError::TooShort)?;
+        if key.authenticate(payload) != Hash::from_bytes(*code) {
+            return Err(TicketError::Forged);
+        }
+        wire::from_bytes(payload)
+    }
+}
+
+fn hex_text(bytes: &[u8]) -> String {
+    use std::fmt::Write as _;
+
+    let mut text = String::with_capacity(2 * bytes.len());
+    for byte in bytes {
+        write!(text, "{byte:02x}").expect("writing to a String cannot fail");
+    }
+    text
+}
+
+fn hex_bytes(text: &str) -> Option<Vec<u8>> {
+    let (pairs, rest) = text.as_bytes().as_chunks::<2>();
+    if !rest.is_empty() {
+        return None;
+    }
+    pairs
+        .iter()
+        .map(|[high, low]| Some(hex_digit(*high)? << 4 | hex_digit(*low)?))
+        .collect()
+}
+
+fn hex_digit(character: u8) -> Option<u8> {
+    match character {
+        b'0'..=b'9' => Some(character - b'0'),
+        b'a'..=b'f' => Some(character - b'a' + 10),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/src/decision/ticket/wire.rs
@@ -0,0 +1,68 @@
+//! Wire form of a ticket's content.
+
+use serde::{Deserialize, Serialize};
+
+use crate::model::ids::Incarnation;
+use crate::model::names::{NAME_BYTES_MAX, ServerName, ServiceName};
+
+use super::token::{Ticket, TicketError};
+
+/// First byte of the content; raised with each incompatible form.
+const FORM: u8 = 1;
+
+/// Longest variable-length integer of 64 bits in this encoding, in bytes.
+const VARINT_BYTES_MAX: usize = 10;
+
+/// Longest content: the form, two names with a length byte each, three integers, in bytes.
+pub(super) const PAYLOAD_BYTES_MAX: usize = 1 + 2 * (1 + NAME_BYTES_MAX) + 3 * VARINT_BYTES_MAX;
+
+#[derive(Serialize, Deserialize)]
+struct TicketWire {
+    executor: ServerName,
+    incarnation: u64,
+    service: ServiceName,
+    serial: u64,
+    expires_us: u64,
+}
+
+impl From<&Ticket> for TicketWire {
+    fn from(ticket: &Ticket) -> Self {
+        Self {
+            executor: ticket.executor.clone(),
+            incarnation: ticket.incarnation.0,
+            service: ticket.service.clone(),
+            serial: ticket.serial,
+            expires_us: ticket.expires_us,
+        }
+    }
+}
+
+impl From<TicketWire> for Ticket {
+    fn from(wire: TicketWire) -> Self {
+        Self {
+            executor: wire.executor,
+            incarnation: Incarnation(wire.incarnation),
+            service: wire.service,
+            serial: wire.serial,
+            expires_us: wire.expires_us,
+        }
+    }
+}
+
+/// Encodes a ticket's content, form byte first.
+pub(super) fn to_bytes(ticket: &Ticket) -> Vec<u8> {
+    postcard::to_extend(&TicketWire::from(ticket), vec![FORM])
+        .expect("names and integers always have a wire form")
+}
+
+/// Reads a ticket's content; every byte must belong to it.
+pub(super) fn from_bytes(bytes: &[u8]) -> Result<Ticket, TicketError> {
+    let (form, content) = bytes.split_first().ok_or(TicketError::Malformed)?;
+    if *form != FORM {
+        return Err(TicketError::UnknownForm(*form));
+    }
+    match postcard::take_from_bytes::<TicketWire>(content) {
+        Ok((wire, [])) => Ok(wire.into()),
+        Ok(_) | Err(_) => Err(TicketError::Malformed),
+    }
+}
--- a/src/model/reasons.rs
+++ b/src/model/reasons.rs
@@ -128,7 +128,7 @@
 }
 
 /// A refusal with what the caller may do next.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Refusal {
     /// Why.
     pub reason: RefusalReason,
