Add first cuts of routing, retry rules, membership and the gossip codec

Cause: the request path needs the interfaces of routing, retries and membership before their insides are settled. Ruled out: waiting for the whole protocol; the names would come too late. Before: nothing.

--- /dev/null
+++ b/src/decision/membership/mod.rs
@@ -0,0 +1,14 @@
+//! Which nodes are there: SWIM with suspicion and revisions (Das, Gupta, Motivala 2002).
+//!
+//! Membership steers routing only; no promise rests on it. Every node sends a constant load: one
+//! probe a period, and gossip within a byte budget. See `docs/design/membership.md`.
+
+mod machine;
+mod member;
+mod message;
+mod settings;
+
+pub use machine::{Membership, MembershipAction, MembershipEvent};
+pub use member::{Member, MemberState};
+pub use message::{BUCKETS, Body, DATAGRAM_BYTES_MAX, Message};
+pub use settings::MembershipSettings;
--- /dev/null
+++ b/src/decision/routing/health.rs
@@ -0,0 +1,91 @@
+//! Avoidance of backend servers that fail or cannot be reached, with bounded probation.
+
+/// How a request that was sent to a backend server came back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum ReturnKind {
+    /// The backend server gave a whole answer.
+    Answered,
+    /// The gate or backend server refused it as not run.
+    Refused,
+    /// The backend server failed it, or its answer was broken.
+    Failed,
+    /// The peer node could not be reached.
+    Unreachable,
+    /// The caller went away or the deadline passed; says nothing about the backend server.
+    Cancelled,
+}
+
+/// Weight of the newest outcome in the smoothed share of failures.
+const FAILURE_WEIGHT: f64 = 0.25;
+/// Smoothed share of failures above which a backend server is avoided.
+const FAILURE_SHARE_MAX: f64 = 0.5;
+/// First avoidance, in µs. Each further one in a row doubles it.
+const AVOID_FIRST_US: u64 = 100_000;
+/// Longest avoidance, in µs.
+const AVOID_MAX_US: u64 = 3_200_000;
+/// Answers in a row on probation that end it.
+const TRIALS_TO_TRUST: u32 = 3;
+
+/// What one router has seen of a backend server's failures.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Health {
+    failure_share: f64,
+    avoided_until_us: u64,
+    avoidances_in_row: u32,
+    trials_answered: u32,
+}
+
+impl Health {
+    /// Smoothed share of requests that failed, from 0 to 1.
+    pub(super) fn failure_share(&self) -> f64 {
+        self.failure_share
+    }
+
+    /// Whether a request may go there; on probation one at a time does.
+    pub(super) fn admits(&self, outstanding: u32, now_us: u64) -> bool {
+        if self.avoidances_in_row == 0 {
+            return true;
+        }
+        now_us >= self.avoided_until_us && outstanding == 0
+    }
+
+    pub(super) fn record(&mut self, kind: ReturnKind, now_us: u64) {
+        match kind {
+            ReturnKind::Answered => self.record_answer(now_us),
+            ReturnKind::Failed => self.record_failure(now_us),
+            ReturnKind::Unreachable => self.avoid(now_us),
+            ReturnKind::Refused | ReturnKind::Cancelled => {}
+        }
+    }
+
+    fn record_answer(&mut self, now_us: u64) {
+        self.failure_share *= 1.0 - FAILURE_WEIGHT;
+        if self.avoidances_in_row == 0 || now_us < self.avoided_until_us {
+            return;
+        }
+        self.trials_answered += 1;
+        if self.trials_answered >= TRIALS_TO_TRUST {
+            *self = Self::default();
+        }
+    }
+
+    fn record_failure(&mut self, now_us: u64) {
+        self.failure_share += FAILURE_WEIGHT * (1.0 - self.failure_share);
+        let on_probation = self.avoidances_in_row > 0;
+        if on_probation || self.failure_share > FAILURE_SHARE_MAX {
+            self.avoid(now_us);
+        }
+    }
+
+    /// Starts an avoidance; late failures of requests sent before it do not lengthen it.
+    fn avoid(&mut self, now_us: u64) {
+        if now_us < self.avoided_until_us {
+            return;
+        }
+        let doublings = self.avoidances_in_row.min(16);
+        let avoid_us = (AVOID_FIRST_US << doublings).min(AVOID_MAX_US);
+        self.avoided_until_us = now_us + avoid_us;
+        self.avoidances_in_row = self.avoidances_in_row.saturating_add(1);
+        self.trials_answered = 0;
+    }
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,4 @@
+//! What touches the outside: sockets, codecs and clocks.
+
+pub mod gossip_codec;
+mod gossip_wire;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,4 +4,5 @@
 //! `docs/ARCHITECTURE.md` follows one request through these modules.
 
 pub mod decision;
+pub mod edge;
 pub mod model;
