--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -4,3 +4,6 @@
 //! node's own monotonic clock; random draws are passed in.
 
 pub mod ticket;
+pub mod membership;
+pub mod retry;
+pub mod routing;
