Fold the configuration from one stream of the log

Cause: nodes keep nothing on disk and may not run a consensus group, so the configuration has to be a function of the log's records alone.

Config keeps the answers of every branch, since a service is generated from all of them: without them a branch could never withdraw a kind of request while another branch of the service stays.

--- /dev/null
+++ b/src/agreement/catch_up.rs
@@ -0,0 +1,130 @@
+//! Feeds pages of the log to the fold and says where reading goes on.
+
+use super::fold::{Applied, Fold};
+use super::record::{Record, RecordError};
+
+/// One record with its offset, as read from the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StoredRecord {
+    /// Offset in the stream.
+    pub offset: u64,
+    /// Text of the record.
+    pub text: String,
+}
+
+/// Answer to one read of the log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Page {
+    /// Oldest offset that the log still keeps.
+    pub earliest: u64,
+    /// Offset that the next append gets.
+    pub next: u64,
+    /// Records from the asked offset on, in order.
+    pub records: Vec<StoredRecord>,
+}
+
+/// Where reading stands after a page.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Progress {
+    /// The fold covers all that the log held at this read.
+    CaughtUp,
+    /// More is to be read from this offset.
+    ReadFrom(u64),
+    /// Records are missing and no snapshot in the log covers them; ask peers, then read again.
+    Gap {
+        /// First offset that the fold needs.
+        needed: u64,
+        /// Oldest offset that the log keeps.
+        earliest: u64,
+    },
+    /// The log ends before what the fold covers: it lost records or was replaced.
+    LogShorter {
+        /// First offset that the fold does not cover.
+        covered: u64,
+        /// Offset that the log gives next.
+        next: u64,
+    },
+}
+
+/// What one record of a page did.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AppliedRecord {
+    /// Offset of the record.
+    pub offset: u64,
+    /// What it did to the fold.
+    pub applied: Applied,
+}
+
+/// Effects of one page.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PageResult {
+    /// What the records did, in order.
+    pub applied: Vec<AppliedRecord>,
+    /// Where reading stands.
+    pub progress: Progress,
+}
+
+/// Position of a reader that may have to look for a snapshot beyond a gap.
+#[derive(Debug, Clone, Default)]
+pub struct CatchUp {
+    search_from: Option<u64>,
+}
+
+impl CatchUp {
+    /// Offset that the next read asks for.
+    pub fn read_from(&self, fold: &Fold) -> u64 {
+        self.search_from.unwrap_or_else(|| fold.next_offset())
+    }
+
+    /// Applies a page that was read from [`CatchUp::read_from`].
+    ///
+    /// # Errors
+    /// [`RecordError`] when a newer program wrote a record; the fold stays before it.
+    pub fn on_page(&mut self, fold: &mut Fold, page: &Page) -> Result<PageResult, RecordError> {
+        let mut applied = Vec::new();
+        if page.next < fold.next_offset() {
+            let progress = Progress::LogShorter {
+                covered: fold.next_offset(),
+                next: page.next,
+            };
+            return Ok(PageResult { applied, progress });
+        }
+        let needed_before = fold.next_offset();
+        let mut read_to = self.read_from(fold).max(page.earliest);
+        for stored in &page.records {
+            let record = Record::parse(&stored.text)?;
+            let effect = fold.apply(stored.offset, &record);
+            let taken = matches!(effect, Applied::SnapshotTaken(_));
+            applied.push(AppliedRecord {
+                offset: stored.offset,
+                applied: effect,
+            });
+            read_to = stored.offset + 1;
+            if taken && fold.next_offset() >= page.earliest {
+                break;
+            }
+        }
+        let stuck = read_to > needed_before && fold.next_offset() == needed_before;
+        let progress = self.progress(fold, page, read_to, stuck);
+        Ok(PageResult { applied, progress })
+    }
+
+    fn progress(&mut self, fold: &Fold, page: &Page, read_to: u64, stuck: bool) -> Progress {
+        let needed = fold.next_offset();
+        self.search_from = None;
+        if needed >= page.next {
+            return Progress::CaughtUp;
+        }
+        if needed >= page.earliest && !stuck {
+            return Progress::ReadFrom(needed);
+        }
+        if read_to >= page.next {
+            return Progress::Gap {
+                needed,
+                earliest: page.earliest,
+            };
+        }
+        self.search_from = Some(read_to);
+        Progress::ReadFrom(read_to)
+    }
+}
--- /dev/null
+++ b/src/agreement/mod.rs
@@ -0,0 +1,12 @@
+//! What all nodes agree on: the configuration, folded from one stream of the platform's log.
+//!
+//! The fold is deterministic and has neither clock nor sockets. Its state is a function of
+//! the records below one offset, whether they were read or adopted through a snapshot.
+
+pub mod catch_up;
+pub mod change;
+pub mod fold;
+pub mod outcome;
+pub mod record;
+pub mod renewal;
+pub mod snapshot;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,5 +3,7 @@
 //! One process, the node, runs beside each backend server and is its only gate.
 //! `docs/ARCHITECTURE.md` follows one request through these modules.
 
+pub mod agreement;
 pub mod decision;
 pub mod model;
+pub mod operators;
--- a/src/model/config.rs
+++ b/src/model/config.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::answers::Answers;
 use super::ids::ConfigVersion;
 use super::names::{BranchName, ServerName, ServiceName, ZoneName};
 use super::request::{Effect, Urgency};
@@ -79,6 +80,8 @@
     pub version: ConfigVersion,
     /// Services by name.
     pub services: BTreeMap<ServiceName, Arc<ServiceConfig>>,
+    /// Answers in force, from which each service was generated.
+    pub answers: BTreeMap<ServiceName, BTreeMap<BranchName, Arc<Answers>>>,
     /// Availability zones taken out.
     pub zones_out: BTreeSet<ZoneName>,
     /// Backend servers taken out.
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,5 +1,6 @@
-//! Types that all parts share: names, identifiers, reasons, load reports and configuration.
+//! Types that all parts share: names, identifiers, reasons, load reports, answers and configuration.
 
+pub mod answers;
 pub mod config;
 pub mod ids;
 pub mod load;
