--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,8 @@
 //! One process, the node, runs beside each backend server and is its only gate.
 //! `docs/ARCHITECTURE.md` follows one request through these modules.
 
+pub mod agreement;
 pub mod decision;
 pub mod edge;
 pub mod model;
+pub mod operators;
