Add the gate: admission to one backend server as a state machine

Cause: every request for a backend server passes one gate, which alone knows what is in flight and must bound it.

Change: src/decision/gate takes events with a time and asks for a dispatch or a refusal of each request. It holds an adaptive limit below the slots, a queue with bounded urgent work first and start-time fair queueing between branches, early refusal by deadline and queue delay, and the cold start. src/decision/probe_budget grants probes.

Ruled out for now: growth before cold_ms has passed. The answers give one number of requests for the whole cold start, so the limit stays at it until then and grows on successes afterwards.

Conclusion: a first whole cut for the request path to build on.

--- /dev/null
+++ b/src/decision/gate/queue.rs
@@ -0,0 +1,296 @@
+//! Queue of a gate: one flow per branch, ordered by urgency and share.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use crate::model::config::BranchShare;
+use crate::model::names::BranchName;
+use crate::model::request::Urgency;
+
+use super::event::WorkId;
+use super::fair_order::{FairOrder, FlowIndex, Turn};
+use super::flow::{Entry, Flow};
+use super::policy::QueueOrder;
+
+/// The one flow of all branches under [`QueueOrder::Fifo`].
+const FIFO_FLOW: FlowIndex = 0;
+
+/// Where a queued request stands.
+#[derive(Debug, Clone, Copy)]
+struct Place {
+    flow: FlowIndex,
+    urgency: Urgency,
+    sequence: u64,
+}
+
+/// Queued work of all branches.
+#[derive(Debug, Clone)]
+pub struct Queue {
+    order: QueueOrder,
+    flows: Vec<Flow>,
+    free: Vec<FlowIndex>,
+    index: BTreeMap<BranchName, FlowIndex>,
+    fair: FairOrder,
+    places: HashMap<WorkId, Place>,
+    expiries: BTreeSet<(u64, WorkId)>,
+    urgent_len: usize,
+    sequence: u64,
+}
+
+impl Queue {
+    /// Makes an empty queue without branches.
+    pub fn new(order: QueueOrder) -> Self {
+        Self {
+            order,
+            flows: Vec::new(),
+            free: Vec::new(),
+            index: BTreeMap::new(),
+            fair: FairOrder::default(),
+            places: HashMap::new(),
+            expiries: BTreeSet::new(),
+            urgent_len: 0,
+            sequence: 0,
+        }
+    }
+
+    /// Sets the branches; returns the queued work of branches that are no more.
+    pub fn set_branches(&mut self, branches: &BTreeMap<BranchName, BranchShare>) -> Vec<Entry> {
+        let gone: Vec<BranchName> = self
+            .index
+            .keys()
+            .filter(|name| !branches.contains_key(name))
+            .cloned()
+            .collect();
+        let orphans = gone
+            .iter()
+            .flat_map(|name| self.remove_branch(name))
+            .collect();
+        for (name, share) in branches {
+            self.set_branch(name, *share);
+        }
+        orphans
+    }
+
+    /// The flow of a branch, if the branch is known.
+    pub fn flow_of(&self, branch: &BranchName) -> Option<FlowIndex> {
+        self.index.get(branch).copied()
+    }
+
+    /// Queued requests.
+    pub fn len(&self) -> usize {
+        self.places.len()
+    }
+
+    /// Whether nothing is queued.
+    pub fn is_empty(&self) -> bool {
+        self.places.is_empty()
+    }
+
+    /// Requests that would be dispatched before a new one.
+    pub fn ahead_of(&self, flow: FlowIndex, urgency: Urgency) -> u64 {
+        let first = urgency == Urgency::Urgent && self.may_go_first(flow);
+        let before = if first { self.urgent_len } else { self.len() };
+        let flow = &self.flows[flow];
+        let own = match urgency {
+            Urgency::Urgent => flow.class_len(Urgency::Urgent),
+            Urgency::Ordinary => flow.len(),
+        };
+        let by_share = (own as u64 * self.active_weight_with(flow)).div_ceil(flow.weight());
+        by_share.min(before as u64)
+    }
+
+    /// Whether urgent work of the flow may go before ordinary work now.
+    pub fn may_go_first(&self, flow: FlowIndex) -> bool {
+        let clock = self.fair.share_clock();
+        self.order == QueueOrder::Fair && self.flows[flow].may_go_first(clock)
+    }
+
+    /// Whether another flow has work queued.
+    pub fn has_others(&self, flow: FlowIndex) -> bool {
+        self.flows[flow].len() < self.len()
+    }
+
+    /// Whether one more request takes the flow beyond its part of a queue of `length`.
+    pub fn over_share(&self, flow: FlowIndex, length: usize) -> bool {
+        let others_wait = self.has_others(flow);
+        let flow = &self.flows[flow];
+        let more = (flow.len() + 1) as u64;
+        others_wait && more * self.active_weight_with(flow) > flow.weight() * length as u64
+    }
+
+    /// Adds a request to the flow.
+    pub fn push(&mut self, flow: FlowIndex, id: WorkId, class: Urgency, times: EntryTimes) {
+        let urgency = match self.order {
+            QueueOrder::Fair => class,
+            QueueOrder::Fifo => Urgency::Ordinary,
+        };
+        self.sequence += 1;
+        let entry = Entry {
+            id,
+            urgency,
+            sequence: self.sequence,
+            deadline_us: times.deadline_us,
+            expiry_us: times.expiry_us,
+        };
+        self.flows[flow].push(entry);
+        self.count(flow, &entry);
+        self.fair.refresh(flow, &mut self.flows[flow]);
+    }
+
+    /// Takes the request that goes next, without a charge.
+    pub fn pop(&mut self) -> Option<(Turn, Entry)> {
+        let turn = self.fair.next()?;
+        let (Turn::UrgentFirst(flow) | Turn::InShare(flow)) = turn;
+        let entry = self.flows[flow].pop()?;
+        self.uncount(&entry);
+        Some((turn, entry))
+    }
+
+    /// Charges the request that was popped on `turn` to its flow, if it was dispatched.
+    pub fn settle(&mut self, turn: Turn, dispatched: bool) -> FlowIndex {
+        let (Turn::UrgentFirst(flow) | Turn::InShare(flow)) = turn;
+        if dispatched {
+            self.fair.charge(turn, &mut self.flows[flow]);
+        } else {
+            self.fair.refresh(flow, &mut self.flows[flow]);
+        }
+        flow
+    }
+
+    /// Charges a request that was dispatched while nothing was queued.
+    pub fn charge_unqueued(&mut self, flow: FlowIndex) {
+        self.fair.charge_unqueued(&mut self.flows[flow]);
+    }
+
+    /// Records that a request of the flow ran for `run_us`.
+    pub fn record_cost(&mut self, flow: FlowIndex, run_us: u64) {
+        if let Some(flow) = self.flows.get_mut(flow) {
+            flow.record_cost(run_us);
+        }
+    }
+
+    /// Takes a request out, wherever it stands.
+    pub fn remove(&mut self, id: WorkId) -> Option<Entry> {
+        let place = *self.places.get(&id)?;
+        let entry = self.flows[place.flow].remove(place.urgency, place.sequence)?;
+        self.uncount(&entry);
+        self.fair.refresh(place.flow, &mut self.flows[place.flow]);
+        Some(entry)
+    }
+
+    /// Takes the newest request of the branch that holds most beyond its share.
+    pub fn evict_from_longest(&mut self) -> Option<Entry> {
+        let longest = |&flow: &FlowIndex| {
+            let flow = &self.flows[flow];
+            flow.len() as u64 * u64::from(u32::MAX) / flow.weight()
+        };
+        let flow = self.index.values().copied().max_by_key(longest)?;
+        self.evict_newest(flow)
+    }
+
+    /// Takes the newest ordinary request of the flow.
+    pub fn evict_ordinary(&mut self, flow: FlowIndex) -> Option<Entry> {
+        if self.flows[flow].class_len(Urgency::Ordinary) == 0 {
+            return None;
+        }
+        self.evict_newest(flow)
+    }
+
+    /// When the next request will have waited too long, in µs.
+    pub fn next_expiry_us(&self) -> Option<u64> {
+        self.expiries.first().map(|&(expiry_us, _)| expiry_us)
+    }
+
+    /// Takes one request that has waited too long.
+    pub fn pop_expired(&mut self, now_us: u64) -> Option<Entry> {
+        let &(expiry_us, id) = self.expiries.first()?;
+        if expiry_us > now_us {
+            return None;
+        }
+        self.remove(id)
+    }
+
+    /// Takes any one request.
+    pub fn pop_any(&mut self) -> Option<Entry> {
+        let &(_, id) = self.expiries.first()?;
+        self.remove(id)
+    }
+
+    fn evict_newest(&mut self, flow: FlowIndex) -> Option<Entry> {
+        let entry = self.flows[flow].pop_newest()?;
+        self.uncount(&entry);
+        self.fair.refresh(flow, &mut self.flows[flow]);
+        Some(entry)
+    }
+
+    fn active_weight_with(&self, flow: &Flow) -> u64 {
+        let own = if flow.is_empty() { flow.weight() } else { 0 };
+        self.fair.active_weight() + own
+    }
+
+    fn count(&mut self, flow: FlowIndex, entry: &Entry) {
+        let place = Place {
+            flow,
+            urgency: entry.urgency,
+            sequence: entry.sequence,
+        };
+        self.places.insert(entry.id, place);
+        self.expiries.insert((entry.expiry_us, entry.id));
+        if entry.urgency == Urgency::Urgent {
+            self.urgent_len += 1;
+        }
+    }
+
+    fn uncount(&mut self, entry: &Entry) {
+        self.places.remove(&entry.id);
+        self.expiries.remove(&(entry.expiry_us, entry.id));
+        if entry.urgency == Urgency::Urgent {
+            self.urgent_len -= 1;
+        }
+    }
+
+    fn set_branch(&mut self, name: &BranchName, share: BranchShare) {
+        if let Some(&flow) = self.index.get(name) {
+            self.flows[flow].share = share;
+            self.fair.refresh(flow, &mut self.flows[flow]);
+            return;
+        }
+        if self.order == QueueOrder::Fifo && !self.flows.is_empty() {
+            self.index.insert(name.clone(), FIFO_FLOW);
+            return;
+        }
+        let new = Flow::new(share);
+        let flow = if let Some(flow) = self.free.pop() {
+            self.flows[flow] = new;
+            flow
+        } else {
+            self.flows.push(new);
+            self.flows.len() - 1
+        };
+        self.index.insert(name.clone(), flow);
+    }
+
+    fn remove_branch(&mut self, name: &BranchName) -> Vec<Entry> {
+        let Some(flow) = self.index.remove(name) else {
+            return Vec::new();
+        };
+        if self.order == QueueOrder::Fifo {
+            return Vec::new();
+        }
+        let orphans: Vec<Entry> = std::iter::from_fn(|| self.flows[flow].pop()).collect();
+        for entry in &orphans {
+            self.uncount(entry);
+        }
+        self.fair.refresh(flow, &mut self.flows[flow]);
+        self.free.push(flow);
+        orphans
+    }
+}
+
+/// Times that bound a request's stay in the queue.
+#[derive(Debug, Clone, Copy)]
+pub struct EntryTimes {
+    /// When the answer must be there, in µs.
+    pub deadline_us: u64,
+    /// When it has waited too long, in µs.
+    pub expiry_us: u64,
+}
--- /dev/null
+++ b/src/decision/gate/service_time.rs
@@ -0,0 +1,181 @@
+//! Estimate of the time that one request runs on the backend server.
+//!
+//! Answers alone tell of a slowdown only when the slow requests end. The estimator therefore also
+//! counts the run time that has passed without any answer: if answers came at random with mean
+//! service time S, more than S · ln(100) would pass without one in a hundredth of cases.
+
+/// Weight of one answer in the fast average.
+const FAST_WEIGHT: f64 = 1.0 / 8.0;
+
+/// Weight of one answer in the slow average.
+const SLOW_WEIGHT: f64 = 1.0 / 64.0;
+
+/// Answers before the slow average counts as known.
+const SAMPLES_MIN: u32 = 16;
+
+/// Run time without an answer, per service time, that chance explains in 1 of 100 cases: ln(100).
+const SILENCE_FACTOR: f64 = 4.605;
+
+/// Service times without an answer before silence counts; covers requests begun together.
+const SILENCE_MIN_SERVICE_TIMES: f64 = 1.5;
+
+/// Length of one window of the minimum, in µs. The minimum covers one to two windows.
+const WINDOW_US: u64 = 10_000_000;
+
+/// Smoothed service time of one backend server, its recent minimum and present silence.
+#[derive(Debug, Clone)]
+pub struct ServiceTime {
+    fast_us: f64,
+    slow_us: f64,
+    samples: u32,
+    minimum: WindowedMinimum,
+    silence: Silence,
+}
+
+impl ServiceTime {
+    /// Makes an estimator that knows nothing yet.
+    pub fn new() -> Self {
+        Self {
+            fast_us: 0.0,
+            slow_us: 0.0,
+            samples: 0,
+            minimum: WindowedMinimum::new(),
+            silence: Silence::default(),
+        }
+    }
+
+    /// Forgets the undisturbed service time, after a restart of the backend server.
+    pub fn restart(&mut self) {
+        self.samples = 0;
+        self.minimum = WindowedMinimum::new();
+    }
+
+    /// Takes note that `in_flight` requests run from `now_us` on.
+    pub fn set_in_flight(&mut self, in_flight: usize, now_us: u64) {
+        self.silence.set_in_flight(in_flight, now_us);
+    }
+
+    /// Records an answer that took `sample_us`.
+    pub fn record(&mut self, sample_us: u64, now_us: u64) {
+        let sample = sample_us as f64;
+        let known = self.estimate_us(now_us);
+        self.fast_us = if self.fast_us > 0.0 {
+            known + (sample - known) * FAST_WEIGHT
+        } else {
+            sample
+        };
+        self.samples = self.samples.saturating_add(1);
+        let weight = SLOW_WEIGHT.max(1.0 / f64::from(self.samples));
+        self.slow_us += (sample - self.slow_us) * weight;
+        if self.samples >= SAMPLES_MIN {
+            self.minimum.record(self.slow_us, now_us);
+        }
+        self.silence.end(now_us);
+    }
+
+    /// Records a request given up after `sample_us`: it would have taken at least that long.
+    pub fn record_given_up(&mut self, sample_us: u64) {
+        let sample = sample_us as f64;
+        if self.fast_us > 0.0 && sample > self.fast_us {
+            self.fast_us += (sample - self.fast_us) * FAST_WEIGHT;
+        }
+    }
+
+    /// Takes note that the backend server answers, without a usable time.
+    pub fn record_sign_of_life(&mut self, now_us: u64) {
+        self.silence.end(now_us);
+    }
+
+    /// Present service time, in µs; zero before the first answer.
+    pub fn estimate_us(&self, now_us: u64) -> f64 {
+        self.fast_us
+            .max(self.silence.least_service_time_us(self.fast_us, now_us))
+    }
+
+    /// Present service time over its recent minimum; 1 while either is unknown.
+    pub fn slowness(&self, now_us: u64) -> f64 {
+        match self.minimum.get() {
+            Some(minimum_us) if minimum_us > 0.0 => self.estimate_us(now_us) / minimum_us,
+            _ => 1.0,
+        }
+    }
+}
+
+/// Run time that has passed since the last answer.
+#[derive(Debug, Clone, Copy, Default)]
+struct Silence {
+    in_flight: usize,
+    run_us: f64,
+    counted_until_us: u64,
+    since_us: u64,
+}
+
+impl Silence {
+    fn set_in_flight(&mut self, in_flight: usize, now_us: u64) {
+        if self.in_flight == 0 {
+            self.since_us = now_us;
+            self.run_us = 0.0;
+        }
+        self.run_us = self.run_us_at(now_us);
+        self.counted_until_us = now_us;
+        self.in_flight = in_flight;
+    }
+
+    fn end(&mut self, now_us: u64) {
+        self.run_us = 0.0;
+        self.counted_until_us = now_us;
+        self.since_us = now_us;
+    }
+
+    fn run_us_at(&self, now_us: u64) -> f64 {
+        let more_us = now_us.saturating_sub(self.counted_until_us) as f64;
+        self.run_us + more_us * self.in_flight as f64
+    }
+
+    /// Service time that the silence makes likely, in µs; zero while chance explains it.
+    fn least_service_time_us(&self, service_us: f64, now_us: u64) -> f64 {
+        let silent_us = now_us.saturating_sub(self.since_us) as f64;
+        if self.in_flight == 0 || silent_us < service_us * SILENCE_MIN_SERVICE_TIMES {
+            return 0.0;
+        }
+        self.run_us_at(now_us) / SILENCE_FACTOR
+    }
+}
+
+/// Minimum over the present and the previous window.
+#[derive(Debug, Clone, Copy)]
+struct WindowedMinimum {
+    previous: f64,
+    present: f64,
+    window: u64,
+}
+
+impl WindowedMinimum {
+    fn new() -> Self {
+        Self {
+            previous: f64::INFINITY,
+            present: f64::INFINITY,
+            window: 0,
+        }
+    }
+
+    fn record(&mut self, value: f64, now_us: u64) {
+        let window = now_us / WINDOW_US;
+        if window != self.window {
+            let adjacent = window == self.window + 1;
+            self.previous = if adjacent {
+                self.present
+            } else {
+                f64::INFINITY
+            };
+            self.present = f64::INFINITY;
+            self.window = window;
+        }
+        self.present = self.present.min(value);
+    }
+
+    fn get(&self) -> Option<f64> {
+        let minimum = self.previous.min(self.present);
+        minimum.is_finite().then_some(minimum)
+    }
+}
--- /dev/null
+++ b/src/decision/gate/wait_estimate.rs
@@ -0,0 +1,61 @@
+//! Time that new work would wait, and when refused work should come back.
+
+use super::event::WorkId;
+
+/// Part of the service time without which work has little chance to finish.
+const SERVICE_TIME_PART_NEEDED: f64 = 0.5;
+
+/// Shortest time after which refused work should come back, in µs.
+const RETRY_AFTER_MIN_US: f64 = 20_000.0;
+
+/// Longest time after which refused work should come back, before the spread, in µs.
+const RETRY_AFTER_MAX_US: f64 = 30_000_000.0;
+
+/// Length of one ms, in µs.
+const MS_US: f64 = 1_000.0;
+
+/// How fast the queue drains at one moment.
+#[derive(Debug, Clone, Copy)]
+pub struct WaitEstimate {
+    /// Present service time, in µs; zero while unknown.
+    pub service_us: f64,
+    /// Most requests in flight.
+    pub limit: u32,
+}
+
+impl WaitEstimate {
+    /// Time until a request with `ahead` others before it is dispatched, in µs.
+    ///
+    /// Infinite if nothing may run.
+    pub fn wait_us(&self, ahead: u64) -> f64 {
+        if self.limit == 0 {
+            return f64::INFINITY;
+        }
+        (ahead + 1) as f64 * self.service_us / f64::from(self.limit)
+    }
+
+    /// Least time that a dispatched request is expected to run, in µs.
+    pub fn run_us_needed(&self) -> f64 {
+        self.service_us * SERVICE_TIME_PART_NEEDED
+    }
+}
+
+/// When refused work should come back, in ms, given that the queue needs `drain_us`.
+///
+/// The result is spread over one to two drain times by `id`, so that the work that is refused
+/// together does not return together.
+pub fn retry_after_ms(drain_us: f64, id: WorkId) -> u64 {
+    let base_us = drain_us.clamp(RETRY_AFTER_MIN_US, RETRY_AFTER_MAX_US);
+    let spread_us = base_us * unit_fraction(id);
+    ((base_us + spread_us) / MS_US).ceil() as u64
+}
+
+/// Maps an id to an even fraction from 0 to 1, by the finaliser of `SplitMix64` (Steele et al.,
+/// OOPSLA 2014).
+fn unit_fraction(id: WorkId) -> f64 {
+    let mut bits = id.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    bits ^= bits >> 31;
+    (bits >> 11) as f64 / (1_u64 << 53) as f64
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -2,3 +2,6 @@
 //!
 //! Nothing here reads a clock, opens a socket or draws a random number. Times are µs of the
 //! node's own monotonic clock; random draws are passed in.
+
+pub mod gate;
+pub mod probe_budget;
