--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -7,3 +7,5 @@
 pub mod membership;
 pub mod retry;
 pub mod routing;
+pub mod gate;
+pub mod probe_budget;
