--- /dev/null
+++ b/src/agreement/in_force.rs
@@ -0,0 +1,68 @@
+//! Brings a configuration into force in this node: gate, routers and connections.
+
+use std::sync::Arc;
+
+use crate::decision::gate::{GateEvent, GateLimits, OutReason};
+use crate::kernel::Kernel;
+use crate::kernel::metrics::Event;
+use crate::model::config::Config;
+use crate::settings::NodeSettings;
+
+const US_PER_MS: u64 = 1_000;
+
+/// Brings `config` into force, unless a newer one is.
+pub fn bring(kernel: &Kernel, config: Arc<Config>) {
+    let in_force = kernel.state.config.load().version;
+    if config.version <= in_force {
+        return;
+    }
+    let version = config.version;
+    kernel.state.routers.for_each(|router| {
+        router.set_out(&config.zones_out, &config.servers_out);
+    });
+    kernel.state.config.store(config);
+    configure_gate(kernel);
+    kernel.metrics.count(Event::ConfigInForce);
+    kernel.state.config_changed.send_replace(version);
+    log::info!("config: version {version} is in force");
+}
+
+/// Gives the gate its limits again whenever the backend server announces another service.
+pub async fn keep_gate_configured(kernel: Arc<Kernel>) {
+    let mut server_changed = kernel.state.server_changed.subscribe();
+    server_changed.mark_changed();
+    loop {
+        tokio::select! {
+            () = kernel.stop.stopped() => return,
+            _changed = server_changed.changed() => configure_gate(&kernel),
+        }
+    }
+}
+
+fn configure_gate(kernel: &Kernel) {
+    let config = kernel.state.config.load();
+    let gate = &kernel.state.gate;
+    gate.handle(GateEvent::SetOut(out_reason(&kernel.settings, &config)));
+    let Some(service) = kernel.state.own_service() else {
+        return;
+    };
+    let Some(service) = config.services.get(&service) else {
+        return;
+    };
+    gate.handle(GateEvent::Configure(GateLimits {
+        bears: service.bears,
+        branches: service.branches.clone(),
+        queue_delay_max_us: kernel.settings.gate.queue_delay_max_ms * US_PER_MS,
+        queue_length_max: kernel.settings.gate.queue_length_max,
+    }));
+}
+
+fn out_reason(settings: &NodeSettings, config: &Config) -> Option<OutReason> {
+    if config.zones_out.contains(&settings.node.zone) {
+        Some(OutReason::Zone)
+    } else if config.servers_out.contains(&settings.node.server) {
+        Some(OutReason::Server)
+    } else {
+        None
+    }
+}
--- /dev/null
+++ b/src/agreement/members.rs
@@ -0,0 +1,130 @@
+//! Nodes find each other through a stream of the log: each appends its record and reads the others'.
+//!
+//! The records are only contacts. Membership itself decides who is there.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::decision::membership::{Member, MemberState};
+use crate::edge::log_client::LogClient;
+use crate::kernel::metrics::Event;
+use crate::kernel::{Kernel, StepError};
+use crate::model::ids::Incarnation;
+use crate::model::names::{ServerName, ServiceName, ZoneName};
+
+/// Records that one read asks for.
+const RECORDS_MAX: usize = 1_024;
+
+/// Part of the retention after which a node appends its record again.
+const RETENTION_PART: u64 = 3;
+
+/// Longest pause before a first append, so that many starting nodes do not append at once, in ms.
+const APPEND_SPREAD_MS: u64 = 1_000;
+
+/// A node as it stands in the stream.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct MemberWire {
+    server: ServerName,
+    incarnation: Incarnation,
+    peer_address: SocketAddr,
+    gossip_address: SocketAddr,
+    region: Arc<str>,
+    zone: ZoneName,
+    service: Option<ServiceName>,
+    revision: u32,
+}
+
+impl From<Member> for MemberWire {
+    fn from(member: Member) -> Self {
+        Self {
+            server: member.server,
+            incarnation: member.incarnation,
+            peer_address: member.peer_address,
+            gossip_address: member.gossip_address,
+            region: member.region,
+            zone: member.zone,
+            service: member.service,
+            revision: member.revision,
+        }
+    }
+}
+
+impl From<MemberWire> for Member {
+    fn from(wire: MemberWire) -> Self {
+        Self {
+            server: wire.server,
+            incarnation: wire.incarnation,
+            peer_address: wire.peer_address,
+            gossip_address: wire.gossip_address,
+            region: wire.region,
+            zone: wire.zone,
+            service: wire.service,
+            state: MemberState::Alive,
+            revision: wire.revision,
+        }
+    }
+}
+
+/// Reads who is there, then keeps the own record in the stream.
+pub async fn run(kernel: Arc<Kernel>, log: LogClient, own: Member) {
+    let until_stopped = async {
+        let spread_ms = rand::random_range(0..=APPEND_SPREAD_MS);
+        retry(&kernel, || learn(&kernel, &log)).await;
+        tokio::time::sleep(Duration::from_millis(spread_ms)).await;
+        loop {
+            retry(&kernel, || append(&kernel, &log, own.clone())).await;
+            let period_ms = kernel.settings.log.retention_ms / RETENTION_PART;
+            tokio::time::sleep(Duration::from_millis(period_ms)).await;
+        }
+    };
+    tokio::select! {
+        () = kernel.stop.stopped() => {}
+        () = until_stopped => {}
+    }
+}
+
+/// Repeats a step until it succeeds, with a pause that is spread over the nodes.
+async fn retry<F, S>(kernel: &Kernel, step: F)
+where
+    F: Fn() -> S,
+    S: Future<Output = Result<(), StepError>>,
+{
+    while let Err(error) = step().await {
+        kernel.metrics.count(Event::LogFailed);
+        log::debug!("members: {error}");
+        let pause_ms = kernel.settings.log.retry_ms;
+        let spread_ms = rand::random_range(pause_ms..=pause_ms * 10);
+        tokio::time::sleep(Duration::from_millis(spread_ms)).await;
+    }
+}
+
+/// Reads the stream to its end once.
+async fn learn(kernel: &Kernel, log: &LogClient) -> Result<(), StepError> {
+    let stream = &kernel.settings.log.member_stream;
+    let mut from = 0;
+    loop {
+        let page = log.read(stream, from, RECORDS_MAX, 0).await?;
+        for record in &page.records {
+            from = record.offset + 1;
+            match serde_json::from_str::<MemberWire>(&record.text) {
+                Ok(wire) => drop(kernel.state.learned_members.send(wire.into())),
+                Err(error) => log::debug!("members: a record is unreadable: {error}"),
+            }
+        }
+        if page.records.is_empty() || from >= page.next {
+            return Ok(());
+        }
+    }
+}
+
+async fn append(kernel: &Kernel, log: &LogClient, own: Member) -> Result<(), StepError> {
+    let text = serde_json::to_string(&MemberWire::from(own))
+        .map_err(|error| StepError::local("write the member record", error))?;
+    let stream = &kernel.settings.log.member_stream;
+    // A lost answer is harmless: a second record of the same run says nothing new.
+    let appended = log.append(stream, text).await;
+    appended.map(|_offset| ()).map_err(|failed| failed.error)
+}
--- a/src/agreement/mod.rs
+++ b/src/agreement/mod.rs
@@ -6,6 +6,9 @@
 pub mod catch_up;
 pub mod change;
 pub mod fold;
+pub mod follower;
+pub mod in_force;
+pub mod members;
 pub mod outcome;
 pub mod record;
 pub mod renewal;
--- /dev/null
+++ b/src/cli/mod.rs
@@ -0,0 +1,39 @@
+//! Commands of the `bronzelock` binary.
+
+pub mod check;
+pub mod node;
+
+use std::process::ExitCode;
+
+use clap::{Parser, Subcommand};
+
+/// Exit code for arguments, settings or answers that do not fit.
+pub const EXIT_BAD_INPUT: u8 = 2;
+/// Exit code for a command that failed while it ran.
+pub const EXIT_FAILED: u8 = 1;
+
+/// Load balancer for servers whose load shifts in milliseconds.
+#[derive(Debug, Parser)]
+#[command(name = "bronzelock", version, about, long_about = None)]
+pub struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Run the node beside a backend server until SIGTERM or SIGINT.
+    Node(node::NodeArguments),
+    /// Check a settings file and start nothing.
+    Check(check::CheckArguments),
+}
+
+impl Cli {
+    /// Runs the command and gives the process's exit code.
+    pub fn run(self) -> ExitCode {
+        match self.command {
+            Command::Node(arguments) => node::run(&arguments),
+            Command::Check(arguments) => check::run(&arguments),
+        }
+    }
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -3,9 +3,9 @@
 //! Nothing here reads a clock, opens a socket or draws a random number. Times are µs of the
 //! node's own monotonic clock; random draws are passed in.
 
-pub mod ticket;
+pub mod gate;
 pub mod membership;
+pub mod probe_budget;
 pub mod retry;
 pub mod routing;
-pub mod gate;
-pub mod probe_budget;
+pub mod ticket;
--- /dev/null
+++ b/src/edge/handshake.rs
@@ -0,0 +1,116 @@
+//! Proof of the shared token at the start of a connection between nodes.
+//!
+//! The server sends a challenge; the client answers with a keyed hash of it. Both begin with the
+//! same mark and wire version, so a foreign program or an older node is refused at once.
+
+use displaydoc::Display;
+use subtle::ConstantTimeEq;
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+
+/// Mark at the start of each side's first message.
+const MARK: [u8; 4] = *b"BZLK";
+/// Version of the messages between nodes.
+pub const WIRE_VERSION: u16 = 1;
+
+const CHALLENGE_BYTES: usize = 16;
+const PROOF_BYTES: usize = 32;
+const KEY_CONTEXT: &str = "bronzelock 2026-12-03 peer connection";
+
+/// Key that proves membership of the same system.
+#[derive(Clone)]
+pub struct PeerKey([u8; 32]);
+
+impl std::fmt::Debug for PeerKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("PeerKey(…)")
+    }
+}
+
+impl PeerKey {
+    /// Derives the key from the shared token.
+    pub fn from_token(token: &str) -> Self {
+        Self(blake3::derive_key(KEY_CONTEXT, token.as_bytes()))
+    }
+
+    fn proof(&self, challenge: &[u8; CHALLENGE_BYTES]) -> [u8; PROOF_BYTES] {
+        *blake3::keyed_hash(&self.0, challenge).as_bytes()
+    }
+}
+
+/// Why a connection between nodes was refused.
+#[derive(Debug, Display)]
+pub enum HandshakeError {
+    /// the connection broke: {0}
+    Io(std::io::Error),
+    /// the other side is not a bronzelock node
+    Foreign,
+    /// the other side speaks wire version {0}, this node speaks 1
+    Version(u16),
+    /// the token is wrong
+    Token,
+}
+
+impl std::error::Error for HandshakeError {}
+
+impl From<std::io::Error> for HandshakeError {
+    fn from(error: std::io::Error) -> Self {
+        Self::Io(error)
+    }
+}
+
+async fn write_head(stream: &mut (impl AsyncWrite + Unpin)) -> std::io::Result<()> {
+    stream.write_all(&MARK).await?;
+    stream.write_u16(WIRE_VERSION).await
+}
+
+async fn read_head(stream: &mut (impl AsyncRead + Unpin)) -> Result<(), HandshakeError> {
+    let mut mark = [0; MARK.len()];
+    stream.read_exact(&mut mark).await?;
+    if mark != MARK {
+        return Err(HandshakeError::Foreign);
+    }
+    match stream.read_u16().await? {
+        WIRE_VERSION => Ok(()),
+        other => Err(HandshakeError::Version(other)),
+    }
+}
+
+/// Proves the token to a peer's listener.
+///
+/// # Errors
+/// [`HandshakeError`] when the other side is foreign, older, or ends the connection.
+pub async fn prove(
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
+    key: &PeerKey,
+) -> Result<(), HandshakeError> {
+    write_head(stream).await?;
+    stream.flush().await?;
+    read_head(stream).await?;
+    let mut challenge = [0; CHALLENGE_BYTES];
+    stream.read_exact(&mut challenge).await?;
+    stream.write_all(&key.proof(&challenge)).await?;
+    stream.flush().await?;
+    Ok(())
+}
+
+/// Checks the token of a peer that connected; `challenge` is a fresh random draw.
+///
+/// # Errors
+/// [`HandshakeError`] when the other side is foreign, older or has the wrong token.
+pub async fn check(
+    stream: &mut (impl AsyncRead + AsyncWrite + Unpin),
+    key: &PeerKey,
+    challenge: [u8; CHALLENGE_BYTES],
+) -> Result<(), HandshakeError> {
+    read_head(stream).await?;
+    write_head(stream).await?;
+    stream.write_all(&challenge).await?;
+    stream.flush().await?;
+    let mut proof = [0; PROOF_BYTES];
+    stream.read_exact(&mut proof).await?;
+    if bool::from(proof.ct_eq(&key.proof(&challenge))) {
+        Ok(())
+    } else {
+        Err(HandshakeError::Token)
+    }
+}
--- /dev/null
+++ b/src/edge/http_server.rs
@@ -0,0 +1,108 @@
+//! HTTP listeners by warp and hyper, with bounds on connections and a graceful end.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::body::Incoming;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+use warp::Filter;
+
+use crate::kernel::Kernel;
+use crate::kernel::metrics::Event;
+use crate::kernel::stop::Stop;
+
+/// Pause after a failed accept, such as when file descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest head of a request, in bytes.
+const HEAD_BYTES_MAX: usize = 64 << 10;
+
+/// Bounds of one HTTP listener.
+#[derive(Debug, Clone, Copy)]
+pub struct HttpBounds {
+    /// Name of the part, the prefix of its logs.
+    pub part: &'static str,
+    /// Open connections at most.
+    pub connections_max: usize,
+    /// Time to send a request's head, in ms.
+    pub head_timeout_ms: u64,
+}
+
+/// Serves `routes` until the listener closes, then lets open requests finish.
+pub async fn serve<F>(kernel: Arc<Kernel>, listener: TcpListener, bounds: HttpBounds, routes: F)
+where
+    F: Filter<Error = Infallible> + Clone + Send + Sync + 'static,
+    F::Extract: warp::Reply + Send,
+    F::Future: Send,
+{
+    let places = Arc::new(Semaphore::new(bounds.connections_max));
+    loop {
+        let accepted = tokio::select! {
+            () = kernel.stop.closed() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _address)) => stream,
+            Err(error) => {
+                log::warn!("{}: accept failed: {error}", bounds.part);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            kernel.metrics.count(Event::CallerBroken);
+            log::warn!("{}: all places for connections are taken", bounds.part);
+            continue;
+        };
+        let connection = Arc::clone(&kernel);
+        let service = warp::service(routes.clone());
+        kernel.work.spawn(async move {
+            let served = serve_connection(&connection.stop, stream, bounds, service).await;
+            if let Err(error) = served {
+                connection.metrics.count(Event::CallerBroken);
+                log::debug!("{}: a connection ended: {error}", bounds.part);
+            }
+            drop(place);
+        });
+    }
+}
+
+async fn serve_connection<S, R>(
+    stop: &Stop,
+    stream: TcpStream,
+    bounds: HttpBounds,
+    service: S,
+) -> Result<(), hyper::Error>
+where
+    S: tower_service::Service<
+            hyper::Request<Incoming>,
+            Response = hyper::Response<R>,
+            Error = Infallible,
+        > + Clone
+        + Send
+        + 'static,
+    S::Future: Send + 'static,
+    R: hyper::body::Body + Send + 'static,
+    R::Data: Send,
+    R::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("{}: a connection keeps its delay: {error}", bounds.part);
+    }
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    let connection = builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(bounds.head_timeout_ms))
+        .max_buf_size(HEAD_BYTES_MAX)
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+    tokio::pin!(connection);
+    tokio::select! {
+        served = connection.as_mut() => return served,
+        () = stop.closed() => connection.as_mut().graceful_shutdown(),
+    }
+    connection.await
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -2,3 +2,11 @@
 
 pub mod gossip_codec;
 mod gossip_wire;
+pub mod handshake;
+pub mod http_server;
+pub mod log_client;
+pub mod peer_client;
+pub mod peer_rpc;
+pub mod peer_server;
+pub mod server_pool;
+pub mod wire;
--- /dev/null
+++ b/src/edge/peer_client.rs
@@ -0,0 +1,129 @@
+//! Connections to peer nodes.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
+
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpStream;
+use tokio::sync::Mutex;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use super::handshake::{self, PeerKey};
+use super::peer_rpc::PeerNodeClient;
+use crate::kernel::StepError;
+use crate::kernel::shards::Shards;
+use crate::kernel::tasks::Tasks;
+use crate::settings::peer::PeerSettings;
+
+/// Locks over the table of peers.
+const SHARDS: usize = 16;
+
+/// Requests to one peer that wait to be written.
+const PENDING_MAX: usize = 1_024;
+
+/// Requests to one peer that wait for an answer.
+const IN_FLIGHT_MAX: usize = 65_536;
+
+type Connecting = std::sync::Arc<Mutex<Option<PeerNodeClient>>>;
+
+#[derive(Debug, Default)]
+struct Peer {
+    connections: Vec<Connecting>,
+    next: AtomicUsize,
+}
+
+/// Connections to peers by address, opened on first use.
+#[derive(Debug)]
+pub struct PeerPool {
+    key: PeerKey,
+    settings: PeerSettings,
+    tasks: Tasks,
+    peers: Shards<HashMap<SocketAddr, Peer>>,
+}
+
+impl PeerPool {
+    /// Makes a pool without connections.
+    pub fn new(settings: PeerSettings, tasks: Tasks) -> Self {
+        Self {
+            key: PeerKey::from_token(settings.token.expose()),
+            settings,
+            tasks,
+            peers: Shards::new(SHARDS, HashMap::new),
+        }
+    }
+
+    /// A client of the peer at `address`.
+    ///
+    /// # Errors
+    /// [`StepError`] when it cannot be reached or refuses the token; nothing was sent.
+    pub async fn client(&self, address: SocketAddr) -> Result<PeerNodeClient, StepError> {
+        let connecting = self.connecting(address);
+        let mut slot = connecting.lock().await;
+        if let Some(client) = slot.as_ref() {
+            return Ok(client.clone());
+        }
+        let client = self.connect(address).await?;
+        *slot = Some(client.clone());
+        Ok(client)
+    }
+
+    /// Drops the connections to a peer after one broke; the next request opens a new one.
+    pub fn forget(&self, address: SocketAddr) {
+        self.peers.lock(&address).remove(&address);
+    }
+
+    /// Drops all connections.
+    pub fn clear(&self) {
+        self.peers.for_each(HashMap::clear);
+    }
+
+    fn connecting(&self, address: SocketAddr) -> Connecting {
+        let mut peers = self.peers.lock(&address);
+        let peer = peers.entry(address).or_insert_with(|| Peer {
+            connections: (0..self.settings.connections_per_peer)
+                .map(|_| Connecting::default())
+                .collect(),
+            next: AtomicUsize::new(0),
+        });
+        let index = peer.next.fetch_add(1, Ordering::Relaxed) % peer.connections.len();
+        Connecting::clone(&peer.connections[index])
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<PeerNodeClient, StepError> {
+        let limit = Duration::from_millis(self.settings.connect_timeout_ms);
+        let error = |cause: &dyn std::fmt::Display| StepError::with_peer("connect", address, cause);
+        let stream = match tokio::time::timeout(limit, self.open(address)).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(cause)) => return Err(error(&cause)),
+            Err(elapsed) => return Err(error(&elapsed)),
+        };
+        let codec = codec(self.settings.message_bytes_max);
+        let transport = tarpc::serde_transport::new(codec.new_framed(stream), Bincode::default());
+        let mut config = tarpc::client::Config::default();
+        config.max_in_flight_requests = IN_FLIGHT_MAX;
+        config.pending_request_buffer = PENDING_MAX;
+        let new_client = PeerNodeClient::new(config, transport);
+        self.tasks.spawn(async move {
+            if let Err(error) = new_client.dispatch.await {
+                log::debug!("peer client: the connection to {address} ended: {error}");
+            }
+        });
+        Ok(new_client.client)
+    }
+
+    async fn open(&self, address: SocketAddr) -> Result<TcpStream, handshake::HandshakeError> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        handshake::prove(&mut stream, &self.key).await?;
+        Ok(stream)
+    }
+}
+
+/// Frames of messages between nodes, bounded in length.
+pub fn codec(message_bytes_max: usize) -> tokio_util::codec::length_delimited::Builder {
+    let mut builder = LengthDelimitedCodec::builder();
+    builder.max_frame_length(message_bytes_max);
+    builder
+}
--- /dev/null
+++ b/src/edge/peer_server.rs
@@ -0,0 +1,136 @@
+//! Listener for peer nodes.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Semaphore;
+
+use super::handshake::{self, PeerKey};
+use super::peer_client::codec;
+use super::peer_rpc::{PeerNode, WireConfig, WireLoad, WireTicket};
+use super::wire::{WireCall, WireReply};
+use crate::kernel::Kernel;
+use crate::kernel::metrics::Event;
+use crate::model::ids::{ConfigVersion, RequestId};
+use crate::model::names::ServiceName;
+use crate::model::reasons::{RefusalReason, RunState};
+use crate::request::call::{Call, CallResult, Failure, Step};
+use crate::request::executor;
+
+/// Pause after a failed accept, such as when file descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Answers that wait to be written to one peer.
+const PENDING_ANSWERS_MAX: usize = 1_024;
+
+/// Serves peers until the node stops.
+pub async fn serve(kernel: Arc<Kernel>, listener: TcpListener) {
+    let key = PeerKey::from_token(kernel.settings.peer.token.expose());
+    let places = Arc::new(Semaphore::new(kernel.settings.peer.connections_max));
+    loop {
+        let accepted = tokio::select! {
+            () = kernel.stop.stopped() => return,
+            accepted = listener.accept() => accepted,
+        };
+        let stream = match accepted {
+            Ok((stream, _address)) => stream,
+            Err(error) => {
+                log::warn!("peer: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let Ok(place) = Arc::clone(&places).try_acquire_owned() else {
+            reject(&kernel, "all places for peer connections are taken");
+            continue;
+        };
+        let (connection_kernel, connection_key) = (Arc::clone(&kernel), key.clone());
+        kernel.tasks.spawn(async move {
+            serve_connection(connection_kernel, stream, connection_key).await;
+            drop(place);
+        });
+    }
+}
+
+fn reject(kernel: &Kernel, cause: impl std::fmt::Display) {
+    kernel.metrics.count(Event::PeerRejected);
+    kernel.metrics.refused(RefusalReason::PeerRejected);
+    log::warn!("peer: a connection was refused: {cause}");
+}
+
+async fn serve_connection(kernel: Arc<Kernel>, mut stream: TcpStream, key: PeerKey) {
+    let limit = Duration::from_millis(kernel.settings.peer.connect_timeout_ms);
+    let checked = async {
+        stream.set_nodelay(true)?;
+        handshake::check(&mut stream, &key, rand::random()).await
+    };
+    match tokio::time::timeout(limit, checked).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => return reject(&kernel, error),
+        Err(elapsed) => return reject(&kernel, elapsed),
+    }
+    let framed = codec(kernel.settings.peer.message_bytes_max).new_framed(stream);
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    let config = tarpc::server::Config {
+        pending_response_buffer: PENDING_ANSWERS_MAX,
+    };
+    let requests = BaseChannel::new(config, transport).execute(
+        PeerService {
+            kernel: Arc::clone(&kernel),
+        }
+        .serve(),
+    );
+    let until_stopped = requests.take_until(kernel.stop.stopped());
+    tokio::pin!(until_stopped);
+    while let Some(request) = until_stopped.next().await {
+        kernel.work.spawn(request);
+    }
+}
+
+#[derive(Debug, Clone)]
+struct PeerService {
+    kernel: Arc<Kernel>,
+}
+
+impl PeerNode for PeerService {
+    async fn run(self, _context: Context, wire: WireCall) -> WireReply {
+        self.kernel.metrics.count(Event::PeerRequest);
+        let (id, result) = match wire.into_call(self.kernel.now_us()) {
+            Ok(call) => (call.id, run_call(&self.kernel, call).await),
+            Err(_name_error) => (RequestId(0), Err(malformed())),
+        };
+        WireReply::new(id, self.kernel.state.gate.load(), result)
+    }
+
+    async fn issue_ticket(self, _context: Context, service: ServiceName) -> WireTicket {
+        executor::issue_ticket(&self.kernel, &service)
+    }
+
+    async fn config_newer_than(
+        self,
+        _context: Context,
+        version: ConfigVersion,
+    ) -> Option<WireConfig> {
+        let snapshot = self.kernel.state.config_fold.snapshot();
+        (snapshot.version() > version).then(|| WireConfig(snapshot.into()))
+    }
+
+    async fn load(self, _context: Context) -> WireLoad {
+        WireLoad {
+            load: self.kernel.state.gate.load(),
+        }
+    }
+}
+
+async fn run_call(kernel: &Arc<Kernel>, call: Call) -> CallResult {
+    executor::run(kernel, &call).await
+}
+
+fn malformed() -> Failure {
+    Failure::new(RefusalReason::PeerRejected, RunState::NotRun, Step::Forward)
+}
--- /dev/null
+++ b/src/kernel/metrics.rs
@@ -0,0 +1,190 @@
+//! Counters for each refusal and retry reason and for events, sent by cadence.
+//!
+//! Requests only add to atomics. A plug-in flushes what was added since the last flush.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use cadence::{Counted, Gauged, StatsdClient};
+
+use crate::model::reasons::{RefusalReason, RetryReason};
+
+macro_rules! event_set {
+    ($($(#[$doc:meta])* $variant:ident => $text:literal,)+) => {
+        /// Events that are counted besides refusals and retries.
+        #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+        pub enum Event {
+            $($(#[$doc])* $variant,)+
+        }
+
+        impl Event {
+            /// Every event.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)+];
+
+            /// Name of the event's counter.
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$variant => $text,)+
+                }
+            }
+        }
+    };
+}
+
+event_set! {
+    /// A caller's request came in.
+    CallerRequest => "caller.request",
+    /// A caller's request got a whole answer.
+    CallerAnswer => "caller.answer",
+    /// A caller's connection was malformed or too slow.
+    CallerBroken => "caller.broken",
+    /// A request was forwarded to a peer node.
+    PeerForwarded => "peer.forwarded",
+    /// A peer's request came in.
+    PeerRequest => "peer.request",
+    /// A peer's connection was refused for its token or wire version.
+    PeerRejected => "peer.rejected",
+    /// A request was dispatched to the backend server.
+    ServerDispatched => "server.dispatched",
+    /// A connection to the backend server was opened.
+    ServerConnected => "server.connected",
+    /// A connection to the backend server was closed for an unfinished request.
+    ServerConnectionDropped => "server.connection-dropped",
+    /// A late, crossed or incomplete answer was dropped.
+    AnswerDropped => "answer.dropped",
+    /// A stored answer was replayed for a repeated request.
+    TicketReplayed => "ticket.replayed",
+    /// A repeated request joined the running one.
+    TicketJoined => "ticket.joined",
+    /// A ticket was issued.
+    TicketIssued => "ticket.issued",
+    /// A health or load probe was sent.
+    ProbeSent => "probe.sent",
+    /// A health or load probe was skipped since traffic or the budget said so.
+    ProbeSkipped => "probe.skipped",
+    /// A gossip datagram was sent.
+    GossipSent => "gossip.sent",
+    /// A gossip datagram was refused as foreign, older or forged.
+    GossipRejected => "gossip.rejected",
+    /// Bytes of gossip that were sent.
+    GossipBytes => "gossip.bytes",
+    /// The log could not be read or appended to.
+    LogFailed => "log.failed",
+    /// A configuration version came into force.
+    ConfigInForce => "config.in-force",
+}
+
+#[derive(Debug, Default)]
+struct Counter {
+    total: AtomicU64,
+    flushed: AtomicU64,
+}
+
+impl Counter {
+    fn add(&self, count: u64) {
+        self.total.fetch_add(count, Ordering::Relaxed);
+    }
+
+    fn total(&self) -> u64 {
+        self.total.load(Ordering::Relaxed)
+    }
+
+    fn take_unflushed(&self) -> u64 {
+        let total = self.total();
+        total - self.flushed.swap(total, Ordering::Relaxed)
+    }
+}
+
+fn counters(count: usize) -> Box<[Counter]> {
+    (0..count).map(|_| Counter::default()).collect()
+}
+
+/// One counter with its name and total.
+#[derive(Debug, Clone, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct CounterTotal {
+    /// Name, such as `refused.queue-full`.
+    pub name: String,
+    /// Count since the process started.
+    pub total: u64,
+}
+
+/// All counters of a node.
+#[derive(Debug)]
+pub struct Metrics {
+    statsd: StatsdClient,
+    refusals: Box<[Counter]>,
+    retries: Box<[Counter]>,
+    events: Box<[Counter]>,
+}
+
+impl Metrics {
+    /// Makes counters at zero that flush to `statsd`.
+    pub fn new(statsd: StatsdClient) -> Self {
+        Self {
+            statsd,
+            refusals: counters(RefusalReason::ALL.len()),
+            retries: counters(RetryReason::ALL.len()),
+            events: counters(Event::ALL.len()),
+        }
+    }
+
+    /// Counts a refusal.
+    pub fn refused(&self, reason: RefusalReason) {
+        self.refusals[reason as usize].add(1);
+    }
+
+    /// Counts a retry.
+    pub fn retried(&self, reason: RetryReason) {
+        self.retries[reason as usize].add(1);
+    }
+
+    /// Counts an event.
+    pub fn count(&self, event: Event) {
+        self.events[event as usize].add(1);
+    }
+
+    /// Counts an event `count` times.
+    pub fn add(&self, event: Event, count: u64) {
+        self.events[event as usize].add(count);
+    }
+
+    /// Every counter with its name, in a fixed order.
+    pub fn totals(&self) -> Vec<CounterTotal> {
+        self.named()
+            .map(|(name, counter)| CounterTotal {
+                name,
+                total: counter.total(),
+            })
+            .collect()
+    }
+
+    /// Sends what was counted since the last flush.
+    pub fn flush(&self) {
+        for (name, counter) in self.named() {
+            let count = counter.take_unflushed();
+            if count > 0 {
+                self.statsd.count_with_tags(&name, count).send();
+            }
+        }
+    }
+
+    /// Sends one gauge.
+    pub fn gauge(&self, name: &str, value: u64) {
+        self.statsd.gauge_with_tags(name, value).send();
+    }
+
+    fn named(&self) -> impl Iterator<Item = (String, &Counter)> {
+        let refusals = RefusalReason::ALL
+            .iter()
+            .map(|reason| format!("refused.{}", reason.as_str()));
+        let retries = RetryReason::ALL
+            .iter()
+            .map(|reason| format!("retried.{}", reason.as_str()));
+        let events = Event::ALL.iter().map(|event| event.as_str().to_owned());
+        let counters = self
+            .refusals
+            .iter()
+            .chain(&self.retries)
+            .chain(&self.events);
+        refusals.chain(retries).chain(events).zip(counters)
+    }
+}
--- /dev/null
+++ b/src/kernel/mod.rs
@@ -0,0 +1,15 @@
+//! Kernel: what every plug-in is handed, and how plug-ins start, run and stop.
+
+pub mod clock;
+pub mod context;
+pub mod error;
+pub mod metrics;
+pub mod node;
+pub mod plugin;
+pub mod shards;
+pub mod stop;
+pub mod tasks;
+pub mod timer;
+
+pub use context::Kernel;
+pub use error::StepError;
--- /dev/null
+++ b/src/kernel/node.rs
@@ -0,0 +1,134 @@
+//! One node from its settings to its exit.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::signal::unix::{SignalKind, signal};
+
+use super::clock::Clock;
+use super::context::Kernel;
+use super::error::StepError;
+use super::metrics::Metrics;
+use super::plugin;
+use super::stop::Stop;
+use super::tasks::Tasks;
+use super::timer::Timer;
+use crate::model::ids::Incarnation;
+use crate::plugins::metrics::statsd_client;
+use crate::request::state::NodeState;
+use crate::settings::NodeSettings;
+
+/// Time that loops have to end after the last request, in ms.
+const LOOPS_END_MS: u64 = 2_000;
+
+/// A node whose plug-ins have started.
+#[derive(Debug)]
+pub struct Node {
+    kernel: Arc<Kernel>,
+}
+
+impl Node {
+    /// Starts every plug-in.
+    ///
+    /// # Errors
+    /// [`StepError`] of the first plug-in that could not start; those before it are ended.
+    pub async fn start(settings: NodeSettings) -> Result<Self, StepError> {
+        let node = Self {
+            kernel: Arc::new(kernel(settings)?),
+        };
+        let kernel = &node.kernel;
+        kernel
+            .tasks
+            .spawn(kernel.timer.clone().run(kernel.stop.clone()));
+        for plugin in plugin::registered() {
+            if let Err(error) = (plugin.start)(Arc::clone(kernel)).await {
+                log::error!("kernel: plug-in {} did not start: {error}", plugin.name);
+                node.end().await;
+                return Err(error);
+            }
+        }
+        log::info!(
+            "kernel: node {} of {} started",
+            kernel.settings.node.server,
+            kernel.settings.node.zone
+        );
+        Ok(node)
+    }
+
+    /// What the plug-ins share.
+    pub fn kernel(&self) -> &Arc<Kernel> {
+        &self.kernel
+    }
+
+    /// Serves until SIGTERM, SIGINT or a plug-in asks to leave, then shuts down gracefully.
+    ///
+    /// # Errors
+    /// [`StepError`] when signals cannot be received.
+    pub async fn run_until_signal(self) -> Result<(), StepError> {
+        let error = |cause: std::io::Error| StepError::local("signals", cause);
+        let mut terminate = signal(SignalKind::terminate()).map_err(error)?;
+        let mut interrupt = signal(SignalKind::interrupt()).map_err(error)?;
+        tokio::select! {
+            _signal = terminate.recv() => log::info!("kernel: SIGTERM, leaving"),
+            _signal = interrupt.recv() => log::info!("kernel: SIGINT, leaving"),
+            () = self.kernel.stop.left() => {}
+        }
+        self.shut_down().await;
+        Ok(())
+    }
+
+    /// Announces that the node leaves, lets every request finish, and ends.
+    pub async fn shut_down(self) {
+        let settings = &self.kernel.settings.node;
+        self.kernel.stop.leave();
+        tokio::time::sleep(Duration::from_millis(settings.leave_notice_ms)).await;
+        self.kernel.stop.close();
+        let left_ms = settings
+            .shutdown_ms
+            .saturating_sub(settings.leave_notice_ms);
+        let limit = Duration::from_millis(left_ms);
+        if tokio::time::timeout(limit, self.kernel.work.join())
+            .await
+            .is_err()
+        {
+            log::error!(
+                "kernel: requests still ran after {} ms",
+                settings.shutdown_ms
+            );
+        }
+        self.end().await;
+        log::info!("kernel: stopped");
+    }
+
+    async fn end(&self) {
+        self.kernel.stop.stop();
+        self.kernel.state.peer_pool.clear();
+        self.kernel.state.set_server(None);
+        let limit = Duration::from_millis(LOOPS_END_MS);
+        if tokio::time::timeout(limit, self.kernel.tasks.join())
+            .await
+            .is_err()
+        {
+            log::warn!("kernel: some tasks did not end within {LOOPS_END_MS} ms");
+        }
+    }
+}
+
+fn kernel(settings: NodeSettings) -> Result<Kernel, StepError> {
+    let incarnation = Incarnation(rand::random());
+    let clock = Clock::start();
+    let tasks = Tasks::default();
+    let state = NodeState::new(&settings, incarnation, clock, &tasks);
+    let metrics = Metrics::new(statsd_client(settings.metrics.statsd_address)?);
+    Ok(Kernel {
+        settings,
+        incarnation,
+        clock,
+        timer: Timer::new(clock),
+        metrics,
+        work: Tasks::default(),
+        tasks,
+        stop: Stop::default(),
+        state,
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,7 +4,12 @@
 //! `docs/ARCHITECTURE.md` follows one request through these modules.
 
 pub mod agreement;
+pub mod cli;
 pub mod decision;
 pub mod edge;
+pub mod kernel;
 pub mod model;
 pub mod operators;
+pub mod plugins;
+pub mod request;
+pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,13 @@
 //! Command line of bronzelock.
 
-fn main() {}
+use std::process::ExitCode;
+
+use clap::Parser;
+
+/// Keeps allocation from adding to the tail of request times.
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+fn main() -> ExitCode {
+    bronzelock::cli::Cli::parse().run()
+}
--- /dev/null
+++ b/src/plugins/announce.rs
@@ -0,0 +1,192 @@
+//! Plug-in that takes announcements of the backend server on this host.
+//!
+//! An announcement holds for a lease. When the lease lapses the gate refuses, as not run.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::{Deserialize, Serialize};
+use tokio::net::TcpListener;
+use warp::Filter;
+use warp::http::StatusCode;
+
+use crate::decision::gate::GateEvent;
+use crate::edge::http_server::{self, HttpBounds};
+use crate::edge::server_pool::ServerPool;
+use crate::kernel::Kernel;
+use crate::kernel::error::StepError;
+use crate::kernel::plugin::{Plugin, Stage, Started};
+use crate::model::ids::BootId;
+use crate::model::names::ServiceName;
+use crate::request::state::AnnouncedServer;
+
+const US_PER_MS: u64 = 1_000;
+
+/// Longest announcement, in bytes.
+const BODY_BYTES_MAX: u64 = 4_096;
+
+/// Connections of the backend server to this listener at most.
+const CONNECTIONS_MAX: usize = 16;
+
+/// Time to send the head of an announcement, in ms.
+const HEAD_TIMEOUT_MS: u64 = 2_000;
+
+/// Connections to a backend server whose service has no configuration yet.
+const CONNECTIONS_DEFAULT: usize = 64;
+
+inventory::submit! { Plugin { name: "announce", stage: Stage::Serve, start } }
+
+/// Whether the backend server takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum AnnouncedState {
+    /// Takes new work.
+    Up,
+    /// Finishes what it has.
+    Leaving,
+}
+
+/// What a backend server says of itself.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Announcement {
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Where it takes requests.
+    pub address: SocketAddr,
+    /// Run of its process.
+    pub boot_id: u64,
+    /// Whether it takes new work.
+    pub state: AnnouncedState,
+    /// Whether its answers repeat `Bronzelock-Request-Id`.
+    #[serde(default)]
+    pub echoes_request_id: bool,
+}
+
+/// When the lease of the last announcement ends, in µs.
+#[derive(Debug, Default)]
+struct Lease {
+    ends_us: AtomicU64,
+}
+
+fn start(kernel: Arc<Kernel>) -> Started {
+    Box::pin(async move {
+        let address = kernel.settings.announce.listen;
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|cause| StepError::with_peer("announce: bind", address, cause))?;
+        log::info!("announce: listening on {address}");
+        let bounds = HttpBounds {
+            part: "announce",
+            connections_max: CONNECTIONS_MAX,
+            head_timeout_ms: HEAD_TIMEOUT_MS,
+        };
+        let lease = Arc::new(Lease::default());
+        let routes = routes(Arc::clone(&kernel), Arc::clone(&lease));
+        kernel.tasks.spawn(http_server::serve(
+            Arc::clone(&kernel),
+            listener,
+            bounds,
+            routes,
+        ));
+        kernel.tasks.spawn(watch_lease(Arc::clone(&kernel), lease));
+        Ok(())
+    })
+}
+
+fn routes(
+    kernel: Arc<Kernel>,
+    lease: Arc<Lease>,
+) -> impl Filter<Extract = (impl warp::Reply,), Error = Infallible> + Clone {
+    warp::put()
+        .and(warp::path!("announce"))
+        .and(warp::body::content_length_limit(BODY_BYTES_MAX))
+        .and(warp::body::bytes())
+        .map(move |body: bytes::Bytes| announce(&kernel, &lease, &body))
+        .recover(|_rejection: warp::Rejection| async {
+            let hint = "PUT /announce with a JSON announcement of at most 4096 bytes\n";
+            Ok::<_, Infallible>(warp::reply::with_status(hint, StatusCode::BAD_REQUEST))
+        })
+}
+
+fn announce(kernel: &Kernel, lease: &Lease, body: &[u8]) -> warp::reply::WithStatus<String> {
+    let parsed = serde_path_to_error::deserialize::<_, Announcement>(
+        &mut serde_json::Deserializer::from_slice(body),
+    );
+    match parsed {
+        Ok(announcement) => {
+            let lease_us = kernel.settings.announce.lease_ms * US_PER_MS;
+            lease
+                .ends_us
+                .store(kernel.now_us() + lease_us, Ordering::Relaxed);
+            apply(kernel, &announcement);
+            warp::reply::with_status(String::new(), StatusCode::NO_CONTENT)
+        }
+        Err(error) => {
+            log::warn!(
+                "announce: an announcement was refused: {}: {}",
+                error.path(),
+                error.inner()
+            );
+            let text = format!("{}: {}\n", error.path(), error.inner());
+            warp::reply::with_status(text, StatusCode::BAD_REQUEST)
+        }
+    }
+}
+
+fn apply(kernel: &Kernel, announcement: &Announcement) {
+    let boot = BootId(announcement.boot_id);
+    let known = kernel.state.server.load();
+    let same = known.as_ref().is_some_and(|server| {
+        server.boot == boot
+            && server.service == announcement.service
+            && server.pool.address() == announcement.address
+    });
+    if !same {
+        log::info!(
+            "announce: backend server of {} at {}",
+            announcement.service,
+            announcement.address
+        );
+        kernel
+            .state
+            .set_server(Some(Arc::new(announced(kernel, announcement))));
+    }
+    let gate = &kernel.state.gate;
+    match announcement.state {
+        AnnouncedState::Up if kernel.stop.is_leaving() => {}
+        AnnouncedState::Up => gate.handle(GateEvent::Announced { boot }),
+        AnnouncedState::Leaving => gate.handle(GateEvent::Leaving),
+    }
+}
+
+fn announced(kernel: &Kernel, announcement: &Announcement) -> AnnouncedServer {
+    let config = kernel.state.config.load();
+    let service = config.services.get(&announcement.service);
+    let connections_max = service.map_or(CONNECTIONS_DEFAULT, |service| {
+        service.bears.connections as usize
+    });
+    let pool = ServerPool::new(announcement.address, connections_max, kernel.tasks.clone());
+    AnnouncedServer {
+        service: announcement.service.clone(),
+        boot: BootId(announcement.boot_id),
+        echoes_request_id: announcement.echoes_request_id,
+        pool: Arc::new(pool),
+    }
+}
+
+/// Tells the gate when the lease lapses.
+async fn watch_lease(kernel: Arc<Kernel>, lease: Arc<Lease>) {
+    let period_ms = kernel.settings.announce.lease_ms / 4;
+    let mut ticks = kernel.timer.subscribe(period_ms, period_ms);
+    while let Some(now_us) = ticks.tick().await {
+        let lapsed = lease.ends_us.load(Ordering::Relaxed) < now_us;
+        if lapsed && kernel.state.server.load().is_some() {
+            log::warn!("announce: the lease of the backend server lapsed");
+            kernel.state.gate.handle(GateEvent::Absent);
+            kernel.state.set_server(None);
+        }
+    }
+}
--- /dev/null
+++ b/src/plugins/config.rs
@@ -0,0 +1,25 @@
+//! Plug-in that follows the configuration and brings it into force.
+
+use std::sync::Arc;
+
+use crate::agreement::{follower, in_force};
+use crate::kernel::Kernel;
+use crate::kernel::plugin::{Plugin, Stage, Started};
+
+inventory::submit! { Plugin { name: "config", stage: Stage::Learn, start } }
+
+fn start(kernel: Arc<Kernel>) -> Started {
+    Box::pin(async move {
+        let log = kernel.log_client();
+        kernel
+            .tasks
+            .spawn(follower::read_log(Arc::clone(&kernel), log));
+        kernel
+            .tasks
+            .spawn(follower::follow_peers(Arc::clone(&kernel)));
+        kernel
+            .tasks
+            .spawn(in_force::keep_gate_configured(Arc::clone(&kernel)));
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/plugins/membership.rs
@@ -0,0 +1,283 @@
+//! Plug-in that runs membership over UDP and keeps routers and the peer table in step.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use tokio::net::UdpSocket;
+use tokio::sync::broadcast;
+
+use crate::agreement::members;
+use crate::decision::membership::{
+    DATAGRAM_BYTES_MAX, Member, MemberState, Membership, MembershipAction, MembershipEvent,
+};
+use crate::decision::routing::Candidate;
+use crate::edge::gossip_codec::GossipCodec;
+use crate::kernel::Kernel;
+use crate::kernel::error::StepError;
+use crate::kernel::metrics::Event;
+use crate::kernel::plugin::{Plugin, Stage, Started};
+use crate::kernel::shards::lock;
+use crate::model::names::{ServerName, ServiceName};
+use crate::request::state::{ConfigHint, PeerAddress};
+
+inventory::submit! { Plugin { name: "membership", stage: Stage::Bind, start } }
+
+/// Membership of this node with its socket.
+#[derive(Debug)]
+struct Runner {
+    kernel: Arc<Kernel>,
+    socket: UdpSocket,
+    codec: GossipCodec,
+    machine: Mutex<Membership>,
+}
+
+fn start(kernel: Arc<Kernel>) -> Started {
+    Box::pin(async move {
+        let settings = &kernel.settings.membership;
+        let address = settings.listen;
+        let socket = UdpSocket::bind(address)
+            .await
+            .map_err(|cause| StepError::with_peer("membership: bind", address, cause))?;
+        log::info!("membership: listening on {address}");
+        let learned = kernel.state.learned_members.subscribe();
+        let machine = Membership::new(own_member(&kernel), settings.protocol, kernel.now_us());
+        let runner = Arc::new(Runner {
+            kernel: Arc::clone(&kernel),
+            socket,
+            codec: GossipCodec::new(kernel.settings.peer.token.expose()),
+            machine: Mutex::new(machine),
+        });
+        for contact in &settings.contacts {
+            runner.handle(MembershipEvent::Contact(*contact)).await;
+        }
+        kernel.tasks.spawn(receive(Arc::clone(&runner)));
+        kernel.tasks.spawn(tick(Arc::clone(&runner)));
+        kernel.tasks.spawn(follow_own_state(Arc::clone(&runner)));
+        kernel.tasks.spawn(follow_learned(runner, learned));
+        let log = kernel.log_client();
+        let own = own_member(&kernel);
+        kernel
+            .tasks
+            .spawn(members::run(Arc::clone(&kernel), log, own));
+        Ok(())
+    })
+}
+
+/// The node's own record at its start.
+pub fn own_member(kernel: &Kernel) -> Member {
+    let settings = &kernel.settings;
+    Member {
+        server: settings.node.server.clone(),
+        incarnation: kernel.incarnation,
+        peer_address: settings.peer.listen,
+        gossip_address: settings.membership.listen,
+        region: Arc::clone(&settings.node.region),
+        zone: settings.node.zone.clone(),
+        service: kernel.state.own_service(),
+        state: MemberState::Alive,
+        revision: 0,
+    }
+}
+
+async fn receive(runner: Arc<Runner>) {
+    let mut datagram = [0; DATAGRAM_BYTES_MAX + 1];
+    loop {
+        let received = tokio::select! {
+            () = runner.kernel.stop.stopped() => return,
+            received = runner.socket.recv_from(&mut datagram) => received,
+        };
+        match received {
+            Ok((length, from)) => runner.received(&datagram[..length], from).await,
+            Err(error) => log::debug!("membership: receive failed: {error}"),
+        }
+    }
+}
+
+async fn tick(runner: Arc<Runner>) {
+    let period_ms = runner.kernel.settings.membership.protocol.tick_ms;
+    let mut ticks = runner.kernel.timer.subscribe(period_ms, period_ms);
+    while ticks.tick().await.is_some() {
+        runner.handle(MembershipEvent::Tick).await;
+    }
+}
+
+/// Tells the others what the backend server announced, and when the node leaves.
+async fn follow_own_state(runner: Arc<Runner>) {
+    let kernel = Arc::clone(&runner.kernel);
+    let mut server_changed = kernel.state.server_changed.subscribe();
+    let mut config_changed = kernel.state.config_changed.subscribe();
+    server_changed.mark_changed();
+    config_changed.mark_changed();
+    let mut routed: Option<ServiceName> = None;
+    let mut leaving = false;
+    loop {
+        tokio::select! {
+            () = kernel.stop.stopped() => return,
+            () = kernel.stop.left(), if !leaving => leaving = true,
+            _changed = server_changed.changed() => {}
+            _changed = config_changed.changed() => {
+                let version = *config_changed.borrow_and_update();
+                runner.handle(MembershipEvent::ConfigVersion(version)).await;
+                continue;
+            }
+        }
+        let service = kernel.state.own_service();
+        route_own(
+            &kernel,
+            routed.as_ref(),
+            service.as_ref().filter(|_service| !leaving),
+        );
+        routed.clone_from(&service);
+        runner
+            .handle(MembershipEvent::OwnState { service, leaving })
+            .await;
+    }
+}
+
+/// Keeps the own backend server among the candidates of its service.
+fn route_own(kernel: &Kernel, before: Option<&ServiceName>, now: Option<&ServiceName>) {
+    let own = &kernel.settings.node.server;
+    if let Some(service) = before.filter(|service| Some(*service) != now) {
+        kernel.state.routers.lock(service).remove(own);
+    }
+    if let Some(service) = now {
+        let zone = kernel.settings.node.zone.clone();
+        let candidate = Candidate {
+            server: own.clone(),
+            zone,
+            service: service.clone(),
+        };
+        kernel
+            .state
+            .routers
+            .lock(service)
+            .upsert(candidate, kernel.now_us());
+    }
+}
+
+/// Takes in members that were read from the log.
+async fn follow_learned(runner: Arc<Runner>, mut learned: broadcast::Receiver<Member>) {
+    loop {
+        let member = tokio::select! {
+            () = runner.kernel.stop.stopped() => return,
+            member = learned.recv() => member,
+        };
+        match member {
+            Ok(member) => runner.handle(MembershipEvent::Learned(member)).await,
+            Err(error) => log::warn!("membership: records of the log were missed: {error}"),
+        }
+    }
+}
+
+impl Runner {
+    async fn received(&self, datagram: &[u8], from: SocketAddr) {
+        match self.codec.decode(datagram) {
+            Ok(message) => {
+                self.handle(MembershipEvent::Received { from, message })
+                    .await;
+            }
+            Err(error) => {
+                self.kernel.metrics.count(Event::GossipRejected);
+                log::debug!("membership: a datagram was refused (peer {from}): {error}");
+            }
+        }
+    }
+
+    async fn handle(&self, event: MembershipEvent) {
+        let mut actions = Vec::new();
+        let now_us = self.kernel.now_us();
+        lock(&self.machine).handle(event, now_us, rand::random(), &mut actions);
+        for action in actions {
+            self.act(action).await;
+        }
+    }
+
+    async fn act(&self, action: MembershipAction) {
+        match action {
+            MembershipAction::Send { to, message } => match self.codec.encode(&message) {
+                Ok(datagram) => self.send(to, &datagram).await,
+                Err(error) => log::error!("membership: a message was not sent: {error}"),
+            },
+            MembershipAction::Changed(member) => changed(&self.kernel, &member),
+            MembershipAction::ConfigBehind { peer, version } => {
+                let behind = &self.kernel.state.config_behind;
+                behind.send_replace(Some(ConfigHint { peer, version }));
+            }
+            MembershipAction::Replaced { by } => {
+                log::error!("membership: another run took the name {}", by.server);
+                self.kernel.stop.leave();
+            }
+        }
+    }
+
+    async fn send(&self, to: SocketAddr, datagram: &[u8]) {
+        self.kernel.metrics.count(Event::GossipSent);
+        self.kernel
+            .metrics
+            .add(Event::GossipBytes, datagram.len() as u64);
+        if let Err(error) = self.socket.send_to(datagram, to).await {
+            log::debug!("membership: send failed (peer {to}): {error}");
+        }
+    }
+}
+
+/// Keeps the peer table and the routers in step with one member.
+fn changed(kernel: &Kernel, member: &Member) {
+    let before = kernel.state.peer(&member.server);
+    let takes_work = matches!(member.state, MemberState::Alive | MemberState::Suspect);
+    let routed = member.service.as_ref().filter(|_service| takes_work);
+    unroute(kernel, &member.server, before.as_ref(), routed);
+    if let Some(service) = routed {
+        let candidate = Candidate {
+            server: member.server.clone(),
+            zone: member.zone.clone(),
+            service: service.clone(),
+        };
+        kernel
+            .state
+            .routers
+            .lock(service)
+            .upsert(candidate, kernel.now_us());
+    }
+    note_peer(kernel, member, before);
+}
+
+fn unroute(
+    kernel: &Kernel,
+    server: &ServerName,
+    before: Option<&PeerAddress>,
+    now: Option<&ServiceName>,
+) {
+    let Some(service) = before.and_then(|peer| peer.service.as_ref()) else {
+        return;
+    };
+    if Some(service) != now {
+        kernel.state.routers.lock(service).remove(server);
+    }
+}
+
+/// A dead node's address is kept, so that a repeat with its ticket still finds it.
+fn note_peer(kernel: &Kernel, member: &Member, before: Option<PeerAddress>) {
+    let peer = PeerAddress {
+        incarnation: member.incarnation,
+        address: member.peer_address,
+        service: member.service.clone(),
+        zone: member.zone.clone(),
+    };
+    if let Some(before) = before
+        && (before.address != peer.address || before.incarnation != peer.incarnation)
+    {
+        kernel.state.peer_pool.forget(before.address);
+    }
+    log::debug!(
+        "membership: {} of {} is {:?}",
+        member.server,
+        member.zone,
+        member.state
+    );
+    kernel
+        .state
+        .peers
+        .lock(&member.server)
+        .insert(member.server.clone(), peer);
+}
--- /dev/null
+++ b/src/plugins/mod.rs
@@ -0,0 +1,10 @@
+//! Plug-ins of the node. Each registers itself with the kernel; this is the list of all.
+
+pub mod announce;
+pub mod caller;
+pub mod config;
+pub mod gate;
+pub mod membership;
+pub mod metrics;
+pub mod peer;
+pub mod ticket;
--- /dev/null
+++ b/src/request/admission.rs
@@ -0,0 +1,219 @@
+//! Admission of requests at this node's gate.
+//!
+//! The pure gate decides; this cell holds it under its lock, wakes waiting requests and tells the
+//! gate when one ends, also when its caller went away.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::{Notify, oneshot};
+
+use crate::decision::gate::{Gate, GateAction, GateEvent, RunOutcome, WorkId, WorkItem};
+use crate::kernel::clock::Clock;
+use crate::kernel::shards::lock;
+use crate::model::ids::Incarnation;
+use crate::model::load::LoadReport;
+use crate::model::names::BranchName;
+use crate::model::reasons::Refusal;
+use crate::model::request::Urgency;
+
+/// The gate's word on one request.
+#[derive(Debug, Clone, Copy)]
+enum Verdict {
+    Dispatched,
+    Refused(Refusal),
+}
+
+#[derive(Debug)]
+struct Core {
+    gate: Gate,
+    waiting: HashMap<WorkId, oneshot::Sender<Verdict>>,
+    next_id: u64,
+    actions: Vec<GateAction>,
+}
+
+/// The gate of this node with the requests that wait in it.
+#[derive(Debug)]
+pub struct GateCell {
+    clock: Clock,
+    core: Mutex<Core>,
+    queue_changed: Notify,
+}
+
+/// A request's place on the backend server. Dropping it without an outcome counts as cancelled.
+#[derive(Debug)]
+pub struct Slot {
+    cell: Arc<GateCell>,
+    id: WorkId,
+    outcome: RunOutcome,
+}
+
+impl Slot {
+    /// States how the run ended and gives the place back.
+    pub fn finish(mut self, outcome: RunOutcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let event = GateEvent::Finished {
+            id: self.id,
+            outcome: self.outcome,
+        };
+        self.cell.handle(event);
+    }
+}
+
+/// A request that waits at the gate. Dropping it takes it out of the queue.
+#[derive(Debug)]
+struct Waiting {
+    cell: Arc<GateCell>,
+    id: WorkId,
+    verdict: oneshot::Receiver<Verdict>,
+    settled: bool,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        if self.settled {
+            return;
+        }
+        let still_queued = lock(&self.cell.core).waiting.remove(&self.id).is_some();
+        if still_queued {
+            self.cell.handle(GateEvent::Cancel(self.id));
+        } else if matches!(self.verdict.try_recv(), Ok(Verdict::Dispatched)) {
+            let event = GateEvent::Finished {
+                id: self.id,
+                outcome: RunOutcome::Cancelled,
+            };
+            self.cell.handle(event);
+        }
+    }
+}
+
+impl GateCell {
+    /// Makes a gate for this run of the node.
+    pub fn new(incarnation: Incarnation, clock: Clock) -> Self {
+        let core = Core {
+            gate: Gate::new(incarnation),
+            waiting: HashMap::new(),
+            next_id: 0,
+            actions: Vec::new(),
+        };
+        Self {
+            clock,
+            core: Mutex::new(core),
+            queue_changed: Notify::new(),
+        }
+    }
+
+    /// Waits until the gate lets the request through.
+    ///
+    /// # Errors
+    /// The gate's refusal; the request was not run.
+    pub async fn admit(
+        self: &Arc<Self>,
+        branch: BranchName,
+        urgency: Urgency,
+        deadline_us: u64,
+    ) -> Result<Slot, Refusal> {
+        let mut waiting = self.offer(branch, urgency, deadline_us);
+        let verdict = (&mut waiting.verdict).await;
+        waiting.settled = true;
+        let id = waiting.id;
+        match verdict {
+            Ok(Verdict::Dispatched) => Ok(Slot {
+                cell: Arc::clone(self),
+                id,
+                outcome: RunOutcome::Cancelled,
+            }),
+            Ok(Verdict::Refused(refusal)) => Err(refusal),
+            Err(_closed) => unreachable!("the gate gives each request a verdict"),
+        }
+    }
+
+    fn offer(self: &Arc<Self>, branch: BranchName, urgency: Urgency, deadline_us: u64) -> Waiting {
+        let (sender, verdict) = oneshot::channel();
+        let mut core = lock(&self.core);
+        core.next_id += 1;
+        let id = WorkId(core.next_id);
+        core.waiting.insert(id, sender);
+        let item = WorkItem {
+            id,
+            branch,
+            urgency,
+            deadline_us,
+        };
+        self.drive(&mut core, GateEvent::Offer(item));
+        if core.waiting.contains_key(&id) {
+            self.queue_changed.notify_one();
+        }
+        drop(core);
+        Waiting {
+            cell: Arc::clone(self),
+            id,
+            verdict,
+            settled: false,
+        }
+    }
+
+    /// Tells the gate of an event.
+    pub fn handle(&self, event: GateEvent) {
+        let mut core = lock(&self.core);
+        self.drive(&mut core, event);
+    }
+
+    /// The gate's load now.
+    pub fn load(&self) -> LoadReport {
+        lock(&self.core).gate.load()
+    }
+
+    /// Wakes the gate whenever one of its own time limits is due, until `stopped` resolves.
+    pub async fn run_timers(&self, stopped: impl Future<Output = ()>) {
+        tokio::pin!(stopped);
+        loop {
+            let wakeup_us = lock(&self.core).gate.next_wakeup_us();
+            tokio::select! {
+                () = &mut stopped => return,
+                () = self.queue_changed.notified() => {}
+                () = self.sleep_until(wakeup_us) => self.handle(GateEvent::Tick),
+            }
+        }
+    }
+
+    async fn sleep_until(&self, wakeup_us: Option<u64>) {
+        match wakeup_us {
+            Some(at_us) => tokio::time::sleep_until(self.clock.instant_at(at_us).into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
+    /// Feeds the gate and passes its actions on.
+    fn drive(&self, core: &mut Core, event: GateEvent) {
+        let mut actions = std::mem::take(&mut core.actions);
+        core.gate.handle(event, self.clock.now_us(), &mut actions);
+        let mut abandoned = Vec::new();
+        for action in actions.drain(..) {
+            let (id, verdict) = match action {
+                GateAction::Dispatch(id) => (id, Verdict::Dispatched),
+                GateAction::Refuse { id, refusal } => (id, Verdict::Refused(refusal)),
+            };
+            let sender = core.waiting.remove(&id);
+            let delivered = sender.is_some_and(|sender| sender.send(verdict).is_ok());
+            if !delivered && matches!(verdict, Verdict::Dispatched) {
+                abandoned.push(id);
+            }
+        }
+        core.actions = actions;
+        for id in abandoned {
+            self.drive(
+                core,
+                GateEvent::Finished {
+                    id,
+                    outcome: RunOutcome::Cancelled,
+                },
+            );
+        }
+    }
+}
--- /dev/null
+++ b/src/request/attempt.rs
@@ -0,0 +1,244 @@
+//! Attempts of one request: choose a backend server, run it there, and try another when allowed.
+
+use std::sync::Arc;
+
+use super::call::{Call, CallResult, Failure, Step};
+use super::{executor, forward};
+use crate::decision::retry::{RetryContext, may_retry};
+use crate::decision::routing::ReturnKind;
+use crate::kernel::Kernel;
+use crate::kernel::shards::lock;
+use crate::model::load::ServerState;
+use crate::model::names::ServerName;
+use crate::model::reasons::{RefusalReason, RetryReason, RunState};
+
+/// When to come back while no backend server can be chosen, in ms.
+const NO_SERVER_RETRY_AFTER_MS: u64 = 500;
+
+/// Result of all attempts, with the count of backend servers tried.
+#[derive(Debug)]
+pub struct Attempted {
+    /// Answer or failure.
+    pub result: CallResult,
+    /// Backend servers tried.
+    pub hops: u32,
+}
+
+/// Runs `call` on a backend server of its service.
+pub async fn run(kernel: &Arc<Kernel>, call: &Call) -> Attempted {
+    lock(&kernel.state.retry_budget).deposit();
+    let mut tried: Vec<ServerName> = Vec::new();
+    let mut maybe_run = false;
+    let mut last: Option<CallResult> = None;
+    loop {
+        let Some(server) = choose(kernel, call, &tried) else {
+            return Attempted {
+                result: last.unwrap_or_else(|| Err(no_server(call))),
+                hops: tried.len() as u32,
+            };
+        };
+        let result = run_on(kernel, &server, call).await;
+        tried.push(server);
+        let hops = tried.len() as u32;
+        let retry =
+            retry_reason(&result).filter(|reason| is_allowed(kernel, call, &result, *reason, hops));
+        maybe_run |= matches!(&result, Err(failure) if !failure.is_not_run());
+        match retry {
+            Some(reason) => kernel.metrics.retried(reason),
+            None => {
+                return Attempted {
+                    result: with_history(result, maybe_run),
+                    hops,
+                };
+            }
+        }
+        last = Some(with_history(result, maybe_run));
+    }
+}
+
+fn no_server(call: &Call) -> Failure {
+    let reason = if call.server.is_some() {
+        RefusalReason::UnknownServer
+    } else {
+        RefusalReason::NoServer
+    };
+    Failure::new(reason, RunState::NotRun, Step::Route).retry_after(NO_SERVER_RETRY_AFTER_MS)
+}
+
+/// After one attempt that may have run, no later refusal may say "not run".
+fn with_history(result: CallResult, maybe_run: bool) -> CallResult {
+    result.map_err(|mut failure| {
+        if maybe_run {
+            failure.refusal.run_state = RunState::Unknown;
+        }
+        failure
+    })
+}
+
+fn choose(kernel: &Kernel, call: &Call, tried: &[ServerName]) -> Option<ServerName> {
+    if let Some(server) = &call.server {
+        return Some(server.clone()).filter(|s| tried.is_empty() && serves(kernel, s, call));
+    }
+    if tried.is_empty() && has_room_here(kernel, call) {
+        return Some(kernel.settings.node.server.clone());
+    }
+    let draw = rand::random();
+    let mut router = kernel.state.routers.lock(&call.service);
+    router.choose(&call.service, tried, kernel.now_us(), draw)
+}
+
+fn serves(kernel: &Kernel, server: &ServerName, call: &Call) -> bool {
+    let router = kernel.state.routers.lock(&call.service);
+    router
+        .servers_of(&call.service)
+        .any(|known| known == server)
+}
+
+/// Whether this node's own backend server is of the service and has a free slot.
+fn has_room_here(kernel: &Kernel, call: &Call) -> bool {
+    let serves = kernel
+        .state
+        .server
+        .load()
+        .as_ref()
+        .is_some_and(|s| s.service == call.service);
+    if !serves {
+        return false;
+    }
+    let load = kernel.state.gate.load();
+    let open = matches!(load.state, ServerState::Cold | ServerState::Warm);
+    open && load.queued == 0 && load.in_flight < load.limit
+}
+
+async fn run_on(kernel: &Arc<Kernel>, server: &ServerName, call: &Call) -> CallResult {
+    kernel
+        .state
+        .routers
+        .lock(&call.service)
+        .sent(server, kernel.now_us());
+    let guard = Outstanding {
+        kernel,
+        call,
+        server,
+        kind: ReturnKind::Cancelled,
+    };
+    if *server == kernel.settings.node.server {
+        let result = executor::run(kernel, call).await;
+        let load = kernel.state.gate.load();
+        kernel
+            .state
+            .routers
+            .lock(&call.service)
+            .observe(server, load, kernel.now_us());
+        return guard.returned(result);
+    }
+    let Some(peer) = kernel.state.peer(server) else {
+        let failure = Failure::new(
+            RefusalReason::PeerUnreachable,
+            RunState::NotRun,
+            Step::Route,
+        );
+        return guard.returned(Err(failure.at(server)));
+    };
+    let forwarded = forward::forward(kernel, server, &peer, call).await;
+    if let Some(load) = forwarded.load {
+        kernel
+            .state
+            .routers
+            .lock(&call.service)
+            .observe(server, load, kernel.now_us());
+    }
+    guard.returned(forwarded.result)
+}
+
+/// Tells the router that an attempt ended, also when its caller went away.
+struct Outstanding<'a> {
+    kernel: &'a Kernel,
+    call: &'a Call,
+    server: &'a ServerName,
+    kind: ReturnKind,
+}
+
+impl Outstanding<'_> {
+    fn returned(mut self, result: CallResult) -> CallResult {
+        self.kind = return_kind(&result);
+        result
+    }
+}
+
+impl Drop for Outstanding<'_> {
+    fn drop(&mut self) {
+        let mut router = self.kernel.state.routers.lock(&self.call.service);
+        router.returned(self.server, self.kind, self.kernel.now_us());
+    }
+}
+
+fn return_kind(result: &CallResult) -> ReturnKind {
+    match result {
+        Ok(answer) if answer.is_server_error() => ReturnKind::Failed,
+        Ok(_) => ReturnKind::Answered,
+        Err(failure) if failure.refusal.reason == RefusalReason::PeerUnreachable => {
+            ReturnKind::Unreachable
+        }
+        Err(failure) if failure.is_not_run() => ReturnKind::Refused,
+        Err(_) => ReturnKind::Failed,
+    }
+}
+
+/// Why this result would be worth another backend server, if at all.
+pub fn retry_reason(result: &CallResult) -> Option<RetryReason> {
+    use RefusalReason as R;
+    match result {
+        Ok(answer) if answer.is_server_error() && !answer.forbids_retry() => {
+            Some(RetryReason::ServerFailed)
+        }
+        Ok(_) => None,
+        Err(failure) => match failure.refusal.reason {
+            R::PeerUnreachable => Some(RetryReason::PeerUnreachable),
+            R::ServerShed => Some(RetryReason::ServerShed),
+            R::ConnectionLost => Some(RetryReason::ConnectionLost),
+            R::AnswerBroken => Some(RetryReason::AnswerBroken),
+            R::DeadlineUnreachable
+            | R::QueueFull
+            | R::ColdStart
+            | R::Leaving
+            | R::ZoneOut
+            | R::ServerOut
+            | R::ServerAbsent
+            | R::NoServer
+            | R::NoConfiguration
+            | R::KnowledgeStale
+            | R::BranchOverShare => Some(RetryReason::GateRefused),
+            _ => None,
+        },
+    }
+}
+
+fn is_allowed(
+    kernel: &Kernel,
+    call: &Call,
+    result: &CallResult,
+    reason: RetryReason,
+    hops: u32,
+) -> bool {
+    let run_state = match result {
+        Ok(_answer) => RunState::Unknown,
+        Err(failure) => failure.refusal.run_state,
+    };
+    let context = RetryContext {
+        effect: call.effect,
+        run_state,
+        hops,
+        hops_max: kernel.settings.routing.retry.hops_max,
+        retry_allowed_by_caller: call.retry_allowed,
+        deadline_left_us: call.deadline_us.saturating_sub(kernel.now_us()),
+        reason,
+    };
+    match may_retry(context, &mut lock(&kernel.state.retry_budget)) {
+        Ok(()) => true,
+        Err(refusal_reason) => {
+            kernel.metrics.refused(refusal_reason);
+            false
+        }
+    }
+}
--- /dev/null
+++ b/src/request/classify.rs
@@ -0,0 +1,223 @@
+//! Makes a call of a caller's HTTP request: service, branch, kind, deadline, identifiers.
+
+use bytes::Bytes;
+use warp::http::{HeaderMap, Method};
+
+use super::call::{Call, Failure, Header, Step};
+use super::headers;
+use crate::model::config::{Config, RequestKind, ServiceConfig};
+use crate::model::ids::RequestId;
+use crate::model::names::{BranchName, ServerName, ServiceName};
+use crate::model::reasons::{RefusalReason, RunState};
+use crate::model::request::{Effect, Urgency};
+
+/// Urgency parameter of `Priority` from which a request counts as ordinary (RFC 9218, section 4.1).
+const ORDINARY_PRIORITY_MIN: u8 = 4;
+
+const US_PER_MS: u64 = 1_000;
+
+/// Longest deadline that a caller may state, in ms.
+const TIMEOUT_MS_MAX: u64 = 3_600_000;
+
+/// Longest idempotency key, in bytes.
+const KEY_BYTES_MAX: usize = 256;
+
+/// A caller's request as HTTP gives it.
+#[derive(Debug)]
+pub struct HttpRequest {
+    /// Method.
+    pub method: Method,
+    /// Path, beginning with `/` and the service.
+    pub path: String,
+    /// Query without `?`, empty when there is none.
+    pub query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+}
+
+/// A refusal of a request that nobody ran.
+pub fn refuse(reason: RefusalReason) -> Failure {
+    Failure::new(reason, RunState::NotRun, Step::Accept)
+}
+
+/// Identifier of a request: the caller's own, or else the draw.
+///
+/// # Errors
+/// `bad-request` when the header is not 32 hexadecimal digits.
+pub fn request_id(fields: &HeaderMap, draw: u128) -> Result<RequestId, Failure> {
+    match text(fields, headers::REQUEST_ID)? {
+        Some(digits) if digits.len() == 32 => u128::from_str_radix(digits, 16)
+            .map(RequestId)
+            .map_err(|_parse| refuse(RefusalReason::BadRequest)),
+        Some(_other) => Err(refuse(RefusalReason::BadRequest)),
+        None => Ok(RequestId(draw)),
+    }
+}
+
+/// The service that a request names, with its configuration and the path below it.
+///
+/// # Errors
+/// `unknown-service`, or `no-configuration` while the node knows none.
+pub fn service_of<'a>(
+    config: &'a Config,
+    path: &'a str,
+) -> Result<(ServiceName, &'a ServiceConfig, &'a str), Failure> {
+    if config.version.0 == 0 {
+        return Err(refuse(RefusalReason::NoConfiguration));
+    }
+    let below_root = path.trim_start_matches('/');
+    let split = below_root.find('/').unwrap_or(below_root.len());
+    let (name, rest) = below_root.split_at(split);
+    let unknown = || refuse(RefusalReason::UnknownService);
+    let name = ServiceName::new(name).map_err(|_name| unknown())?;
+    let service = config.services.get(&name).ok_or_else(unknown)?;
+    Ok((name, service, if rest.is_empty() { "/" } else { rest }))
+}
+
+/// Makes the call, but for its body.
+///
+/// # Errors
+/// The reason why the request is refused; it was not run.
+pub fn call(
+    request: &HttpRequest,
+    id: RequestId,
+    config: &Config,
+    now_us: u64,
+) -> Result<Call, Failure> {
+    let (service, service_config, path) = service_of(config, &request.path)?;
+    let branch = branch_of(&request.headers, service_config)?;
+    let kind = kind_of(service_config, request.method.as_str(), path);
+    let allowed = kind.map_or(Urgency::Ordinary, |kind| kind.urgency);
+    let effect = kind.map_or_else(|| effect_of(&request.method), |kind| kind.effect);
+    let deadline_us = now_us + timeout_ms(&request.headers, service_config)? * US_PER_MS;
+    let key = text(&request.headers, headers::IDEMPOTENCY_KEY)?;
+    if key.is_some_and(|key| key.is_empty() || key.len() > KEY_BYTES_MAX) {
+        return Err(refuse(RefusalReason::BadRequest));
+    }
+    Ok(Call {
+        id,
+        service,
+        branch,
+        urgency: urgency_of(&request.headers, allowed),
+        effect,
+        method: request.method.as_str().to_owned(),
+        path: with_query(path, &request.query),
+        headers: forwarded(&request.headers),
+        body: Bytes::new(),
+        deadline_us,
+        retry_allowed: text(&request.headers, headers::RETRY_ALLOWANCE)? != Some("0"),
+        key: key.map(str::to_owned),
+        ticket: text(&request.headers, headers::TICKET)?.map(str::to_owned),
+        server: server_of(&request.headers)?,
+    })
+}
+
+fn text<'a>(fields: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, Failure> {
+    let value = fields.get(name).map(warp::http::HeaderValue::to_str);
+    value
+        .transpose()
+        .map_err(|_not_text| refuse(RefusalReason::BadRequest))
+}
+
+fn branch_of(fields: &HeaderMap, service: &ServiceConfig) -> Result<BranchName, Failure> {
+    let unknown = || refuse(RefusalReason::UnknownBranch);
+    match text(fields, headers::BRANCH)? {
+        Some(name) => {
+            let branch = BranchName::new(name).map_err(|_name| unknown())?;
+            if service.branches.contains_key(&branch) {
+                Ok(branch)
+            } else {
+                Err(unknown())
+            }
+        }
+        None if service.branches.len() == 1 => {
+            service.branches.keys().next().cloned().ok_or_else(unknown)
+        }
+        None => Err(unknown()),
+    }
+}
+
+/// The one backend server that the caller asks for.
+fn server_of(fields: &HeaderMap) -> Result<Option<ServerName>, Failure> {
+    let name = text(fields, headers::SERVER)?;
+    let unknown = |_name| refuse(RefusalReason::UnknownServer);
+    name.map(ServerName::new).transpose().map_err(unknown)
+}
+
+/// The kind with the longest prefix that matches.
+fn kind_of<'a>(service: &'a ServiceConfig, method: &str, path: &str) -> Option<&'a RequestKind> {
+    service
+        .kinds
+        .iter()
+        .filter(|kind| kind.method.as_ref() == method && is_below(path, &kind.path_prefix))
+        .max_by_key(|kind| kind.path_prefix.len())
+}
+
+fn is_below(path: &str, prefix: &str) -> bool {
+    let trimmed = prefix.trim_end_matches('/');
+    path.strip_prefix(trimmed)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+/// Methods that are idempotent by RFC 9110, section 9.2.2.
+fn effect_of(method: &Method) -> Effect {
+    if method.is_idempotent() {
+        Effect::Idempotent
+    } else {
+        Effect::NonIdempotent
+    }
+}
+
+/// A caller may lower its urgency by `Priority`, never raise it above the service's answers.
+fn urgency_of(fields: &HeaderMap, allowed: Urgency) -> Urgency {
+    let asked = fields
+        .get(headers::PRIORITY)
+        .and_then(|value| value.to_str().ok())
+        .and_then(priority_urgency);
+    match asked {
+        Some(urgency) if urgency >= ORDINARY_PRIORITY_MIN => Urgency::Ordinary,
+        _ => allowed,
+    }
+}
+
+fn priority_urgency(value: &str) -> Option<u8> {
+    let parameters = value.split(',').map(str::trim);
+    parameters
+        .filter_map(|parameter| parameter.strip_prefix("u="))
+        .find_map(|u| u.parse().ok())
+}
+
+fn timeout_ms(fields: &HeaderMap, service: &ServiceConfig) -> Result<u64, Failure> {
+    match text(fields, headers::TIMEOUT_MS)? {
+        Some(digits) => {
+            let stated: u64 = digits
+                .parse()
+                .map_err(|_parse| refuse(RefusalReason::BadRequest))?;
+            if stated == 0 {
+                return Err(refuse(RefusalReason::DeadlineLapsed));
+            }
+            Ok(stated.min(TIMEOUT_MS_MAX))
+        }
+        None if service.deadline_required => Err(refuse(RefusalReason::DeadlineMissing)),
+        None => Ok(service.deadline_ms),
+    }
+}
+
+fn with_query(path: &str, query: &str) -> String {
+    if query.is_empty() {
+        path.to_owned()
+    } else {
+        format!("{path}?{query}")
+    }
+}
+
+fn forwarded(fields: &HeaderMap) -> Vec<Header> {
+    fields
+        .iter()
+        .filter(|(name, _value)| headers::is_forwarded(name.as_str()))
+        .map(|(name, value)| Header {
+            name: name.as_str().to_owned(),
+            value: Bytes::copy_from_slice(value.as_bytes()),
+        })
+        .collect()
+}
--- /dev/null
+++ b/src/request/entry.rs
@@ -0,0 +1,205 @@
+//! A caller's HTTP request from its head to the response.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use bytes::{Buf, Bytes, BytesMut};
+use futures::{Stream, StreamExt};
+use warp::http::{HeaderName, HeaderValue, Response, StatusCode, header};
+
+use super::attempt::{self, Attempted};
+use super::call::{Answer, Call, Failure};
+use super::classify::{self, HttpRequest, refuse};
+use super::{headers, problem, ticketed};
+use crate::kernel::Kernel;
+use crate::kernel::metrics::Event;
+use crate::model::ids::RequestId;
+use crate::model::reasons::RefusalReason;
+use crate::model::request::Effect;
+
+/// Answers one request of a caller.
+pub async fn handle<B>(
+    kernel: Arc<Kernel>,
+    request: HttpRequest,
+    body: impl Stream<Item = Result<B, warp::Error>> + Send,
+) -> Response<Bytes>
+where
+    B: Buf,
+{
+    kernel.metrics.count(Event::CallerRequest);
+    let draw = rand::random();
+    let (id, attempted) = match classify::request_id(&request.headers, draw) {
+        Ok(id) => (id, serve(&kernel, &request, id, body).await),
+        Err(failure) => (
+            RequestId(draw),
+            Attempted {
+                result: Err(failure),
+                hops: 0,
+            },
+        ),
+    };
+    let mut response = match attempted.result {
+        Ok(answer) => answer_response(answer),
+        Err(failure) => refusal_response(&kernel, &failure, id),
+    };
+    let fields = response.headers_mut();
+    if let Ok(value) = HeaderValue::from_str(&id.to_string()) {
+        fields.insert(headers::REQUEST_ID, value);
+    }
+    fields.insert(headers::HOPS, HeaderValue::from(attempted.hops));
+    if response.status().is_success() {
+        kernel.metrics.count(Event::CallerAnswer);
+    }
+    response
+}
+
+fn refusal_response(kernel: &Kernel, failure: &Failure, id: RequestId) -> Response<Bytes> {
+    let reason = failure.refusal.reason;
+    kernel.metrics.refused(reason);
+    log::debug!(
+        "caller: request {id} refused: {} at {}",
+        reason.as_str(),
+        failure.step.as_str()
+    );
+    problem::response(failure, id)
+}
+
+async fn serve<B: Buf>(
+    kernel: &Arc<Kernel>,
+    request: &HttpRequest,
+    id: RequestId,
+    body: impl Stream<Item = Result<B, warp::Error>> + Send,
+) -> Attempted {
+    match accept(kernel, request, id, body).await {
+        Ok(accepted) => dispatch(kernel, &accepted.call).await,
+        Err(failure) => Attempted {
+            result: Err(failure),
+            hops: 0,
+        },
+    }
+}
+
+/// Chooses the way of a call by its effect, key and ticket.
+async fn dispatch(kernel: &Arc<Kernel>, call: &Call) -> Attempted {
+    match (call.effect, &call.ticket, &call.key) {
+        (Effect::NonIdempotent, Some(ticket), _key) => ticketed::run(kernel, call, ticket).await,
+        (Effect::NonIdempotent, None, Some(_key)) => ticketed::require_ticket(kernel, call).await,
+        (Effect::NonIdempotent, None, None) | (Effect::Idempotent, _, _) => {
+            attempt::run(kernel, call).await
+        }
+    }
+}
+
+/// A call with its body, which counts against the node's bound until the call ends.
+struct Accepted {
+    call: Call,
+    _held: HeldBytes,
+}
+
+async fn accept<B: Buf>(
+    kernel: &Arc<Kernel>,
+    request: &HttpRequest,
+    id: RequestId,
+    body: impl Stream<Item = Result<B, warp::Error>> + Send,
+) -> Result<Accepted, Failure> {
+    let config = kernel.state.config.load_full();
+    let mut call = classify::call(request, id, &config, kernel.now_us())?;
+    if call.effect == Effect::Idempotent {
+        call.ticket = None;
+    }
+    let body_bytes_max = config
+        .services
+        .get(&call.service)
+        .map_or(0, |service| service.body_bytes_max)
+        .min(kernel.settings.caller.body_bytes_max);
+    let deadline = kernel.clock.instant_at(call.deadline_us);
+    let mut held = HeldBytes {
+        kernel: Arc::clone(kernel),
+        count: 0,
+    };
+    let reading = read_body(&mut held, body, body_bytes_max);
+    call.body = match tokio::time::timeout_at(deadline.into(), reading).await {
+        Ok(body) => body?,
+        Err(_elapsed) => return Err(refuse(RefusalReason::DeadlineLapsed)),
+    };
+    Ok(Accepted { call, _held: held })
+}
+
+async fn read_body<B: Buf>(
+    held: &mut HeldBytes,
+    body: impl Stream<Item = Result<B, warp::Error>> + Send,
+    bytes_max: u64,
+) -> Result<Bytes, Failure> {
+    let mut whole = BytesMut::new();
+    tokio::pin!(body);
+    while let Some(part) = body.next().await {
+        let mut part = part.map_err(|_broken| refuse(RefusalReason::BadRequest))?;
+        let part_bytes = part.remaining() as u64;
+        if whole.len() as u64 + part_bytes > bytes_max {
+            return Err(refuse(RefusalReason::BodyTooLarge));
+        }
+        held.grow(part_bytes)?;
+        whole.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+    }
+    Ok(whole.freeze())
+}
+
+/// Bytes of bodies that one request holds.
+struct HeldBytes {
+    kernel: Arc<Kernel>,
+    count: u64,
+}
+
+impl HeldBytes {
+    fn total(&self) -> &AtomicU64 {
+        &self.kernel.state.bodies_bytes
+    }
+
+    fn grow(&mut self, more: u64) -> Result<(), Failure> {
+        let total = self.total().fetch_add(more, Ordering::Relaxed) + more;
+        self.count += more;
+        if total > self.kernel.settings.caller.bodies_bytes_max {
+            return Err(refuse(RefusalReason::QueueFull).retry_after(BODIES_RETRY_AFTER_MS));
+        }
+        Ok(())
+    }
+}
+
+/// When to come back while bodies fill the node's bound, in ms.
+const BODIES_RETRY_AFTER_MS: u64 = 100;
+
+impl Drop for HeldBytes {
+    fn drop(&mut self) {
+        self.total().fetch_sub(self.count, Ordering::Relaxed);
+    }
+}
+
+fn answer_response(answer: Answer) -> Response<Bytes> {
+    let failed = answer.is_server_error();
+    let mut response = Response::new(answer.body);
+    *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let fields = response.headers_mut();
+    for header in answer.headers {
+        let name = HeaderName::try_from(header.name);
+        let value = HeaderValue::from_maybe_shared(header.value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            fields.append(name, value);
+        }
+    }
+    insert_text(fields, headers::SERVED_BY, answer.served_by.as_str());
+    if let Some(ticket) = &answer.next_ticket {
+        insert_text(fields, headers::TICKET, ticket);
+    }
+    if failed {
+        // The layer below has retried what it may, so the layers above must not.
+        fields.insert(headers::RETRY_ALLOWANCE, HeaderValue::from_static("0"));
+    }
+    fields.remove(header::CONNECTION);
+    response
+}
+
+fn insert_text(fields: &mut warp::http::HeaderMap, name: &'static str, text: &str) {
+    if let Ok(value) = HeaderValue::from_str(text) {
+        fields.insert(name, value);
+    }
+}
--- /dev/null
+++ b/src/request/executor.rs
@@ -0,0 +1,227 @@
+//! Runs requests on the backend server beside this node: gate, ticket, dispatch, answer.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Mutex};
+
+use tokio::sync::watch;
+
+use super::call::{Answer, Call, CallResult, Failure, Header, Step};
+use super::dispatch;
+use crate::decision::ticket::{
+    AnswerHeader, Claim, Fingerprint, FingerprintParts, StoredAnswer, Ticket, TicketCounts,
+    TicketOutcome, TicketTable, TicketTableSettings,
+};
+use crate::kernel::Kernel;
+use crate::kernel::metrics::Event;
+use crate::kernel::shards::lock;
+use crate::model::ids::Incarnation;
+use crate::model::names::ServiceName;
+use crate::model::reasons::{Refusal, RefusalReason, RunState};
+use crate::settings::NodeSettings;
+
+const US_PER_MS: u64 = 1_000;
+
+/// Outcome of a running request, once it is there.
+type Running = watch::Receiver<Option<CallResult>>;
+
+#[derive(Debug)]
+struct Core {
+    table: TicketTable,
+    running: HashMap<u64, Running>,
+}
+
+/// Tickets of this node with the requests that run under them.
+#[derive(Debug)]
+pub struct TicketCell {
+    core: Mutex<Core>,
+}
+
+impl TicketCell {
+    /// Makes an empty table for this run of the node.
+    pub fn new(settings: &NodeSettings, incarnation: Incarnation) -> Self {
+        let bounds = TicketTableSettings {
+            capacity: settings.ticket.tickets_max,
+            lifetime_us: settings.ticket.lifetime_ms * US_PER_MS,
+            answer_bytes_max: settings.ticket.answer_bytes_max,
+            answers_bytes_total_max: settings.ticket.answers_bytes_max,
+        };
+        let table = TicketTable::new(settings.node.server.clone(), incarnation, bounds);
+        Self {
+            core: Mutex::new(Core {
+                table,
+                running: HashMap::new(),
+            }),
+        }
+    }
+
+    /// Figures for the status page.
+    pub fn counts(&self) -> TicketCounts {
+        lock(&self.core).table.counts()
+    }
+
+    /// Whether the request of ticket `serial` may be dispatched now.
+    pub fn may_dispatch(&self, serial: u64, now_us: u64) -> bool {
+        lock(&self.core).table.may_dispatch(serial, now_us)
+    }
+
+    /// Forgets tickets that have expired.
+    pub fn expire(&self, now_us: u64) {
+        lock(&self.core).table.expire(now_us);
+    }
+}
+
+/// Issues a ticket for one request of `service`, in its text form.
+///
+/// # Errors
+/// The refusal when the backend server is not of that service or the table is full.
+pub fn issue_ticket(kernel: &Kernel, service: &ServiceName) -> Result<String, Refusal> {
+    let serves = kernel
+        .state
+        .server
+        .load()
+        .as_ref()
+        .is_some_and(|s| s.service == *service);
+    if !serves || kernel.stop.is_leaving() {
+        let reason = RefusalReason::NoServer;
+        return Err(Refusal {
+            reason,
+            run_state: RunState::NotRun,
+            retry_after_ms: None,
+        });
+    }
+    let ticket = lock(&kernel.state.tickets.core)
+        .table
+        .issue(service, kernel.now_us())?;
+    kernel.metrics.count(Event::TicketIssued);
+    Ok(ticket.encode(&kernel.state.ticket_key))
+}
+
+/// Runs a call here.
+///
+/// # Errors
+/// [`Failure`] says whether the request was run.
+pub async fn run(kernel: &Arc<Kernel>, call: &Call) -> CallResult {
+    let result = match &call.ticket {
+        Some(text) => run_ticketed(kernel, call, text).await,
+        None => dispatch::run(kernel, call, None).await,
+    };
+    result.map_err(|failure| failure.at(&kernel.settings.node.server))
+}
+
+async fn run_ticketed(kernel: &Arc<Kernel>, call: &Call, text: &str) -> CallResult {
+    let ticket = Ticket::decode(text, &kernel.state.ticket_key).map_err(|error| {
+        log::info!("executor: a ticket was refused: {error}");
+        Failure::new(RefusalReason::TicketInvalid, RunState::NotRun, Step::Ticket)
+    })?;
+    let fingerprint = fingerprint_of(call);
+    let running = {
+        let mut core = lock(&kernel.state.tickets.core);
+        let claim = core
+            .table
+            .claim(&ticket, &call.service, fingerprint, kernel.now_us());
+        match claim {
+            Claim::Refuse(refusal) => return Err(Failure::from_refusal(refusal, Step::Ticket)),
+            Claim::Replay(answer) => return Ok(replay(kernel, call, &answer)),
+            Claim::Join => {
+                kernel.metrics.count(Event::TicketJoined);
+                core.running.get(&ticket.serial).cloned()
+            }
+            Claim::Run => {
+                let (sender, running) = watch::channel(None);
+                core.running.insert(ticket.serial, running.clone());
+                kernel.work.spawn(run_detached(
+                    Arc::clone(kernel),
+                    call.clone(),
+                    ticket.serial,
+                    sender,
+                ));
+                Some(running)
+            }
+        }
+    };
+    match running {
+        Some(running) => await_outcome(kernel, call, running).await,
+        None => Err(still_running()),
+    }
+}
+
+/// Runs the request whether or not its caller still waits, so that a repeat finds the outcome.
+async fn run_detached(
+    kernel: Arc<Kernel>,
+    call: Call,
+    serial: u64,
+    sender: watch::Sender<Option<CallResult>>,
+) {
+    let result = dispatch::run(&kernel, &call, Some(serial)).await;
+    let outcome = match &result {
+        Ok(answer) => TicketOutcome::Answered(Arc::new(stored(answer))),
+        Err(failure) if failure.is_not_run() => TicketOutcome::NotRun(failure.refusal),
+        Err(failure) => TicketOutcome::Unknown(failure.refusal),
+    };
+    {
+        let mut core = lock(&kernel.state.tickets.core);
+        core.table.finish(serial, outcome, kernel.now_us());
+        core.running.remove(&serial);
+    }
+    let next_ticket = issue_ticket(&kernel, &call.service).ok();
+    let result = result.map(|answer| Answer {
+        next_ticket,
+        ..answer
+    });
+    sender.send_replace(Some(result));
+}
+
+async fn await_outcome(kernel: &Kernel, call: &Call, mut running: Running) -> CallResult {
+    let deadline = kernel.clock.instant_at(call.deadline_us);
+    let outcome = running.wait_for(Option::is_some);
+    match tokio::time::timeout_at(deadline.into(), outcome).await {
+        Ok(Ok(outcome)) => outcome.clone().unwrap_or_else(|| Err(still_running())),
+        Ok(Err(_)) | Err(_) => Err(still_running()),
+    }
+}
+
+fn still_running() -> Failure {
+    Failure::new(
+        RefusalReason::DeadlinePassedRunning,
+        RunState::Unknown,
+        Step::Ticket,
+    )
+}
+
+fn fingerprint_of(call: &Call) -> Fingerprint {
+    Fingerprint::of(FingerprintParts {
+        service: &call.service,
+        branch: &call.branch,
+        method: &call.method,
+        path: &call.path,
+        key: call.key.as_deref(),
+        body: &call.body,
+    })
+}
+
+fn stored(answer: &Answer) -> StoredAnswer {
+    let header = |header: &Header| AnswerHeader {
+        name: header.name.as_str().into(),
+        value: header.value.clone(),
+    };
+    StoredAnswer {
+        status: answer.status,
+        headers: answer.headers.iter().map(header).collect(),
+        body: answer.body.clone(),
+    }
+}
+
+fn replay(kernel: &Kernel, call: &Call, stored: &StoredAnswer) -> Answer {
+    kernel.metrics.count(Event::TicketReplayed);
+    let header = |header: &AnswerHeader| Header {
+        name: header.name.as_ref().to_owned(),
+        value: header.value.clone(),
+    };
+    Answer {
+        status: stored.status,
+        headers: stored.headers.iter().map(header).collect(),
+        body: stored.body.clone(),
+        served_by: kernel.settings.node.server.clone(),
+        next_ticket: issue_ticket(kernel, &call.service).ok(),
+    }
+}
--- /dev/null
+++ b/src/request/forward.rs
@@ -0,0 +1,96 @@
+//! Forwards a request to the peer node beside another backend server.
+
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+
+use super::call::{Call, CallResult, Failure, Step};
+use super::state::PeerAddress;
+use crate::edge::wire::WireCall;
+use crate::kernel::Kernel;
+use crate::kernel::metrics::Event;
+use crate::model::load::LoadReport;
+use crate::model::names::ServerName;
+use crate::model::reasons::{RefusalReason, RunState};
+
+/// What a peer replied, with its load when it replied at all.
+#[derive(Debug)]
+pub struct Forwarded {
+    /// Answer or failure.
+    pub result: CallResult,
+    /// Load of the peer's gate.
+    pub load: Option<LoadReport>,
+}
+
+impl Forwarded {
+    fn failed(reason: RefusalReason, run_state: RunState, server: &ServerName) -> Self {
+        let failure = Failure::new(reason, run_state, Step::Forward).at(server);
+        Self {
+            result: Err(failure),
+            load: None,
+        }
+    }
+}
+
+/// A tarpc context that ends at the call's deadline plus `grace_us`.
+pub fn context(kernel: &Kernel, deadline_us: u64, grace_us: u64) -> Context {
+    let mut context = Context::current();
+    context.deadline = kernel
+        .clock
+        .instant_at(deadline_us.saturating_add(grace_us));
+    context
+}
+
+/// Time that a peer has past the deadline to say what became of the request, in µs.
+const REPLY_GRACE_US: u64 = 20_000;
+
+/// Sends `call` to the peer beside `server` and waits for its reply.
+pub async fn forward(
+    kernel: &Kernel,
+    server: &ServerName,
+    peer: &PeerAddress,
+    call: &Call,
+) -> Forwarded {
+    let client = match kernel.state.peer_pool.client(peer.address).await {
+        Ok(client) => client,
+        Err(error) => {
+            log::debug!("forward: {error}");
+            let reason = RefusalReason::PeerUnreachable;
+            return Forwarded::failed(reason, RunState::NotRun, server);
+        }
+    };
+    kernel.metrics.count(Event::PeerForwarded);
+    let wire = WireCall::new(call, kernel.now_us());
+    let context = context(kernel, call.deadline_us, REPLY_GRACE_US);
+    match client.run(context, wire).await {
+        Ok(reply) if reply.id == call.id.0 => Forwarded {
+            result: reply.result.map(Into::into).map_err(Into::into),
+            load: Some(reply.load),
+        },
+        Ok(_other_request) => {
+            kernel.metrics.count(Event::AnswerDropped);
+            Forwarded::failed(RefusalReason::AnswerBroken, RunState::Unknown, server)
+        }
+        Err(error) => rpc_failed(kernel, server, peer, &error),
+    }
+}
+
+/// After the message was handed over nothing is certain: it may have reached the peer.
+fn rpc_failed(
+    kernel: &Kernel,
+    server: &ServerName,
+    peer: &PeerAddress,
+    error: &RpcError,
+) -> Forwarded {
+    log::debug!("forward: run (peer {server}): {error}");
+    match error {
+        RpcError::DeadlineExceeded => Forwarded::failed(
+            RefusalReason::DeadlinePassedRunning,
+            RunState::Unknown,
+            server,
+        ),
+        RpcError::Shutdown | RpcError::Channel(_) | RpcError::Send(_) | RpcError::Server(_) => {
+            kernel.state.peer_pool.forget(peer.address);
+            Forwarded::failed(RefusalReason::ConnectionLost, RunState::Unknown, server)
+        }
+    }
+}
--- /dev/null
+++ b/src/request/mod.rs
@@ -0,0 +1,14 @@
+//! How a request flows, in order: accept, classify, route, forward, admit, dispatch, answer.
+
+pub mod admission;
+pub mod attempt;
+pub mod call;
+pub mod classify;
+pub mod dispatch;
+pub mod entry;
+pub mod executor;
+pub mod forward;
+pub mod headers;
+pub mod problem;
+pub mod state;
+pub mod ticketed;
--- /dev/null
+++ b/src/request/ticketed.rs
@@ -0,0 +1,156 @@
+//! The entry node's side of non-idempotent requests that bear a key or a ticket.
+
+use std::sync::Arc;
+
+use super::attempt::Attempted;
+use super::call::{Call, CallResult, Failure, Step};
+use super::{executor, forward};
+use crate::decision::ticket::{Ticket, before_executor, ticket_required};
+use crate::kernel::Kernel;
+use crate::model::load::LoadReport;
+use crate::model::names::ServerName;
+use crate::model::reasons::{Refusal, RefusalReason, RetryReason, RunState};
+
+/// Messages with one ticket that are sent to its executor for one request of a caller.
+const SENDS_MAX: u32 = 2;
+
+/// Backend servers asked for a ticket at most.
+const ISSUERS_MAX: usize = 3;
+
+/// Refuses a request that bears a key and no ticket, and hands out a ticket to repeat it with.
+pub async fn require_ticket(kernel: &Arc<Kernel>, call: &Call) -> Attempted {
+    let refusal = ticket_required();
+    let mut failure = Failure::from_refusal(refusal, Step::Ticket);
+    match fresh_ticket(kernel, call, None).await {
+        Ok(ticket) => failure.fresh_ticket = Some(ticket),
+        Err(refusal) => failure = Failure::from_refusal(refusal, Step::Ticket),
+    }
+    Attempted {
+        result: Err(failure),
+        hops: 0,
+    }
+}
+
+/// Sends a request to the one executor that its ticket names.
+pub async fn run(kernel: &Arc<Kernel>, call: &Call, text: &str) -> Attempted {
+    let ticket = match Ticket::decode(text, &kernel.state.ticket_key) {
+        Ok(ticket) => ticket,
+        Err(error) => {
+            log::info!("ticket: request {} bears no valid ticket: {error}", call.id);
+            let reason = RefusalReason::TicketInvalid;
+            let failure = Failure::new(reason, RunState::NotRun, Step::Ticket);
+            return Attempted {
+                result: Err(failure),
+                hops: 0,
+            };
+        }
+    };
+    let mut result = send(kernel, call, &ticket).await;
+    if let Err(failure) = &mut result
+        && failure.is_not_run()
+    {
+        failure.fresh_ticket = fresh_ticket(kernel, call, Some(&ticket.executor))
+            .await
+            .ok();
+    }
+    Attempted { result, hops: 1 }
+}
+
+/// The executor joins or replays a repeat, so a lost connection is worth a second message.
+async fn send(kernel: &Arc<Kernel>, call: &Call, ticket: &Ticket) -> CallResult {
+    let mut sends = 1;
+    loop {
+        let result = send_once(kernel, call, ticket).await;
+        let lost = matches!(
+            &result,
+            Err(failure) if failure.step == Step::Forward
+                && failure.refusal.reason == RefusalReason::ConnectionLost
+        );
+        if !lost || sends >= SENDS_MAX {
+            return result;
+        }
+        sends += 1;
+        kernel.metrics.retried(RetryReason::ConnectionLost);
+    }
+}
+
+async fn send_once(kernel: &Arc<Kernel>, call: &Call, ticket: &Ticket) -> CallResult {
+    if ticket.executor == kernel.settings.node.server {
+        return executor::run(kernel, call).await;
+    }
+    let peer = kernel.state.peer(&ticket.executor);
+    let Some(peer) = peer.filter(|peer| peer.incarnation == ticket.incarnation) else {
+        let reason = RefusalReason::TicketExecutorGone;
+        let failure = Failure::new(reason, RunState::Unknown, Step::Ticket);
+        return Err(failure.at(&ticket.executor));
+    };
+    let forwarded = forward::forward(kernel, &ticket.executor, &peer, call).await;
+    let executor_spoke = forwarded.load.is_some();
+    observe(kernel, call, &ticket.executor, forwarded.load);
+    forwarded.result.map_err(|mut failure| {
+        if !executor_spoke {
+            failure.refusal = before_executor(failure.refusal);
+        }
+        failure
+    })
+}
+
+fn observe(kernel: &Kernel, call: &Call, server: &ServerName, load: Option<LoadReport>) {
+    if let Some(load) = load {
+        kernel
+            .state
+            .routers
+            .lock(&call.service)
+            .observe(server, load, kernel.now_us());
+    }
+}
+
+/// Asks a backend server of the service for a ticket, another than `but`.
+async fn fresh_ticket(
+    kernel: &Kernel,
+    call: &Call,
+    but: Option<&ServerName>,
+) -> Result<String, Refusal> {
+    let mut excluded: Vec<ServerName> = but.into_iter().cloned().collect();
+    let mut refusal = Refusal {
+        reason: RefusalReason::NoServer,
+        run_state: RunState::NotRun,
+        retry_after_ms: None,
+    };
+    for _ in 0..ISSUERS_MAX {
+        let chosen = {
+            let mut router = kernel.state.routers.lock(&call.service);
+            router.choose(&call.service, &excluded, kernel.now_us(), rand::random())
+        };
+        let Some(server) = chosen else { break };
+        match issue_at(kernel, call, &server).await {
+            Ok(ticket) => return Ok(ticket),
+            Err(refused) => refusal = refused,
+        }
+        excluded.push(server);
+    }
+    Err(refusal)
+}
+
+async fn issue_at(kernel: &Kernel, call: &Call, server: &ServerName) -> Result<String, Refusal> {
+    if *server == kernel.settings.node.server {
+        return executor::issue_ticket(kernel, &call.service);
+    }
+    let unreachable = Refusal {
+        reason: RefusalReason::PeerUnreachable,
+        run_state: RunState::NotRun,
+        retry_after_ms: None,
+    };
+    let peer = kernel.state.peer(server).ok_or(unreachable)?;
+    let client = kernel.state.peer_pool.client(peer.address).await;
+    let client = client.map_err(|error| {
+        log::debug!("ticket: {error}");
+        unreachable
+    })?;
+    let context = forward::context(kernel, call.deadline_us, 0);
+    let issued = client.issue_ticket(context, call.service.clone()).await;
+    issued.map_err(|error| {
+        log::debug!("ticket: issue (peer {server}): {error}");
+        unreachable
+    })?
+}
--- /dev/null
+++ b/src/settings/admin.rs
@@ -0,0 +1,40 @@
+//! Settings of the administration API.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+use super::check::Problems;
+use super::peer::Secret;
+
+/// Administration listener and its token.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdminSettings {
+    /// Address that operators reach; none turns the API off.
+    #[serde(default)]
+    pub listen: Option<SocketAddr>,
+    /// Token that operators present. Needed beyond loopback.
+    #[serde(default)]
+    pub token: Option<Secret>,
+}
+
+impl AdminSettings {
+    pub(super) fn check(&self, problems: &mut Problems) {
+        let Some(listen) = self.listen else { return };
+        if !listen.ip().is_loopback() && self.token.is_none() {
+            problems.add(
+                "admin.listen",
+                listen,
+                "a loopback address, or any address with admin.token set",
+            );
+        }
+        if self
+            .token
+            .as_ref()
+            .is_some_and(|token| token.expose().is_empty())
+        {
+            problems.add("admin.token", "an empty text", "a token, or no admin.token");
+        }
+    }
+}
--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,105 @@
+//! Problems found in settings, each with the key's path, what was found and what is allowed.
+
+use std::fmt;
+use std::ops::RangeInclusive;
+
+/// One setting that does not fit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Problem {
+    /// Path of the key, such as `peer.token`.
+    pub path: String,
+    /// What was found.
+    pub found: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: found {}; allowed: {}",
+            self.path, self.found, self.allowed
+        )
+    }
+}
+
+/// All problems of one settings file.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Problems(pub Vec<Problem>);
+
+impl Problems {
+    /// Adds a problem.
+    pub fn add(&mut self, path: &str, found: impl fmt::Display, allowed: impl fmt::Display) {
+        self.0.push(Problem {
+            path: path.to_owned(),
+            found: found.to_string(),
+            allowed: allowed.to_string(),
+        });
+    }
+
+    /// Adds a problem when `value` is outside `range`.
+    pub fn range(&mut self, path: &str, value: u64, range: RangeInclusive<u64>) {
+        if !range.contains(&value) {
+            self.add(path, value, format!("{} to {}", range.start(), range.end()));
+        }
+    }
+
+    /// Adds a problem when `low` is above `high`.
+    pub fn ordered(&mut self, low_path: &str, low: u64, high_path: &str, high: u64) {
+        if low > high {
+            self.add(
+                low_path,
+                low,
+                format!("at most {high_path}, which is {high}"),
+            );
+        }
+    }
+
+    /// Whether nothing was found.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+}
+
+impl fmt::Display for Problems {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for problem in &self.0 {
+            writeln!(f, "{problem}")?;
+        }
+        Ok(())
+    }
+}
+
+impl std::error::Error for Problems {}
+
+/// Reads and checks settings.
+///
+/// # Errors
+/// [`Problems`] lists every setting that does not fit; a file that cannot be parsed gives one.
+pub fn parse(text: &str) -> Result<super::NodeSettings, Problems> {
+    let mut deserializer = serde_json::Deserializer::from_str(text);
+    let parsed = serde_path_to_error::deserialize(&mut deserializer);
+    let settings: super::NodeSettings = parsed.map_err(|error| parse_problem(&error))?;
+    if let Err(error) = deserializer.end() {
+        let mut problems = Problems::default();
+        problems.add(".", error, "nothing after the closing brace");
+        return Err(problems);
+    }
+    let problems = settings.check();
+    if problems.is_empty() {
+        Ok(settings)
+    } else {
+        Err(problems)
+    }
+}
+
+fn parse_problem(error: &serde_path_to_error::Error<serde_json::Error>) -> Problems {
+    let mut problems = Problems::default();
+    let text = error.inner().to_string();
+    let (found, allowed) = text
+        .split_once(", expected ")
+        .unwrap_or((&text, "see docs/operators"));
+    problems.add(&error.path().to_string(), found, allowed);
+    problems
+}
--- /dev/null
+++ b/src/settings/gate.rs
@@ -0,0 +1,42 @@
+//! Settings of admission at the gate.
+
+use serde::{Deserialize, Serialize};
+
+use super::check::Problems;
+
+/// Bounds of the queue before the backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct GateSettings {
+    /// Longest time that a request may wait in the queue, in ms.
+    pub queue_delay_max_ms: u64,
+    /// Most requests in the queue.
+    pub queue_length_max: u32,
+    /// Age of what the node knows of the configuration beyond which it refuses, in ms.
+    pub knowledge_age_max_ms: u64,
+}
+
+impl Default for GateSettings {
+    fn default() -> Self {
+        Self {
+            queue_delay_max_ms: 200,
+            queue_length_max: 1_024,
+            knowledge_age_max_ms: 0,
+        }
+    }
+}
+
+impl GateSettings {
+    pub(super) fn check(&self, problems: &mut Problems) {
+        problems.range(
+            "gate.queue_delay_max_ms",
+            self.queue_delay_max_ms,
+            1..=60_000,
+        );
+        problems.range(
+            "gate.queue_length_max",
+            u64::from(self.queue_length_max),
+            1..=1_000_000,
+        );
+    }
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,75 @@
+//! Settings of a node: JSON, checked whole before anything starts.
+
+pub mod admin;
+pub mod announce;
+pub mod caller;
+pub mod check;
+pub mod gate;
+pub mod identity;
+pub mod load;
+pub mod log;
+pub mod membership;
+pub mod metrics;
+pub mod peer;
+pub mod probe;
+pub mod routing;
+pub mod ticket;
+
+use serde::{Deserialize, Serialize};
+
+use check::Problems;
+
+/// All settings of a node, a section for each part.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Who the node is and where it stands.
+    pub node: identity::IdentitySettings,
+    /// Callers' HTTP.
+    pub caller: caller::CallerSettings,
+    /// Announcements of the backend server.
+    pub announce: announce::AnnounceSettings,
+    /// Requests between nodes.
+    pub peer: peer::PeerSettings,
+    /// The platform's log.
+    pub log: log::LogSettings,
+    /// Administration API.
+    #[serde(default)]
+    pub admin: admin::AdminSettings,
+    /// Membership by gossip.
+    pub membership: membership::MembershipSettings,
+    /// Choice of backend servers.
+    #[serde(default)]
+    pub routing: routing::RoutingSettings,
+    /// Admission at the gate.
+    #[serde(default)]
+    pub gate: gate::GateSettings,
+    /// Tickets for non-idempotent requests.
+    #[serde(default)]
+    pub ticket: ticket::TicketSettings,
+    /// Health and load probes.
+    #[serde(default)]
+    pub probe: probe::ProbeSettings,
+    /// Metrics by statsd.
+    #[serde(default)]
+    pub metrics: metrics::MetricsSettings,
+}
+
+impl NodeSettings {
+    /// Checks ranges and pairs of settings.
+    pub fn check(&self) -> Problems {
+        let mut problems = Problems::default();
+        self.node.check(&mut problems);
+        self.caller.check(&mut problems);
+        self.announce.check(&mut problems);
+        self.peer.check(&mut problems);
+        self.log.check(&mut problems);
+        self.admin.check(&mut problems);
+        self.membership.check(&mut problems);
+        self.routing.check(&mut problems);
+        self.gate.check(&mut problems);
+        self.ticket.check(&mut problems);
+        self.probe.check(&mut problems);
+        problems
+    }
+}
