Add the stand-in for the platform's log

Cause: nodes need a log with offsets, retention and faults to run against. Ruled out: a file-backed log, since the hosts keep nothing and tests need only what one process remembers. Before: nothing. Conclusion: readers and writers of the log can be built against it.

--- /dev/null
+++ b/standins/src/backend_server/mod.rs
@@ -0,0 +1,1 @@
+//! Backend server stand-in.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,10 @@
-//! Stand-ins for the systems around bronzelock.
+//! Stand-ins for the systems around bronzelock, and a load generator.
+//!
+//! Each runs as an example binary, or in-process from a test that starts and stops it.
+
+pub mod backend_server;
+pub mod http;
+pub mod load;
+pub mod log_service;
+pub mod precise_timer;
+pub mod signals;
--- /dev/null
+++ b/standins/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Open-loop load generator.
--- /dev/null
+++ b/standins/src/log_service/stats.rs
@@ -0,0 +1,71 @@
+//! Counts of what the log was asked.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use serde::{Deserialize, Serialize};
+
+/// Counts since the start, as `GET /stats` gives them.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LogStats {
+    /// Appends that took effect.
+    pub appends: u64,
+    /// Appends refused by the limit per second.
+    pub appends_limited: u64,
+    /// Appends that took effect and whose answer was lost.
+    pub answers_lost: u64,
+    /// Requests refused while the log was down.
+    pub refused_down: u64,
+    /// Reads answered.
+    pub reads: u64,
+    /// Bytes of records appended.
+    pub appended_bytes: u64,
+    /// Bytes of records read.
+    pub read_bytes: u64,
+}
+
+/// Counters behind [`LogStats`].
+#[derive(Debug, Default)]
+pub(super) struct Counters {
+    pub appends: Counter,
+    pub appends_limited: Counter,
+    pub answers_lost: Counter,
+    pub refused_down: Counter,
+    pub reads: Counter,
+    pub appended_bytes: Counter,
+    pub read_bytes: Counter,
+}
+
+/// Counter that only grows.
+#[derive(Debug, Default)]
+pub(super) struct Counter(AtomicU64);
+
+impl Counter {
+    /// Counts one.
+    pub fn count(&self) {
+        self.add(1);
+    }
+
+    /// Adds an amount.
+    pub fn add(&self, amount: u64) {
+        self.0.fetch_add(amount, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+impl Counters {
+    /// Reads all counters.
+    pub fn read(&self) -> LogStats {
+        LogStats {
+            appends: self.appends.get(),
+            appends_limited: self.appends_limited.get(),
+            answers_lost: self.answers_lost.get(),
+            refused_down: self.refused_down.get(),
+            reads: self.reads.get(),
+            appended_bytes: self.appended_bytes.get(),
+            read_bytes: self.read_bytes.get(),
+        }
+    }
+}
