Join by the member stream after the own append; replay outside the lock

Cause: nodes that started together all read the member stream before any of them had appended, so a node of another service never learned of the rest; and a replayed answer asked for the next ticket while it held the ticket table's lock, so the node hung. Ruled out: gossip, which had nobody to talk to; a lost append, the log held all four records. Change: read on after the own append; the claim is decided under the lock and answered after it.

--- a/src/agreement/members.rs
+++ b/src/agreement/members.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -72,10 +73,13 @@
 pub async fn run(kernel: Arc<Kernel>, log: LogClient, own: Member) {
     let until_stopped = async {
         let spread_ms = rand::random_range(0..=APPEND_SPREAD_MS);
-        retry(&kernel, || learn(&kernel, &log)).await;
+        let read_to = AtomicU64::new(0);
+        retry(&kernel, || learn(&kernel, &log, &read_to)).await;
         tokio::time::sleep(Duration::from_millis(spread_ms)).await;
         loop {
             retry(&kernel, || append(&kernel, &log, own.clone())).await;
+            // Of two nodes that start together, the one that appends later reads the other.
+            retry(&kernel, || learn(&kernel, &log, &read_to)).await;
             let period_ms = kernel.settings.log.retention_ms / RETENTION_PART;
             tokio::time::sleep(Duration::from_millis(period_ms)).await;
         }
@@ -101,11 +105,11 @@
     }
 }
 
-/// Reads the stream to its end once.
-async fn learn(kernel: &Kernel, log: &LogClient) -> Result<(), StepError> {
+/// Reads the stream from `read_to` to its end.
+async fn learn(kernel: &Kernel, log: &LogClient, read_to: &AtomicU64) -> Result<(), StepError> {
     let stream = &kernel.settings.log.member_stream;
-    let mut from = 0;
     loop {
+        let mut from = read_to.load(Ordering::Relaxed);
         let page = log.read(stream, from, RECORDS_MAX, 0).await?;
         for record in &page.records {
             from = record.offset + 1;
@@ -114,6 +118,7 @@
                 Err(error) => log::debug!("members: a record is unreadable: {error}"),
             }
         }
+        read_to.store(from, Ordering::Relaxed);
         if page.records.is_empty() || from >= page.next {
             return Ok(());
         }
--- a/src/request/executor.rs
+++ b/src/request/executor.rs
@@ -113,35 +113,47 @@
         log::info!("executor: a ticket was refused: {error}");
         Failure::new(RefusalReason::TicketInvalid, RunState::NotRun, Step::Ticket)
     })?;
+    match claim(kernel, call, &ticket) {
+        Claimed::Refused(refusal) => Err(Failure::from_refusal(refusal, Step::Ticket)),
+        Claimed::Ended(answer) => Ok(replay(kernel, call, &answer)),
+        Claimed::Running(running) => await_outcome(kernel, call, running).await,
+    }
+}
+
+/// What a message with a ticket leads to.
+enum Claimed {
+    /// The request may not run.
+    Refused(Refusal),
+    /// The request has run.
+    Ended(Arc<StoredAnswer>),
+    /// The request runs.
+    Running(Running),
+}
+
+/// Claims the ticket and starts the request if this is its first use.
+fn claim(kernel: &Arc<Kernel>, call: &Call, ticket: &Ticket) -> Claimed {
     let fingerprint = fingerprint_of(call);
-    let running = {
-        let mut core = lock(&kernel.state.tickets.core);
-        let claim = core
-            .table
-            .claim(&ticket, &call.service, fingerprint, kernel.now_us());
-        match claim {
-            Claim::Refuse(refusal) => return Err(Failure::from_refusal(refusal, Step::Ticket)),
-            Claim::Replay(answer) => return Ok(replay(kernel, call, &answer)),
-            Claim::Join => {
-                kernel.metrics.count(Event::TicketJoined);
-                core.running.get(&ticket.serial).cloned()
-            }
-            Claim::Run => {
-                let (sender, running) = watch::channel(None);
-                core.running.insert(ticket.serial, running.clone());
-                kernel.work.spawn(run_detached(
-                    Arc::clone(kernel),
-                    call.clone(),
-                    ticket.serial,
-                    sender,
-                ));
-                Some(running)
+    let mut core = lock(&kernel.state.tickets.core);
+    let claim = core
+        .table
+        .claim(ticket, &call.service, fingerprint, kernel.now_us());
+    match claim {
+        Claim::Refuse(refusal) => Claimed::Refused(refusal),
+        Claim::Replay(answer) => Claimed::Ended(answer),
+        Claim::Join => {
+            kernel.metrics.count(Event::TicketJoined);
+            match core.running.get(&ticket.serial) {
+                Some(running) => Claimed::Running(running.clone()),
+                None => Claimed::Refused(still_running().refusal),
             }
         }
-    };
-    match running {
-        Some(running) => await_outcome(kernel, call, running).await,
-        None => Err(still_running()),
+        Claim::Run => {
+            let (sender, running) = watch::channel(None);
+            core.running.insert(ticket.serial, running.clone());
+            let run = run_detached(Arc::clone(kernel), call.clone(), ticket.serial, sender);
+            kernel.work.spawn(run);
+            Claimed::Running(running)
+        }
     }
 }
 
