Add the oracle and split the load generator's larger files

Cause: a run has to be judged by comparing what callers were told with what backend servers ran; files had grown beyond one job. Ruled out: judging by repeated request ids alone, since idempotent requests may run again. Conclusion: one command can drive and judge a run.

--- a/standins/examples/log_standin.rs
+++ b/standins/examples/log_standin.rs
@@ -4,6 +4,7 @@
 
 use clap::Parser;
 use standins::log_service::{Faults, LogService};
+use standins::runtime::{self, Threads};
 
 /// Stand-in for the platform's append-only log
 #[derive(Debug, Parser)]
@@ -14,12 +15,18 @@
     /// Faults in force from the start
     #[command(flatten)]
     faults: Faults,
+    /// Threads of the runtime
+    #[command(flatten)]
+    threads: Threads,
 }
 
-#[tokio::main]
-async fn main() -> std::io::Result<()> {
+fn main() -> std::io::Result<()> {
     env_logger::init();
     let arguments = Arguments::parse();
+    runtime::start(arguments.threads)?.block_on(serve(arguments))
+}
+
+async fn serve(arguments: Arguments) -> std::io::Result<()> {
     let service = LogService::start(arguments.listen, arguments.faults).await?;
     println!("listening {}", service.address());
     standins::signals::stop_requested().await?;
--- a/standins/src/backend_server/server.rs
+++ b/standins/src/backend_server/server.rs
@@ -14,8 +14,9 @@
 use super::counters::Counters;
 use super::exchange::Exchange;
 use super::reports::Samples;
+use super::run_counts::RunCounts;
 use super::settings::BackendServerSettings;
-use super::witness::{RunCounts, Witness, WitnessDetail};
+use super::witness::{Witness, WitnessDetail};
 use super::work_request::WorkRequest;
 
 /// Moment at which it began to leave, and the last run started since.
--- a/standins/src/backend_server/witness.rs
+++ b/standins/src/backend_server/witness.rs
@@ -1,17 +1,11 @@
 //! What a backend server ran and saw: the evidence for the oracle.
 
-use std::collections::HashMap;
-use std::hash::{BuildHasher, RandomState};
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
 use serde::{Deserialize, Serialize};
 
 use super::boot::{Boot, BootId};
+use super::run_counts::RunCounts;
 use super::server::Server;
 
-/// Shards of a table of runs, each under its own lock.
-const SHARDS: usize = 64;
-
 /// Which runs a witness lists one by one.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum WitnessDetail {
@@ -25,6 +19,15 @@
 }
 
 impl WitnessDetail {
+    /// Name in a query.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::All => "all",
+            Self::Repeated => "repeated",
+            Self::Totals => "totals",
+        }
+    }
+
     /// Reads the detail from its name in a query.
     pub fn parse(name: &str) -> Option<Self> {
         match name {
@@ -35,7 +38,8 @@
         }
     }
 
-    fn lists(self, runs: u32) -> bool {
+    /// Whether an entry with this many runs is listed.
+    pub(super) fn lists(self, runs: u32) -> bool {
         match self {
             Self::All => true,
             Self::Repeated => runs > 1,
@@ -161,8 +165,8 @@
             service: server.settings().service.clone(),
             runs: boots.iter().map(|boot| boot.runs).sum(),
             runs_without_id: counters.runs_without_id.get(),
-            requests_repeated: runs.by_request.repeated(),
-            keys_repeated: runs.by_key.repeated(),
+            requests_repeated: runs.requests_repeated(),
+            keys_repeated: runs.keys_repeated(),
             runs_by_request: runs.list_requests(detail),
             runs_by_key: runs.list_keys(detail),
             in_flight: server.boot().in_flight.now(),
@@ -190,88 +194,3 @@
 fn highest(boots: &[BootRuns], value: impl Fn(&BootRuns) -> u64) -> u64 {
     boots.iter().map(value).max().unwrap_or(0)
 }
-
-/// Runs per request id and per key.
-#[derive(Debug, Default)]
-pub(super) struct RunCounts {
-    by_request: RunTable,
-    by_key: RunTable,
-}
-
-impl RunCounts {
-    /// Counts a run of a request id.
-    pub fn count_request(&self, id: &str) {
-        self.by_request.count(id);
-    }
-
-    /// Counts a run of a key.
-    pub fn count_key(&self, key: &str) {
-        self.by_key.count(key);
-    }
-
-    fn list_requests(&self, detail: WitnessDetail) -> Vec<RequestRuns> {
-        self.by_request.list(detail, |id, runs| RequestRuns {
-            request_id: id.to_owned(),
-            runs,
-        })
-    }
-
-    fn list_keys(&self, detail: WitnessDetail) -> Vec<KeyRuns> {
-        self.by_key.list(detail, |key, runs| KeyRuns {
-            idempotency_key: key.to_owned(),
-            runs,
-        })
-    }
-}
-
-type Shard = Mutex<HashMap<Box<str>, u32>>;
-
-/// Runs per name, in shards.
-#[derive(Debug)]
-struct RunTable {
-    shards: Vec<Shard>,
-    hasher: RandomState,
-}
-
-impl Default for RunTable {
-    fn default() -> Self {
-        let shards = std::iter::repeat_with(Shard::default)
-            .take(SHARDS)
-            .collect();
-        Self {
-            shards,
-            hasher: RandomState::new(),
-        }
-    }
-}
-
-fn lock(shard: &Shard) -> MutexGuard<'_, HashMap<Box<str>, u32>> {
-    shard.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-impl RunTable {
-    fn count(&self, name: &str) {
-        let index = self.hasher.hash_one(name) as usize % SHARDS;
-        let mut shard = lock(&self.shards[index]);
-        match shard.get_mut(name) {
-            Some(runs) => *runs += 1,
-            None => _ = shard.insert(Box::from(name), 1),
-        }
-    }
-
-    fn repeated(&self) -> u64 {
-        let count = |shard| lock(shard).values().filter(|runs| **runs > 1).count() as u64;
-        self.shards.iter().map(count).sum()
-    }
-
-    fn list<T: Ord>(&self, detail: WitnessDetail, entry: impl Fn(&str, u32) -> T) -> Vec<T> {
-        let mut listed = Vec::new();
-        for shard in &self.shards {
-            let shard = lock(shard);
-            let wanted = shard.iter().filter(|(_, runs)| detail.lists(**runs));
-            listed.extend(wanted.map(|(name, runs)| entry(name, *runs)));
-        }
-        listed.sort_unstable();
-        listed
-    }
-}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -6,5 +6,7 @@
 pub mod http;
 pub mod load;
 pub mod log_service;
+pub mod oracle;
 pub mod precise_timer;
+pub mod runtime;
 pub mod signals;
--- a/standins/src/load/arguments.rs
+++ b/standins/src/load/arguments.rs
@@ -111,6 +111,7 @@
             priority: self.priority.clone(),
             non_idempotent: self.non_idempotent,
             body_bytes: self.body_bytes,
+            straight_to: None,
         }
     }
 }
--- a/standins/src/load/arrivals.rs
+++ b/standins/src/load/arrivals.rs
@@ -109,7 +109,7 @@
         Some(Self {
             random: StdRng::seed_from_u64(settings.seed),
             kinds,
-            targets: settings.targets.len(),
+            targets: settings.targets.len().max(1),
             rate_per_s: settings.rate_per_s,
             spacing: settings.spacing,
             bursts: settings.bursts.clone(),
--- a/standins/src/load/call.rs
+++ b/standins/src/load/call.rs
@@ -7,7 +7,7 @@
 use http_body_util::Full;
 use hyper::header::HOST;
 use hyper::http::request::Builder;
-use hyper::{Request, StatusCode, Uri};
+use hyper::{Request, Uri};
 use tokio::time::{sleep, timeout};
 
 use crate::backend_server::{
@@ -15,10 +15,11 @@
 };
 use crate::http::client::{ClientStep, WholeAnswer};
 
-use super::answer_check::{AnswerFault, check};
+use super::answer_check::check;
 use super::arrivals::Arrival;
 use super::claims::{Claim, RequestClaim};
 use super::kinds::RequestKind;
+use super::outcome::{Loss, Outcome};
 use super::pool::Pool;
 use super::problem::{Problem, TICKET_REQUIRED};
 use super::settings::Route;
@@ -38,6 +39,8 @@
     pub kind: RequestKind,
     pub uri: Uri,
     pub body: Bytes,
+    /// Connections to the backend server stand-in that gets it in place of the targets.
+    pub straight: Option<Pool>,
     pub tickets: TicketStash,
     pub tally: Tally,
 }
@@ -54,53 +57,6 @@
     pub start: Instant,
 }
 
-/// Why an attempt gave no answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Loss {
-    /// The connection failed.
-    Connection(ClientStep),
-    /// No answer came in time.
-    TimedOut,
-}
-
-impl Loss {
-    /// Whether the request may have been run.
-    fn may_have_run(self) -> bool {
-        self != Self::Connection(ClientStep::Connect)
-    }
-}
-
-/// How a request ended.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(super) enum Outcome {
-    /// A whole answer of its own.
-    Answered {
-        status: StatusCode,
-        served_by: String,
-    },
-    /// An answer that is not its own or not whole.
-    Wrong(AnswerFault),
-    /// A refusal or a failure with a status.
-    Refused {
-        status: StatusCode,
-        problem: Problem,
-    },
-    /// No answer.
-    Lost(Loss),
-}
-
-impl Outcome {
-    /// What the caller knows about the run.
-    pub fn claim(&self) -> Claim {
-        match self {
-            Self::Answered { .. } => Claim::Done,
-            Self::Refused { problem, .. } if problem.not_run == Some(true) => Claim::NotRun,
-            Self::Lost(loss) if !loss.may_have_run() => Claim::NotRun,
-            Self::Wrong(_) | Self::Refused { .. } | Self::Lost(_) => Claim::Unknown,
-        }
-    }
-}
-
 /// One request on its way.
 #[derive(Debug)]
 struct Call<'a> {
@@ -131,6 +87,22 @@
         .count_outcome(&outcome, arrival.time, call.intended.elapsed(), claim);
 }
 
+impl Callers {
+    fn pool<'a>(&'a self, state: &'a KindState, target: usize) -> &'a Pool {
+        state
+            .straight
+            .as_ref()
+            .unwrap_or_else(|| &self.pools[target])
+    }
+
+    fn route(&self, state: &KindState) -> Route {
+        match state.straight {
+            Some(_) => Route::StraightToServer,
+            None => self.route,
+        }
+    }
+}
+
 impl<'a> Call<'a> {
     fn new(callers: &'a Callers, arrival: Arrival) -> Self {
         let state = &callers.kinds[arrival.kind];
@@ -139,7 +111,7 @@
         Self {
             callers,
             state,
-            pool: &callers.pools[arrival.target],
+            pool: callers.pool(state, arrival.target),
             intended: callers.start + arrival.time,
             request_id: format!("{run_id:016x}{sequence:016x}"),
             key: state
@@ -153,7 +125,7 @@
     }
 
     async fn follow(&mut self) -> Outcome {
-        match (&self.key, self.callers.route) {
+        match (&self.key, self.callers.route(self.state)) {
             (Some(_), Route::ThroughNodes) => self.follow_with_ticket().await,
             (None, _) | (_, Route::StraightToServer) => {
                 let exchanged = self.attempt().await;
--- a/standins/src/load/kinds.rs
+++ b/standins/src/load/kinds.rs
@@ -1,5 +1,6 @@
 //! Kinds of request in the mix.
 
+use std::net::SocketAddr;
 use std::path::Path;
 
 use hyper::Method;
@@ -31,6 +32,9 @@
     /// Length of the request body, in bytes.
     #[serde(default)]
     pub body_bytes: usize,
+    /// Backend server stand-in that gets this kind in place of the targets.
+    #[serde(default)]
+    pub straight_to: Option<SocketAddr>,
 }
 
 fn one() -> u32 {
@@ -53,6 +57,7 @@
             priority: None,
             non_idempotent: false,
             body_bytes: 0,
+            straight_to: None,
         }
     }
 
--- a/standins/src/load/tally.rs
+++ b/standins/src/load/tally.rs
@@ -9,8 +9,8 @@
 use crate::http::client::ClientStep;
 
 use super::answer_check::AnswerFault;
-use super::call::{Loss, Outcome};
 use super::claims::RequestClaim;
+use super::outcome::{Loss, Outcome};
 
 /// Longest latency that is told apart.
 const LATENCY_US_MAX: u64 = 600_000_000;
--- a/standins/src/log_service/api.rs
+++ b/standins/src/log_service/api.rs
@@ -9,73 +9,18 @@
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode, Uri};
 use rand::Rng;
-use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
 
 use crate::http::answer::{Answer, ConnectionCut, error, json};
 use crate::http::listener::Handler;
-use crate::http::query::{self, QueryError};
 
 use super::faults::{DownMode, Faults};
+use super::messages::{Appended, Page, ReadRange};
 use super::rate_limit::RateLimit;
 use super::stats::{Counters, LogStats};
-use super::stream::{Offset, Record, Slice, Stream};
-
-/// Records given to a reader that names no maximum.
-const READ_RECORDS_DEFAULT: u64 = 1_000;
-/// Longest time that a read waits for a record.
-const READ_WAIT_MS_MAX: u64 = 60_000;
-
-/// Answer to an append.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Appended {
-    /// Position that the record got.
-    pub offset: Offset,
-}
-
-/// Answer to a read.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Page {
-    /// First offset that is still kept; later than asked for where records are lost.
-    pub earliest: Offset,
-    /// Offset that the next append gets.
-    pub next: Offset,
-    /// Records found, in order.
-    pub records: Vec<Record>,
-}
-
-impl From<Slice> for Page {
-    fn from(slice: Slice) -> Self {
-        Self {
-            earliest: slice.earliest,
-            next: slice.next,
-            records: slice.records,
-        }
-    }
-}
-
-/// What a read asks for.
-#[derive(Debug, Clone, Copy)]
-struct ReadRange {
-    from: Offset,
-    records_max: usize,
-    wait: Duration,
-}
-
-impl ReadRange {
-    fn parse(uri: &Uri) -> Result<Self, QueryError> {
-        let from = query::number(uri, "from")?.unwrap_or(0);
-        let records_max = query::number(uri, "max")?.unwrap_or(READ_RECORDS_DEFAULT);
-        let wait_ms = query::number(uri, "wait_ms")?.unwrap_or(0);
-        Ok(Self {
-            from: Offset(from),
-            records_max: records_max as usize,
-            wait: Duration::from_millis(wait_ms.min(READ_WAIT_MS_MAX)),
-        })
-    }
-}
+use super::stream::{Slice, Stream};
 
 /// State of the log stand-in, shared by its connections.
 #[derive(Debug)]
--- a/standins/src/log_service/mod.rs
+++ b/standins/src/log_service/mod.rs
@@ -2,6 +2,7 @@
 
 mod api;
 mod faults;
+mod messages;
 mod rate_limit;
 mod stats;
 mod stream;
@@ -11,8 +12,8 @@
 
 use crate::http::listener::HttpListener;
 
-pub use api::{Appended, Page};
 pub use faults::{DownMode, Faults};
+pub use messages::{Appended, Page};
 pub use stats::LogStats;
 pub use stream::{Offset, Record};
 
