Check at most once by tickets exhaustively from a small specification

Cause: the ticket protocol has to hold under every order of lost, doubled and delayed messages, a crash and a pause; examples alone do not show that. Ruled out: stateright (not in the registry); own breadth-first search, since pathfinding's dijkstra_reach with unit costs gives order, depth and states. Change: a specification of two entry nodes, two executors with incarnations that hold the real TicketTable, and one caller; an explorer; nine seeded faults, each of which must give a counterexample. RefuseBeforeClaim, EntryNodeClaimsNotRun and EntryNodeTakesFreshTicket are holes of the protocol as first sketched: a gate that refuses before it claims the ticket, an entry node that calls its own failure to reach the executor "not run", and an entry node that goes on with a fresh ticket behind the caller's back. Before: nothing checked.

--- /dev/null
+++ b/tests/explore/mod.rs
@@ -0,0 +1,109 @@
+//! Exhaustive breadth-first exploration of a specification.
+
+use std::fmt::{self, Debug};
+use std::hash::Hash;
+use std::sync::Arc;
+
+use pathfinding::directed::bfs::bfs;
+use pathfinding::directed::dijkstra::dijkstra_reach;
+
+/// A state that one step leads to.
+pub struct Successor<Step, State> {
+    pub step: Step,
+    pub state: State,
+}
+
+/// States, steps between them and what must hold in each.
+pub trait Specification {
+    type State: Eq + Hash + Clone;
+    type Step: Debug;
+    type Promise: Debug + PartialEq;
+
+    fn start(&self) -> Self::State;
+    fn successors(&self, state: &Self::State) -> Vec<Successor<Self::Step, Self::State>>;
+    fn broken_promise(&self, state: &Self::State) -> Option<Self::Promise>;
+}
+
+/// Size of a specification whose every reachable state keeps its promises.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Exploration {
+    pub states: usize,
+    pub transitions: usize,
+    pub depth_steps: usize,
+}
+
+/// Shortest way to a state that was looked for.
+pub struct Trace<Step> {
+    steps: Vec<Step>,
+}
+
+impl<Step: Debug> fmt::Display for Trace<Step> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        for (index, step) in self.steps.iter().enumerate() {
+            writeln!(f, "{:>3}. {step:?}", index + 1)?;
+        }
+        Ok(())
+    }
+}
+
+/// Shortest way to a state that breaks a promise.
+pub struct Counterexample<Step, Promise> {
+    pub promise: Promise,
+    pub trace: Trace<Step>,
+}
+
+/// Visits every reachable state, or stops at the first that breaks a promise.
+pub fn explore<S: Specification>(
+    spec: &S,
+) -> Result<Exploration, Counterexample<S::Step, S::Promise>> {
+    let mut transitions = 0;
+    let reached = dijkstra_reach(&Arc::new(spec.start()), |state: &Arc<S::State>| {
+        let successors = spec.successors(state);
+        transitions += successors.len();
+        successors
+            .into_iter()
+            .map(|successor| (Arc::new(successor.state), 1_usize))
+    });
+    let mut states = 0;
+    let mut depth_steps = 0;
+    for item in reached {
+        states += 1;
+        depth_steps = item.total_cost;
+        if let Some(promise) = spec.broken_promise(&item.node) {
+            let trace = find(spec, |state| *state == *item.node).expect("the state was reached");
+            return Err(Counterexample { promise, trace });
+        }
+    }
+    Ok(Exploration {
+        states,
+        transitions,
+        depth_steps,
+    })
+}
+
+/// Finds the shortest way to a state.
+pub fn find<S: Specification>(
+    spec: &S,
+    wanted: impl Fn(&S::State) -> bool,
+) -> Option<Trace<S::Step>> {
+    let next = |state: &Arc<S::State>| -> Vec<Arc<S::State>> {
+        spec.successors(state)
+            .into_iter()
+            .map(|successor| Arc::new(successor.state))
+            .collect()
+    };
+    let path = bfs(&Arc::new(spec.start()), next, |state| wanted(state))?;
+    let steps = path
+        .windows(2)
+        .map(|pair| step_between(spec, &pair[0], &pair[1]))
+        .collect();
+    Some(Trace { steps })
+}
+
+fn step_between<S: Specification>(spec: &S, from: &S::State, to: &S::State) -> S::Step {
+    let taken = spec
+        .successors(from)
+        .into_iter()
+        .find(|successor| successor.state == *to);
+    taken.expect("the path is made of successors").step
+}
--- /dev/null
+++ b/tests/ticket_spec/executor.rs
@@ -0,0 +1,198 @@
+//! One executor: the real ticket table, a queue and a backend server.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, LazyLock};
+
+use bronzelock::decision::ticket::{
+    Claim, Fingerprint, FingerprintParts, StoredAnswer, TicketOutcome, TicketTable,
+    TicketTableSettings,
+};
+use bronzelock::model::ids::Incarnation;
+use bronzelock::model::names::BranchName;
+use bronzelock::model::reasons::{Refusal, RefusalReason, RunState};
+use bytes::Bytes;
+
+use super::fault::Fault;
+use super::message::{ExecutorIndex, TicketId, executor_name, service};
+
+/// Lifetime of a ticket, in µs; a pause lasts as long.
+pub const LIFETIME_US: u64 = 10;
+
+const SETTINGS: TicketTableSettings = TicketTableSettings {
+    capacity: 3,
+    lifetime_us: LIFETIME_US,
+    answer_bytes_max: 64,
+    answers_bytes_total_max: 128,
+};
+
+/// Where a request stands on the executor.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Stage {
+    Queued,
+    /// The table allowed the dispatch; no byte was sent yet.
+    Allowed,
+    Running,
+}
+
+/// A request that the executor works on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct Job {
+    pub ticket: TicketId,
+    pub stage: Stage,
+    /// Whether a faulty executor took the ticket for unused.
+    pub reopened: bool,
+}
+
+/// What the executor tells at once about a message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reply {
+    /// Nothing yet, or nothing certain.
+    Nothing,
+    /// The answer of the ticket's own request.
+    OwnAnswer,
+    /// The answer of another request.
+    CrossedAnswer,
+    NotRun,
+}
+
+/// One run of an executor's process.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Executor {
+    pub index: ExecutorIndex,
+    pub incarnation: u64,
+    pub now_us: u64,
+    pub table: TicketTable,
+    pub jobs: Vec<Job>,
+    /// Serials that a faulty executor takes for unused although the table knows better.
+    reopened: BTreeSet<u64>,
+}
+
+impl Executor {
+    pub fn new(index: ExecutorIndex, incarnation: u64, now_us: u64) -> Self {
+        Self {
+            index,
+            incarnation,
+            now_us,
+            table: TicketTable::new(executor_name(index), Incarnation(incarnation), SETTINGS),
+            jobs: Vec::new(),
+            reopened: BTreeSet::new(),
+        }
+    }
+
+    pub fn issue(&mut self) -> Option<TicketId> {
+        let ticket = self.table.issue(&service(), self.now_us).ok()?;
+        Some(TicketId::of(self.index, &ticket))
+    }
+
+    /// Claims the ticket of a message and queues its first use.
+    pub fn receive(&mut self, ticket: TicketId, fault: Fault) -> Reply {
+        if self.reopened.remove(&ticket.serial) {
+            self.queue(ticket, true);
+            return Reply::Nothing;
+        }
+        let mut presented = ticket.to_ticket();
+        if fault == Fault::ForgetIncarnation {
+            presented.incarnation = Incarnation(self.incarnation);
+        }
+        match self
+            .table
+            .claim(&presented, &service(), *FINGERPRINT, self.now_us)
+        {
+            Claim::Run => {
+                self.queue(ticket, false);
+                Reply::Nothing
+            }
+            Claim::Join => Reply::Nothing,
+            Claim::Replay(held) if *held == answer(ticket) => Reply::OwnAnswer,
+            Claim::Replay(_) => Reply::CrossedAnswer,
+            Claim::Refuse(refusal) => reply_to(refusal),
+        }
+    }
+
+    /// Asks the table right before the first byte.
+    pub fn may_dispatch(&mut self, job: Job, fault: Fault) -> bool {
+        let allowed = self.table.may_dispatch(job.ticket.serial, self.now_us);
+        allowed || job.reopened || fault == Fault::SkipDispatchCheck
+    }
+
+    /// Ends a job as not run.
+    pub fn refuse(&mut self, job: Job, reason: RefusalReason, fault: Fault) {
+        let refusal = Refusal {
+            reason,
+            run_state: RunState::NotRun,
+            retry_after_ms: None,
+        };
+        self.end(job, TicketOutcome::NotRun(refusal));
+        if fault == Fault::ForgetTombstone {
+            self.reopened.insert(job.ticket.serial);
+        }
+    }
+
+    /// Ends a job with the answer of the backend server.
+    pub fn answer(&mut self, job: Job, fault: Fault) {
+        self.end(job, TicketOutcome::Answered(Arc::new(answer(job.ticket))));
+        if fault == Fault::EvictBeforeExpiry {
+            self.reopened.insert(job.ticket.serial);
+        }
+    }
+
+    /// Ends a job whose connection broke while it ran.
+    pub fn lose(&mut self, job: Job) {
+        let reason = RefusalReason::ConnectionLost;
+        let refusal = Refusal {
+            reason,
+            run_state: RunState::Unknown,
+            retry_after_ms: None,
+        };
+        self.end(job, TicketOutcome::Unknown(refusal));
+    }
+
+    /// Moves a job to another stage.
+    pub fn set_stage(&mut self, job: Job, stage: Stage) {
+        self.jobs.retain(|other| *other != job);
+        self.jobs.push(Job { stage, ..job });
+        self.jobs.sort_unstable();
+    }
+
+    fn queue(&mut self, ticket: TicketId, reopened: bool) {
+        self.jobs.push(Job {
+            ticket,
+            stage: Stage::Queued,
+            reopened,
+        });
+        self.jobs.sort_unstable();
+    }
+
+    fn end(&mut self, job: Job, outcome: TicketOutcome) {
+        self.jobs.retain(|other| *other != job);
+        self.table.finish(job.ticket.serial, outcome, self.now_us);
+    }
+}
+
+fn reply_to(refusal: Refusal) -> Reply {
+    match refusal.run_state {
+        RunState::NotRun => Reply::NotRun,
+        RunState::Unknown => Reply::Nothing,
+    }
+}
+
+fn answer(ticket: TicketId) -> StoredAnswer {
+    let body = Bytes::from(format!("{ticket:?}"));
+    StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: body.slice(..body.len().min(64)),
+    }
+}
+
+/// Fingerprint of the caller's one request.
+static FINGERPRINT: LazyLock<Fingerprint> = LazyLock::new(|| {
+    Fingerprint::of(FingerprintParts {
+        service: &service(),
+        branch: &BranchName::new("srisawat").expect("a valid name"),
+        method: "POST",
+        path: "/gates/4/release",
+        key: Some("cow-117"),
+        body: b"sorting",
+    })
+});
--- /dev/null
+++ b/tests/ticket_spec/message.rs
@@ -0,0 +1,67 @@
+//! Messages between caller, entry nodes and executors.
+
+use std::sync::LazyLock;
+
+use bronzelock::decision::ticket::Ticket;
+use bronzelock::model::ids::Incarnation;
+use bronzelock::model::names::{ServerName, ServiceName};
+
+/// Position of an executor among the two.
+pub type ExecutorIndex = usize;
+
+static EXECUTORS: LazyLock<[ServerName; 2]> =
+    LazyLock::new(|| ["herd-1", "herd-2"].map(|name| ServerName::new(name).expect("a valid name")));
+
+static SERVICE: LazyLock<ServiceName> =
+    LazyLock::new(|| ServiceName::new("herd").expect("a valid name"));
+
+/// A ticket as the specification passes it on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TicketId {
+    pub executor: ExecutorIndex,
+    pub incarnation: u64,
+    pub serial: u64,
+    pub expires_us: u64,
+}
+
+/// One message on its way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Message {
+    /// The caller asks an executor for a ticket.
+    Ask { executor: ExecutorIndex },
+    /// The executor gives a ticket.
+    Grant { ticket: TicketId },
+    /// The caller sends its request through an entry node.
+    Request { entry_node: usize, ticket: TicketId },
+    /// The caller is told that the request of a ticket was not run.
+    NotRun { ticket: TicketId },
+}
+
+impl TicketId {
+    pub fn of(executor: ExecutorIndex, ticket: &Ticket) -> Self {
+        Self {
+            executor,
+            incarnation: ticket.incarnation.0,
+            serial: ticket.serial,
+            expires_us: ticket.expires_us,
+        }
+    }
+
+    pub fn to_ticket(self) -> Ticket {
+        Ticket {
+            executor: executor_name(self.executor),
+            incarnation: Incarnation(self.incarnation),
+            service: service(),
+            serial: self.serial,
+            expires_us: self.expires_us,
+        }
+    }
+}
+
+pub fn executor_name(executor: ExecutorIndex) -> ServerName {
+    EXECUTORS[executor].clone()
+}
+
+pub fn service() -> ServiceName {
+    SERVICE.clone()
+}
--- /dev/null
+++ b/tests/ticket_spec/mod.rs
@@ -0,0 +1,47 @@
+//! Specification of at most once by tickets: two entry nodes, two executors, one caller.
+//!
+//! The executors hold the real [`TicketTable`]. A message that is never delivered is a lost one;
+//! messages are delivered in any order. Replies that change nothing for the caller are checked
+//! when they are sent and not kept.
+
+mod executor;
+mod fault;
+mod message;
+mod steps;
+mod world;
+
+use crate::explore::{Specification, Successor};
+
+pub use fault::Fault;
+pub use world::{Bounds, Promise, World};
+
+/// Specification within bounds, whole or with one fault seeded.
+#[derive(Debug, Clone, Copy)]
+pub struct TicketSpec {
+    pub bounds: Bounds,
+    pub fault: Fault,
+}
+
+impl Specification for TicketSpec {
+    type State = World;
+    type Step = steps::Step;
+    type Promise = Promise;
+
+    fn start(&self) -> World {
+        World::new(self.bounds)
+    }
+
+    fn successors(&self, world: &World) -> Vec<Successor<steps::Step, World>> {
+        steps::enabled(world, self.fault)
+            .into_iter()
+            .map(|step| Successor {
+                step,
+                state: steps::take(world, step, self.fault),
+            })
+            .collect()
+    }
+
+    fn broken_promise(&self, world: &World) -> Option<Promise> {
+        world.broken_promise()
+    }
+}
