Fuzz tickets with several callers and executors against an oracle

Cause: the exhaustive check covers one caller and small counts; longer runs with several callers, misuse, damage and full tables are beyond its bounds. Ruled out: a reference model that predicts each reply, since it would be a second ticket table; the oracle only keeps what really ran and what was said.

--- /dev/null
+++ b/tests/ticket_fuzz/executor.rs
@@ -0,0 +1,254 @@
+//! One executor: the real ticket table, a queue and a backend server.
+
+use std::sync::Arc;
+
+use bronzelock::decision::ticket::{
+    Claim, Fingerprint, FingerprintParts, StoredAnswer, Ticket, TicketKey, TicketOutcome,
+    TicketTable, TicketTableSettings,
+};
+use bronzelock::model::ids::Incarnation;
+use bronzelock::model::names::{BranchName, ServerName, ServiceName};
+use bronzelock::model::reasons::{Refusal, RefusalReason, RunState};
+use bytes::Bytes;
+
+use super::message::{Request, Told, Work};
+use super::oracle::Oracle;
+use super::seen;
+
+const SETTINGS: TicketTableSettings = TicketTableSettings {
+    capacity: 4,
+    lifetime_us: 1_000,
+    answer_bytes_max: 64,
+    answers_bytes_total_max: 100,
+};
+
+/// How an executor goes on with a request.
+#[derive(Debug, Clone, Copy)]
+pub enum Act {
+    Refuse,
+    AskTable,
+    FirstByte,
+    Shed,
+    Answer { padding_bytes: usize },
+    LoseConnection,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Stage {
+    Queued,
+    Allowed,
+    Running,
+}
+
+#[derive(Debug)]
+struct Job {
+    serial: u64,
+    request: Request,
+    stage: Stage,
+    /// Messages that wait for the outcome, the first included.
+    waiting: Vec<Request>,
+}
+
+/// What an executor tells the sender of one message.
+#[derive(Debug)]
+pub struct Spoken {
+    pub request: Request,
+    pub told: Told,
+}
+
+/// One run of an executor's process.
+#[derive(Debug)]
+pub struct Executor {
+    name: ServerName,
+    incarnation: u64,
+    now_us: u64,
+    table: TicketTable,
+    jobs: Vec<Job>,
+}
+
+pub fn executor_name(index: usize) -> ServerName {
+    ServerName::new(&format!("camlog-{index}")).unwrap()
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("camlog").unwrap()
+}
+
+impl Executor {
+    pub fn new(index: usize) -> Self {
+        Self::start(executor_name(index), 0, 0)
+    }
+
+    fn start(name: ServerName, incarnation: u64, now_us: u64) -> Self {
+        let table = TicketTable::new(name.clone(), Incarnation(incarnation), SETTINGS);
+        Self {
+            name,
+            incarnation,
+            now_us,
+            table,
+            jobs: Vec::new(),
+        }
+    }
+
+    /// Loses all memory.
+    pub fn crash(&mut self) {
+        *self = Self::start(self.name.clone(), self.incarnation + 1, self.now_us);
+    }
+
+    pub fn pass(&mut self, time_us: u64) {
+        self.now_us += time_us;
+    }
+
+    pub fn expire(&mut self) {
+        self.table.expire(self.now_us);
+    }
+
+    pub fn issue(&mut self, key: &TicketKey) -> Told {
+        match self.table.issue(&service(), self.now_us) {
+            Ok(ticket) => Told::Ticket(ticket.encode(key)),
+            Err(refusal) => {
+                seen::note(refusal.reason.as_str());
+                Told::Unknown
+            }
+        }
+    }
+
+    /// Claims the ticket of a message; none when the sender has to wait.
+    pub fn receive(&mut self, request: Request, ticket: &Ticket) -> Option<Spoken> {
+        let fingerprint = fingerprint(request.work);
+        let claim = self
+            .table
+            .claim(ticket, &service(), fingerprint, self.now_us);
+        match claim {
+            Claim::Run => {
+                self.jobs.push(Job {
+                    serial: ticket.serial,
+                    request: request.clone(),
+                    stage: Stage::Queued,
+                    waiting: vec![request],
+                });
+                None
+            }
+            Claim::Join => {
+                seen::note("join");
+                let mut jobs = self.jobs.iter_mut();
+                let job = jobs.find(|job| job.serial == ticket.serial);
+                job.expect("a joined request is at work")
+                    .waiting
+                    .push(request);
+                None
+            }
+            Claim::Replay(answer) => {
+                seen::note("replay");
+                let told = Told::Answer(answer.body.clone());
+                Some(Spoken { request, told })
+            }
+            Claim::Refuse(refusal) => {
+                seen::note(refusal.reason.as_str());
+                let told = told(refusal);
+                Some(Spoken { request, told })
+            }
+        }
+    }
+
+    /// Goes on with one request, if that fits its stage.
+    pub fn act(&mut self, pick: usize, act: Act, oracle: &mut Oracle) -> Vec<Spoken> {
+        if self.jobs.is_empty() {
+            return Vec::new();
+        }
+        let index = pick % self.jobs.len();
+        match (self.jobs[index].stage, act) {
+            (Stage::Queued, Act::Refuse) => self.not_run(index, RefusalReason::DeadlineLapsed),
+            (Stage::Queued, Act::AskTable) => self.ask_table(index),
+            (Stage::Allowed, Act::FirstByte) => {
+                let job = &mut self.jobs[index];
+                job.stage = Stage::Running;
+                oracle.runs(job.request.work, &job.request.ticket);
+                seen::note("run");
+                Vec::new()
+            }
+            (Stage::Allowed, Act::Shed) => self.not_run(index, RefusalReason::ServerShed),
+            (Stage::Running, Act::Answer { padding_bytes }) => self.answer(index, padding_bytes),
+            (Stage::Running, Act::LoseConnection) => self.lose_connection(index),
+            _ => Vec::new(),
+        }
+    }
+
+    fn ask_table(&mut self, index: usize) -> Vec<Spoken> {
+        let serial = self.jobs[index].serial;
+        if self.table.may_dispatch(serial, self.now_us) {
+            self.jobs[index].stage = Stage::Allowed;
+            return Vec::new();
+        }
+        seen::note("late dispatch refused");
+        self.not_run(index, RefusalReason::TicketExpired)
+    }
+
+    fn not_run(&mut self, index: usize, reason: RefusalReason) -> Vec<Spoken> {
+        let refusal = refusal(reason, RunState::NotRun);
+        self.end(index, TicketOutcome::NotRun(refusal), &Told::NotRun)
+    }
+
+    fn lose_connection(&mut self, index: usize) -> Vec<Spoken> {
+        let refusal = refusal(RefusalReason::ConnectionLost, RunState::Unknown);
+        self.end(index, TicketOutcome::Unknown(refusal), &Told::Unknown)
+    }
+
+    fn answer(&mut self, index: usize, padding_bytes: usize) -> Vec<Spoken> {
+        let mut body = self.jobs[index].request.work.0.to_le_bytes().to_vec();
+        body.resize(body.len() + padding_bytes, 0);
+        let body = Bytes::from(body);
+        let answer = StoredAnswer {
+            status: 200,
+            headers: Vec::new(),
+            body: body.clone(),
+        };
+        let outcome = TicketOutcome::Answered(Arc::new(answer));
+        self.end(index, outcome, &Told::Answer(body))
+    }
+
+    /// Ends a request and tells every message that waits for it.
+    fn end(&mut self, index: usize, outcome: TicketOutcome, told: &Told) -> Vec<Spoken> {
+        let job = self.jobs.swap_remove(index);
+        self.table.finish(job.serial, outcome, self.now_us);
+        let told_to = |request| Spoken {
+            request,
+            told: told.clone(),
+        };
+        job.waiting.into_iter().map(told_to).collect()
+    }
+
+    /// Checks the bounds on memory.
+    pub fn check_bounds(&self) {
+        let counts = self.table.counts();
+        assert!(counts.unused + counts.in_progress + counts.ended <= SETTINGS.capacity);
+        assert!(counts.answer_bytes <= SETTINGS.answers_bytes_total_max);
+        assert_eq!(counts.in_progress, self.jobs.len());
+    }
+}
+
+fn refusal(reason: RefusalReason, run_state: RunState) -> Refusal {
+    Refusal {
+        reason,
+        run_state,
+        retry_after_ms: None,
+    }
+}
+
+pub fn told(refusal: Refusal) -> Told {
+    match refusal.run_state {
+        RunState::NotRun => Told::NotRun,
+        RunState::Unknown => Told::Unknown,
+    }
+}
+
+fn fingerprint(work: Work) -> Fingerprint {
+    Fingerprint::of(FingerprintParts {
+        service: &service(),
+        branch: &BranchName::new("asante").unwrap(),
+        method: "POST",
+        path: "/work-orders",
+        key: None,
+        body: &work.0.to_le_bytes(),
+    })
+}
