--- a/src/agreement/catch_up.rs
+++ b/src/agreement/catch_up.rs
@@ -15,6 +15,8 @@
 /// Answer to one read of the log.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Page {
+    /// Offset that the read asked for.
+    pub from: u64,
     /// Oldest offset that the log still keeps.
     pub earliest: u64,
     /// Offset that the next append gets.
@@ -67,16 +69,28 @@
 /// Position of a reader that may have to look for a snapshot beyond a gap.
 #[derive(Debug, Clone, Default)]
 pub struct CatchUp {
-    search_from: Option<u64>,
+    search: Option<Search>,
+}
+
+/// Search for a snapshot beyond a gap.
+#[derive(Debug, Clone, Copy)]
+struct Search {
+    /// First offset that the fold needed when the search began.
+    needed: u64,
+    /// Where the next page of the search begins.
+    from: u64,
 }
 
 impl CatchUp {
     /// Offset that the next read asks for.
     pub fn read_from(&self, fold: &Fold) -> u64 {
-        self.search_from.unwrap_or_else(|| fold.next_offset())
+        let needed = fold.next_offset();
+        // A peer's snapshot may have closed the gap since the last page.
+        let open = self.search.filter(|search| search.needed == needed);
+        open.map_or(needed, |search| search.from)
     }
 
-    /// Applies a page that was read from [`CatchUp::read_from`].
+    /// Applies a page; the fold may have adopted a peer's snapshot since it was asked for.
     ///
     /// # Errors
     /// [`RecordError`] when a newer program wrote a record; the fold stays before it.
@@ -90,7 +104,7 @@
             return Ok(PageResult { applied, progress });
         }
         let needed_before = fold.next_offset();
-        let mut read_to = self.read_from(fold).max(page.earliest);
+        let mut read_to = page.from.max(page.earliest);
         for stored in &page.records {
             let record = Record::parse(&stored.text)?;
             let effect = fold.apply(stored.offset, &record);
@@ -104,14 +118,15 @@
                 break;
             }
         }
-        let stuck = read_to > needed_before && fold.next_offset() == needed_before;
+        let moved = fold.next_offset() > needed_before;
+        let stuck = !moved && page.from <= needed_before && read_to > needed_before;
         let progress = self.progress(fold, page, read_to, stuck);
         Ok(PageResult { applied, progress })
     }
 
     fn progress(&mut self, fold: &Fold, page: &Page, read_to: u64, stuck: bool) -> Progress {
         let needed = fold.next_offset();
-        self.search_from = None;
+        self.search = None;
         if needed >= page.next {
             return Progress::CaughtUp;
         }
@@ -124,7 +139,10 @@
                 earliest: page.earliest,
             };
         }
-        self.search_from = Some(read_to);
+        self.search = Some(Search {
+            needed,
+            from: read_to,
+        });
         Progress::ReadFrom(read_to)
     }
 }
--- /dev/null
+++ b/tests/fold_renewal.rs
@@ -0,0 +1,96 @@
+//! Renewal of snapshots by one of many nodes.
+
+mod common;
+
+use bronzelock::agreement::renewal::{Check, Decision, FRESH_LAG_RECORDS_MAX, Renewal};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const RETENTION_MS: u64 = 3_600_000;
+const CHECK_INTERVAL_MS: u64 = 20_000;
+const CAUGHT_UP: Check = Check {
+    now_ms: 0,
+    caught_up: true,
+    next_offset: 10,
+    members: 1,
+    draw: 0.0,
+};
+
+/// Runs `members` nodes for three retentions; each hears of an append before its next check.
+fn appends(members: u32, seed: u64) -> Vec<(u64, u32)> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut nodes = vec![Renewal::new(RETENTION_MS); members as usize];
+    let mut rounds = Vec::new();
+    for round in 0..3 * RETENTION_MS / CHECK_INTERVAL_MS {
+        let now_ms = round * CHECK_INTERVAL_MS;
+        let mut check = |node: &mut Renewal| {
+            node.check(&Check {
+                now_ms,
+                members,
+                draw: random.random(),
+                ..CAUGHT_UP
+            })
+        };
+        let appended = nodes
+            .iter_mut()
+            .map(&mut check)
+            .filter(|d| *d == Decision::Append)
+            .count();
+        if appended > 0 {
+            rounds.push((now_ms, appended as u32));
+            for node in &mut nodes {
+                node.on_snapshot(now_ms, 10, 10, true);
+            }
+        }
+    }
+    rounds
+}
+
+cases! {
+    snapshots_never_grow_older_than_half_the_retention => {
+        for (members, seed) in [(1, 1), (8, 2), (96, 3), (920, 4)] {
+            let rounds = appends(members, seed);
+            let gaps = rounds.windows(2).map(|pair| pair[1].0 - pair[0].0);
+            let longest_ms = gaps.max().expect("several renewals");
+            assert!(longest_ms <= RETENTION_MS / 2, "{members} nodes: {longest_ms} ms");
+        }
+    }
+
+    few_of_many_nodes_append => {
+        for seed in 0..4 {
+            let rounds = appends(920, seed);
+            let total: u32 = rounds.iter().map(|(_, appended)| appended).sum();
+            let mean = f64::from(total) / rounds.len() as f64;
+            assert!(mean < 4.0, "seed {seed}: {mean} appends for each renewal");
+        }
+    }
+
+    fresh_snapshot_of_another_node_is_enough => {
+        let mut node = Renewal::new(RETENTION_MS);
+        node.on_snapshot(0, 10, 10, true);
+        assert_eq!(node.check(&CAUGHT_UP), Decision::Wait);
+    }
+
+    snapshot_of_unknown_age_is_due => {
+        let mut node = Renewal::new(RETENTION_MS);
+        node.on_snapshot(0, 10, 10, false);
+        assert_eq!(node.check(&CAUGHT_UP), Decision::Append);
+    }
+
+    snapshot_appended_late_does_not_count => {
+        let mut node = Renewal::new(RETENTION_MS);
+        node.on_snapshot(0, 11 + FRESH_LAG_RECORDS_MAX, 10, true);
+        assert_eq!(node.check(&CAUGHT_UP), Decision::Append);
+    }
+
+    node_behind_the_log_does_not_append => {
+        let mut node = Renewal::new(RETENTION_MS);
+        assert_eq!(node.check(&Check { caught_up: false, ..CAUGHT_UP }), Decision::Wait);
+    }
+
+    many_records_after_a_snapshot_make_it_due => {
+        let mut node = Renewal::new(RETENTION_MS);
+        node.on_snapshot(0, 10, 10, true);
+        assert_eq!(node.check(&Check { next_offset: 2000, ..CAUGHT_UP }), Decision::Append);
+    }
+}
