Publish one change with at most one append

Cause: an answer to an append may be lost after the record was stored, so a second append would be blind and a refusal might be untrue.

Change: agreement/publish.rs is a state machine over events and the fold. It reads to the end of the log first, appends once, and resolves a lost answer by the change's id, or by another change having taken the base, after which a late copy is rejected everywhere. edge/log_client.rs reads and appends over HTTP; every call has its own connection, so that a failure to connect proves that nothing was sent.

Ruled out: a kept connection for appends, where a failed write does not tell whether the log has read it; taking status 500 as a refusal.

Seen failing first: a blind second append ("appended 2 times") and a lost answer told as not accepted.

--- a/src/agreement/fold.rs
+++ b/src/agreement/fold.rs
@@ -68,6 +68,11 @@
         self.state.outcomes.find(id)
     }
 
+    /// The change that made a version, unless it is unknown or forgotten.
+    pub fn maker_of(&self, version: ConfigVersion) -> Option<&OutcomeEntry> {
+        self.state.outcomes.maker_of(version)
+    }
+
     /// Recent outcomes, the oldest first.
     pub fn outcomes(&self) -> impl DoubleEndedIterator<Item = &OutcomeEntry> {
         self.state.outcomes.iter()
--- a/src/agreement/mod.rs
+++ b/src/agreement/mod.rs
@@ -7,6 +7,7 @@
 pub mod change;
 pub mod fold;
 pub mod outcome;
+pub mod publish;
 pub mod record;
 pub mod renewal;
 pub mod snapshot;
--- a/src/agreement/outcome.rs
+++ b/src/agreement/outcome.rs
@@ -72,11 +72,16 @@
         Some(&entry.outcome)
     }
 
+    /// The change that made `version`, unless it is unknown or forgotten.
+    pub fn maker_of(&self, version: ConfigVersion) -> Option<&OutcomeEntry> {
+        self.entries
+            .iter()
+            .find(|entry| entry.outcome == Outcome::Accepted(version))
+    }
+
     /// The change that made `version`, or the latest accepted one when that is forgotten.
     pub fn winner_of(&self, version: ConfigVersion) -> Option<&OutcomeEntry> {
-        let made_it = |entry: &&OutcomeEntry| entry.outcome == Outcome::Accepted(version);
-        let winner = self.entries.iter().find(made_it);
-        winner.or(self.latest_accepted.as_ref())
+        self.maker_of(version).or(self.latest_accepted.as_ref())
     }
 
     /// All remembered outcomes, the oldest first.
--- /dev/null
+++ b/src/edge/log_client.rs
@@ -0,0 +1,280 @@
+//! HTTP client of the platform's append-only log.
+//!
+//! Each call opens a connection of its own, so that a failure to connect proves that
+//! nothing was sent, and any later failure of an append leaves its outcome unknown.
+
+use std::fmt;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper::header::{CONTENT_TYPE, HOST};
+use hyper::{Method, Request, StatusCode};
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::agreement::catch_up::{Page, StoredRecord};
+use crate::agreement::publish::NotAcceptedReason;
+
+/// Longest answer of the log that is read, in bytes.
+const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// Step of a call at which an error arose.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, displaydoc::Display)]
+pub enum LogStep {
+    /// connecting to the log
+    Connect,
+    /// appending to the log
+    Append,
+    /// reading the log
+    Read,
+}
+
+/// What went wrong in a step.
+#[derive(Debug, displaydoc::Display)]
+pub enum LogCause {
+    /// {0}
+    Io(std::io::Error),
+    /// {0}
+    Http(hyper::Error),
+    /// broken answer: {0}
+    Body(Box<dyn std::error::Error + Send + Sync>),
+    /// malformed answer: {0}
+    Json(serde_json::Error),
+    /// status {0}
+    Status(StatusCode),
+    /// no answer within {0} ms
+    Timeout(u64),
+    /// request could not be built: {0}
+    Request(hyper::http::Error),
+}
+
+/// {step} at {peer}: {cause}
+#[derive(Debug, displaydoc::Display)]
+pub struct LogError {
+    /// Step at which it arose.
+    pub step: LogStep,
+    /// Address of the log.
+    pub peer: SocketAddr,
+    /// What went wrong.
+    pub cause: LogCause,
+}
+
+impl std::error::Error for LogError {}
+
+impl LogError {
+    /// Why an append certainly took no effect; none when it may have.
+    pub fn not_appended(&self) -> Option<NotAcceptedReason> {
+        match (&self.step, &self.cause) {
+            (LogStep::Connect, _) => Some(NotAcceptedReason::LogUnreachable),
+            (_, LogCause::Request(_)) => Some(NotAcceptedReason::RecordRefused),
+            (_, LogCause::Status(status)) => refused_by(*status),
+            _ => None,
+        }
+    }
+}
+
+fn refused_by(status: StatusCode) -> Option<NotAcceptedReason> {
+    match status {
+        StatusCode::SERVICE_UNAVAILABLE => Some(NotAcceptedReason::LogDown),
+        StatusCode::TOO_MANY_REQUESTS => Some(NotAcceptedReason::OverAppendLimit),
+        status if status.is_client_error() => Some(NotAcceptedReason::RecordRefused),
+        _ => None,
+    }
+}
+
+/// Longest times of the steps.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LogTimeouts {
+    /// Opening a connection, in ms.
+    pub connect_ms: u64,
+    /// One append after the connection stands, in ms.
+    pub append_ms: u64,
+    /// One read beyond the time that the log was asked to wait, in ms.
+    pub read_ms: u64,
+}
+
+/// Client of one stream of the log.
+#[derive(Debug, Clone)]
+pub struct LogClient {
+    peer: SocketAddr,
+    stream: Arc<str>,
+    timeouts: LogTimeouts,
+}
+
+#[derive(Debug, Deserialize)]
+struct AppendedWire {
+    offset: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct PageWire {
+    earliest: u64,
+    next: u64,
+    records: Vec<StoredRecordWire>,
+}
+
+#[derive(Debug, Deserialize)]
+struct StoredRecordWire {
+    offset: u64,
+    data: String,
+}
+
+impl From<StoredRecordWire> for StoredRecord {
+    fn from(wire: StoredRecordWire) -> Self {
+        Self {
+            offset: wire.offset,
+            text: wire.data,
+        }
+    }
+}
+
+/// Status and body of an answer.
+struct Answer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl LogClient {
+    /// A client of `stream` on the log at `peer`; nothing is opened yet.
+    pub fn new(peer: SocketAddr, stream: impl Into<Arc<str>>, timeouts: LogTimeouts) -> Self {
+        Self {
+            peer,
+            stream: stream.into(),
+            timeouts,
+        }
+    }
+
+    /// Address of the log.
+    pub fn peer(&self) -> SocketAddr {
+        self.peer
+    }
+
+    /// Appends one record and returns its offset.
+    ///
+    /// # Errors
+    /// [`LogError::not_appended`] tells a certain refusal from an unknown outcome.
+    pub async fn append(&self, text: &str) -> Result<u64, LogError> {
+        let path = format!("/streams/{}/records", self.stream);
+        let request = self.request(LogStep::Append, Method::POST, &path, text)?;
+        let body = self
+            .call(LogStep::Append, request, self.timeouts.append_ms)
+            .await?;
+        let appended: AppendedWire = self.parse(LogStep::Append, &body)?;
+        Ok(appended.offset)
+    }
+
+    /// Reads up to `records_max` records from an offset on, waiting up to `wait_ms` for one.
+    ///
+    /// # Errors
+    /// [`LogError`] with the step and the cause.
+    pub async fn read(&self, from: u64, records_max: u32, wait_ms: u64) -> Result<Page, LogError> {
+        let path = format!(
+            "/streams/{}/records?from={from}&max={records_max}&wait_ms={wait_ms}",
+            self.stream
+        );
+        let request = self.request(LogStep::Read, Method::GET, &path, "")?;
+        let limit_ms = self.timeouts.read_ms.saturating_add(wait_ms);
+        let body = self.call(LogStep::Read, request, limit_ms).await?;
+        let page: PageWire = self.parse(LogStep::Read, &body)?;
+        let records = page.records.into_iter().map(StoredRecord::from).collect();
+        Ok(Page {
+            from,
+            earliest: page.earliest,
+            next: page.next,
+            records,
+        })
+    }
+
+    fn request(
+        &self,
+        step: LogStep,
+        method: Method,
+        path: &str,
+        body: &str,
+    ) -> Result<Request<Full<Bytes>>, LogError> {
+        Request::builder()
+            .method(method)
+            .uri(path)
+            .header(HOST, self.peer.to_string())
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::new(Bytes::copy_from_slice(body.as_bytes())))
+            .map_err(|error| self.error(step, LogCause::Request(error)))
+    }
+
+    async fn call(
+        &self,
+        step: LogStep,
+        request: Request<Full<Bytes>>,
+        limit_ms: u64,
+    ) -> Result<Bytes, LogError> {
+        let connect = TcpStream::connect(self.peer);
+        let socket = self
+            .within(LogStep::Connect, self.timeouts.connect_ms, connect)
+            .await?;
+        let socket = socket.map_err(|error| self.error(LogStep::Connect, LogCause::Io(error)))?;
+        let answer = self
+            .within(step, limit_ms, exchange(socket, request))
+            .await?;
+        let answer = answer.map_err(|cause| self.error(step, cause))?;
+        if answer.status.is_success() {
+            return Ok(answer.body);
+        }
+        Err(self.error(step, LogCause::Status(answer.status)))
+    }
+
+    async fn within<T>(
+        &self,
+        step: LogStep,
+        limit_ms: u64,
+        work: impl Future<Output = T>,
+    ) -> Result<T, LogError> {
+        let limited = timeout(Duration::from_millis(limit_ms), work).await;
+        limited.map_err(|_elapsed| self.error(step, LogCause::Timeout(limit_ms)))
+    }
+
+    fn parse<T: for<'a> Deserialize<'a>>(&self, step: LogStep, body: &[u8]) -> Result<T, LogError> {
+        serde_json::from_slice(body).map_err(|error| self.error(step, LogCause::Json(error)))
+    }
+
+    fn error(&self, step: LogStep, cause: LogCause) -> LogError {
+        LogError {
+            step,
+            peer: self.peer,
+            cause,
+        }
+    }
+}
+
+/// Sends one request and reads the whole answer; the connection ends with it.
+async fn exchange(socket: TcpStream, request: Request<Full<Bytes>>) -> Result<Answer, LogCause> {
+    let handshake = http1::handshake(TokioIo::new(socket)).await;
+    let (mut sender, connection) = handshake.map_err(LogCause::Http)?;
+    let mut answer = pin!(async move {
+        let response = sender.send_request(request).await.map_err(LogCause::Http)?;
+        let status = response.status();
+        let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX);
+        let whole = body.collect().await.map_err(LogCause::Body)?;
+        Ok(Answer {
+            status,
+            body: whole.to_bytes(),
+        })
+    });
+    tokio::select! {
+        answer = &mut answer => answer,
+        // The connection ends first when the log closes it; the answer then tells how.
+        _closed = connection => answer.await,
+    }
+}
+
+impl fmt::Display for LogClient {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "stream {} at {}", self.stream, self.peer)
+    }
+}
--- /dev/null
+++ b/src/edge/mod.rs
@@ -0,0 +1,3 @@
+//! The process's edges: clients of the systems around it.
+
+pub mod log_client;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod agreement;
 pub mod decision;
+pub mod edge;
 pub mod model;
 pub mod operators;
