--- a/src/operators/answers.rs
+++ b/src/operators/answers.rs
@@ -159,11 +159,13 @@
     }
 }
 
-/// Finds answers out of bounds and contradictions between answers.
+/// Finds answers out of bounds, or else contradictions between answers.
 pub fn check(answers: &Answers) -> Vec<AnswerError> {
     let mut errors = out_of_bounds(answers);
-    errors.extend(contradicting_limits(answers));
-    errors.extend(contradicting_kinds(answers));
+    if errors.is_empty() {
+        errors.extend(contradicting_limits(answers));
+        errors.extend(contradicting_kinds(answers));
+    }
     errors
 }
 
