--- a/src/agreement/mod.rs
+++ b/src/agreement/mod.rs
@@ -10,6 +10,7 @@
 pub mod in_force;
 pub mod members;
 pub mod outcome;
+pub mod publish;
 pub mod record;
 pub mod renewal;
 pub mod snapshot;
