Write the membership protocol and an in-memory exchange that measures it

Cause: the first cut gossiped a fixed few records and never found a death. Change: SWIM probes with indirect probes, suspicion and refutation by revision, updates sent least often first, digests of 64 buckets with pages of differing records, a byte budget, reconnecting pings to dead members and contacts, pause detection. examples/membership_slopes.rs feeds the state machines and counts bytes, CPU and time to spread.

--- /dev/null
+++ b/examples/membership_slopes.rs
@@ -0,0 +1,230 @@
+//! Bytes, CPU and time to spread of the membership protocol at several sizes.
+//!
+//! A feed of the pure state machines in one process, each datagram through the codec:
+//! `cargo run --release --example membership_slopes -- [--seed N] [--cut-s N] [--loss P] [SIZES]`.
+
+use bronzelock::decision::membership::{MemberState, MembershipSettings};
+use clap::Parser;
+
+#[path = "../tests/support/exchange.rs"]
+mod exchange;
+
+use exchange::Exchange;
+
+/// Nodes of the largest zone, of 920.
+const ZONE_NODES: usize = 130;
+const FULL_NODES: usize = 920;
+
+#[derive(Debug, Parser)]
+struct Options {
+    /// Seed of ticks, draws and losses.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Length of the cut between regions, in s.
+    #[arg(long, default_value_t = 3_600)]
+    cut_s: u64,
+    /// Part of the datagrams that are lost.
+    #[arg(long, default_value_t = 0.0)]
+    loss: f64,
+    /// Scenarios, of idle, join and cut.
+    #[arg(long, value_delimiter = ',', default_value = "idle,join,cut")]
+    scenarios: Vec<String>,
+    /// Numbers of nodes.
+    #[arg(default_values_t = [8, 32, 96, 200, 920])]
+    sizes: Vec<usize>,
+}
+
+fn main() {
+    let options = Options::parse();
+    println!(
+        "{:<10} {:>5} {:>9} {:>9} {:>9} {:>9} {:>8} {:>8} {:>8} {:>9}  result",
+        "scenario",
+        "nodes",
+        "out B/s",
+        "in B/s",
+        "max B/s",
+        "peak B/s",
+        "µs/tick",
+        "µs/msg",
+        "µs/code",
+        "cpu ‰/node"
+    );
+    for size in &options.sizes {
+        for scenario in &options.scenarios {
+            match scenario.as_str() {
+                "idle" => idle(*size, &options),
+                "join" => join(*size, &options),
+                "cut" => cut(*size, &options),
+                other => eprintln!("no scenario {other}"),
+            }
+        }
+    }
+}
+
+fn start(size: usize, options: &Options) -> Exchange {
+    let mut exchange = Exchange::converged(size, MembershipSettings::default(), options.seed);
+    exchange.loss = options.loss;
+    exchange.run_ms(15_000);
+    exchange.reset_costs();
+    exchange
+}
+
+fn idle(size: usize, options: &Options) {
+    let mut exchange = start(size, options);
+    let mut peak = Peak::default();
+    for _ in 0..30 {
+        exchange.run_ms(1_000);
+        peak.take(&exchange);
+    }
+    let wrong = false_alarms(&exchange);
+    report(
+        "idle",
+        &exchange,
+        30_000,
+        &peak,
+        &format!("{wrong} states other than alive"),
+    );
+}
+
+/// Records held as anything but alive, over all nodes.
+fn false_alarms(exchange: &Exchange) -> usize {
+    let held = exchange
+        .nodes
+        .iter()
+        .flat_map(|node| node.machine.members());
+    held.filter(|member| member.state != MemberState::Alive)
+        .count()
+}
+
+fn join(size: usize, options: &Options) {
+    let mut exchange = start(size, options);
+    let joining = (size * ZONE_NODES / FULL_NODES).max(1);
+    let stays: Vec<usize> = (0..size).filter(|index| index % 7 != 3).collect();
+    let contacts = &stays[..3];
+    let mut restarted: Vec<usize> = (0..size).filter(|index| index % 7 == 3).collect();
+    restarted.truncate(joining);
+    for index in &restarted {
+        exchange.restart(*index, 1, contacts);
+    }
+    let mut peak = Peak::default();
+    let mut old_know_ms = None;
+    let mut all_know_ms = None;
+    let mut elapsed_ms = 0;
+    while all_know_ms.is_none() && elapsed_ms < 60_000 {
+        for _ in 0..10 {
+            exchange.run_ms(100);
+            elapsed_ms += 100;
+            let old_know = || {
+                stays
+                    .iter()
+                    .all(|i| restarted.iter().all(|r| exchange.knows(*i, *r)))
+            };
+            if old_know_ms.is_none() && old_know() {
+                old_know_ms = Some(elapsed_ms);
+            }
+            if all_know_ms.is_none() && old_know_ms.is_some() && exchange.all_know_all() {
+                all_know_ms = Some(elapsed_ms);
+            }
+        }
+        peak.take(&exchange);
+    }
+    let result = format!(
+        "{} restarted; staying nodes know all after {old_know_ms:?} ms, everyone {all_know_ms:?} ms",
+        restarted.len()
+    );
+    report("join", &exchange, elapsed_ms, &peak, &result);
+}
+
+fn cut(size: usize, options: &Options) {
+    let mut exchange = start(size, options);
+    exchange.cut = true;
+    exchange.run_ms(options.cut_s * 1_000);
+    let dead = held_dead(&exchange);
+    exchange.cut = false;
+    exchange.reset_costs();
+    let mut peak = Peak::default();
+    let mut elapsed_ms = 0;
+    let mut all_know_ms = None;
+    while all_know_ms.is_none() && elapsed_ms < 180_000 {
+        exchange.run_ms(1_000);
+        elapsed_ms += 1_000;
+        peak.take(&exchange);
+        if exchange.all_know_all() {
+            all_know_ms = Some(elapsed_ms);
+        }
+    }
+    let own_side_lost = own_side_deaths(&exchange);
+    let result = format!(
+        "{dead} records dead before; all know all after {all_know_ms:?} ms; {own_side_lost} own-side records turned dead"
+    );
+    report("cut", &exchange, elapsed_ms, &peak, &result);
+}
+
+fn held_dead(exchange: &Exchange) -> usize {
+    let held = exchange
+        .nodes
+        .iter()
+        .flat_map(|node| node.machine.members());
+    held.filter(|member| member.state == MemberState::Dead)
+        .count()
+}
+
+/// Times that a node took one of its own region for dead after the cut.
+fn own_side_deaths(exchange: &Exchange) -> usize {
+    let nodes = exchange.nodes.iter();
+    nodes
+        .map(|node| {
+            let region = &node.machine.own().region;
+            let changes = node.changes.iter();
+            changes
+                .filter(|m| m.state == MemberState::Dead && &m.region == region)
+                .count()
+        })
+        .sum()
+}
+
+/// Most bytes in and out of any node in one second.
+#[derive(Debug, Default)]
+struct Peak {
+    before: Vec<u64>,
+    bytes_per_s: u64,
+}
+
+impl Peak {
+    fn take(&mut self, exchange: &Exchange) {
+        let totals: Vec<u64> = totals(exchange);
+        self.before.resize(totals.len(), 0);
+        for (now, before) in totals.iter().zip(&self.before) {
+            self.bytes_per_s = self.bytes_per_s.max(now - before);
+        }
+        self.before = totals;
+    }
+}
+
+fn totals(exchange: &Exchange) -> Vec<u64> {
+    let nodes = exchange.nodes.iter();
+    nodes
+        .map(|node| node.cost.bytes_in + node.cost.bytes_out)
+        .collect()
+}
+
+fn report(scenario: &str, exchange: &Exchange, elapsed_ms: u64, peak: &Peak, result: &str) {
+    let nodes = exchange.nodes.len() as f64;
+    let elapsed_s = elapsed_ms as f64 / 1_000.0;
+    let bytes_out: u64 = exchange.nodes.iter().map(|n| n.cost.bytes_out).sum();
+    let bytes_in: u64 = exchange.nodes.iter().map(|n| n.cost.bytes_in).sum();
+    let most = totals(exchange).into_iter().max().unwrap_or(0);
+    let cpu = exchange.ticks.spent + exchange.messages.spent + exchange.coding.spent;
+    println!(
+        "{scenario:<10} {:>5} {:>9.0} {:>9.0} {:>9.0} {:>9} {:>8.2} {:>8.2} {:>8.2} {:>9.3}  {result}",
+        exchange.nodes.len(),
+        bytes_out as f64 / nodes / elapsed_s,
+        bytes_in as f64 / nodes / elapsed_s,
+        most as f64 / elapsed_s,
+        peak.bytes_per_s,
+        exchange.ticks.us_per_step(),
+        exchange.messages.us_per_step(),
+        exchange.coding.us_per_step(),
+        cpu.as_secs_f64() * 1_000.0 / nodes / elapsed_s,
+    );
+}
--- /dev/null
+++ b/src/decision/draws.rs
@@ -0,0 +1,34 @@
+//! Several pseudo-random numbers from one draw.
+
+/// Generator of numbers from one draw: splitmix64 (Steele, Lea, Flood 2014).
+#[derive(Debug, Clone)]
+pub(crate) struct Draws(u64);
+
+impl Draws {
+    pub(crate) fn new(draw: u64) -> Self {
+        Self(draw)
+    }
+
+    pub(crate) fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        mix(self.0)
+    }
+
+    /// An index below `len`, which is not zero.
+    pub(crate) fn index(&mut self, len: usize) -> usize {
+        (self.next() % len as u64) as usize
+    }
+
+    /// A number from 0 up to 1.
+    pub(crate) fn unit(&mut self) -> f64 {
+        (self.next() >> 11) as f64 / (1_u64 << 53) as f64
+    }
+}
+
+/// Finalizer of splitmix64: every bit of the input changes half of the output's.
+pub(crate) fn mix(word: u64) -> u64 {
+    let mut mixed = word;
+    mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- a/src/decision/membership/machine.rs
+++ b/src/decision/membership/machine.rs
@@ -1,97 +1,90 @@
 //! The membership state machine of one node.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use crate::decision::draws::Draws;
 use crate::model::ids::ConfigVersion;
 use crate::model::names::{ServerName, ServiceName};
 
+use super::digest::{self, Digests};
+use super::events::{MembershipAction, MembershipEvent};
 use super::member::{Member, MemberState};
-use super::message::{Body, Message};
+use super::packing::ByteBudget;
+use super::prober::Prober;
+use super::receive::Source;
 use super::settings::MembershipSettings;
+use super::sync::Sync;
+use super::table::MemberTable;
+use super::update_queue::UpdateQueue;
 
-/// What happens to the membership of one node.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum MembershipEvent {
-    /// The tick interval has passed.
-    Tick,
-    /// A datagram came in and was found genuine.
-    Received {
-        /// Address that it came from.
-        from: SocketAddr,
-        /// What it says.
-        message: Message,
-    },
-    /// A member was read from the log.
-    Learned(Member),
-    /// A membership address was read from the settings.
-    Contact(SocketAddr),
-    /// A peer node answered a request just now.
-    TrafficConfirmed(ServerName),
-    /// The own backend server or the node's own state changed.
-    OwnState {
-        /// Service announced; none when the backend server is not announced.
-        service: Option<ServiceName>,
-        /// Whether the node is leaving.
-        leaving: bool,
-    },
-    /// The node holds a newer configuration.
-    ConfigVersion(ConfigVersion),
+/// The membership of one node.
+#[derive(Debug)]
+pub struct Membership {
+    pub(super) own: Member,
+    pub(super) settings: MembershipSettings,
+    pub(super) table: MemberTable,
+    pub(super) queue: UpdateQueue,
+    pub(super) budget: ByteBudget,
+    pub(super) prober: Prober,
+    pub(super) sync: Sync,
+    pub(super) contacts: Vec<SocketAddr>,
+    pub(super) config_version: ConfigVersion,
+    /// Gossip messages still due because the own record changed.
+    pub(super) own_news: u32,
+    pub(super) probed_at_us: Option<u64>,
+    pub(super) reconnected_at_us: u64,
+    pub(super) ticked_at_us: u64,
+    /// When the node last woke from a pause.
+    pub(super) woke_at_us: Option<u64>,
+    pub(super) behind: Option<Behind>,
 }
 
-/// What the runtime has to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum MembershipAction {
-    /// Send a datagram.
-    Send {
-        /// Membership address of the receiver.
-        to: SocketAddr,
-        /// What to say.
-        message: Message,
-    },
-    /// The record of another member changed.
-    Changed(Member),
-    /// A peer holds a newer configuration; ask it.
-    ConfigBehind {
-        /// Address for requests between nodes.
-        peer: SocketAddr,
-        /// Version that the peer holds.
-        version: ConfigVersion,
-    },
-    /// This node was paused and another run has taken its name; it should stop.
-    Replaced {
-        /// The other run.
-        by: Member,
-    },
+/// A newer configuration that the runtime was told of.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Behind {
+    pub(super) version: ConfigVersion,
+    pub(super) told_at_us: u64,
 }
 
-/// The membership of one node.
-#[derive(Debug)]
-pub struct Membership {
-    own: Member,
-    settings: MembershipSettings,
-    others: BTreeMap<ServerName, Member>,
-    contacts: Vec<SocketAddr>,
-    config_version: ConfigVersion,
-    probed_at_us: u64,
+/// What one call of the state machine works with.
+pub(super) struct Turn<'a> {
+    pub(super) now_us: u64,
+    pub(super) draws: Draws,
+    pub(super) actions: &'a mut Vec<MembershipAction>,
 }
 
 impl Membership {
     /// A node that knows only itself.
     pub fn new(own: Member, settings: MembershipSettings, now_us: u64) -> Self {
-        Self {
+        let mut membership = Self {
             own,
             settings,
-            others: BTreeMap::new(),
+            table: MemberTable::new(),
+            queue: UpdateQueue::default(),
+            budget: ByteBudget::new(settings.bytes_out_per_s, now_us),
+            prober: Prober::default(),
+            sync: Sync::default(),
             contacts: Vec::new(),
             config_version: ConfigVersion::default(),
-            probed_at_us: now_us,
-        }
+            own_news: 0,
+            probed_at_us: None,
+            reconnected_at_us: now_us,
+            ticked_at_us: now_us,
+            woke_at_us: None,
+            behind: None,
+        };
+        membership.own_news = membership.transmissions();
+        membership
     }
 
     /// Every other node that is known, the dead included.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.others.values()
+        self.table.records().map(|record| &record.member)
+    }
+
+    /// The record of another node; none when it is not known.
+    pub fn member(&self, server: &ServerName) -> Option<&Member> {
+        self.table.get(server).map(|record| &record.member)
     }
 
     /// The node's own record.
@@ -109,75 +102,74 @@
         draw: u64,
         actions: &mut Vec<MembershipAction>,
     ) {
+        let mut turn = Turn {
+            now_us,
+            draws: Draws::new(draw),
+            actions,
+        };
         match event {
-            MembershipEvent::Tick => self.tick(now_us, draw, actions),
-            MembershipEvent::Received { from, message } => self.receive(from, message, actions),
-            MembershipEvent::Learned(member) => self.merge(member, actions),
-            MembershipEvent::Contact(address) => self.contacts.push(address),
-            MembershipEvent::TrafficConfirmed(_) => {}
-            MembershipEvent::OwnState { service, leaving } => {
-                self.own.service = service;
-                self.own.state = if leaving {
-                    MemberState::Leaving
-                } else {
-                    MemberState::Alive
-                };
-                self.own.revision += 1;
-            }
+            MembershipEvent::Tick => self.tick(&mut turn),
+            MembershipEvent::Received { from, message } => self.receive(from, message, &mut turn),
+            MembershipEvent::Learned(member) => self.merge(member, Source::Log, &mut turn),
+            MembershipEvent::Contact(address) => self.add_contact(address),
+            MembershipEvent::TrafficConfirmed(server) => self.mark_heard(&server, now_us),
+            MembershipEvent::OwnState { service, leaving } => self.set_own_state(service, leaving),
             MembershipEvent::ConfigVersion(version) => self.config_version = version,
         }
     }
 
-    fn tick(&mut self, now_us: u64, draw: u64, actions: &mut Vec<MembershipAction>) {
-        if now_us - self.probed_at_us < self.settings.probe_period_ms * 1_000 {
-            return;
-        }
-        self.probed_at_us = now_us;
-        let known = self.others.values().map(|member| member.gossip_address);
-        let targets: Vec<_> = known.chain(self.contacts.iter().copied()).collect();
-        let Some(index) = (draw as usize).checked_rem(targets.len()) else {
-            return;
-        };
-        self.send(targets[index], Body::Ping { nonce: draw }, actions);
+    /// Digests of every member held as present, the node itself included.
+    pub(super) fn digests(&self) -> Digests {
+        let mut digests = self.table.digests().clone();
+        digests.toggle(&self.own, digest::name_hash(&self.own.server));
+        digests
     }
 
-    fn receive(&mut self, from: SocketAddr, message: Message, actions: &mut Vec<MembershipAction>) {
-        if message.config_version > self.config_version {
-            actions.push(MembershipAction::ConfigBehind {
-                peer: message.sender.peer_address,
-                version: message.config_version,
-            });
-        }
-        self.merge(message.sender, actions);
-        for member in message.updates {
-            self.merge(member, actions);
-        }
-        if let Body::Ping { nonce } = message.body {
-            self.send(from, Body::Ack { nonce }, actions);
-        }
+    /// Times that an update is sent, which grows with the logarithm of the members.
+    pub(super) fn transmissions(&self) -> u32 {
+        (f64::from(self.settings.transmissions) * self.tenfolds()).ceil() as u32
     }
 
-    fn merge(&mut self, member: Member, actions: &mut Vec<MembershipAction>) {
-        if member.server == self.own.server {
-            return;
+    /// Time that a suspected member has to refute, in µs.
+    pub(super) fn suspicion_us(&self) -> u64 {
+        let periods = self.settings.suspicion_periods as f64 * self.tenfolds();
+        (periods * self.settings.probe_period_ms as f64 * 1_000.0) as u64
+    }
+
+    pub(super) fn mark_heard(&mut self, server: &ServerName, now_us: u64) {
+        if let Some(record) = self.table.get_mut(server) {
+            record.heard_at_us = Some(now_us);
         }
-        let held = self.others.get(&member.server);
-        if held.is_some_and(|held| !member.supersedes(held)) {
-            return;
+    }
+
+    /// Raises the own revision above another, so that the own record supersedes it.
+    pub(super) fn raise_revision_above(&mut self, revision: u32) {
+        self.own.revision = revision.saturating_add(1);
+        self.own_news = self.transmissions();
+    }
+
+    /// Decimal logarithm of the members present, at least one.
+    fn tenfolds(&self) -> f64 {
+        (self.table.present() as f64).max(10.0).log10()
+    }
+
+    fn add_contact(&mut self, address: SocketAddr) {
+        if address != self.own.gossip_address && !self.contacts.contains(&address) {
+            self.contacts.push(address);
         }
-        self.others.insert(member.server.clone(), member.clone());
-        actions.push(MembershipAction::Changed(member));
     }
 
-    fn send(&self, to: SocketAddr, body: Body, actions: &mut Vec<MembershipAction>) {
-        let updates = self.others.values().take(16).cloned().collect();
-        let message = Message {
-            sender: self.own.clone(),
-            config_version: self.config_version,
-            digest: 0,
-            body,
-            updates,
+    fn set_own_state(&mut self, service: Option<ServiceName>, leaving: bool) {
+        let state = if leaving {
+            MemberState::Leaving
+        } else {
+            MemberState::Alive
         };
-        actions.push(MembershipAction::Send { to, message });
+        if self.own.service == service && self.own.state == state {
+            return;
+        }
+        self.own.service = service;
+        self.own.state = state;
+        self.raise_revision_above(self.own.revision);
     }
 }
--- a/src/decision/membership/message.rs
+++ b/src/decision/membership/message.rs
@@ -9,7 +9,7 @@
 
 /// Longest datagram, in bytes: below the smallest common path MTU.
 pub const DATAGRAM_BYTES_MAX: usize = 1_200;
-/// Parts of the member table whose digests are compared.
+/// Buckets of the member table whose digests are compared.
 pub const BUCKETS: usize = 64;
 
 /// One datagram between nodes.
@@ -58,11 +58,13 @@
     },
     /// Only carries updates.
     Gossip,
-    /// Asks for the records of table parts whose digests differ.
+    /// Asks for the records of buckets whose digests differ.
     SyncRequest {
-        /// Digest of each part, of [`BUCKETS`].
+        /// Digest of each of the [`BUCKETS`] buckets.
         bucket_digests: Vec<u32>,
+        /// Bucket to begin with, below [`BUCKETS`].
+        first_bucket: u8,
     },
-    /// Carries records of parts that differ.
+    /// Carries records of buckets that differ.
     SyncPage,
 }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a clock, opens a socket or draws a random number. Times are µs of the
 //! node's own monotonic clock; random draws are passed in.
 
+pub(crate) mod draws;
 pub mod membership;
 pub mod retry;
 pub mod routing;
--- a/src/decision/routing/choice.rs
+++ b/src/decision/routing/choice.rs
@@ -1,8 +1,9 @@
 //! The pick among the backend servers of one service, by policy.
 
+use crate::decision::draws::Draws;
 use crate::model::names::ServerName;
 
-use super::policy::{Draws, RoutingPolicy};
+use super::policy::RoutingPolicy;
 use super::score;
 use super::table::ServiceTable;
 
--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -14,10 +14,10 @@
 pub use health::ReturnKind;
 pub use policy::RoutingPolicy;
 
+use crate::decision::draws::Draws;
 use crate::model::load::LoadReport;
 use crate::model::names::{ServerName, ServiceName, ZoneName};
 
-use policy::Draws;
 use table::ServiceTable;
 
 /// A backend server that a router may choose.
--- a/src/edge/gossip_wire.rs
+++ b/src/edge/gossip_wire.rs
@@ -73,6 +73,7 @@
     Gossip,
     SyncRequest {
         bucket_digests: Vec<[u8; 4]>,
+        first_bucket: u8,
     },
     SyncPage,
 }
@@ -224,14 +225,29 @@
                 target: target.as_str().to_owned(),
             },
             Body::Gossip => Self::Gossip,
-            Body::SyncRequest { bucket_digests } => Self::SyncRequest {
+            Body::SyncRequest {
+                bucket_digests,
+                first_bucket,
+            } => Self::SyncRequest {
                 bucket_digests: bucket_digests.iter().map(|d| d.to_le_bytes()).collect(),
+                first_bucket: *first_bucket,
             },
             Body::SyncPage => Self::SyncPage,
         }
     }
 }
 
+fn sync_request(bucket_digests: Vec<[u8; 4]>, first_bucket: u8) -> Result<Body, GossipCodecError> {
+    if bucket_digests.len() != BUCKETS || usize::from(first_bucket) >= BUCKETS {
+        return Err(GossipCodecError::Malformed);
+    }
+    let digests = bucket_digests.into_iter();
+    Ok(Body::SyncRequest {
+        bucket_digests: digests.map(u32::from_le_bytes).collect(),
+        first_bucket,
+    })
+}
+
 impl TryFrom<WireBody> for Body {
     type Error = GossipCodecError;
 
@@ -257,15 +273,10 @@
                 target: server_name(target)?,
             },
             WireBody::Gossip => Self::Gossip,
-            WireBody::SyncRequest { bucket_digests } => {
-                if bucket_digests.len() != BUCKETS {
-                    return Err(GossipCodecError::Malformed);
-                }
-                let digests = bucket_digests.into_iter();
-                Self::SyncRequest {
-                    bucket_digests: digests.map(u32::from_le_bytes).collect(),
-                }
-            }
+            WireBody::SyncRequest {
+                bucket_digests,
+                first_bucket,
+            } => sync_request(bucket_digests, first_bucket)?,
             WireBody::SyncPage => Self::SyncPage,
         })
     }
