--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -4,6 +4,7 @@
 //! node's own monotonic clock; random draws are passed in.
 
 pub mod gate;
+pub(crate) mod draws;
 pub mod membership;
 pub mod probe_budget;
 pub mod retry;
