Measure the gate alone over seeded arrivals

Cause: the ways of queueing and limiting have to be weighed by figures.

Change: examples/gate_bench feeds one gate and one modelled backend server, prints overload, fairness, slowdown and cost tables beside FIFO and fixed-limit baselines. Queued work now expires early enough to run elsewhere, and a collapse needs more evidence than five failures.

--- /dev/null
+++ b/examples/gate_bench/feed.rs
@@ -0,0 +1,288 @@
+//! Discrete-event feed of one gate: seeded arrivals in, results per stream out.
+
+use std::collections::{BTreeMap, HashMap};
+
+use bronzelock::decision::gate::{
+    Gate, GateAction, GateEvent, GateLimits, GatePolicy, RunOutcome, WorkId, WorkItem,
+};
+use bronzelock::model::config::BranchShare;
+use bronzelock::model::ids::{BootId, Incarnation};
+use bronzelock::model::names::BranchName;
+use bronzelock::model::reasons::RefusalReason;
+use bronzelock::model::request::Urgency;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::server::{Disturbance, End, Server};
+
+/// Length of one second, in µs.
+pub const SECOND_US: u64 = 1_000_000;
+
+/// Mean work of one request, in µs, of the distribution in [`draw_work_us`].
+pub const MEAN_WORK_US: f64 = 7_400.0;
+
+/// Poisson arrivals of one branch and class.
+#[derive(Debug, Clone)]
+pub struct Stream {
+    /// Branch that calls.
+    pub branch: &'static str,
+    /// Urgency class.
+    pub urgency: Urgency,
+    /// Arrivals per second.
+    pub rate_per_s: f64,
+    /// Time until the deadline, in µs.
+    pub deadline_us: u64,
+}
+
+/// One run of the feed.
+#[derive(Debug, Clone)]
+pub struct Scenario {
+    /// What arrives.
+    pub streams: Vec<Stream>,
+    /// Shares of the branches.
+    pub shares: BTreeMap<&'static str, BranchShare>,
+    /// What disturbs the backend server.
+    pub disturbances: Vec<Disturbance>,
+    /// Limits of the gate; the branches are filled in from the shares.
+    pub limits: GateLimits,
+    /// Arrivals before this time are not counted, in µs.
+    pub warm_up_us: u64,
+    /// End of arrivals, in µs.
+    pub end_us: u64,
+}
+
+/// What became of one stream.
+#[derive(Debug, Clone, Default)]
+pub struct StreamResult {
+    /// Requests offered.
+    pub offered: u64,
+    /// Times from arrival to answer, in µs.
+    pub latencies_us: Vec<u64>,
+    /// Requests whose deadline passed after dispatch.
+    pub timed_out: u64,
+    /// Refusals by reason.
+    pub refused: BTreeMap<RefusalReason, u64>,
+    /// Times of answers, in µs.
+    pub answered_at_us: Vec<u64>,
+    /// Times from arrival to refusal, in µs.
+    pub refusals_us: Vec<u64>,
+}
+
+/// A request on its way.
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    stream: usize,
+    arrived_us: u64,
+    work_us: f64,
+    deadline_us: u64,
+}
+
+/// Arrivals of one stream, drawn ahead by one.
+#[derive(Debug)]
+struct Source {
+    random: StdRng,
+    rate_per_s: f64,
+    next_us: u64,
+}
+
+/// A gate, its backend server and what is on its way.
+#[derive(Debug)]
+struct Feed<'a> {
+    scenario: &'a Scenario,
+    gate: Gate,
+    server: Server,
+    sources: Vec<Source>,
+    requests: HashMap<WorkId, Request>,
+    results: Vec<StreamResult>,
+    actions: Vec<GateAction>,
+    next_id: u64,
+}
+
+/// Runs a scenario with one seed; the same seed gives the same arrivals under every policy.
+pub fn run(scenario: &Scenario, policy: GatePolicy, seed: u64) -> Vec<StreamResult> {
+    let mut feed = Feed::new(scenario, policy, seed);
+    feed.open_gate();
+    while let Some(now_us) = feed.next_event_us() {
+        feed.step(now_us);
+    }
+    feed.results
+}
+
+impl<'a> Feed<'a> {
+    fn new(scenario: &'a Scenario, policy: GatePolicy, seed: u64) -> Self {
+        let source = |(index, stream): (usize, &Stream)| {
+            let random = StdRng::seed_from_u64(seed.wrapping_mul(1_000) + index as u64);
+            let mut source = Source {
+                random,
+                rate_per_s: stream.rate_per_s,
+                next_us: 0,
+            };
+            source.draw_next();
+            source
+        };
+        Self {
+            scenario,
+            gate: Gate::with_policy(Incarnation(1), policy),
+            server: Server::new(scenario.limits.bears.slots, scenario.disturbances.clone()),
+            sources: scenario.streams.iter().enumerate().map(source).collect(),
+            requests: HashMap::new(),
+            results: vec![StreamResult::default(); scenario.streams.len()],
+            actions: Vec::new(),
+            next_id: 0,
+        }
+    }
+
+    fn open_gate(&mut self) {
+        let mut limits = self.scenario.limits.clone();
+        for (name, share) in &self.scenario.shares {
+            limits.branches.insert(branch(name), *share);
+        }
+        self.handle(GateEvent::Configure(limits), 0);
+        self.handle(GateEvent::Announced { boot: BootId(1) }, 0);
+    }
+
+    fn next_event_us(&self) -> Option<u64> {
+        let end_us = self.scenario.end_us;
+        let arrivals = self.sources.iter().map(|source| source.next_us);
+        arrivals
+            .filter(|&at_us| at_us < end_us)
+            .chain(self.server.next_event_us())
+            .chain(self.gate.next_wakeup_us())
+            .min()
+    }
+
+    fn step(&mut self, now_us: u64) {
+        for (id, end) in self.server.advance(now_us) {
+            self.end(id, end, now_us);
+        }
+        for stream in 0..self.sources.len() {
+            if self.sources[stream].next_us == now_us && now_us < self.scenario.end_us {
+                self.arrive(stream, now_us);
+            }
+        }
+        self.handle(GateEvent::Tick, now_us);
+    }
+
+    fn arrive(&mut self, index: usize, now_us: u64) {
+        let source = &mut self.sources[index];
+        let work_us = draw_work_us(&mut source.random);
+        source.draw_next();
+        let stream = &self.scenario.streams[index];
+        let id = WorkId(self.next_id);
+        self.next_id += 1;
+        let request = Request {
+            stream: index,
+            arrived_us: now_us,
+            work_us,
+            deadline_us: now_us + stream.deadline_us,
+        };
+        self.requests.insert(id, request);
+        let item = WorkItem {
+            id,
+            branch: branch(stream.branch),
+            urgency: stream.urgency,
+            deadline_us: request.deadline_us,
+        };
+        if self.counts(&request) {
+            self.results[index].offered += 1;
+        }
+        self.handle(GateEvent::Offer(item), now_us);
+    }
+
+    fn end(&mut self, id: WorkId, end: End, now_us: u64) {
+        let request = self
+            .requests
+            .remove(&id)
+            .expect("a run belongs to a request");
+        let counts = self.counts(&request);
+        let result = &mut self.results[request.stream];
+        let outcome = match end {
+            End::Answered => RunOutcome::Succeeded,
+            End::DeadlinePassed => RunOutcome::TimedOut,
+        };
+        if counts && end == End::Answered {
+            result.latencies_us.push(now_us - request.arrived_us);
+            result.answered_at_us.push(now_us);
+        } else if counts {
+            result.timed_out += 1;
+        }
+        self.handle(GateEvent::Finished { id, outcome }, now_us);
+    }
+
+    fn handle(&mut self, event: GateEvent, now_us: u64) {
+        self.gate.handle(event, now_us, &mut self.actions);
+        for action in std::mem::take(&mut self.actions) {
+            match action {
+                GateAction::Dispatch(id) => {
+                    let request = self.requests[&id];
+                    self.server.start(id, request.work_us, request.deadline_us);
+                }
+                GateAction::Refuse { id, refusal } => self.refused(id, refusal.reason, now_us),
+            }
+        }
+        let slots = self.scenario.limits.bears.slots as usize;
+        assert!(
+            self.server.in_flight() <= slots,
+            "more in flight than slots"
+        );
+    }
+
+    fn refused(&mut self, id: WorkId, reason: RefusalReason, now_us: u64) {
+        let request = self
+            .requests
+            .remove(&id)
+            .expect("a refusal belongs to a request");
+        if self.counts(&request) {
+            let result = &mut self.results[request.stream];
+            *result.refused.entry(reason).or_default() += 1;
+            result.refusals_us.push(now_us - request.arrived_us);
+        }
+    }
+
+    fn counts(&self, request: &Request) -> bool {
+        request.arrived_us >= self.scenario.warm_up_us
+    }
+}
+
+impl Source {
+    fn draw_next(&mut self) {
+        let uniform: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
+        let gap_us = -uniform.ln() / self.rate_per_s * SECOND_US as f64;
+        self.next_us += gap_us.ceil().max(1.0) as u64;
+    }
+}
+
+impl StreamResult {
+    /// Latency that `part` of the answers did not exceed, in ms.
+    pub fn quantile_ms(&self, part: f64) -> f64 {
+        quantile_ms(&self.latencies_us, part)
+    }
+
+    /// Part of the offered requests that was answered in time.
+    pub fn answered_part(&self) -> f64 {
+        self.latencies_us.len() as f64 / (self.offered.max(1)) as f64
+    }
+}
+
+/// Value that `part` of the times does not exceed, in ms; not a number if there are none.
+pub fn quantile_ms(times_us: &[u64], part: f64) -> f64 {
+    let mut sorted = times_us.to_vec();
+    sorted.sort_unstable();
+    let rank = (sorted.len() as f64 * part).ceil() as usize;
+    let value = sorted.get(rank.saturating_sub(1));
+    value.map_or(f64::NAN, |&us| us as f64 / 1_000.0)
+}
+
+/// Makes a valid name of a literal.
+pub fn branch(name: &str) -> BranchName {
+    BranchName::new(name).expect("literal branch names are valid")
+}
+
+/// Nine in ten requests need 4 to 8 ms, the others 10 to 30 ms.
+fn draw_work_us(random: &mut StdRng) -> f64 {
+    if random.random_range(0..10) == 0 {
+        random.random_range(10_000.0..30_000.0)
+    } else {
+        random.random_range(4_000.0..8_000.0)
+    }
+}
--- /dev/null
+++ b/examples/gate_bench/scenarios.rs
@@ -0,0 +1,137 @@
+//! Scenarios of the measurement: overload, uneven branches, slowdowns.
+
+use std::collections::BTreeMap;
+
+use bronzelock::decision::gate::GateLimits;
+use bronzelock::model::config::{BranchShare, ServerBears};
+use bronzelock::model::request::Urgency;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::feed::{MEAN_WORK_US, SECOND_US, Scenario, Stream};
+use crate::server::Disturbance;
+
+/// Slots of the backend server.
+pub const SLOTS: u32 = 12;
+
+/// Time until the deadline of every request, in µs.
+const DEADLINE_US: u64 = 250_000;
+
+/// Arrivals are counted from here, in µs.
+const WARM_UP_US: u64 = 2 * SECOND_US;
+
+/// Arrivals end here, in µs.
+const END_US: u64 = 32 * SECOND_US;
+
+/// Gap between the beginnings of two slowdowns, in µs.
+const SLOWDOWN_GAP_US: u64 = 2 * SECOND_US;
+
+/// Requests per second that the undisturbed backend server completes.
+pub fn capacity_per_s() -> f64 {
+    f64::from(SLOTS) * SECOND_US as f64 / MEAN_WORK_US
+}
+
+/// Seconds over which results are counted.
+pub fn counted_s() -> f64 {
+    (END_US - WARM_UP_US) as f64 / SECOND_US as f64
+}
+
+/// Urgent work at 10% of the capacity, and ordinary work of the same branches at `ordinary`.
+pub fn overload(ordinary: f64) -> Scenario {
+    let mut streams = Vec::new();
+    for name in ["herd-a", "herd-b"] {
+        streams.push(stream(name, Urgency::Urgent, 0.05));
+        if ordinary > 0.0 {
+            streams.push(stream(name, Urgency::Ordinary, ordinary / 2.0));
+        }
+    }
+    scenario(streams, &["herd-a", "herd-b"], Vec::new())
+}
+
+/// Four branches of one weight: three at 80% of their share, one at `neighbour` times its share.
+pub fn uneven(neighbour: f64, neighbour_urgency: Urgency) -> Scenario {
+    let steady = ["branch-a", "branch-b", "branch-c"];
+    let mut streams: Vec<Stream> = steady
+        .into_iter()
+        .map(|name| stream(name, Urgency::Ordinary, 0.8 * 0.25))
+        .collect();
+    streams.push(stream("neighbour", neighbour_urgency, neighbour * 0.25));
+    let names = ["branch-a", "branch-b", "branch-c", "neighbour"];
+    scenario(streams, &names, Vec::new())
+}
+
+/// Load of 80% with slowdowns, tenfold for 50 to 500 ms, every two seconds.
+pub fn slowdowns(seed: u64) -> Scenario {
+    disturbed(seed, |from_us, length_us| Disturbance {
+        from_us,
+        to_us: from_us + length_us,
+        speed: 0.1,
+        slots: SLOTS,
+    })
+}
+
+/// Load of 80% with a neighbour that takes three quarters of the slots for 50 to 500 ms.
+pub fn taken_slots(seed: u64) -> Scenario {
+    disturbed(seed, |from_us, length_us| Disturbance {
+        from_us,
+        to_us: from_us + length_us,
+        speed: 1.0,
+        slots: SLOTS / 4,
+    })
+}
+
+fn disturbed(seed: u64, disturbance: impl Fn(u64, u64) -> Disturbance) -> Scenario {
+    let mut random = StdRng::seed_from_u64(seed);
+    let begins = (WARM_UP_US..END_US).step_by(SLOWDOWN_GAP_US as usize);
+    let disturbances = begins
+        .map(|from_us| disturbance(from_us, random.random_range(50_000..=500_000)))
+        .collect();
+    let streams = vec![
+        stream("herd-a", Urgency::Urgent, 0.1),
+        stream("herd-a", Urgency::Ordinary, 0.7),
+    ];
+    scenario(streams, &["herd-a"], disturbances)
+}
+
+fn stream(branch: &'static str, urgency: Urgency, part_of_capacity: f64) -> Stream {
+    Stream {
+        branch,
+        urgency,
+        rate_per_s: part_of_capacity * capacity_per_s(),
+        deadline_us: DEADLINE_US,
+    }
+}
+
+fn scenario(
+    streams: Vec<Stream>,
+    branches: &[&'static str],
+    disturbances: Vec<Disturbance>,
+) -> Scenario {
+    let share = BranchShare {
+        weight: 1,
+        urgent_share_percent: 30,
+    };
+    Scenario {
+        streams,
+        shares: branches.iter().map(|&name| (name, share)).collect(),
+        disturbances,
+        limits: limits(),
+        warm_up_us: WARM_UP_US,
+        end_us: END_US,
+    }
+}
+
+fn limits() -> GateLimits {
+    GateLimits {
+        bears: ServerBears {
+            slots: SLOTS,
+            connections: 220,
+            cold_slots: 3,
+            cold_ms: 500,
+            probes_per_s: 5,
+        },
+        branches: BTreeMap::new(),
+        queue_delay_max_us: 50_000,
+        queue_length_max: 256,
+    }
+}
--- /dev/null
+++ b/examples/gate_bench/server.rs
@@ -0,0 +1,123 @@
+//! Model of one backend server: requests share its speed.
+
+use bronzelock::decision::gate::WorkId;
+
+/// Span of time in which the backend server is disturbed.
+#[derive(Debug, Clone, Copy)]
+pub struct Disturbance {
+    /// First µs.
+    pub from_us: u64,
+    /// First µs after it.
+    pub to_us: u64,
+    /// Speed of each request, 1 undisturbed.
+    pub speed: f64,
+    /// Slots that share the full speed; more requests slow each other down.
+    pub slots: u32,
+}
+
+/// A request that runs.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    id: WorkId,
+    left_us: f64,
+    deadline_us: u64,
+}
+
+/// How a run ended in the model.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// In time.
+    Answered,
+    /// At its deadline, unfinished.
+    DeadlinePassed,
+}
+
+/// Backend server with requests that progress at a common speed.
+#[derive(Debug)]
+pub struct Server {
+    slots: u32,
+    disturbances: Vec<Disturbance>,
+    runs: Vec<Run>,
+    now_us: u64,
+}
+
+impl Server {
+    /// Makes an idle server. Disturbances are in order and apart.
+    pub fn new(slots: u32, disturbances: Vec<Disturbance>) -> Self {
+        Self {
+            slots,
+            disturbances,
+            runs: Vec::new(),
+            now_us: 0,
+        }
+    }
+
+    /// Requests that run.
+    pub fn in_flight(&self) -> usize {
+        self.runs.len()
+    }
+
+    /// Starts a request that needs `work_us` at full speed.
+    pub fn start(&mut self, id: WorkId, work_us: f64, deadline_us: u64) {
+        self.runs.push(Run {
+            id,
+            left_us: work_us,
+            deadline_us,
+        });
+    }
+
+    /// When the next run ends or the speed changes, in µs.
+    pub fn next_event_us(&self) -> Option<u64> {
+        let speed = self.speed();
+        let end_us = |run: &Run| {
+            let finish_us = self.now_us + (run.left_us / speed).ceil().max(1.0) as u64;
+            finish_us.min(run.deadline_us.max(self.now_us + 1))
+        };
+        let first_end_us = self.runs.iter().map(end_us).min()?;
+        let change_us = self.next_change_us().unwrap_or(u64::MAX);
+        Some(first_end_us.min(change_us))
+    }
+
+    /// Lets time pass and returns the runs that ended.
+    pub fn advance(&mut self, now_us: u64) -> Vec<(WorkId, End)> {
+        let done_us = (now_us - self.now_us) as f64 * self.speed();
+        self.now_us = now_us;
+        let mut ended = Vec::new();
+        self.runs.retain_mut(|run| {
+            run.left_us -= done_us;
+            let end = run.end(now_us);
+            ended.extend(end.map(|end| (run.id, end)));
+            end.is_none()
+        });
+        ended
+    }
+
+    fn speed(&self) -> f64 {
+        let (speed, slots) = self
+            .disturbances
+            .iter()
+            .find(|span| (span.from_us..span.to_us).contains(&self.now_us))
+            .map_or((1.0, self.slots), |span| (span.speed, span.slots));
+        let shared = f64::from(slots) / (self.runs.len().max(1) as f64);
+        speed * shared.min(1.0)
+    }
+
+    fn next_change_us(&self) -> Option<u64> {
+        self.disturbances
+            .iter()
+            .flat_map(|span| [span.from_us, span.to_us])
+            .find(|&at_us| at_us > self.now_us)
+    }
+}
+
+impl Run {
+    fn end(&self, now_us: u64) -> Option<End> {
+        if self.left_us <= 0.0 {
+            Some(End::Answered)
+        } else if self.deadline_us <= now_us {
+            Some(End::DeadlinePassed)
+        } else {
+            None
+        }
+    }
+}
--- a/src/decision/gate/cold_start.rs
+++ b/src/decision/gate/cold_start.rs
@@ -4,8 +4,14 @@
 
 use super::limit::SLOWNESS_TOLERATED;
 
-/// Failures in a row that count as a restart without warning.
-const COLLAPSE_FAILURES: u32 = 5;
+/// Score of failures in a row that counts as a restart without warning.
+const COLLAPSE_SCORE: u32 = 10;
+
+/// Score of a request that the backend server failed.
+const FAILED_SCORE: u32 = 1;
+
+/// Score of a request that could not be sent: nobody may be listening.
+const NOT_SENT_SCORE: u32 = 3;
 
 /// Length of one ms, in µs.
 const MS_US: u64 = 1_000;
@@ -25,7 +31,7 @@
 #[derive(Debug, Clone)]
 pub struct ColdStart {
     phase: Phase,
-    failures_in_row: u32,
+    failure_score: u32,
 }
 
 impl ColdStart {
@@ -33,7 +39,7 @@
     pub fn new(now_us: u64) -> Self {
         Self {
             phase: Phase::Holding { since_us: now_us },
-            failures_in_row: 0,
+            failure_score: 0,
         }
     }
 
@@ -61,7 +67,7 @@
 
     /// Grows on a success, or falls back if the answers have become slow.
     pub fn on_success(&mut self, bears: &ServerBears, slowness: f64) {
-        self.failures_in_row = 0;
+        self.failure_score = 0;
         let Phase::Growing { limit } = self.phase else {
             return;
         };
@@ -81,10 +87,20 @@
         }
     }
 
-    /// Counts a failure; several in a row begin a new cold start.
-    pub fn on_failure(&mut self, now_us: u64) {
-        self.failures_in_row = self.failures_in_row.saturating_add(1);
-        if self.failures_in_row >= COLLAPSE_FAILURES {
+    /// Counts a request that the backend server failed.
+    pub fn on_failed(&mut self, now_us: u64) {
+        self.add_failure(FAILED_SCORE, now_us);
+    }
+
+    /// Counts a request that could not be sent.
+    pub fn on_not_sent(&mut self, now_us: u64) {
+        self.add_failure(NOT_SENT_SCORE, now_us);
+    }
+
+    /// Failures in a row begin a new cold start.
+    fn add_failure(&mut self, score: u32, now_us: u64) {
+        self.failure_score += score;
+        if self.failure_score >= COLLAPSE_SCORE {
             self.begin(now_us);
         }
     }
--- a/src/decision/gate/mod.rs
+++ b/src/decision/gate/mod.rs
@@ -240,9 +240,10 @@
         if self.queue.len() >= length_max {
             self.make_room(item, flow, length_max, now_us, actions)?;
         }
+        let last_start_us = item.deadline_us - estimate.run_us_needed() as u64;
         let times = EntryTimes {
             deadline_us: item.deadline_us,
-            expiry_us: item.deadline_us.min(now_us.saturating_add(delay_max_us)),
+            expiry_us: last_start_us.min(now_us.saturating_add(delay_max_us)),
         };
         self.queue.push(flow, item.id, item.urgency, times);
         Ok(())
@@ -331,9 +332,9 @@
             }
             RunOutcome::Failed => {
                 self.service_time.record_sign_of_life(now_us);
-                self.cold_start.on_failure(now_us);
+                self.cold_start.on_failed(now_us);
             }
-            RunOutcome::NotSent => self.cold_start.on_failure(now_us),
+            RunOutcome::NotSent => self.cold_start.on_not_sent(now_us),
             RunOutcome::Shed => {
                 let service_us = self.service_time.estimate_us(now_us);
                 self.adaptive.on_shed(in_flight, service_us, now_us);
