--- a/examples/gate_bench/scenarios.rs
+++ b/examples/gate_bench/scenarios.rs
@@ -14,9 +14,12 @@
 /// Slots of the backend server.
 pub const SLOTS: u32 = 12;
 
-/// Time until the deadline of every request, in µs.
+/// Time until the deadline of a request, in µs.
 const DEADLINE_US: u64 = 250_000;
 
+/// Time until the deadline of a request under disturbances, in µs.
+const DISTURBED_DEADLINE_US: u64 = 100_000;
+
 /// Arrivals are counted from here, in µs.
 const WARM_UP_US: u64 = 2 * SECOND_US;
 
@@ -86,10 +89,13 @@
     let disturbances = begins
         .map(|from_us| disturbance(from_us, random.random_range(50_000..=500_000)))
         .collect();
-    let streams = vec![
+    let mut streams = vec![
         stream("herd-a", Urgency::Urgent, 0.1),
         stream("herd-a", Urgency::Ordinary, 0.7),
     ];
+    for stream in &mut streams {
+        stream.deadline_us = DISTURBED_DEADLINE_US;
+    }
     scenario(streams, &["herd-a"], disturbances)
 }
 
--- a/src/decision/gate/queue.rs
+++ b/src/decision/gate/queue.rs
@@ -87,6 +87,7 @@
 
     /// Requests that would be dispatched before a new one.
     pub fn ahead_of(&self, flow: FlowIndex, urgency: Urgency) -> u64 {
+        let urgency = self.class_in_use(urgency);
         let first = urgency == Urgency::Urgent && self.may_go_first(flow);
         let before = if first { self.urgent_len } else { self.len() };
         let flow = &self.flows[flow];
@@ -119,10 +120,7 @@
 
     /// Adds a request to the flow.
     pub fn push(&mut self, flow: FlowIndex, id: WorkId, class: Urgency, times: EntryTimes) {
-        let urgency = match self.order {
-            QueueOrder::Fair => class,
-            QueueOrder::Fifo => Urgency::Ordinary,
-        };
+        let urgency = self.class_in_use(class);
         self.sequence += 1;
         let entry = Entry {
             id,
@@ -215,6 +213,13 @@
         self.remove(id)
     }
 
+    fn class_in_use(&self, urgency: Urgency) -> Urgency {
+        match self.order {
+            QueueOrder::Fair => urgency,
+            QueueOrder::Fifo => Urgency::Ordinary,
+        }
+    }
+
     fn evict_newest(&mut self, flow: FlowIndex) -> Option<Entry> {
         let entry = self.flows[flow].pop_newest()?;
         self.uncount(&entry);
