Let a branch below its share send a short burst before the others

Cause: with a neighbour at ten times its share, a branch at 80% of its own saw its p99 rise from 28.8 to 33.0 ms and its p50 from 6.7 to 8.8: each request of a Poisson burst waited for a turn of the neighbour.

Ruled out: holding slots back from the neighbour, which gives up throughput whenever nobody else calls.

Change: a branch that becomes active starts up to 8 requests behind the virtual clock.

Also tried and not kept: refusing the newest queued work once the queue would drain in more than 1.5, 2 or 3 times the delay bound.

Conclusion: 8 requests; what is left is the wait for a slot to end.

--- a/src/decision/gate/fair_order.rs
+++ b/src/decision/gate/fair_order.rs
@@ -9,6 +9,9 @@
 
 use super::flow::{Flow, VirtualTime};
 
+/// Requests of a branch below its share that may follow one another before the others' turn.
+const BURST_REQUESTS: u64 = 8;
+
 /// Position of a flow in the queue's table.
 pub type FlowIndex = usize;
 
@@ -69,7 +72,8 @@
         }
         let old = self.keys[index];
         if old.is_none() {
-            flow.start = flow.start.max(self.all_clock);
+            let credit = flow.cost().saturating_mul(BURST_REQUESTS);
+            flow.start = flow.start.max(self.all_clock.saturating_sub(credit));
         }
         let new = (!flow.is_empty()).then(|| Keys {
             start: flow.start,
