Take the log client with typed causes in place of the first one

Ruled out: keeping both, or the pooled one: its errors were texts. Change: the client of the configuration part serves both streams.

--- a/src/agreement/follower.rs
+++ b/src/agreement/follower.rs
@@ -13,7 +13,7 @@
 use crate::kernel::shards::lock;
 
 /// Records that one read asks for.
-const RECORDS_MAX: usize = 256;
+const RECORDS_MAX: u32 = 256;
 
 /// Growth of the pause after repeated failures.
 const PAUSE_FACTOR_MAX: u64 = 10;
@@ -119,12 +119,7 @@
 async fn read_once(kernel: &Kernel, log: &LogClient) -> bool {
     let settings = &kernel.settings.log;
     let from = kernel.state.config_fold.read_from();
-    let read = log.read(
-        &settings.config_stream,
-        from,
-        RECORDS_MAX,
-        settings.read_wait_ms,
-    );
+    let read = log.read(from, RECORDS_MAX, settings.read_wait_ms);
     match read.await {
         Ok(page) => match kernel.state.config_fold.take_page(kernel, &page) {
             Some(Progress::CaughtUp | Progress::ReadFrom(_)) => true,
--- a/src/agreement/members.rs
+++ b/src/agreement/members.rs
@@ -10,14 +10,14 @@
 use serde::{Deserialize, Serialize};
 
 use crate::decision::membership::{Member, MemberState};
-use crate::edge::log_client::LogClient;
+use crate::edge::log_client::{LogClient, LogError};
 use crate::kernel::metrics::Event;
 use crate::kernel::{Kernel, StepError};
 use crate::model::ids::Incarnation;
 use crate::model::names::{ServerName, ServiceName, ZoneName};
 
 /// Records that one read asks for.
-const RECORDS_MAX: usize = 1_024;
+const RECORDS_MAX: u32 = 1_024;
 
 /// Part of the retention after which a node appends its record again.
 const RETENTION_PART: u64 = 3;
@@ -77,7 +77,7 @@
         retry(&kernel, || learn(&kernel, &log, &read_to)).await;
         tokio::time::sleep(Duration::from_millis(spread_ms)).await;
         loop {
-            retry(&kernel, || append(&kernel, &log, own.clone())).await;
+            retry(&kernel, || append(&log, own.clone())).await;
             // Of two nodes that start together, the one that appends later reads the other.
             retry(&kernel, || learn(&kernel, &log, &read_to)).await;
             let period_ms = kernel.settings.log.retention_ms / RETENTION_PART;
@@ -107,10 +107,9 @@
 
 /// Reads the stream from `read_to` to its end.
 async fn learn(kernel: &Kernel, log: &LogClient, read_to: &AtomicU64) -> Result<(), StepError> {
-    let stream = &kernel.settings.log.member_stream;
     loop {
         let mut from = read_to.load(Ordering::Relaxed);
-        let page = log.read(stream, from, RECORDS_MAX, 0).await?;
+        let page = log.read(from, RECORDS_MAX, 0).await.map_err(failed)?;
         for record in &page.records {
             from = record.offset + 1;
             match serde_json::from_str::<MemberWire>(&record.text) {
@@ -125,11 +124,13 @@
     }
 }
 
-async fn append(kernel: &Kernel, log: &LogClient, own: Member) -> Result<(), StepError> {
+async fn append(log: &LogClient, own: Member) -> Result<(), StepError> {
     let text = serde_json::to_string(&MemberWire::from(own))
         .map_err(|error| StepError::local("write the member record", error))?;
-    let stream = &kernel.settings.log.member_stream;
     // A lost answer is harmless: a second record of the same run says nothing new.
-    let appended = log.append(stream, text).await;
-    appended.map(|_offset| ()).map_err(|failed| failed.error)
+    log.append(&text).await.map(drop).map_err(failed)
+}
+
+fn failed(error: LogError) -> StepError {
+    StepError::with_peer("member stream", error.peer, error)
 }
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -3,8 +3,8 @@
 //! Nothing here reads a clock, opens a socket or draws a random number. Times are µs of the
 //! node's own monotonic clock; random draws are passed in.
 
-pub mod gate;
 pub(crate) mod draws;
+pub mod gate;
 pub mod membership;
 pub mod probe_budget;
 pub mod retry;
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -10,6 +10,3 @@
 pub mod peer_server;
 pub mod server_pool;
 pub mod wire;
-//! The process's edges: clients of the systems around it.
-
-pub mod log_client;
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -1,8 +1,8 @@
 //! The context that is handed down to every plug-in.
 
-use std::time::Duration;
+use std::sync::Arc;
 
-use crate::edge::log_client::LogClient;
+use crate::edge::log_client::{LogClient, LogTimeouts};
 use crate::model::ids::Incarnation;
 use crate::request::state::NodeState;
 use crate::settings::NodeSettings;
@@ -42,10 +42,23 @@
         self.clock.now_us()
     }
 
-    /// A client of the platform's log.
-    pub fn log_client(&self) -> LogClient {
+    /// A client of the log's stream of configuration changes.
+    pub fn config_log(&self) -> LogClient {
+        self.log_client(&self.settings.log.config_stream)
+    }
+
+    /// A client of the log's stream of nodes.
+    pub fn member_log(&self) -> LogClient {
+        self.log_client(&self.settings.log.member_stream)
+    }
+
+    fn log_client(&self, stream: &Arc<str>) -> LogClient {
         let settings = &self.settings.log;
-        let timeout = Duration::from_millis(settings.timeout_ms);
-        LogClient::new(settings.address, timeout, self.tasks.clone())
+        let timeouts = LogTimeouts {
+            connect_ms: settings.timeout_ms,
+            append_ms: settings.timeout_ms,
+            read_ms: settings.timeout_ms,
+        };
+        LogClient::new(settings.address, Arc::clone(stream), timeouts)
     }
 }
--- a/src/plugins/config.rs
+++ b/src/plugins/config.rs
@@ -10,7 +10,7 @@
 
 fn start(kernel: Arc<Kernel>) -> Started {
     Box::pin(async move {
-        let log = kernel.log_client();
+        let log = kernel.config_log();
         kernel
             .tasks
             .spawn(follower::read_log(Arc::clone(&kernel), log));
--- a/src/plugins/membership.rs
+++ b/src/plugins/membership.rs
@@ -54,7 +54,7 @@
         kernel.tasks.spawn(tick(Arc::clone(&runner)));
         kernel.tasks.spawn(follow_own_state(Arc::clone(&runner)));
         kernel.tasks.spawn(follow_learned(runner, learned));
-        let log = kernel.log_client();
+        let log = kernel.member_log();
         let own = own_member(&kernel);
         kernel
             .tasks
