--- a/standins/src/backend_server/mod.rs
+++ b/standins/src/backend_server/mod.rs
@@ -60,6 +60,7 @@
         let address = socket.local_addr()?;
         let announce = settings.announce;
         let server = Arc::new(Server::start(settings)?);
+        reports::sample_once(&server);
         let handler = Arc::new(ServerHandler(Arc::clone(&server)));
         let listener = HttpListener::start_on(socket, handler)?;
         let background = TaskTracker::new();
--- a/standins/src/backend_server/reports.rs
+++ b/standins/src/backend_server/reports.rs
@@ -148,11 +148,17 @@
 
 /// Samples the load until the server stops.
 pub(super) async fn sample(server: Arc<Server>, stop: CancellationToken) {
-    let lag = Duration::from_millis(server.settings().report_lag_ms);
     let mut ticks = interval(Duration::from_millis(SAMPLE_INTERVAL_MS));
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     while stop.run_until_cancelled(ticks.tick()).await.is_some() {
-        let now = Instant::now();
-        server.samples.add(now, LoadSample::take(&server, now), lag);
+        sample_once(&server);
     }
 }
+
+/// Samples the load now.
+pub(super) fn sample_once(server: &Server) {
+    let lag = Duration::from_millis(server.settings().report_lag_ms);
+    let now = Instant::now();
+    let sample = LoadSample::take(server, now);
+    server.samples.add(now, sample, lag);
+}
--- a/standins/src/backend_server/witness.rs
+++ b/standins/src/backend_server/witness.rs
@@ -94,7 +94,7 @@
 }
 
 /// Everything that a backend server ran and saw.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Witness {
     /// Name of the backend server.
     pub server: String,
--- a/standins/src/backend_server/work_request.rs
+++ b/standins/src/backend_server/work_request.rs
@@ -48,9 +48,6 @@
     pub branch: Cow<'a, str>,
     /// Length of the request body, in bytes.
     pub request_bytes: u64,
-    /// Filler up to the length that was asked for.
-    #[serde(borrow, default, skip_serializing_if = "str::is_empty")]
-    pub padding: Cow<'a, str>,
 }
 
 /// Work request, read to its end.
@@ -103,37 +100,23 @@
         asked.unwrap_or(0).min(ANSWER_BYTES_MAX) as usize
     }
 
-    /// Body of the answer, padded as asked for.
+    /// Body of the answer, padded with spaces to the length asked for.
+    ///
+    /// # Panics
+    /// Never: the answer is valid JSON.
     pub fn answer_body(&self, server: &str) -> Bytes {
-        let path = self
-            .parts
-            .uri
-            .path_and_query()
-            .map_or("", |path| path.as_str());
-        let mut answer = WorkAnswer {
+        let path = self.parts.uri.path_and_query();
+        let answer = WorkAnswer {
             server: Cow::Borrowed(server),
             request_id: Cow::Borrowed(self.request_id().unwrap_or("")),
             method: Cow::Borrowed(self.parts.method.as_str()),
-            path: Cow::Borrowed(path),
+            path: Cow::Borrowed(path.map_or("", |path| path.as_str())),
             branch: Cow::Borrowed(self.header(BRANCH_HEADER).unwrap_or("")),
             request_bytes: self.body.len() as u64,
-            padding: Cow::Borrowed(""),
         };
-        let bare = write(&answer);
-        let missing = self
-            .answer_bytes()
-            .saturating_sub(bare.len() + EMPTY_PADDING_BYTES);
-        if missing == 0 {
-            return bare;
-        }
-        answer.padding = Cow::Owned("x".repeat(missing));
-        write(&answer)
+        let mut body = serde_json::to_vec(&answer).expect("an answer is valid JSON");
+        let padded_bytes = body.len().max(self.answer_bytes());
+        body.resize(padded_bytes, b' ');
+        Bytes::from(body)
     }
 }
-
-/// Length that an empty padding would add to an answer.
-const EMPTY_PADDING_BYTES: usize = r#","padding":"""#.len();
-
-fn write(answer: &WorkAnswer<'_>) -> Bytes {
-    Bytes::from(serde_json::to_vec(answer).expect("an answer is valid JSON"))
-}
--- a/standins/src/http/client.rs
+++ b/standins/src/http/client.rs
@@ -7,11 +7,12 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper::{HeaderMap, Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use serde::{Deserialize, Serialize};
 use tokio::net::TcpStream;
 use tokio_util::task::AbortOnDropHandle;
 
 /// Step at which an exchange failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, serde::Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ClientStep {
     /// The connection could not be opened.
--- a/standins/src/load/answer_check.rs
+++ b/standins/src/load/answer_check.rs
@@ -40,7 +40,7 @@
     if body.request_id != request_id || echoed.is_some_and(|id| id != request_id) {
         return Err(AnswerFault::ForeignId);
     }
-    if !has_declared_length(answer) || !has_length_asked_for(answer, &body, uri) {
+    if !has_declared_length(answer) || !has_length_asked_for(answer, uri) {
         return Err(AnswerFault::WrongLength);
     }
     let served_by = header(answer, SERVED_BY_HEADER)
@@ -60,11 +60,9 @@
     declared.parse() == Ok(answer.body.len())
 }
 
-fn has_length_asked_for(answer: &WholeAnswer, body: &WorkAnswer<'_>, uri: &Uri) -> bool {
+fn has_length_asked_for(answer: &WholeAnswer, uri: &Uri) -> bool {
     let asked = query::number(uri, "answer_bytes").ok().flatten();
-    match asked {
-        Some(bytes) if body.padding.is_empty() => answer.body.len() as u64 >= bytes,
-        Some(bytes) => answer.body.len() as u64 == bytes,
-        None => true,
-    }
+    let asked_bytes = asked.unwrap_or(0) as usize;
+    let unpadded_bytes = answer.body.trim_ascii_end().len();
+    answer.body.len() == unpadded_bytes.max(asked_bytes)
 }
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -59,7 +59,7 @@
 }
 
 /// Answers lost at one step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LostCount {
     /// Step that failed.
     pub step: ClientStep,
@@ -111,7 +111,7 @@
 }
 
 /// What was measured of one kind of request, or of all.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct KindReport {
     /// Name of the kind.
     pub name: String,
@@ -191,7 +191,7 @@
 }
 
 /// What one run measured.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Time from the first intended send time to the last outcome, in ms.
     pub elapsed_ms: u64,
--- a/standins/src/log_service/api.rs
+++ b/standins/src/log_service/api.rs
@@ -8,7 +8,8 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::{Method, Request, StatusCode, Uri};
-use rand::Rng;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use tokio::sync::watch;
 use tokio::time::{sleep, timeout_at};
 use tokio_util::sync::CancellationToken;
@@ -22,12 +23,16 @@
 use super::stats::{Counters, LogStats};
 use super::stream::{Slice, Stream};
 
+/// Seed that decides which answers are lost.
+const LOSS_SEED: u64 = 1;
+
 /// State of the log stand-in, shared by its connections.
 #[derive(Debug)]
 pub(super) struct LogApi {
     streams: Mutex<HashMap<Box<str>, Arc<Stream>>>,
     faults: watch::Sender<Faults>,
     limit: RateLimit,
+    random: Mutex<StdRng>,
     counters: Counters,
     waits_ended: CancellationToken,
 }
@@ -39,6 +44,7 @@
             streams: Mutex::default(),
             faults: watch::Sender::new(faults),
             limit: RateLimit::new(Instant::now()),
+            random: Mutex::new(StdRng::seed_from_u64(LOSS_SEED)),
             counters: Counters::default(),
             waits_ended: CancellationToken::new(),
         }
@@ -65,6 +71,11 @@
         self.waits_ended.cancel();
     }
 
+    fn loses_answer(&self, faults: &Faults) -> bool {
+        let mut random = self.random.lock().unwrap_or_else(PoisonError::into_inner);
+        random.random_range(0..100) < faults.lose_answer_percent
+    }
+
     fn stream(&self, name: &str) -> Arc<Stream> {
         let mut streams = self.streams.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(stream) = streams.get(name) {
@@ -164,7 +175,7 @@
         let offset = self.stream(name).append(data, &faults, now);
         self.counters.appends.count();
         self.counters.appended_bytes.add(data.len() as u64);
-        if loses_answer(&faults) {
+        if self.loses_answer(&faults) {
             self.counters.answers_lost.count();
             return Err(ConnectionCut::BeforeAnswer);
         }
@@ -210,6 +221,7 @@
             if !slice.records.is_empty() || range.wait.is_zero() {
                 return slice;
             }
+            let _waiting = self.counters.waiting_reads.raise();
             let woken = tokio::select! {
                 woken = timeout_at(due, appended) => woken.is_ok(),
                 () = self.waits_ended.cancelled() => false,
@@ -248,7 +260,3 @@
 fn not_found() -> Answer {
     error(StatusCode::NOT_FOUND, "no such path")
 }
-
-fn loses_answer(faults: &Faults) -> bool {
-    rand::rng().random_range(0..100) < faults.lose_answer_percent
-}
--- a/standins/src/log_service/stats.rs
+++ b/standins/src/log_service/stats.rs
@@ -17,6 +17,8 @@
     pub refused_down: u64,
     /// Reads answered.
     pub reads: u64,
+    /// Reads that wait for a record now.
+    pub waiting_reads: u64,
     /// Bytes of records appended.
     pub appended_bytes: u64,
     /// Bytes of records read.
@@ -31,6 +33,7 @@
     pub answers_lost: Counter,
     pub refused_down: Counter,
     pub reads: Counter,
+    pub waiting_reads: Gauge,
     pub appended_bytes: Counter,
     pub read_bytes: Counter,
 }
@@ -55,6 +58,32 @@
     }
 }
 
+/// Level that goes up and down.
+#[derive(Debug, Default)]
+pub(super) struct Gauge(AtomicU64);
+
+impl Gauge {
+    /// Raises the level until the guard is dropped.
+    pub fn raise(&self) -> Raised<'_> {
+        self.0.fetch_add(1, Ordering::Relaxed);
+        Raised(self)
+    }
+
+    fn get(&self) -> u64 {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// Guard of a raised level.
+#[derive(Debug)]
+pub(super) struct Raised<'a>(&'a Gauge);
+
+impl Drop for Raised<'_> {
+    fn drop(&mut self) {
+        self.0.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 impl Counters {
     /// Reads all counters.
     pub fn read(&self) -> LogStats {
@@ -64,6 +93,7 @@
             answers_lost: self.answers_lost.get(),
             refused_down: self.refused_down.get(),
             reads: self.reads.get(),
+            waiting_reads: self.waiting_reads.get(),
             appended_bytes: self.appended_bytes.get(),
             read_bytes: self.read_bytes.get(),
         }
--- a/standins/src/precise_timer.rs
+++ b/standins/src/precise_timer.rs
@@ -78,14 +78,18 @@
         })
     }
 
-    /// Sleeps until a time, or until the timer is dropped.
+    /// Sleeps until a time.
+    ///
+    /// # Panics
+    /// When the timer's thread panicked.
     pub async fn sleep_until(&self, due: Instant) {
         if due <= Instant::now() {
             return;
         }
         let woken = self.enqueue(due);
-        // A dropped sender means that the timer ended, which ends the sleep too.
-        let _ended = woken.await;
+        woken
+            .await
+            .expect("the thread wakes every sleeper while the timer is borrowed");
     }
 
     fn enqueue(&self, due: Instant) -> oneshot::Receiver<()> {
