Gate: lower tolerance of slowness, smaller files, cold starts measured

Cause: the gradient with tolerance 3 kept 9 to 12 requests in flight while a neighbour took 9 of 12 slots.

Conclusion: gradient with tolerance 2; it answers noise with a small step, where AIMD answers with 30%.

--- a/examples/gate_bench/feed.rs
+++ b/examples/gate_bench/feed.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 
 use bronzelock::decision::gate::{
-    Gate, GateAction, GateEvent, GateLimits, GatePolicy, RunOutcome, WorkId, WorkItem,
+    Gate, GateAction, GateEvent, GateLimits, GatePolicy, OutReason, RunOutcome, WorkId, WorkItem,
 };
 use bronzelock::model::config::BranchShare;
 use bronzelock::model::ids::{BootId, Incarnation};
@@ -18,9 +18,18 @@
 /// Length of one second, in µs.
 pub const SECOND_US: u64 = 1_000_000;
 
-/// Mean work of one request, in µs, of the distribution in [`draw_work_us`].
+/// Mean work of one request in every distribution, in µs.
 pub const MEAN_WORK_US: f64 = 7_400.0;
 
+/// Distribution of the work of requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
+pub enum Work {
+    /// Nine in ten need 4 to 8 ms, the others 10 to 30 ms.
+    Mixed,
+    /// Exponential.
+    Exponential,
+}
+
 /// Poisson arrivals of one branch and class.
 #[derive(Debug, Clone)]
 pub struct Stream {
@@ -34,6 +43,30 @@
     pub deadline_us: u64,
 }
 
+/// Change of the backend server or of what operators want.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The process ends without warning.
+    Crash,
+    /// A new process takes connections, cold.
+    Boot,
+    /// The process announces itself.
+    Announce(BootId),
+    /// Operators take the availability zone out.
+    ZoneOut,
+    /// Operators bring it back.
+    ZoneBack,
+}
+
+/// A change and when it happens, in µs.
+#[derive(Debug, Clone, Copy)]
+pub struct Timed {
+    /// When.
+    pub at_us: u64,
+    /// What.
+    pub change: Change,
+}
+
 /// One run of the feed.
 #[derive(Debug, Clone)]
 pub struct Scenario {
@@ -41,6 +74,8 @@
     pub streams: Vec<Stream>,
     /// Shares of the branches.
     pub shares: BTreeMap<&'static str, BranchShare>,
+    /// Changes, in order of time.
+    pub changes: Vec<Timed>,
     /// What disturbs the backend server.
     pub disturbances: Vec<Disturbance>,
     /// Limits of the gate; the branches are filled in from the shares.
@@ -60,6 +95,8 @@
     pub latencies_us: Vec<u64>,
     /// Requests whose deadline passed after dispatch.
     pub timed_out: u64,
+    /// Requests that the backend server failed or that could not be sent.
+    pub failed: u64,
     /// Refusals by reason.
     pub refused: BTreeMap<RefusalReason, u64>,
     /// Times of answers, in µs.
@@ -68,6 +105,17 @@
     pub refusals_us: Vec<u64>,
 }
 
+/// What became of one run.
+#[derive(Debug, Clone, Default)]
+pub struct FeedResult {
+    /// One for each stream of the scenario.
+    pub streams: Vec<StreamResult>,
+    /// Most requests in flight while the process was in its cold start.
+    pub cold_in_flight_max: usize,
+    /// When all slots were first in use after the last change, in µs.
+    pub full_at_us: Option<u64>,
+}
+
 /// A request on its way.
 #[derive(Debug, Clone, Copy)]
 struct Request {
@@ -89,27 +137,30 @@
 #[derive(Debug)]
 struct Feed<'a> {
     scenario: &'a Scenario,
+    work: Work,
     gate: Gate,
     server: Server,
     sources: Vec<Source>,
     requests: HashMap<WorkId, Request>,
-    results: Vec<StreamResult>,
+    result: FeedResult,
+    cold_until_us: u64,
+    changes_done: usize,
     actions: Vec<GateAction>,
     next_id: u64,
 }
 
 /// Runs a scenario with one seed; the same seed gives the same arrivals under every policy.
-pub fn run(scenario: &Scenario, policy: GatePolicy, seed: u64) -> Vec<StreamResult> {
-    let mut feed = Feed::new(scenario, policy, seed);
+pub fn run(scenario: &Scenario, policy: GatePolicy, work: Work, seed: u64) -> FeedResult {
+    let mut feed = Feed::new(scenario, policy, work, seed);
     feed.open_gate();
     while let Some(now_us) = feed.next_event_us() {
         feed.step(now_us);
     }
-    feed.results
+    feed.result
 }
 
 impl<'a> Feed<'a> {
-    fn new(scenario: &'a Scenario, policy: GatePolicy, seed: u64) -> Self {
+    fn new(scenario: &'a Scenario, policy: GatePolicy, work: Work, seed: u64) -> Self {
         let source = |(index, stream): (usize, &Stream)| {
             let random = StdRng::seed_from_u64(seed.wrapping_mul(1_000) + index as u64);
             let mut source = Source {
@@ -122,11 +173,17 @@
         };
         Self {
             scenario,
+            work,
             gate: Gate::with_policy(Incarnation(1), policy),
             server: Server::new(scenario.limits.bears.slots, scenario.disturbances.clone()),
             sources: scenario.streams.iter().enumerate().map(source).collect(),
             requests: HashMap::new(),
-            results: vec![StreamResult::default(); scenario.streams.len()],
+            result: FeedResult {
+                streams: vec![StreamResult::default(); scenario.streams.len()],
+                ..FeedResult::default()
+            },
+            cold_until_us: 0,
+            changes_done: 0,
             actions: Vec::new(),
             next_id: 0,
         }
@@ -138,9 +195,42 @@
             limits.branches.insert(branch(name), *share);
         }
         self.handle(GateEvent::Configure(limits), 0);
+        self.begin_cold_start(0);
         self.handle(GateEvent::Announced { boot: BootId(1) }, 0);
     }
 
+    fn begin_cold_start(&mut self, now_us: u64) {
+        let cold_us = self.scenario.limits.bears.cold_ms * 1_000;
+        self.cold_until_us = now_us + cold_us;
+    }
+
+    fn change(&mut self, change: Change, now_us: u64) {
+        self.result.full_at_us = None;
+        match change {
+            Change::Crash => {
+                for id in self.server.crash() {
+                    self.fail(id, RunOutcome::Failed, now_us);
+                }
+            }
+            Change::Boot => {
+                self.server.boot();
+                self.begin_cold_start(now_us);
+            }
+            Change::Announce(boot) => self.handle(GateEvent::Announced { boot }, now_us),
+            Change::ZoneOut => self.handle(GateEvent::SetOut(Some(OutReason::Zone)), now_us),
+            Change::ZoneBack => self.handle(GateEvent::SetOut(None), now_us),
+        }
+    }
+
+    fn fail(&mut self, id: WorkId, outcome: RunOutcome, now_us: u64) {
+        let request = self.requests.remove(&id);
+        let request = request.expect("a run belongs to a request");
+        if self.counts(&request) {
+            self.result.streams[request.stream].failed += 1;
+        }
+        self.handle(GateEvent::Finished { id, outcome }, now_us);
+    }
+
     fn next_event_us(&self) -> Option<u64> {
         let end_us = self.scenario.end_us;
         let arrivals = self.sources.iter().map(|source| source.next_us);
@@ -148,10 +238,19 @@
             .filter(|&at_us| at_us < end_us)
             .chain(self.server.next_event_us())
             .chain(self.gate.next_wakeup_us())
+            .chain(self.next_change().map(|timed| timed.at_us))
             .min()
     }
 
+    fn next_change(&self) -> Option<Timed> {
+        self.scenario.changes.get(self.changes_done).copied()
+    }
+
     fn step(&mut self, now_us: u64) {
+        if let Some(timed) = self.next_change().filter(|timed| timed.at_us == now_us) {
+            self.changes_done += 1;
+            self.change(timed.change, now_us);
+        }
         for (id, end) in self.server.advance(now_us) {
             self.end(id, end, now_us);
         }
@@ -165,7 +264,7 @@
 
     fn arrive(&mut self, index: usize, now_us: u64) {
         let source = &mut self.sources[index];
-        let work_us = draw_work_us(&mut source.random);
+        let work_us = self.work.draw_us(&mut source.random);
         source.draw_next();
         let stream = &self.scenario.streams[index];
         let id = WorkId(self.next_id);
@@ -184,7 +283,7 @@
             deadline_us: request.deadline_us,
         };
         if self.counts(&request) {
-            self.results[index].offered += 1;
+            self.result.streams[index].offered += 1;
         }
         self.handle(GateEvent::Offer(item), now_us);
     }
@@ -195,7 +294,7 @@
             .remove(&id)
             .expect("a run belongs to a request");
         let counts = self.counts(&request);
-        let result = &mut self.results[request.stream];
+        let result = &mut self.result.streams[request.stream];
         let outcome = match end {
             End::Answered => RunOutcome::Succeeded,
             End::DeadlinePassed => RunOutcome::TimedOut,
@@ -214,17 +313,34 @@
         for action in std::mem::take(&mut self.actions) {
             match action {
                 GateAction::Dispatch(id) => {
-                    let request = self.requests[&id];
-                    self.server.start(id, request.work_us, request.deadline_us);
+                    self.start(id, now_us);
                 }
                 GateAction::Refuse { id, refusal } => self.refused(id, refusal.reason, now_us),
             }
         }
+        self.observe(now_us);
+    }
+
+    fn start(&mut self, id: WorkId, now_us: u64) {
+        if self.server.is_up() {
+            let request = self.requests[&id];
+            self.server.start(id, request.work_us, request.deadline_us);
+        } else {
+            self.fail(id, RunOutcome::NotSent, now_us);
+        }
+    }
+
+    fn observe(&mut self, now_us: u64) {
         let slots = self.scenario.limits.bears.slots as usize;
-        assert!(
-            self.server.in_flight() <= slots,
-            "more in flight than slots"
-        );
+        let in_flight = self.server.in_flight();
+        assert!(in_flight <= slots, "more in flight than slots");
+        if now_us < self.cold_until_us {
+            let most = &mut self.result.cold_in_flight_max;
+            *most = in_flight.max(*most);
+        }
+        if in_flight == slots {
+            self.result.full_at_us.get_or_insert(now_us);
+        }
     }
 
     fn refused(&mut self, id: WorkId, reason: RefusalReason, now_us: u64) {
@@ -233,7 +349,7 @@
             .remove(&id)
             .expect("a refusal belongs to a request");
         if self.counts(&request) {
-            let result = &mut self.results[request.stream];
+            let result = &mut self.result.streams[request.stream];
             *result.refused.entry(reason).or_default() += 1;
             result.refusals_us.push(now_us - request.arrived_us);
         }
@@ -246,8 +362,7 @@
 
 impl Source {
     fn draw_next(&mut self) {
-        let uniform: f64 = self.random.random_range(f64::MIN_POSITIVE..1.0);
-        let gap_us = -uniform.ln() / self.rate_per_s * SECOND_US as f64;
+        let gap_us = -draw_positive(&mut self.random).ln() / self.rate_per_s * SECOND_US as f64;
         self.next_us += gap_us.ceil().max(1.0) as u64;
     }
 }
@@ -278,11 +393,18 @@
     BranchName::new(name).expect("literal branch names are valid")
 }
 
-/// Nine in ten requests need 4 to 8 ms, the others 10 to 30 ms.
-fn draw_work_us(random: &mut StdRng) -> f64 {
-    if random.random_range(0..10) == 0 {
-        random.random_range(10_000.0..30_000.0)
-    } else {
-        random.random_range(4_000.0..8_000.0)
+impl Work {
+    fn draw_us(self, random: &mut StdRng) -> f64 {
+        match self {
+            Self::Mixed if random.random_range(0..10) == 0 => {
+                random.random_range(10_000.0..30_000.0)
+            }
+            Self::Mixed => random.random_range(4_000.0..8_000.0),
+            Self::Exponential => -draw_positive(random).ln() * MEAN_WORK_US,
+        }
     }
 }
+
+fn draw_positive(random: &mut StdRng) -> f64 {
+    random.random_range(f64::MIN_POSITIVE..1.0)
+}
--- a/examples/gate_bench/main.rs
+++ b/examples/gate_bench/main.rs
@@ -11,6 +11,9 @@
 
 use clap::Parser;
 
+use feed::Work;
+use tables::Setup;
+
 /// Measures admission at one gate.
 #[derive(Debug, Parser)]
 struct Args {
@@ -20,14 +23,21 @@
     /// Count of seeds, from the first on.
     #[arg(long, default_value_t = 5)]
     runs: u64,
+    /// Distribution of the work of requests.
+    #[arg(long, value_enum, default_value_t = Work::Mixed)]
+    work: Work,
 }
 
 fn main() {
     let args = Args::parse();
-    let seeds: Vec<u64> = (args.seed..args.seed + args.runs).collect();
-    tables::print_overload(&seeds);
-    tables::print_fairness(&seeds);
-    tables::print_slowdowns(&seeds);
-    tables::print_taken_slots(&seeds);
+    let setup = Setup {
+        seeds: (args.seed..args.seed + args.runs).collect(),
+        work: args.work,
+    };
+    tables::print_overload(&setup);
+    tables::print_fairness(&setup);
+    tables::print_cold(&setup);
+    tables::print_slowdowns(&setup);
+    tables::print_taken_slots(&setup);
     cost::print_cost(args.seed);
 }
--- a/examples/gate_bench/scenarios.rs
+++ b/examples/gate_bench/scenarios.rs
@@ -4,11 +4,12 @@
 
 use bronzelock::decision::gate::GateLimits;
 use bronzelock::model::config::{BranchShare, ServerBears};
+use bronzelock::model::ids::BootId;
 use bronzelock::model::request::Urgency;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::feed::{MEAN_WORK_US, SECOND_US, Scenario, Stream};
+use crate::feed::{Change, MEAN_WORK_US, SECOND_US, Scenario, Stream, Timed};
 use crate::server::Disturbance;
 
 /// Slots of the backend server.
@@ -26,6 +27,9 @@
 /// Arrivals end here, in µs.
 const END_US: u64 = 32 * SECOND_US;
 
+/// First change of a scenario with changes, in µs.
+const CHANGES_FROM_US: u64 = 10 * SECOND_US;
+
 /// Gap between the beginnings of two slowdowns, in µs.
 const SLOWDOWN_GAP_US: u64 = 2 * SECOND_US;
 
@@ -39,11 +43,11 @@
     (END_US - WARM_UP_US) as f64 / SECOND_US as f64
 }
 
-/// Urgent work at 10% of the capacity, and ordinary work of the same branches at `ordinary`.
-pub fn overload(ordinary: f64) -> Scenario {
+/// Urgent and ordinary work of two branches, each at a part of the capacity.
+pub fn overload(urgent: f64, ordinary: f64) -> Scenario {
     let mut streams = Vec::new();
     for name in ["herd-a", "herd-b"] {
-        streams.push(stream(name, Urgency::Urgent, 0.05));
+        streams.push(stream(name, Urgency::Urgent, urgent / 2.0));
         if ordinary > 0.0 {
             streams.push(stream(name, Urgency::Ordinary, ordinary / 2.0));
         }
@@ -83,6 +87,48 @@
     })
 }
 
+/// Load at twice the capacity from the first moment of a new process.
+pub fn first_start() -> Scenario {
+    changed(Vec::new())
+}
+
+/// The same; the process ends without warning, starts anew, and announces itself late.
+pub fn restart() -> Scenario {
+    changed(vec![
+        timed(0, Change::Crash),
+        timed(300_000, Change::Boot),
+        timed(400_000, Change::Announce(BootId(2))),
+    ])
+}
+
+/// The same; the availability zone is taken out for three seconds and brought back.
+pub fn zone_out_and_back() -> Scenario {
+    changed(vec![
+        timed(0, Change::ZoneOut),
+        timed(3 * SECOND_US, Change::ZoneBack),
+    ])
+}
+
+/// The last change of a scenario, or its beginning, in µs.
+pub fn last_change_us(scenario: &Scenario) -> u64 {
+    scenario.changes.last().map_or(0, |timed| timed.at_us)
+}
+
+fn changed(changes: Vec<Timed>) -> Scenario {
+    let streams = vec![stream("herd-a", Urgency::Ordinary, 2.0)];
+    let mut scenario = scenario(streams, &["herd-a"], Vec::new());
+    scenario.warm_up_us = 0;
+    scenario.changes = changes;
+    scenario
+}
+
+fn timed(after_us: u64, change: Change) -> Timed {
+    Timed {
+        at_us: CHANGES_FROM_US + after_us,
+        change,
+    }
+}
+
 fn disturbed(seed: u64, disturbance: impl Fn(u64, u64) -> Disturbance) -> Scenario {
     let mut random = StdRng::seed_from_u64(seed);
     let begins = (WARM_UP_US..END_US).step_by(SLOWDOWN_GAP_US as usize);
@@ -120,6 +166,7 @@
     Scenario {
         streams,
         shares: branches.iter().map(|&name| (name, share)).collect(),
+        changes: Vec::new(),
         disturbances,
         limits: limits(),
         warm_up_us: WARM_UP_US,
--- a/examples/gate_bench/server.rs
+++ b/examples/gate_bench/server.rs
@@ -39,6 +39,7 @@
     disturbances: Vec<Disturbance>,
     runs: Vec<Run>,
     now_us: u64,
+    up: bool,
 }
 
 impl Server {
@@ -49,9 +50,26 @@
             disturbances,
             runs: Vec::new(),
             now_us: 0,
+            up: true,
         }
     }
 
+    /// Ends the process; returns the requests that ran.
+    pub fn crash(&mut self) -> Vec<WorkId> {
+        self.up = false;
+        self.runs.drain(..).map(|run| run.id).collect()
+    }
+
+    /// Starts the process anew.
+    pub fn boot(&mut self) {
+        self.up = true;
+    }
+
+    /// Whether the process takes connections.
+    pub fn is_up(&self) -> bool {
+        self.up
+    }
+
     /// Requests that run.
     pub fn in_flight(&self) -> usize {
         self.runs.len()
--- a/examples/gate_bench/tables.rs
+++ b/examples/gate_bench/tables.rs
@@ -5,8 +5,11 @@
 use bronzelock::decision::gate::{GatePolicy, LimitRule, QueueOrder};
 use bronzelock::model::request::Urgency;
 
-use crate::feed::{Scenario, StreamResult, quantile_ms, run};
-use crate::scenarios::{capacity_per_s, counted_s, overload, slowdowns, taken_slots, uneven};
+use crate::feed::{FeedResult, Scenario, StreamResult, Work, quantile_ms, run};
+use crate::scenarios::{
+    capacity_per_s, counted_s, first_start, last_change_us, overload, restart, slowdowns,
+    taken_slots, uneven, zone_out_and_back,
+};
 
 /// Quantile of tail latency.
 const P99: f64 = 0.99;
@@ -43,8 +46,8 @@
 }
 
 impl Spread {
-    fn over(seeds: &[u64], measure: impl Fn(u64) -> f64) -> Self {
-        let mut values: Vec<f64> = seeds.iter().map(|&seed| measure(seed)).collect();
+    fn over(values: impl Iterator<Item = f64>) -> Self {
+        let mut values: Vec<f64> = values.collect();
         values.sort_by(f64::total_cmp);
         Self {
             least: values[0],
@@ -64,64 +67,77 @@
     }
 }
 
+/// Seeds and distribution of work that all tables use.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// One run each.
+    pub seeds: Vec<u64>,
+    /// Work of requests.
+    pub work: Work,
+}
+
 /// Results of one policy, one entry per seed.
 struct Runs {
-    seeds: Vec<u64>,
     scenario: Scenario,
-    results: Vec<Vec<StreamResult>>,
+    results: Vec<FeedResult>,
 }
 
 impl Runs {
-    fn new(seeds: &[u64], policy: GatePolicy, scenario: impl Fn(u64) -> Scenario) -> Self {
-        let results = seeds
+    fn new(setup: &Setup, policy: GatePolicy, scenario: impl Fn(u64) -> Scenario) -> Self {
+        let results = setup
+            .seeds
             .iter()
-            .map(|&seed| run(&scenario(seed), policy, seed))
+            .map(|&seed| run(&scenario(seed), policy, setup.work, seed))
             .collect();
         Self {
-            seeds: (0..seeds.len() as u64).collect(),
-            scenario: scenario(seeds[0]),
+            scenario: scenario(setup.seeds[0]),
             results,
         }
     }
 
     /// Spread of a figure of the streams of one class together.
     fn of_class(&self, urgency: Urgency, measure: impl Fn(&StreamResult) -> f64) -> Spread {
-        Spread::over(&self.seeds, |run| {
-            let mut merged = StreamResult::default();
-            let streams = self
-                .scenario
-                .streams
-                .iter()
-                .zip(&self.results[run as usize]);
-            for (_, result) in streams.filter(|(stream, _)| stream.urgency == urgency) {
-                merge(&mut merged, result);
-            }
-            measure(&merged)
-        })
+        let of_run = |result: &FeedResult| {
+            let streams = self.scenario.streams.iter().zip(&result.streams);
+            let of_class = streams.filter(|(stream, _)| stream.urgency == urgency);
+            measure(&merged(of_class.map(|(_, result)| result)))
+        };
+        Spread::over(self.results.iter().map(of_run))
     }
 
     /// Spread of a figure of all streams together.
     fn of_all(&self, measure: impl Fn(&StreamResult) -> f64) -> Spread {
-        Spread::over(&self.seeds, |run| {
-            let mut merged = StreamResult::default();
-            for result in &self.results[run as usize] {
-                merge(&mut merged, result);
-            }
-            measure(&merged)
-        })
+        let of_run = |result: &FeedResult| measure(&merged(result.streams.iter()));
+        Spread::over(self.results.iter().map(of_run))
+    }
+
+    /// Spread of a figure of the run itself.
+    fn of_run(&self, measure: impl Fn(&FeedResult) -> f64) -> Spread {
+        Spread::over(self.results.iter().map(measure))
     }
 
     /// Spread of a figure of one stream.
     fn of_stream(&self, stream: usize, measure: impl Fn(&StreamResult) -> f64) -> Spread {
-        Spread::over(&self.seeds, |run| {
-            measure(&self.results[run as usize][stream])
-        })
+        Spread::over(
+            self.results
+                .iter()
+                .map(|result| measure(&result.streams[stream])),
+        )
+    }
+}
+
+fn merged<'a>(results: impl Iterator<Item = &'a StreamResult>) -> StreamResult {
+    let mut all = StreamResult::default();
+    for result in results {
+        merge(&mut all, result);
     }
+    all
 }
 
 fn merge(into: &mut StreamResult, from: &StreamResult) {
     into.offered += from.offered;
     into.timed_out += from.timed_out;
+    into.failed += from.failed;
     into.latencies_us.extend(&from.latencies_us);
     into.refusals_us.extend(&from.refusals_us);
     for (reason, count) in &from.refused {
@@ -130,10 +146,11 @@
 }
 
 /// Urgent latency and ordinary goodput with ordinary load at none and at twice the capacity.
-pub fn print_overload(seeds: &[u64]) {
-    println!("\nUrgent work at 10% of capacity; ordinary load at 0 and at 200% of capacity");
+pub fn print_overload(setup: &Setup) {
+    println!("\nUrgent work in the first column; ordinary load at 0 and at 200% of capacity");
     println!(
-        "{:<20}{:>22}{:>22}{:>20}{:>22}{:>22}",
+        "{:<8}{:<20}{:>22}{:>22}{:>24}{:>22}{:>22}",
+        "urgent",
         "policy",
         "urgent p99 alone ms",
         "urgent p99 at 2x ms",
@@ -141,27 +158,30 @@
         "ordinary goodput %",
         "all goodput %"
     );
-    for Named { name, policy } in POLICIES {
-        let alone = Runs::new(seeds, policy, |_| overload(0.0));
-        let loaded = Runs::new(seeds, policy, |_| overload(2.0));
-        println!(
-            "{name:<20}{:>22}{:>22}{:>20}{:>22}{:>22}",
-            alone.of_class(Urgency::Urgent, |r| r.quantile_ms(P99)),
-            loaded.of_class(Urgency::Urgent, |r| r.quantile_ms(P99)),
-            loaded.of_class(Urgency::Urgent, |r| 100.0 * r.answered_part()),
-            loaded.of_class(Urgency::Ordinary, goodput_percent),
-            loaded.of_all(goodput_percent),
-        );
+    for urgent in [0.05, 0.1] {
+        for Named { name, policy } in POLICIES {
+            let alone = Runs::new(setup, policy, |_| overload(urgent, 0.0));
+            let loaded = Runs::new(setup, policy, |_| overload(urgent, 2.0));
+            println!(
+                "{:<8}{name:<20}{:>22}{:>22}{:>24}{:>22}{:>22}",
+                format!("{:.0}%", urgent * 100.0),
+                alone.of_class(Urgency::Urgent, |r| r.quantile_ms(P99)),
+                loaded.of_class(Urgency::Urgent, |r| r.quantile_ms(P99)),
+                loaded.of_class(Urgency::Urgent, |r| 100.0 * r.answered_part()),
+                loaded.of_class(Urgency::Ordinary, goodput_percent),
+                loaded.of_all(goodput_percent),
+            );
+        }
     }
 }
 
 /// What three branches at 80% of their share see of a fourth.
-pub fn print_fairness(seeds: &[u64]) {
+pub fn print_fairness(setup: &Setup) {
     println!(
         "\nBranches a, b, c at 80% of their share; what the neighbour does in the first column"
     );
     println!(
-        "{:<20}{:<22}{:>20}{:>20}{:>20}{:>22}",
+        "{:<20}{:<24}{:>24}{:>20}{:>20}{:>22}",
         "policy", "neighbour", "a answered %", "a p50 ms", "a p99 ms", "neighbour got, shares"
     );
     let neighbours = [
@@ -173,9 +193,9 @@
     ];
     for Named { name, policy } in [POLICIES[0], POLICIES[3]] {
         for (text, load, urgency) in neighbours {
-            let runs = Runs::new(seeds, policy, |_| uneven(load, urgency));
+            let runs = Runs::new(setup, policy, |_| uneven(load, urgency));
             println!(
-                "{name:<20}{text:<22}{:>20}{:>20}{:>20}{:>22}",
+                "{name:<20}{text:<24}{:>24}{:>20}{:>20}{:>22}",
                 runs.of_stream(0, |r| 100.0 * r.answered_part()),
                 runs.of_stream(0, |r| r.quantile_ms(0.5)),
                 runs.of_stream(0, |r| r.quantile_ms(P99)),
@@ -185,19 +205,66 @@
     }
 }
 
+/// A cold start with the name that the table prints.
+#[derive(Debug, Clone, Copy)]
+struct ColdCase {
+    name: &'static str,
+    scenario: fn() -> Scenario,
+}
+
+const COLD_FIRST: ColdCase = ColdCase {
+    name: "first start",
+    scenario: first_start,
+};
+
+const COLD_RESTART: ColdCase = ColdCase {
+    name: "restart without warning",
+    scenario: restart,
+};
+
+const WARM_RETURN: ColdCase = ColdCase {
+    name: "zone out and back, warm",
+    scenario: zone_out_and_back,
+};
+
+/// Cold starts at twice the capacity.
+pub fn print_cold(setup: &Setup) {
+    println!("\nCold starts under load at twice the capacity: 3 of 12 slots for 500 ms");
+    println!(
+        "{:<28}{:>24}{:>30}{:>20}",
+        "case", "cold in flight at most", "to full share after change ms", "failed"
+    );
+    for case in [COLD_FIRST, COLD_RESTART, WARM_RETURN] {
+        let name = case.name;
+        let runs = Runs::new(setup, GatePolicy::default(), |_| (case.scenario)());
+        println!(
+            "{name:<28}{:>24}{:>30}{:>20}",
+            runs.of_run(|result| result.cold_in_flight_max as f64),
+            runs.of_run(|result| ms_to_full(&runs.scenario, result)),
+            runs.of_all(|r| r.failed as f64),
+        );
+    }
+}
+
+fn ms_to_full(scenario: &Scenario, result: &FeedResult) -> f64 {
+    let from_us = last_change_us(scenario);
+    let full_at_us = result.full_at_us;
+    full_at_us.map_or(f64::NAN, |at_us| (at_us - from_us) as f64 / 1_000.0)
+}
+
 /// Work lost to tenfold slowdowns.
-pub fn print_slowdowns(seeds: &[u64]) {
+pub fn print_slowdowns(setup: &Setup) {
     println!("\nLoad of 80%; every 2 s the backend server is ten times slower for 50 to 500 ms");
-    print_disturbed(seeds, slowdowns);
+    print_disturbed(setup, slowdowns);
 }
 
 /// Work lost while a neighbour takes slots.
-pub fn print_taken_slots(seeds: &[u64]) {
+pub fn print_taken_slots(setup: &Setup) {
     println!("\nLoad of 80%; every 2 s a neighbour takes 9 of 12 slots for 50 to 500 ms");
-    print_disturbed(seeds, taken_slots);
+    print_disturbed(setup, taken_slots);
 }
 
-fn print_disturbed(seeds: &[u64], scenario: impl Fn(u64) -> Scenario + Copy) {
+fn print_disturbed(setup: &Setup, scenario: impl Fn(u64) -> Scenario + Copy) {
     println!(
         "{:<20}{:>20}{:>20}{:>20}{:>22}{:>22}{:>22}{:>22}",
         "policy",
@@ -210,7 +277,7 @@
         "p99 with elsewhere ms"
     );
     for Named { name, policy } in POLICIES {
-        let runs = Runs::new(seeds, policy, scenario);
+        let runs = Runs::new(setup, policy, scenario);
         println!(
             "{name:<20}{:>20}{:>20}{:>20}{:>22}{:>22}{:>22}{:>22}",
             runs.of_all(|r| 100.0 * r.answered_part()),
--- /dev/null
+++ b/src/decision/gate/admission.rs
@@ -0,0 +1,143 @@
+//! Admission: whether offered work is dispatched, queued or refused.
+
+use crate::model::reasons::RefusalReason;
+use crate::model::request::Urgency;
+
+use super::Gate;
+use super::event::{GateAction, WorkItem};
+use super::fair_order::FlowIndex;
+use super::flow::EntryTimes;
+use super::wait_estimate::WaitEstimate;
+
+impl Gate {
+    pub(super) fn offer(&mut self, item: &WorkItem, now_us: u64, actions: &mut Vec<GateAction>) {
+        self.advance_cold_start(now_us);
+        match self.admit(item, now_us, actions) {
+            Ok(()) => {}
+            Err(reason) => actions.push(self.refusal(item.id, reason, now_us)),
+        }
+    }
+
+    /// Dispatches or queues the request, or tells why not.
+    fn admit(
+        &mut self,
+        item: &WorkItem,
+        now_us: u64,
+        actions: &mut Vec<GateAction>,
+    ) -> Result<(), RefusalReason> {
+        if let Some(reason) = self.closed_because() {
+            return Err(reason);
+        }
+        let flow = self
+            .queue
+            .flow_of(&item.branch)
+            .ok_or(RefusalReason::UnknownBranch)?;
+        if item.deadline_us <= now_us {
+            return Err(RefusalReason::DeadlineLapsed);
+        }
+        let estimate = self.estimate(now_us);
+        if self.queue.is_empty() && self.running.len() < estimate.limit as usize {
+            self.check_reachable(item.deadline_us, &estimate, now_us)?;
+            self.queue.charge_unqueued(flow);
+            self.dispatch(item.id, flow, now_us, actions);
+            return Ok(());
+        }
+        self.enqueue(item, flow, &estimate, now_us, actions)
+    }
+
+    /// Refuses work that has little chance to finish by its deadline if it is dispatched now.
+    ///
+    /// One request per service time passes all the same, so that a recovery is noticed.
+    pub(super) fn check_reachable(
+        &self,
+        deadline_us: u64,
+        estimate: &WaitEstimate,
+        now_us: u64,
+    ) -> Result<(), RefusalReason> {
+        if deadline_us <= now_us {
+            return Err(RefusalReason::DeadlineLapsed);
+        }
+        let left_us = (deadline_us - now_us) as f64;
+        let recent_dispatch = self
+            .running
+            .since_dispatch_us(now_us)
+            .is_some_and(|since_us| (since_us as f64) < estimate.service_us);
+        if recent_dispatch && left_us < estimate.run_us_needed() {
+            return Err(RefusalReason::DeadlineUnreachable);
+        }
+        Ok(())
+    }
+
+    fn enqueue(
+        &mut self,
+        item: &WorkItem,
+        flow: FlowIndex,
+        estimate: &WaitEstimate,
+        now_us: u64,
+        actions: &mut Vec<GateAction>,
+    ) -> Result<(), RefusalReason> {
+        let Some(limits) = &self.limits else {
+            return Err(RefusalReason::NoConfiguration);
+        };
+        let delay_max_us = limits.queue_delay_max_us;
+        let length_max = limits.queue_length_max as usize;
+        let wait_us = estimate.wait_us(self.queue.ahead_of(flow, item.urgency));
+        if wait_us > delay_max_us as f64 {
+            return Err(self.full_because(flow));
+        }
+        let left_us = (item.deadline_us - now_us) as f64;
+        if left_us < wait_us + estimate.run_us_needed() {
+            return Err(RefusalReason::DeadlineUnreachable);
+        }
+        if self.queue.len() >= length_max {
+            self.make_room(item, flow, length_max, now_us, actions)?;
+        }
+        let times = EntryTimes {
+            deadline_us: item.deadline_us,
+            last_start_us: item.deadline_us - estimate.run_us_needed() as u64,
+            delay_end_us: now_us.saturating_add(delay_max_us),
+        };
+        self.queue.push(flow, item.id, item.urgency, times);
+        Ok(())
+    }
+
+    /// Refuses a queued request for a new one that has the better claim, if there is one.
+    fn make_room(
+        &mut self,
+        item: &WorkItem,
+        flow: FlowIndex,
+        length_max: usize,
+        now_us: u64,
+        actions: &mut Vec<GateAction>,
+    ) -> Result<(), RefusalReason> {
+        let refused_because = self.full_because(flow);
+        let goes_first = item.urgency == Urgency::Urgent && self.queue.may_go_first(flow);
+        let own = if goes_first {
+            self.queue.evict_ordinary(flow)
+        } else {
+            None
+        };
+        let evicted = match own {
+            Some(entry) => Some(entry),
+            None if length_max == 0 || !self.queue.has_others(flow) => None,
+            None if self.queue.over_share(flow, length_max) => None,
+            None => self.queue.evict_from_longest(),
+        };
+        let Some(entry) = evicted else {
+            return Err(refused_because);
+        };
+        actions.push(self.refusal(entry.id, RefusalReason::BranchOverShare, now_us));
+        Ok(())
+    }
+
+    /// Why the queue takes no more work of the flow.
+    pub(super) fn full_because(&self, flow: FlowIndex) -> RefusalReason {
+        if self.cold_start.is_cold() {
+            RefusalReason::ColdStart
+        } else if self.queue.over_share(flow, self.queue.len()) {
+            RefusalReason::BranchOverShare
+        } else {
+            RefusalReason::QueueFull
+        }
+    }
+}
--- a/src/decision/gate/flow.rs
+++ b/src/decision/gate/flow.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 
 use crate::model::config::BranchShare;
+use crate::model::reasons::RefusalReason;
 use crate::model::request::Urgency;
 
 use super::event::WorkId;
@@ -37,10 +38,40 @@
     pub urgency: Urgency,
     /// Order of arrival at the gate.
     pub sequence: u64,
-    /// When the answer must be there, in µs.
+    /// Times that bound its stay in the queue.
+    pub times: EntryTimes,
+}
+
+/// Times that bound a request's stay in the queue, in µs.
+#[expect(clippy::struct_field_names, reason = "fields carry their unit")]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EntryTimes {
+    /// When the answer must be there.
     pub deadline_us: u64,
-    /// When it has waited too long, in µs; never after the deadline.
-    pub expiry_us: u64,
+    /// When dispatch becomes too late to finish by the deadline.
+    pub last_start_us: u64,
+    /// When it has waited as long as the queue delay allows.
+    pub delay_end_us: u64,
+}
+
+impl EntryTimes {
+    /// When the request must leave the queue, in µs.
+    pub fn expiry_us(&self) -> u64 {
+        self.deadline_us
+            .min(self.last_start_us)
+            .min(self.delay_end_us)
+    }
+
+    /// Why the request left the queue at `now_us`, after its expiry.
+    pub fn expired_because(&self, now_us: u64) -> RefusalReason {
+        if now_us >= self.deadline_us {
+            RefusalReason::DeadlineLapsed
+        } else if now_us >= self.last_start_us {
+            RefusalReason::DeadlineUnreachable
+        } else {
+            RefusalReason::QueueFull
+        }
+    }
 }
 
 /// Queued work of one branch, with its virtual times.
--- a/src/decision/gate/limit.rs
+++ b/src/decision/gate/limit.rs
@@ -3,7 +3,7 @@
 use super::policy::LimitRule;
 
 /// Ratio of present to undisturbed service time that variance alone explains.
-pub const SLOWNESS_TOLERATED: f64 = 3.0;
+pub const SLOWNESS_TOLERATED: f64 = 2.0;
 
 /// Factor of the limit after the backend server shed, or was slow under AIMD.
 const DECREASE: f64 = 0.7;
--- /dev/null
+++ b/src/decision/gate/outcome.rs
@@ -0,0 +1,53 @@
+//! What the gate learns from the end of a request.
+
+use super::Gate;
+use super::event::{RunOutcome, WorkId};
+use super::running::Run;
+
+impl Gate {
+    pub(super) fn finish(&mut self, id: WorkId, outcome: RunOutcome, now_us: u64) {
+        let Some(run) = self.running.remove(id) else {
+            return;
+        };
+        let in_flight_before = self.running.len() + 1;
+        if self.running.is_current(&run) {
+            self.learn(&run, outcome, in_flight_before, now_us);
+        }
+        self.service_time.set_in_flight(self.running.len(), now_us);
+    }
+
+    /// Takes the outcome of a run on the present process into the estimates and limits.
+    fn learn(&mut self, run: &Run, outcome: RunOutcome, in_flight: usize, now_us: u64) {
+        let Some(limits) = &self.limits else {
+            return;
+        };
+        let bears = &limits.bears;
+        let run_us = now_us.saturating_sub(run.started_us);
+        match outcome {
+            RunOutcome::Succeeded => {
+                self.queue.record_cost(run.flow, run_us);
+                self.service_time.record(run_us, now_us);
+                let slowness = self.service_time.slowness(now_us);
+                let service_us = self.service_time.estimate_us(now_us);
+                self.adaptive.on_success(bears.slots);
+                self.adaptive
+                    .on_answer(bears.slots, slowness, service_us, now_us);
+                self.cold_start.on_success(bears, slowness);
+            }
+            RunOutcome::Failed => {
+                self.service_time.record_sign_of_life(now_us);
+                self.cold_start.on_failed(now_us);
+            }
+            RunOutcome::NotSent => self.cold_start.on_not_sent(now_us),
+            RunOutcome::Shed => {
+                let service_us = self.service_time.estimate_us(now_us);
+                self.adaptive.on_shed(in_flight, service_us, now_us);
+                self.cold_start.on_shed(bears);
+            }
+            RunOutcome::TimedOut | RunOutcome::Cancelled => {
+                self.queue.record_cost(run.flow, run_us);
+                self.service_time.record_given_up(run_us);
+            }
+        }
+    }
+}
--- a/src/decision/gate/queue.rs
+++ b/src/decision/gate/queue.rs
@@ -8,7 +8,7 @@
 
 use super::event::WorkId;
 use super::fair_order::{FairOrder, FlowIndex, Turn};
-use super::flow::{Entry, Flow};
+use super::flow::{Entry, EntryTimes, Flow};
 use super::policy::QueueOrder;
 
 /// The one flow of all branches under [`QueueOrder::Fifo`].
@@ -126,8 +126,7 @@
             id,
             urgency,
             sequence: self.sequence,
-            deadline_us: times.deadline_us,
-            expiry_us: times.expiry_us,
+            times,
         };
         self.flows[flow].push(entry);
         self.count(flow, &entry);
@@ -239,7 +238,7 @@
             sequence: entry.sequence,
         };
         self.places.insert(entry.id, place);
-        self.expiries.insert((entry.expiry_us, entry.id));
+        self.expiries.insert((entry.times.expiry_us(), entry.id));
         if entry.urgency == Urgency::Urgent {
             self.urgent_len += 1;
         }
@@ -247,7 +246,7 @@
 
     fn uncount(&mut self, entry: &Entry) {
         self.places.remove(&entry.id);
-        self.expiries.remove(&(entry.expiry_us, entry.id));
+        self.expiries.remove(&(entry.times.expiry_us(), entry.id));
         if entry.urgency == Urgency::Urgent {
             self.urgent_len -= 1;
         }
@@ -290,12 +289,3 @@
         orphans
     }
 }
-
-/// Times that bound a request's stay in the queue.
-#[derive(Debug, Clone, Copy)]
-pub struct EntryTimes {
-    /// When the answer must be there, in µs.
-    pub deadline_us: u64,
-    /// When it has waited too long, in µs.
-    pub expiry_us: u64,
-}
--- /dev/null
+++ b/src/decision/gate/refusal.rs
@@ -0,0 +1,48 @@
+//! Refusals, and when refused work should come back.
+
+use crate::model::reasons::{Refusal, RefusalReason, RunState};
+
+use super::Gate;
+use super::event::{GateAction, WorkId};
+use super::wait_estimate::retry_after_ms;
+
+/// Time after which a gate without configuration should be asked again, in µs.
+const NO_CONFIGURATION_RETRY_US: f64 = 1_000_000.0;
+
+impl Gate {
+    pub(super) fn refusal(&self, id: WorkId, reason: RefusalReason, now_us: u64) -> GateAction {
+        let refusal = Refusal {
+            reason,
+            run_state: RunState::NotRun,
+            retry_after_ms: self.retry_after(id, reason, now_us),
+        };
+        GateAction::Refuse { id, refusal }
+    }
+
+    /// When the work should come back, in ms; none where coming back here does not help.
+    fn retry_after(&self, id: WorkId, reason: RefusalReason, now_us: u64) -> Option<u64> {
+        let drain_us = match reason {
+            RefusalReason::NoConfiguration => NO_CONFIGURATION_RETRY_US,
+            RefusalReason::ColdStart => self.cold_left_us(now_us).max(self.drain_us(now_us)),
+            RefusalReason::QueueFull
+            | RefusalReason::BranchOverShare
+            | RefusalReason::DeadlineLapsed
+            | RefusalReason::DeadlineUnreachable => self.drain_us(now_us),
+            _ => return None,
+        };
+        Some(retry_after_ms(drain_us, id))
+    }
+
+    fn drain_us(&self, now_us: u64) -> f64 {
+        let queued = self.queue.len() as u64;
+        self.estimate(now_us).wait_us(queued)
+    }
+
+    fn cold_left_us(&self, now_us: u64) -> f64 {
+        let hold_end_us = self
+            .limits
+            .as_ref()
+            .and_then(|limits| self.cold_start.hold_end_us(&limits.bears));
+        hold_end_us.map_or(0.0, |end_us| end_us.saturating_sub(now_us) as f64)
+    }
+}
