Try a backend server that fails everything with one request at a time

Ruled out: the cold limit alone. It bounds what is in flight, not the rate of failures, so a dead server still draws work by failing fast.

Change: 20 points of failures without a success between (1 for a failed request, 3 for one that could not be sent) close the gate for 20 ms, doubling to 1 s; then one request is a trial. Its success begins a cold start. An announcement of a new process ends the back-off.

One branch whose requests all fail can still close the gate for the others if it sends nearly all of the work.

--- a/src/decision/gate/mod.rs
+++ b/src/decision/gate/mod.rs
@@ -115,8 +115,8 @@
     pub fn next_wakeup_us(&self) -> Option<u64> {
         let expiry_us = self.queue.next_expiry_us()?;
         let limits = self.limits.as_ref()?;
-        let hold_end_us = self.cold_start.hold_end_us(&limits.bears);
-        Some(hold_end_us.map_or(expiry_us, |end_us| end_us.min(expiry_us)))
+        let change_us = self.cold_start.next_change_us(&limits.bears);
+        Some(change_us.map_or(expiry_us, |at_us| at_us.min(expiry_us)))
     }
 
     fn state(&self) -> ServerState {
--- a/src/decision/gate/outcome.rs
+++ b/src/decision/gate/outcome.rs
@@ -32,7 +32,7 @@
                 self.adaptive.on_success(bears.slots);
                 self.adaptive
                     .on_answer(bears.slots, slowness, service_us, now_us);
-                self.cold_start.on_success(bears, slowness);
+                self.cold_start.on_success(bears, slowness, now_us);
             }
             RunOutcome::Failed => {
                 self.service_time.record_sign_of_life(now_us);
--- a/src/decision/gate/refusal.rs
+++ b/src/decision/gate/refusal.rs
@@ -33,16 +33,21 @@
         Some(retry_after_ms(drain_us, id))
     }
 
+    /// Time that the queue needs, in µs; zero while nothing may run.
     fn drain_us(&self, now_us: u64) -> f64 {
-        let queued = self.queue.len() as u64;
-        self.estimate(now_us).wait_us(queued)
+        let estimate = self.estimate(now_us);
+        if estimate.limit == 0 {
+            return 0.0;
+        }
+        estimate.wait_us(self.queue.len() as u64)
     }
 
+    /// Time until the cold start or the back-off after a collapse ends, in µs.
     fn cold_left_us(&self, now_us: u64) -> f64 {
-        let hold_end_us = self
+        let change_us = self
             .limits
             .as_ref()
-            .and_then(|limits| self.cold_start.hold_end_us(&limits.bears));
-        hold_end_us.map_or(0.0, |end_us| end_us.saturating_sub(now_us) as f64)
+            .and_then(|limits| self.cold_start.next_change_us(&limits.bears));
+        change_us.map_or(0.0, |at_us| at_us.saturating_sub(now_us) as f64)
     }
 }
