--- a/tests/ticket_fuzz/mod.rs
+++ b/tests/ticket_fuzz/mod.rs
@@ -18,6 +18,9 @@
 /// Most events of one case.
 const EVENTS_MAX: usize = 400;
 
+/// Most attempts to shorten a case that breaks a promise.
+const SHRINK_STEPS_MAX: u32 = 2_000;
+
 /// Runs cases from one seed and returns what they came across.
 ///
 /// # Panics
@@ -27,6 +30,7 @@
         cases,
         rng_seed: RngSeed::Fixed(seed),
         failure_persistence: None,
+        max_shrink_iters: SHRINK_STEPS_MAX,
         ..Config::default()
     };
     let events = Events::sequential_strategy(1..EVENTS_MAX);
