--- a/tests/ticket_spec/steps.rs
+++ b/tests/ticket_spec/steps.rs
@@ -25,7 +25,7 @@
     RefuseUnclaimed { message: Message },
     /// The gate drops a queued request whose deadline lapsed.
     RefuseQueued { job: Job },
-    /// The executor asks its table whether it may dispatch.
+    /// The executor asks its table whether it may dispatch, for the first time or again.
     AskTable { job: Job },
     /// The first byte leaves for the backend server, which runs the request.
     FirstByte { job: Job },
@@ -92,7 +92,11 @@
     match job.stage {
         Stage::Queued => vec![Step::RefuseQueued { job }, Step::AskTable { job }],
         Stage::Allowed => vec![Step::FirstByte { job }, Step::Shed { job }],
-        Stage::Running => vec![Step::Answer { job }, Step::Lose { job }],
+        Stage::Running => vec![
+            Step::AskTable { job },
+            Step::Answer { job },
+            Step::Lose { job },
+        ],
     }
 }
 
@@ -254,7 +258,7 @@
         let late = job.ticket.expires_us <= executor.now_us;
         executor.set_stage(job, Stage::Allowed);
         next.history.late_dispatch |= late;
-    } else {
+    } else if job.stage == Stage::Queued {
         refuse(next, job, RefusalReason::TicketExpired, fault);
     }
 }
