--- a/src/agreement/members.rs
+++ b/src/agreement/members.rs
@@ -4,19 +4,20 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
 use crate::decision::membership::{Member, MemberState};
-use crate::edge::log_client::LogClient;
+use crate::edge::log_client::{LogClient, LogError};
 use crate::kernel::metrics::Event;
 use crate::kernel::{Kernel, StepError};
 use crate::model::ids::Incarnation;
 use crate::model::names::{ServerName, ServiceName, ZoneName};
 
 /// Records that one read asks for.
-const RECORDS_MAX: usize = 1_024;
+const RECORDS_MAX: u32 = 1_024;
 
 /// Part of the retention after which a node appends its record again.
 const RETENTION_PART: u64 = 3;
@@ -72,10 +73,13 @@
 pub async fn run(kernel: Arc<Kernel>, log: LogClient, own: Member) {
     let until_stopped = async {
         let spread_ms = rand::random_range(0..=APPEND_SPREAD_MS);
-        retry(&kernel, || learn(&kernel, &log)).await;
+        let read_to = AtomicU64::new(0);
+        retry(&kernel, || learn(&kernel, &log, &read_to)).await;
         tokio::time::sleep(Duration::from_millis(spread_ms)).await;
         loop {
-            retry(&kernel, || append(&kernel, &log, own.clone())).await;
+            retry(&kernel, || append(&log, own.clone())).await;
+            // Of two nodes that start together, the one that appends later reads the other.
+            retry(&kernel, || learn(&kernel, &log, &read_to)).await;
             let period_ms = kernel.settings.log.retention_ms / RETENTION_PART;
             tokio::time::sleep(Duration::from_millis(period_ms)).await;
         }
@@ -101,12 +105,11 @@
     }
 }
 
-/// Reads the stream to its end once.
-async fn learn(kernel: &Kernel, log: &LogClient) -> Result<(), StepError> {
-    let stream = &kernel.settings.log.member_stream;
-    let mut from = 0;
+/// Reads the stream from `read_to` to its end.
+async fn learn(kernel: &Kernel, log: &LogClient, read_to: &AtomicU64) -> Result<(), StepError> {
     loop {
-        let page = log.read(stream, from, RECORDS_MAX, 0).await?;
+        let mut from = read_to.load(Ordering::Relaxed);
+        let page = log.read(from, RECORDS_MAX, 0).await.map_err(failed)?;
         for record in &page.records {
             from = record.offset + 1;
             match serde_json::from_str::<MemberWire>(&record.text) {
@@ -114,17 +117,20 @@
                 Err(error) => log::debug!("members: a record is unreadable: {error}"),
             }
         }
+        read_to.store(from, Ordering::Relaxed);
         if page.records.is_empty() || from >= page.next {
             return Ok(());
         }
     }
 }
 
-async fn append(kernel: &Kernel, log: &LogClient, own: Member) -> Result<(), StepError> {
+async fn append(log: &LogClient, own: Member) -> Result<(), StepError> {
     let text = serde_json::to_string(&MemberWire::from(own))
         .map_err(|error| StepError::local("write the member record", error))?;
-    let stream = &kernel.settings.log.member_stream;
     // A lost answer is harmless: a second record of the same run says nothing new.
-    let appended = log.append(stream, text).await;
-    appended.map(|_offset| ()).map_err(|failed| failed.error)
+    log.append(&text).await.map(drop).map_err(failed)
+}
+
+fn failed(error: LogError) -> StepError {
+    StepError::with_peer("member stream", error.peer, error)
 }
