Serve the administration API and its thin clients

Cause: operators need one place for answers, zones and servers out, changes and status, and an honest answer when the log is down or silent.

Change: operators/admin_api/ holds warp filters over the trait AdminBackend, which the node implements: versions as ETag and If-Match, ids of changes by header, a bearer token compared in constant time, problem documents. room.rs warns of a change that leaves a service without room. cli/ holds the commands. One HTTP exchange serves the log's client and the commands.

Ruled out: 202 for an unknown outcome (a script would read it as accepted), so 504 with a document; an id drawn by the server (a repeat after a lost answer would be another change), so a change without an id is refused.

Tests: 18 cases over HTTP on free ports of loopback, against a fold in memory.

--- a/src/edge/log_client.rs
+++ b/src/edge/log_client.rs
@@ -5,20 +5,18 @@
 
 use std::fmt;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::client::conn::http1;
+use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HOST};
 use hyper::{Method, Request, StatusCode};
-use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use super::http_exchange::{ExchangeError, exchange};
 use crate::agreement::catch_up::{Page, StoredRecord};
 use crate::agreement::publish::NotAcceptedReason;
 
@@ -42,9 +40,7 @@
     /// {0}
     Io(std::io::Error),
     /// {0}
-    Http(hyper::Error),
-    /// broken answer: {0}
-    Body(Box<dyn std::error::Error + Send + Sync>),
+    Exchange(ExchangeError),
     /// malformed answer: {0}
     Json(serde_json::Error),
     /// status {0}
@@ -135,12 +131,6 @@
     }
 }
 
-/// Status and body of an answer.
-struct Answer {
-    status: StatusCode,
-    body: Bytes,
-}
-
 impl LogClient {
     /// A client of `stream` on the log at `peer`; nothing is opened yet.
     pub fn new(peer: SocketAddr, stream: impl Into<Arc<str>>, timeouts: LogTimeouts) -> Self {
@@ -220,9 +210,9 @@
             .await?;
         let socket = socket.map_err(|error| self.error(LogStep::Connect, LogCause::Io(error)))?;
         let answer = self
-            .within(step, limit_ms, exchange(socket, request))
+            .within(step, limit_ms, exchange(socket, request, ANSWER_BYTES_MAX))
             .await?;
-        let answer = answer.map_err(|cause| self.error(step, cause))?;
+        let answer = answer.map_err(|error| self.error(step, LogCause::Exchange(error)))?;
         if answer.status.is_success() {
             return Ok(answer.body);
         }
@@ -252,27 +242,6 @@
     }
 }
 
-/// Sends one request and reads the whole answer; the connection ends with it.
-async fn exchange(socket: TcpStream, request: Request<Full<Bytes>>) -> Result<Answer, LogCause> {
-    let handshake = http1::handshake(TokioIo::new(socket)).await;
-    let (mut sender, connection) = handshake.map_err(LogCause::Http)?;
-    let mut answer = pin!(async move {
-        let response = sender.send_request(request).await.map_err(LogCause::Http)?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), ANSWER_BYTES_MAX);
-        let whole = body.collect().await.map_err(LogCause::Body)?;
-        Ok(Answer {
-            status,
-            body: whole.to_bytes(),
-        })
-    });
-    tokio::select! {
-        answer = &mut answer => answer,
-        // The connection ends first when the log closes it; the answer then tells how.
-        _closed = connection => answer.await,
-    }
-}
-
 impl fmt::Display for LogClient {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "stream {} at {}", self.stream, self.peer)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,7 @@
 //! `docs/ARCHITECTURE.md` follows one request through these modules.
 
 pub mod agreement;
+pub mod cli;
 pub mod decision;
 pub mod edge;
 pub mod model;
--- /dev/null
+++ b/src/operators/admin_api/publishing.rs
@@ -0,0 +1,250 @@
+//! Calls that publish a change.
+
+use std::sync::Arc;
+
+use warp::http::header::{HeaderMap, IF_MATCH};
+use warp::http::{HeaderName, Response};
+use warp::hyper::body::Bytes;
+
+use super::backend::AdminBackend;
+use super::documents::AcceptedDocument;
+use super::problem::{Problem, ProblemKind};
+use super::reading::versioned;
+use super::{AUTHOR_HEADER, CHANGE_ID_HEADER, CONFIRM_HEADER, CONFIRM_VALUE};
+use crate::agreement::change::{Change, ChangeAction};
+use crate::agreement::publish::Publication;
+use crate::model::answers::Answers;
+use crate::model::config::Config;
+use crate::model::ids::{ChangeId, ConfigVersion};
+use crate::model::names::{BranchName, ServiceName};
+use crate::operators::answers::from_json;
+use crate::operators::generate::generate;
+use crate::operators::room;
+
+/// Longest change id and author, in bytes.
+const HEADER_TEXT_BYTES_MAX: usize = 128;
+/// Author of a change whose client names none.
+const DEFAULT_AUTHOR: &str = "operator";
+
+/// What the headers of a change say.
+struct ChangeHeaders {
+    base: ConfigVersion,
+    id: ChangeId,
+    author: Arc<str>,
+    confirmed: bool,
+}
+
+/// Publishes the answers of a branch.
+pub async fn put_answers<B: AdminBackend>(
+    service: ServiceName,
+    branch: BranchName,
+    headers: HeaderMap,
+    body: Bytes,
+    backend: Arc<B>,
+) -> Response<Bytes> {
+    match read_answers(&body, &service, &branch) {
+        Ok(answers) => {
+            publish(
+                ChangeAction::PutAnswers(Box::new(answers)),
+                headers,
+                backend,
+            )
+            .await
+        }
+        Err(problem) => problem.into_response(),
+    }
+}
+
+/// Publishes one change and tells its outcome.
+pub async fn publish<B: AdminBackend>(
+    action: ChangeAction,
+    headers: HeaderMap,
+    backend: Arc<B>,
+) -> Response<Bytes> {
+    match try_publish(action, &headers, backend.as_ref()).await {
+        Ok(accepted) => versioned(accepted.version, &accepted),
+        Err(problem) => problem.into_response(),
+    }
+}
+
+async fn try_publish<B: AdminBackend>(
+    action: ChangeAction,
+    headers: &HeaderMap,
+    backend: &B,
+) -> Result<AcceptedDocument, Problem> {
+    let config = held_config(backend)?;
+    let headers = read_headers(headers)?;
+    if is_new(&headers.id, &action, backend)? {
+        check_answers(&action, headers.base, &config)?;
+        if !headers.confirmed {
+            check_room(&action, &config, backend)?;
+        }
+    }
+    let id = headers.id.clone();
+    let change = Change {
+        id: headers.id,
+        base: headers.base,
+        author: headers.author,
+        action,
+    };
+    told(id, backend.publish(change).await)
+}
+
+/// The configuration in force, or the problem that there is none.
+pub fn held_config<B: AdminBackend>(backend: &B) -> Result<Arc<Config>, Problem> {
+    backend.config().ok_or_else(|| {
+        let detail = "this node holds no configuration yet; ask another node or try again";
+        Problem::new(ProblemKind::NoConfiguration, detail)
+    })
+}
+
+/// Reads answers and compares them with the path.
+fn read_answers(
+    body: &[u8],
+    service: &ServiceName,
+    branch: &BranchName,
+) -> Result<Answers, Problem> {
+    let answers = parse_answers(body)?;
+    if answers.service == *service && answers.branch == *branch {
+        return Ok(answers);
+    }
+    let detail = format!(
+        "the answers are for {} and {}, the path names {service} and {branch}",
+        answers.service, answers.branch
+    );
+    Err(Problem::new(ProblemKind::BadRequest, detail))
+}
+
+/// Reads answers from a body.
+pub fn parse_answers(body: &[u8]) -> Result<Answers, Problem> {
+    let text = std::str::from_utf8(body)
+        .map_err(|error| Problem::new(ProblemKind::BadRequest, error.to_string()))?;
+    from_json(text).map_err(Problem::bad_answers)
+}
+
+fn read_headers(headers: &HeaderMap) -> Result<ChangeHeaders, Problem> {
+    let id = text_of(headers, &HeaderName::from_static(CHANGE_ID_HEADER))?;
+    let Some(id) = id else {
+        let detail = "name the change by the header Bronzelock-Change-Id, so that a repeat \
+                      after a lost answer is the same change";
+        return Err(Problem::new(ProblemKind::BadRequest, detail));
+    };
+    let author = text_of(headers, &HeaderName::from_static(AUTHOR_HEADER))?;
+    let confirm = text_of(headers, &HeaderName::from_static(CONFIRM_HEADER))?;
+    Ok(ChangeHeaders {
+        base: read_base(headers)?,
+        id: ChangeId(Arc::from(id)),
+        author: Arc::from(author.unwrap_or(DEFAULT_AUTHOR)),
+        confirmed: confirm == Some(CONFIRM_VALUE),
+    })
+}
+
+fn read_base(headers: &HeaderMap) -> Result<ConfigVersion, Problem> {
+    let Some(value) = text_of(headers, &IF_MATCH)? else {
+        let detail = "state the version you build on by If-Match, as ETag gave it";
+        return Err(Problem::new(ProblemKind::BaseMissing, detail));
+    };
+    let digits = value
+        .strip_prefix('"')
+        .and_then(|rest| rest.strip_suffix('"'));
+    let version = digits.and_then(|digits| digits.parse().ok());
+    version.map(ConfigVersion).ok_or_else(|| {
+        let detail = format!("If-Match {value} is no version such as \"12\"");
+        Problem::new(ProblemKind::BadRequest, detail)
+    })
+}
+
+fn text_of<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Problem> {
+    let Some(value) = headers.get(name) else {
+        return Ok(None);
+    };
+    match value.to_str() {
+        Ok(text) if !text.is_empty() && text.len() <= HEADER_TEXT_BYTES_MAX => Ok(Some(text)),
+        _ => {
+            let detail = format!(
+                "header {name} is not 1 to {HEADER_TEXT_BYTES_MAX} visible ASCII characters"
+            );
+            Err(Problem::new(ProblemKind::BadRequest, detail))
+        }
+    }
+}
+
+/// Whether the id was not seen before; an id of a different change is a problem.
+fn is_new<B: AdminBackend>(
+    id: &ChangeId,
+    action: &ChangeAction,
+    backend: &B,
+) -> Result<bool, Problem> {
+    let changes = backend.changes();
+    let Some(known) = changes.iter().find(|entry| entry.id == *id) else {
+        return Ok(true);
+    };
+    if known.summary.as_ref() == action.to_string() {
+        return Ok(false);
+    }
+    let detail = format!("change {id} was used for: {}", known.summary);
+    Err(Problem::new(ProblemKind::ChangeIdReused, detail))
+}
+
+fn check_answers(
+    action: &ChangeAction,
+    base: ConfigVersion,
+    config: &Config,
+) -> Result<(), Problem> {
+    match action {
+        ChangeAction::PutAnswers(answers) if base == config.version => generate(config, answers)
+            .map(|_service| ())
+            .map_err(Problem::bad_answers),
+        _ => Ok(()),
+    }
+}
+
+fn check_room<B: AdminBackend>(
+    action: &ChangeAction,
+    config: &Config,
+    backend: &B,
+) -> Result<(), Problem> {
+    let warnings = room::warnings(config, &backend.status(), action);
+    if warnings.is_empty() {
+        return Ok(());
+    }
+    let detail = format!("{action} needs the header Bronzelock-Confirm: yes");
+    let mut problem = Problem::new(ProblemKind::NoRoom, detail);
+    problem.extensions.warnings = warnings;
+    Err(problem)
+}
+
+fn told(id: ChangeId, publication: Publication) -> Result<AcceptedDocument, Problem> {
+    let mut problem = match publication {
+        Publication::Accepted(version) => {
+            return Ok(AcceptedDocument {
+                change_id: id,
+                version,
+            });
+        }
+        Publication::Rejected(rejection) => {
+            let detail = format!(
+                "change {} of {} was first; look at version {} and decide again",
+                rejection.winner, rejection.winner_author, rejection.version
+            );
+            let mut problem = Problem::new(ProblemKind::Rejected, detail);
+            problem.extensions.version = Some(rejection.version);
+            problem.extensions.winner = Some(rejection.winner);
+            problem.extensions.winner_author = Some(rejection.winner_author.to_string());
+            problem
+        }
+        Publication::Invalid(version) => {
+            let detail = format!("the change does not fit version {version}");
+            let mut problem = Problem::new(ProblemKind::Invalid, detail);
+            problem.extensions.version = Some(version);
+            problem
+        }
+        Publication::NotAccepted(reason) => Problem::not_accepted(reason),
+        Publication::Unknown => {
+            let detail = format!("the log's answer is missing; ask for /v1/changes/{id}");
+            Problem::new(ProblemKind::OutcomeUnknown, detail)
+        }
+    };
+    problem.extensions.change_id = Some(id);
+    Err(problem)
+}
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -1,6 +1,9 @@
 //! The operators' side: questionnaire, generated configuration and administration.
 
+pub mod admin_api;
 pub mod answers;
 pub mod difference;
 pub mod generate;
 pub mod questionnaire;
+pub mod room;
+pub mod status;
--- a/src/operators/questionnaire.rs
+++ b/src/operators/questionnaire.rs
@@ -1,7 +1,9 @@
 //! The questions that a team answers, one set for each service and branch.
 
-/// One question of the questionnaire.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+use serde::Serialize;
+
+/// One question of the questionnaire; scripts read it as JSON.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Question {
     /// Key of the answer in the JSON file.
     pub key: &'static str,
