--- a/src/cli/console.rs
+++ b/src/cli/console.rs
@@ -6,10 +6,12 @@
 
 use super::error::CliError;
 
-/// Output for results, and input for questions.
+/// Output for results, and a place of their own for questions and warnings.
 pub struct Console<'a> {
-    /// Takes what commands print.
+    /// Takes results, which scripts read.
     pub out: &'a mut (dyn Write + Send),
+    /// Takes questions and warnings.
+    pub ask: &'a mut (dyn Write + Send),
     /// Gives the operator's answers.
     pub input: &'a mut (dyn BufRead + Send),
 }
@@ -41,13 +43,21 @@
         self.line(&text)
     }
 
+    /// Shows a warning.
+    ///
+    /// # Errors
+    /// [`CliError::Output`] when nobody reads.
+    pub fn warn(&mut self, text: &str) -> Result<(), CliError> {
+        writeln!(self.ask, "warning: {text}").map_err(CliError::Output)
+    }
+
     /// Asks a question; only `y` and `yes` agree, also at the end of input.
     ///
     /// # Errors
     /// [`CliError::Output`] when the question cannot be shown or the answer not read.
     pub fn agrees(&mut self, question: &str) -> Result<bool, CliError> {
-        write!(self.out, "{question} [y/N] ").map_err(CliError::Output)?;
-        self.out.flush().map_err(CliError::Output)?;
+        write!(self.ask, "{question} [y/N] ").map_err(CliError::Output)?;
+        self.ask.flush().map_err(CliError::Output)?;
         let mut answer = String::new();
         self.input
             .read_line(&mut answer)
--- a/src/cli/publish.rs
+++ b/src/cli/publish.rs
@@ -93,7 +93,7 @@
 
 fn agrees(problem: &Problem, console: &mut Console<'_>) -> Result<bool, CliError> {
     for warning in &problem.extensions.warnings {
-        console.line(&format!("warning: {warning}"))?;
+        console.warn(&warning.to_string())?;
     }
     console.agrees("Go on?")
 }
--- a/src/operators/admin_api/mod.rs
+++ b/src/operators/admin_api/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod access;
 pub mod backend;
+mod change_headers;
 pub mod documents;
 pub mod problem;
 mod publishing;
--- a/src/operators/admin_api/publishing.rs
+++ b/src/operators/admin_api/publishing.rs
@@ -2,15 +2,14 @@
 
 use std::sync::Arc;
 
-use warp::http::header::{HeaderMap, IF_MATCH};
-use warp::http::{HeaderName, Response};
+use warp::http::{HeaderMap, Response};
 use warp::hyper::body::Bytes;
 
 use super::backend::AdminBackend;
+use super::change_headers::ChangeHeaders;
 use super::documents::AcceptedDocument;
 use super::problem::{Problem, ProblemKind};
 use super::reading::versioned;
-use super::{AUTHOR_HEADER, CHANGE_ID_HEADER, CONFIRM_HEADER, CONFIRM_VALUE};
 use crate::agreement::change::{Change, ChangeAction};
 use crate::agreement::publish::Publication;
 use crate::model::answers::Answers;
@@ -21,19 +20,6 @@
 use crate::operators::generate::generate;
 use crate::operators::room;
 
-/// Longest change id and author, in bytes.
-const HEADER_TEXT_BYTES_MAX: usize = 128;
-/// Author of a change whose client names none.
-const DEFAULT_AUTHOR: &str = "operator";
-
-/// What the headers of a change say.
-struct ChangeHeaders {
-    base: ConfigVersion,
-    id: ChangeId,
-    author: Arc<str>,
-    confirmed: bool,
-}
-
 /// Publishes the answers of a branch.
 pub async fn put_answers<B: AdminBackend>(
     service: ServiceName,
@@ -73,7 +59,7 @@
     backend: &B,
 ) -> Result<AcceptedDocument, Problem> {
     let config = held_config(backend)?;
-    let headers = read_headers(headers)?;
+    let headers = ChangeHeaders::read(headers)?;
     if is_new(&headers.id, &action, backend)? {
         check_answers(&action, headers.base, &config)?;
         if !headers.confirmed {
@@ -122,53 +108,6 @@
     from_json(text).map_err(Problem::bad_answers)
 }
 
-fn read_headers(headers: &HeaderMap) -> Result<ChangeHeaders, Problem> {
-    let id = text_of(headers, &HeaderName::from_static(CHANGE_ID_HEADER))?;
-    let Some(id) = id else {
-        let detail = "name the change by the header Bronzelock-Change-Id, so that a repeat \
-                      after a lost answer is the same change";
-        return Err(Problem::new(ProblemKind::BadRequest, detail));
-    };
-    let author = text_of(headers, &HeaderName::from_static(AUTHOR_HEADER))?;
-    let confirm = text_of(headers, &HeaderName::from_static(CONFIRM_HEADER))?;
-    Ok(ChangeHeaders {
-        base: read_base(headers)?,
-        id: ChangeId(Arc::from(id)),
-        author: Arc::from(author.unwrap_or(DEFAULT_AUTHOR)),
-        confirmed: confirm == Some(CONFIRM_VALUE),
-    })
-}
-
-fn read_base(headers: &HeaderMap) -> Result<ConfigVersion, Problem> {
-    let Some(value) = text_of(headers, &IF_MATCH)? else {
-        let detail = "state the version you build on by If-Match, as ETag gave it";
-        return Err(Problem::new(ProblemKind::BaseMissing, detail));
-    };
-    let digits = value
-        .strip_prefix('"')
-        .and_then(|rest| rest.strip_suffix('"'));
-    let version = digits.and_then(|digits| digits.parse().ok());
-    version.map(ConfigVersion).ok_or_else(|| {
-        let detail = format!("If-Match {value} is no version such as \"12\"");
-        Problem::new(ProblemKind::BadRequest, detail)
-    })
-}
-
-fn text_of<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Result<Option<&'a str>, Problem> {
-    let Some(value) = headers.get(name) else {
-        return Ok(None);
-    };
-    match value.to_str() {
-        Ok(text) if !text.is_empty() && text.len() <= HEADER_TEXT_BYTES_MAX => Ok(Some(text)),
-        _ => {
-            let detail = format!(
-                "header {name} is not 1 to {HEADER_TEXT_BYTES_MAX} visible ASCII characters"
-            );
-            Err(Problem::new(ProblemKind::BadRequest, detail))
-        }
-    }
-}
-
 /// Whether the id was not seen before; an id of a different change is a problem.
 fn is_new<B: AdminBackend>(
     id: &ChangeId,
--- a/tests/admin_api.rs
+++ b/tests/admin_api.rs
@@ -11,7 +11,7 @@
 use bronzelock::edge::http_exchange::{Answer, exchange};
 use bronzelock::operators::admin_api::access::{AccessError, AdminToken, check_listen};
 use bytes::Bytes;
-use common::{HERD, zone};
+use common::{HERD, block_on, zone};
 use http_body_util::Full;
 use hyper::Request;
 use node::{FakeNode, TOKEN, herd_node, serve};
@@ -47,13 +47,6 @@
         .expect("a whole answer")
 }
 
-fn block_on<T>(work: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    runtime.expect("a runtime").block_on(work)
-}
-
 /// Calls a node one after another and returns the answers.
 fn answers(node: FakeNode, calls: &[Call<'_>]) -> (Arc<FakeNode>, Vec<Answer>) {
     let node = Arc::new(node);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,3 +45,11 @@
 pub fn change_text(change: &Change) -> String {
     RecordWire::from(change).to_text()
 }
+
+/// Runs asynchronous work on a runtime of its own.
+pub fn block_on<T>(work: impl Future<Output = T>) -> T {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build();
+    runtime.expect("a runtime").block_on(work)
+}
--- /dev/null
+++ b/tests/fold_wire.rs
@@ -0,0 +1,84 @@
+//! Records and snapshots on the wire, in the log and between peers.
+
+mod common;
+
+use bronzelock::agreement::change::ChangeAction;
+use bronzelock::agreement::fold::Fold;
+use bronzelock::agreement::outcome::OUTCOMES_MAX;
+use bronzelock::agreement::record::{Record, RecordWire, SnapshotWire};
+use bronzelock::agreement::snapshot::Snapshot;
+use bronzelock::model::names::{BranchName, ServerName, ServiceName};
+use bronzelock::operators::answers::from_json;
+use common::{change, change_text, zone};
+
+/// Largest snapshot record with four services and a full memory, in bytes.
+const SNAPSHOT_BYTES_MAX: usize = 64 * 1024;
+
+/// The shipped services, and a memory full of changes.
+fn full() -> Snapshot {
+    let mut fold = Fold::new();
+    let shipped = ["herd", "parlour", "ductbook", "camlog"].map(|name| {
+        let path = format!(
+            "{}/examples/answers/{name}.json",
+            env!("CARGO_MANIFEST_DIR")
+        );
+        let text = std::fs::read_to_string(path).expect("a shipped file");
+        ChangeAction::PutAnswers(Box::new(from_json(&text).expect("shipped answers fit")))
+    });
+    let others = (0..OUTCOMES_MAX).map(|_| ChangeAction::ZoneOut(zone("accra-kaneshie")));
+    for (offset, action) in shipped.into_iter().chain(others).enumerate() {
+        let offset = offset as u64;
+        let id = format!("{offset:032x}");
+        fold.apply(offset, &Record::Change(change(&id, offset, action)));
+    }
+    assert_eq!(fold.version().0, 4 + OUTCOMES_MAX as u64);
+    fold.snapshot()
+}
+
+fn actions() -> [ChangeAction; 6] {
+    let server = ServerName::new("herd-1").expect("a name");
+    [
+        ChangeAction::PutAnswers(Box::new(common::herd())),
+        ChangeAction::RemoveBranch {
+            service: ServiceName::new("herd").expect("a name"),
+            branch: BranchName::new("b").expect("a name"),
+        },
+        ChangeAction::ZoneOut(zone("z")),
+        ChangeAction::ZoneIn(zone("z")),
+        ChangeAction::ServerOut(server.clone()),
+        ChangeAction::ServerIn(server),
+    ]
+}
+
+cases! {
+    every_change_survives_the_log => {
+        for action in actions() {
+            let change = change("c", 7, action);
+            assert_eq!(Record::parse(&change_text(&change)), Ok(Record::Change(change)));
+        }
+    }
+
+    snapshot_survives_the_log_within_its_bound => {
+        let snapshot = full();
+        let text = RecordWire::from(&snapshot).to_text();
+        assert!(text.len() <= SNAPSHOT_BYTES_MAX, "{} bytes", text.len());
+        assert_eq!(Record::parse(&text), Ok(Record::Snapshot(Box::new(snapshot))));
+    }
+
+    snapshot_survives_a_binary_codec_between_peers => {
+        let snapshot = full();
+        let bytes = postcard::to_allocvec(&SnapshotWire::from(snapshot.clone())).expect("encoded");
+        let wire: SnapshotWire = postcard::from_bytes(&bytes).expect("decoded");
+        assert_eq!(Snapshot::from(wire), snapshot);
+    }
+
+    /// Records that are in the log outlive the program that wrote them.
+    form_of_a_change_is_pinned => {
+        let text = change_text(&change("c-1", 7, ChangeAction::ZoneOut(zone("saraburi"))));
+        let pinned = concat!(
+            r#"{"wire_version":1,"body":{"change":{"id":"c-1","base":7,"#,
+            r#""author":"operator of c-1","action":{"zone_out":"saraburi"}}}}"#
+        );
+        assert_eq!(text, pinned);
+    }
+}
--- a/tests/publish_log_client.rs
+++ b/tests/publish_log_client.rs
@@ -7,6 +7,7 @@
 use bronzelock::agreement::catch_up::StoredRecord;
 use bronzelock::agreement::publish::NotAcceptedReason;
 use bronzelock::edge::log_client::{LogClient, LogError, LogStep, LogTimeouts};
+use common::block_on;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
@@ -47,13 +48,6 @@
     (result, task.await.expect("the fake ended well"))
 }
 
-fn block_on<T>(work: impl Future<Output = T>) -> T {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
-    runtime.expect("a runtime").block_on(work)
-}
-
 cases! {
     append_returns_the_offset => {
         let answer = "HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{\"offset\":41}";
