--- a/src/cli/error.rs
+++ b/src/cli/operators/error.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use super::super::{EXIT_BAD_INPUT, EXIT_FAILED};
 use super::client::{ClientCause, ClientError};
 use crate::model::ids::ChangeId;
 use crate::operators::admin_api::problem::{Problem, ProblemKind};
@@ -12,7 +13,9 @@
 #[repr(u8)]
 pub enum ExitStatus {
     /// The command failed; nothing was changed.
-    Failed = 1,
+    Failed = EXIT_FAILED,
+    /// Answers or a file do not fit; nothing was changed.
+    BadInput = EXIT_BAD_INPUT,
     /// Another operator's change was first; nothing was changed.
     Rejected = 3,
     /// The log did not take the change; nothing was changed.
@@ -74,7 +77,8 @@
             },
             Self::Unknown { .. } => ExitStatus::Unknown,
             Self::Declined => ExitStatus::Declined,
-            Self::File { .. } | Self::Answers(_) | Self::Output(_) => ExitStatus::Failed,
+            Self::File { .. } | Self::Answers(_) => ExitStatus::BadInput,
+            Self::Output(_) => ExitStatus::Failed,
         }
     }
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -1,4 +1,13 @@
-//! The process's edges: clients of the systems around it.
+//! What touches the outside: sockets, codecs and clocks.
 
+pub mod gossip_codec;
+mod gossip_wire;
+pub mod handshake;
 pub mod http_exchange;
+pub mod http_server;
 pub mod log_client;
+pub mod peer_client;
+pub mod peer_rpc;
+pub mod peer_server;
+pub mod server_pool;
+pub mod wire;
--- a/tests/admin_cli.rs
+++ b/tests/admin_cli.rs
@@ -9,8 +9,8 @@
 use std::sync::Arc;
 
 use bronzelock::agreement::publish::{NotAcceptedReason, Publication};
-use bronzelock::cli::console::Console;
-use bronzelock::cli::{CliError, ExitStatus, OperatorCommand, run};
+use bronzelock::cli::operators::console::Console;
+use bronzelock::cli::operators::{CliError, ExitStatus, OperatorCommand, run};
 use bronzelock::model::ids::ConfigVersion;
 use bronzelock::model::load::ServerState;
 use bronzelock::model::names::ServiceName;
@@ -128,6 +128,7 @@
         let file = File::new("bad.json", &HERD.replace("\"slots\": 12", "\"slots\": 1"));
         let words = ["configure", "--answers", file.path(), "--admin", "127.0.0.1:1"];
         let ended = block_on(command(&words, ""));
+        assert_eq!(ended.status(), Some(ExitStatus::BadInput));
         let text = ended.result.expect_err("cold is above slots").to_string();
         assert_eq!(text, "question cold_slots: found 2; fits: at most 1, the answer to slots");
     }
