Bring nothing into force before a starting node has caught up

Change: the reader says when its state may be brought into force: after the log was read to its end once, or a peer's state was adopted. The follower asks.

Seen failing first: with a reader that is always ready, the two new rules fail.

--- a/src/agreement/catch_up.rs
+++ b/src/agreement/catch_up.rs
@@ -70,6 +70,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct CatchUp {
     search: Option<Search>,
+    ready: bool,
 }
 
 /// Search for a snapshot beyond a gap.
@@ -90,6 +91,19 @@
         open.map_or(needed, |search| search.from)
     }
 
+    /// Whether the fold may be brought into force.
+    ///
+    /// That is after the log was read to its end or a peer's state was taken over, since
+    /// what a starting node holds before may be older than what callers already saw.
+    pub fn is_ready(&self) -> bool {
+        self.ready
+    }
+
+    /// Notes that the fold adopted the newest state of several peers.
+    pub fn on_adopted(&mut self) {
+        self.ready = true;
+    }
+
     /// Applies a page; the fold may have adopted a peer's snapshot since it was asked for.
     ///
     /// # Errors
@@ -128,6 +142,7 @@
         let needed = fold.next_offset();
         self.search = None;
         if needed >= page.next {
+            self.ready = true;
             return Progress::CaughtUp;
         }
         if needed >= page.earliest && !stuck {
--- a/src/agreement/follower.rs
+++ b/src/agreement/follower.rs
@@ -52,7 +52,11 @@
     pub fn adopt(&self, kernel: &Kernel, snapshot: Snapshot) {
         let config = {
             let mut state = lock(&self.state);
-            state.fold.adopt(snapshot).then(|| state.fold.config())
+            let adopted = state.fold.adopt(snapshot);
+            if adopted {
+                state.catch_up.on_adopted();
+            }
+            adopted.then(|| state.fold.config())
         };
         if let Some(config) = config {
             in_force::bring(kernel, config);
@@ -70,13 +74,15 @@
             let mut state = lock(&self.state);
             let State { fold, catch_up, .. } = &mut *state;
             let result = catch_up.on_page(fold, page);
-            let config = fold.config();
+            let config = catch_up.is_ready().then(|| fold.config());
             if matches!(&result, Ok(result) if result.progress == Progress::CaughtUp) {
                 state.caught_up_us = Some(kernel.now_us());
             }
             (result, config)
         };
-        in_force::bring(kernel, config);
+        if let Some(config) = config {
+            in_force::bring(kernel, config);
+        }
         match result {
             Ok(result) => Some(result.progress),
             Err(error) => {
--- a/tests/fold_rules.rs
+++ b/tests/fold_rules.rs
@@ -174,6 +174,32 @@
         assert_eq!(fold.version(), ConfigVersion(0));
     }
 
+    starting_node_is_ready_at_the_end_of_the_log_only => {
+        let early = folded(&[out("a", 0, "saraburi")]);
+        let late = change("c", 2, ChangeAction::ZoneOut(zone("x")));
+        let texts = [RecordWire::from(&early.snapshot()).to_text(), change_text(&late)];
+        let mut fold = Fold::new();
+        let mut reader = CatchUp::default();
+        let gap = reader.on_page(&mut fold, &page(2, &texts, 4)).expect("readable");
+        assert!(matches!(gap.progress, Progress::Gap { .. }), "{gap:?}");
+        assert!(!reader.is_ready(), "version 1 may be older than what callers already saw");
+
+        let begin = [change_text(&change("a", 0, ChangeAction::ZoneOut(zone("x"))))];
+        let more = Page { next: 2, ..page(0, &begin, 1) };
+        let (mut fold, mut reader) = (Fold::new(), CatchUp::default());
+        reader.on_page(&mut fold, &more).expect("readable");
+        assert!(!reader.is_ready(), "another record is still to be read");
+        reader.on_page(&mut fold, &page(0, &begin, 1)).expect("readable");
+        assert!(reader.is_ready());
+    }
+
+    peers_state_makes_a_starting_node_ready => {
+        let mut reader = CatchUp::default();
+        assert!(!reader.is_ready());
+        reader.on_adopted();
+        assert!(reader.is_ready());
+    }
+
     start_on_a_fully_trimmed_log_is_refused => {
         let result = CatchUp::default().on_page(&mut Fold::new(), &page(7, &[], 7));
         let progress = result.expect("readable").progress;
