--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -3,6 +3,7 @@
 pub mod gossip_codec;
 mod gossip_wire;
 pub mod handshake;
+pub mod http_exchange;
 pub mod http_server;
 pub mod log_client;
 pub mod peer_client;
