--- a/src/agreement/follower.rs
+++ b/src/agreement/follower.rs
@@ -1,119 +1,69 @@
-//! Follows the configuration: reads the log, asks peers, and brings what is newer into force.
+//! Follows the configuration: a few readers of each availability zone read the log and pass
+//! records on; everyone asks a peer that holds more, and now and then the log itself.
 
-use std::sync::{Arc, Mutex};
+use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
-use super::catch_up::{CatchUp, Page, Progress};
-use super::fold::Fold;
-use super::in_force;
+use super::catch_up::Progress;
+use super::passing_on;
 use super::snapshot::Snapshot;
 use crate::edge::log_client::LogClient;
-use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
-use crate::kernel::shards::lock;
+use crate::kernel::{Kernel, StepError};
 
 /// Records that one read asks for.
 const RECORDS_MAX: u32 = 256;
 
+/// Shortest pause between two reads of a node that is no reader, in ms.
+const FALLBACK_MS_MIN: u64 = 20_000;
+
 /// Growth of the pause after repeated failures.
 const PAUSE_FACTOR_MAX: u64 = 10;
 
-/// The fold of this node with its place in the log.
-#[derive(Debug, Default)]
-pub struct ConfigFold {
-    state: Mutex<State>,
-}
-
-#[derive(Debug, Default)]
-struct State {
-    fold: Fold,
-    catch_up: CatchUp,
-    /// When the log was last read to its end, in µs.
-    caught_up_us: Option<u64>,
-}
-
-impl ConfigFold {
-    /// A copy of the state, for peers and the log.
-    pub fn snapshot(&self) -> Snapshot {
-        lock(&self.state).fold.snapshot()
-    }
-
-    /// Looks into the fold.
-    pub fn with<R>(&self, look: impl FnOnce(&Fold) -> R) -> R {
-        look(&lock(&self.state).fold)
-    }
-
-    /// When the log was last read to its end, in µs.
-    pub fn caught_up_us(&self) -> Option<u64> {
-        lock(&self.state).caught_up_us
-    }
-
-    /// Takes a peer's state when it is newer.
-    pub fn adopt(&self, kernel: &Kernel, snapshot: Snapshot) {
-        let config = {
-            let mut state = lock(&self.state);
-            let adopted = state.fold.adopt(snapshot);
-            if adopted {
-                state.catch_up.on_adopted();
-            }
-            adopted.then(|| state.fold.config())
-        };
-        if let Some(config) = config {
-            in_force::bring(kernel, config);
-        }
-    }
-
-    fn read_from(&self) -> u64 {
-        let state = lock(&self.state);
-        state.catch_up.read_from(&state.fold)
-    }
-
-    /// Applies a page of the log.
-    fn take_page(&self, kernel: &Kernel, page: &Page) -> Option<Progress> {
-        let (result, config) = {
-            let mut state = lock(&self.state);
-            let State { fold, catch_up, .. } = &mut *state;
-            let result = catch_up.on_page(fold, page);
-            let config = catch_up.is_ready().then(|| fold.config());
-            if matches!(&result, Ok(result) if result.progress == Progress::CaughtUp) {
-                state.caught_up_us = Some(kernel.now_us());
-            }
-            (result, config)
-        };
-        if let Some(config) = config {
-            in_force::bring(kernel, config);
-        }
-        match result {
-            Ok(result) => Some(result.progress),
-            Err(error) => {
-                log::error!("config: the log holds what this node cannot read: {error}");
-                None
-            }
-        }
-    }
-}
-
-/// Reads the log until the node stops.
+/// Reads the log until the node stops: without pause as a reader, else now and then.
 pub async fn read_log(kernel: Arc<Kernel>, log: LogClient) {
     let mut failures = 0;
     loop {
-        let read = read_once(&kernel, &log);
-        let went_on = tokio::select! {
+        let reading = read_once(&kernel, &log);
+        let read = tokio::select! {
             () = kernel.stop.stopped() => return,
-            went_on = read => went_on,
+            read = reading => read,
+        };
+        failures = if read == Read::Failed {
+            failures + 1
+        } else {
+            0
+        };
+        let pause = match read {
+            Read::Failed => pause(&kernel, failures),
+            Read::More => continue,
+            Read::AtEnd if passing_on::is_reader(&kernel) => continue,
+            Read::AtEnd => fallback_pause(),
         };
-        if went_on {
-            failures = 0;
-            continue;
-        }
-        failures += 1;
         tokio::select! {
             () = kernel.stop.stopped() => return,
-            () = tokio::time::sleep(pause(&kernel, failures)) => {}
+            () = tokio::time::sleep(pause) => {}
         }
     }
 }
 
+/// What one read came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Read {
+    /// The log was read to its end.
+    AtEnd,
+    /// There is more to read at once.
+    More,
+    /// The log could not be read, or does not fit what is known.
+    Failed,
+}
+
+/// A pause of a node that is no reader, spread so that nodes do not read at once.
+fn fallback_pause() -> Duration {
+    Duration::from_millis(rand::random_range(FALLBACK_MS_MIN..=2 * FALLBACK_MS_MIN))
+}
+
 /// A pause that grows with failures, spread so that nodes do not return at once.
 fn pause(kernel: &Kernel, failures: u64) -> Duration {
     let base_ms = kernel.settings.log.retry_ms * failures.min(PAUSE_FACTOR_MAX);
@@ -121,29 +71,33 @@
     Duration::from_millis(base_ms + spread_ms)
 }
 
-/// One read; whether reading may go on without a pause.
-async fn read_once(kernel: &Kernel, log: &LogClient) -> bool {
-    let settings = &kernel.settings.log;
+async fn read_once(kernel: &Arc<Kernel>, log: &LogClient) -> Read {
     let from = kernel.state.config_fold.read_from();
-    let read = log.read(from, RECORDS_MAX, settings.read_wait_ms);
-    match read.await {
-        Ok(page) => match kernel.state.config_fold.take_page(kernel, &page) {
-            Some(Progress::CaughtUp | Progress::ReadFrom(_)) => true,
-            Some(Progress::Gap { needed, earliest }) => {
-                log::warn!("config: the log keeps {earliest} on, needed is {needed}");
-                false
-            }
-            Some(Progress::LogShorter { covered, next }) => {
-                log::error!("config: the log ends at {next}, before what is known ({covered})");
-                false
-            }
-            None => false,
-        },
+    let wait_ms = kernel.settings.log.read_wait_ms;
+    let page = match log.read(from, RECORDS_MAX, wait_ms).await {
+        Ok(page) => page,
         Err(error) => {
             kernel.metrics.count(Event::LogFailed);
             log::debug!("config: {error}");
-            false
+            return Read::Failed;
+        }
+    };
+    let progress = kernel.state.config_fold.take_page(kernel, &page);
+    if !page.records.is_empty() && passing_on::is_reader(kernel) {
+        passing_on::pass_on(kernel, page);
+    }
+    match progress {
+        Some(Progress::CaughtUp) => Read::AtEnd,
+        Some(Progress::ReadFrom(_)) => Read::More,
+        Some(Progress::Gap { needed, earliest }) => {
+            log::warn!("config: the log keeps {earliest} on, needed is {needed}");
+            Read::Failed
+        }
+        Some(Progress::LogShorter { covered, next }) => {
+            log::error!("config: the log ends at {next}, before what is known ({covered})");
+            Read::Failed
         }
+        None => Read::Failed,
     }
 }
 
@@ -169,10 +123,7 @@
     }
 }
 
-async fn ask(
-    kernel: &Kernel,
-    peer: std::net::SocketAddr,
-) -> Result<Option<Snapshot>, crate::kernel::StepError> {
+async fn ask(kernel: &Kernel, peer: SocketAddr) -> Result<Option<Snapshot>, StepError> {
     let client = kernel.state.peer_pool.client(peer).await?;
     let version = kernel.state.config.load().version;
     let newer = client
@@ -180,7 +131,7 @@
         .await;
     let newer = newer.map_err(|error| {
         kernel.state.peer_pool.forget(peer);
-        crate::kernel::StepError::with_peer("ask for configuration", peer, error)
+        StepError::with_peer("ask for configuration", peer, error)
     })?;
     Ok(newer.map(|wire| Snapshot::from(wire.0)))
 }
--- a/src/agreement/mod.rs
+++ b/src/agreement/mod.rs
@@ -5,12 +5,16 @@
 
 pub mod catch_up;
 pub mod change;
+pub mod config_fold;
 pub mod fold;
 pub mod follower;
 pub mod in_force;
 pub mod members;
 pub mod outcome;
+pub mod passing_on;
 pub mod publish;
+pub mod publisher;
 pub mod record;
 pub mod renewal;
+pub mod renewer;
 pub mod snapshot;
--- /dev/null
+++ b/src/agreement/passing_on.rs
@@ -0,0 +1,91 @@
+//! Readers of an availability zone pass records of the log on to the zone's other nodes.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::catch_up::{Page, Progress};
+use crate::decision::readers;
+use crate::edge::peer_rpc::WirePage;
+use crate::kernel::Kernel;
+use crate::model::names::ServerName;
+use crate::request::state::ConfigHint;
+
+/// Time for one peer to take a page.
+const PASS_ON_MAX: Duration = Duration::from_secs(2);
+
+/// Whether this node reads the log for its availability zone.
+pub fn is_reader(kernel: &Kernel) -> bool {
+    let own = &kernel.settings.node.server;
+    let zone = zone_peers(kernel);
+    let names = zone.iter().map(|peer| &peer.server);
+    readers::is_reader(own, names, kernel.settings.log.readers_per_zone)
+}
+
+struct ZonePeer {
+    server: ServerName,
+    address: SocketAddr,
+}
+
+/// Live nodes of the own availability zone, but for this one.
+fn zone_peers(kernel: &Kernel) -> Vec<ZonePeer> {
+    let zone = &kernel.settings.node.zone;
+    let mut found = Vec::new();
+    kernel.state.peers.for_each(|peers| {
+        let live = peers
+            .iter()
+            .filter(|(_name, peer)| peer.live && peer.zone == *zone);
+        found.extend(live.map(|(server, peer)| ZonePeer {
+            server: server.clone(),
+            address: peer.address,
+        }));
+    });
+    found
+}
+
+/// Sends a page to each live node of the zone. A lost one heals by gossip and by the log.
+pub fn pass_on(kernel: &Arc<Kernel>, page: Page) {
+    let page = Arc::new(page);
+    for peer in zone_peers(kernel) {
+        let (sender, page) = (Arc::clone(kernel), Arc::clone(&page));
+        kernel.tasks.spawn(async move {
+            let sending = send(&sender, peer.address, &page);
+            let sent = tokio::select! {
+                () = sender.stop.stopped() => return,
+                sent = tokio::time::timeout(PASS_ON_MAX, sending) => sent,
+            };
+            if !matches!(sent, Ok(true)) {
+                log::debug!("config: {} did not take a page", peer.server);
+            }
+        });
+    }
+}
+
+async fn send(kernel: &Kernel, peer: SocketAddr, page: &Page) -> bool {
+    let Ok(client) = kernel.state.peer_pool.client(peer).await else {
+        return false;
+    };
+    let context = tarpc::context::current();
+    let reader = kernel.settings.peer.listen;
+    let wire = WirePage::new(page, reader);
+    client.config_page(context, wire).await.is_ok()
+}
+
+/// Takes a page that a reader passed on; asks the reader when it does not connect.
+pub fn take(kernel: &Kernel, wire: WirePage) {
+    let reader = wire.reader;
+    let version = kernel.state.config.load().version;
+    let page = Page::from(wire);
+    let progress = kernel.state.config_fold.take_page(kernel, &page);
+    let connected = matches!(
+        progress,
+        Some(Progress::CaughtUp | Progress::LogShorter { .. })
+    );
+    if !connected {
+        let hint = ConfigHint {
+            peer: reader,
+            version: crate::model::ids::ConfigVersion(version.0 + 1),
+        };
+        kernel.state.config_behind.send_replace(Some(hint));
+    }
+}
--- a/src/cli/operators/status.rs
+++ b/src/cli/operators/status.rs
@@ -6,6 +6,7 @@
 use super::error::CliError;
 use super::{StatusArgs, client};
 use crate::model::load::ServerState;
+use crate::model::names::ServiceName;
 use crate::operators::status::{ClusterStatus, NodeStatus};
 
 /// Time between two prints of `--watch`, in ms.
@@ -71,7 +72,7 @@
     format!(
         "{:<20} {:<12} {:<16} {:>7} {:>5} ms {:<8} {:>9} {:>7}  {}",
         node.node.as_str(),
-        node.service.as_str(),
+        node.service.as_ref().map_or("-", ServiceName::as_str),
         node.zone.as_str(),
         node.version.0,
         node.age_ms,
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -7,6 +7,7 @@
 pub mod gate;
 pub mod membership;
 pub mod probe_budget;
+pub mod readers;
 pub mod retry;
 pub mod routing;
 pub mod ticket;
--- a/src/edge/peer_rpc.rs
+++ b/src/edge/peer_rpc.rs
@@ -1,13 +1,17 @@
 //! Requests that nodes make of each other.
 
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::wire::{WireCall, WireReply};
+use crate::agreement::catch_up::{Page, StoredRecord};
 use crate::agreement::record::SnapshotWire;
 use crate::model::ids::ConfigVersion;
 use crate::model::load::LoadReport;
 use crate::model::names::ServiceName;
 use crate::model::reasons::Refusal;
+use crate::operators::status::NodeStatus;
 
 /// A ticket in its text form, or why none was issued.
 pub type WireTicket = Result<String, Refusal>;
@@ -19,6 +23,9 @@
     pub load: LoadReport,
 }
 
+/// Status of a node, none while its backend server is unknown to the configuration.
+pub type WireStatus = NodeStatus;
+
 /// A newer state of the configuration, as JSON text since it is self-describing.
 #[derive(Debug, Clone)]
 pub struct WireConfig(pub SnapshotWire);
@@ -39,6 +46,55 @@
     }
 }
 
+/// A page of the log that a reader passes on.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WirePage {
+    from: u64,
+    earliest: u64,
+    next: u64,
+    records: Vec<WireRecord>,
+    /// Address of the reader's peer listener.
+    pub reader: SocketAddr,
+}
+
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct WireRecord {
+    offset: u64,
+    text: String,
+}
+
+impl WirePage {
+    /// Makes the wire form that names the reader.
+    pub fn new(page: &Page, reader: SocketAddr) -> Self {
+        let record = |stored: &StoredRecord| WireRecord {
+            offset: stored.offset,
+            text: stored.text.clone(),
+        };
+        Self {
+            from: page.from,
+            earliest: page.earliest,
+            next: page.next,
+            records: page.records.iter().map(record).collect(),
+            reader,
+        }
+    }
+}
+
+impl From<WirePage> for Page {
+    fn from(wire: WirePage) -> Self {
+        let stored = |record: WireRecord| StoredRecord {
+            offset: record.offset,
+            text: record.text,
+        };
+        Self {
+            from: wire.from,
+            earliest: wire.earliest,
+            next: wire.next,
+            records: wire.records.into_iter().map(stored).collect(),
+        }
+    }
+}
+
 /// What a node does for its peers.
 #[tarpc::service]
 pub trait PeerNode {
@@ -48,6 +104,10 @@
     async fn issue_ticket(service: ServiceName) -> WireTicket;
     /// Gives the state of the configuration when it is newer than `version`.
     async fn config_newer_than(version: ConfigVersion) -> Option<WireConfig>;
+    /// Takes a page of the log that a reader of the availability zone passes on.
+    async fn config_page(page: WirePage);
+    /// Tells the node's status for operators.
+    async fn status() -> WireStatus;
     /// Tells the load of the gate, as a heartbeat for pairs that exchange no requests.
     async fn load() -> WireLoad;
 }
--- a/src/edge/peer_server.rs
+++ b/src/edge/peer_server.rs
@@ -12,13 +12,15 @@
 
 use super::handshake::{self, PeerKey};
 use super::peer_client::codec;
-use super::peer_rpc::{PeerNode, WireConfig, WireLoad, WireTicket};
+use super::peer_rpc::{PeerNode, WireConfig, WireLoad, WirePage, WireStatus, WireTicket};
 use super::wire::{WireCall, WireReply};
+use crate::agreement::passing_on;
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::model::ids::{ConfigVersion, RequestId};
 use crate::model::names::ServiceName;
 use crate::model::reasons::{RefusalReason, RunState};
+use crate::operators::node_status;
 use crate::request::call::{Call, CallResult, Failure, Step};
 use crate::request::executor;
 
@@ -120,6 +122,14 @@
         (snapshot.version() > version).then(|| WireConfig(snapshot.into()))
     }
 
+    async fn config_page(self, _context: Context, page: WirePage) {
+        passing_on::take(&self.kernel, page);
+    }
+
+    async fn status(self, _context: Context) -> WireStatus {
+        node_status::own(&self.kernel)
+    }
+
     async fn load(self, _context: Context) -> WireLoad {
         WireLoad {
             load: self.kernel.state.gate.load(),
--- a/src/kernel/metrics.rs
+++ b/src/kernel/metrics.rs
@@ -157,6 +157,12 @@
             .collect()
     }
 
+    /// Each refusal reason with its count.
+    pub fn refusals(&self) -> impl Iterator<Item = (RefusalReason, u64)> {
+        let reasons = RefusalReason::ALL.iter().copied();
+        reasons.zip(self.refusals.iter().map(Counter::total))
+    }
+
     /// Sends what was counted since the last flush.
     pub fn flush(&self) {
         for (name, counter) in self.named() {
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -4,6 +4,7 @@
 pub mod answers;
 pub mod difference;
 pub mod generate;
+pub mod node_status;
 pub mod questionnaire;
 pub mod room;
 pub mod status;
--- a/src/operators/status.rs
+++ b/src/operators/status.rs
@@ -25,8 +25,8 @@
 pub struct NodeStatus {
     /// Name of the backend server and of the node beside it.
     pub node: ServerName,
-    /// Service of the backend server.
-    pub service: ServiceName,
+    /// Service of the backend server; none while it is not announced.
+    pub service: Option<ServiceName>,
     /// Availability zone.
     pub zone: ZoneName,
     /// Version that the node has confirmed.
--- a/src/plugins/config.rs
+++ b/src/plugins/config.rs
@@ -1,8 +1,8 @@
-//! Plug-in that follows the configuration and brings it into force.
+//! Plug-in that follows the configuration, brings it into force and keeps it in the log.
 
 use std::sync::Arc;
 
-use crate::agreement::{follower, in_force};
+use crate::agreement::{follower, in_force, renewer};
 use crate::kernel::Kernel;
 use crate::kernel::plugin::{Plugin, Stage, Started};
 
@@ -10,16 +10,11 @@
 
 fn start(kernel: Arc<Kernel>) -> Started {
     Box::pin(async move {
-        let log = kernel.config_log();
-        kernel
-            .tasks
-            .spawn(follower::read_log(Arc::clone(&kernel), log));
-        kernel
-            .tasks
-            .spawn(follower::follow_peers(Arc::clone(&kernel)));
-        kernel
-            .tasks
-            .spawn(in_force::keep_gate_configured(Arc::clone(&kernel)));
+        let (tasks, log) = (&kernel.tasks, kernel.config_log());
+        tasks.spawn(follower::read_log(Arc::clone(&kernel), log.clone()));
+        tasks.spawn(follower::follow_peers(Arc::clone(&kernel)));
+        tasks.spawn(renewer::run(Arc::clone(&kernel), log));
+        tasks.spawn(in_force::keep_gate_configured(Arc::clone(&kernel)));
         Ok(())
     })
 }
--- a/src/plugins/membership.rs
+++ b/src/plugins/membership.rs
@@ -263,6 +263,7 @@
         address: member.peer_address,
         service: member.service.clone(),
         zone: member.zone.clone(),
+        live: member.is_present(),
     };
     if let Some(before) = before
         && (before.address != peer.address || before.incarnation != peer.incarnation)
--- a/src/plugins/mod.rs
+++ b/src/plugins/mod.rs
@@ -1,5 +1,6 @@
 //! Plug-ins of the node. Each registers itself with the kernel; this is the list of all.
 
+pub mod admin;
 pub mod announce;
 pub mod caller;
 pub mod config;
--- a/src/request/state.rs
+++ b/src/request/state.rs
@@ -10,7 +10,7 @@
 
 use super::admission::GateCell;
 use super::executor::TicketCell;
-use crate::agreement::follower::ConfigFold;
+use crate::agreement::config_fold::ConfigFold;
 use crate::decision::membership::Member;
 use crate::decision::retry::RetryBudget;
 use crate::decision::routing::Router;
@@ -51,6 +51,8 @@
     pub service: Option<ServiceName>,
     /// Its availability zone.
     pub zone: ZoneName,
+    /// Whether membership holds the node for live.
+    pub live: bool,
 }
 
 /// The backend server as it announced itself.
@@ -116,7 +118,7 @@
         let retry = settings.routing.retry;
         Self {
             config: ArcSwap::default(),
-            config_fold: ConfigFold::default(),
+            config_fold: ConfigFold::new(settings.log.retention_ms),
             gate: Arc::new(GateCell::new(incarnation, clock)),
             tickets: TicketCell::new(settings, incarnation),
             ticket_key: TicketKey::from_secret(settings.peer.token.expose()),
