Keep an urgent command non-idempotent and match kinds alike everywhere

Cause: a POST that a branch named as urgent only was generated as idempotent, although the same POST without any rule counts as non-idempotent: naming a dispatch as urgent would have allowed a second run. And the generator compared paths by characters where requests are classified by whole segments, so that "PUT /look" made "PUT /lookup" urgent.

Change: POST and PATCH are non-idempotent in every generated rule; one function in model/config.rs decides whether a path stands below a prefix, for the generator and for requests alike. "//" counts as everything, as "/" does.

Seen failing first: 2 new cases of tests/questionnaire_generate.rs.

--- a/src/model/config.rs
+++ b/src/model/config.rs
@@ -87,3 +87,10 @@
     /// Backend servers taken out.
     pub servers_out: BTreeSet<ServerName>,
 }
+
+/// Whether a path is the prefix or stands below it, by whole segments.
+pub fn is_below(path: &str, prefix: &str) -> bool {
+    let trimmed = prefix.trim_end_matches('/');
+    path.strip_prefix(trimmed)
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
--- a/src/operators/answers.rs
+++ b/src/operators/answers.rs
@@ -262,7 +262,7 @@
 }
 
 fn is_everything(kind: &KindPattern) -> bool {
-    kind.path_prefix.as_ref() == "/"
+    kind.path_prefix.trim_end_matches('/').is_empty()
 }
 
 fn is_safe(kind: &KindPattern) -> bool {
--- a/src/operators/generate.rs
+++ b/src/operators/generate.rs
@@ -12,10 +12,15 @@
 use super::answers::{AnswerError, check};
 use super::questionnaire::{self as ask, Question};
 use crate::model::answers::{Answers, KindPattern};
-use crate::model::config::{BranchShare, Config, RequestKind, ServerBears, ServiceConfig};
+use crate::model::config::{
+    BranchShare, Config, RequestKind, ServerBears, ServiceConfig, is_below,
+};
 use crate::model::names::BranchName;
 use crate::model::request::{Effect, Urgency};
 
+/// Methods that are not idempotent by RFC 9110, section 9.2.2, among those of a kind.
+const UNSAFE_TO_REPEAT: [&str; 2] = ["POST", "PATCH"];
+
 /// Answers of all branches of one service.
 pub type BranchAnswers = BTreeMap<BranchName, Arc<Answers>>;
 
@@ -123,21 +128,27 @@
         } else {
             Urgency::Ordinary
         },
-        effect: if covered(kind, &non_idempotent) {
-            Effect::NonIdempotent
-        } else {
-            Effect::Idempotent
-        },
+        effect: effect(kind, &non_idempotent),
     };
     let mut rules: Vec<RequestKind> = named.iter().map(rule).collect();
     rules.sort_by_key(|rule| Reverse(rule.path_prefix.len()));
     rules
 }
 
+/// A command of POST or PATCH stays non-idempotent when it is named as urgent only.
+fn effect(kind: &KindPattern, non_idempotent: &BTreeSet<&KindPattern>) -> Effect {
+    let by_method = UNSAFE_TO_REPEAT.contains(&kind.method.as_ref());
+    if by_method || covered(kind, non_idempotent) {
+        Effect::NonIdempotent
+    } else {
+        Effect::Idempotent
+    }
+}
+
 /// Whether one of the patterns covers the kind, so that a longer rule loses nothing.
 fn covered(kind: &KindPattern, patterns: &BTreeSet<&KindPattern>) -> bool {
     patterns.iter().any(|pattern| {
-        pattern.method == kind.method && kind.path_prefix.starts_with(&*pattern.path_prefix)
+        pattern.method == kind.method && is_below(&kind.path_prefix, &pattern.path_prefix)
     })
 }
 
--- a/src/operators/questionnaire.rs
+++ b/src/operators/questionnaire.rs
@@ -59,7 +59,8 @@
     key: "non_idempotent_kinds",
     text: "Which kinds of request must never run twice?",
     help: "Name each command whose repetition does harm. It is run at most once; when its \
-           answer is lost, the caller is told that the outcome is unknown.",
+           answer is lost, the caller is told that the outcome is unknown. POST and PATCH are \
+           always treated so, named or not; name a PUT or DELETE that needs it.",
     fits: KINDS_FIT,
     example: "[\"POST /gate\"]",
 };
--- a/src/request/classify.rs
+++ b/src/request/classify.rs
@@ -5,7 +5,7 @@
 
 use super::call::{Call, Failure, Header, Step};
 use super::headers;
-use crate::model::config::{Config, RequestKind, ServiceConfig};
+use crate::model::config::{Config, RequestKind, ServiceConfig, is_below};
 use crate::model::ids::RequestId;
 use crate::model::names::{BranchName, ServerName, ServiceName};
 use crate::model::reasons::{RefusalReason, RunState};
@@ -153,12 +153,6 @@
         .max_by_key(|kind| kind.path_prefix.len())
 }
 
-fn is_below(path: &str, prefix: &str) -> bool {
-    let trimmed = prefix.trim_end_matches('/');
-    path.strip_prefix(trimmed)
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
-}
-
 /// Methods that are idempotent by RFC 9110, section 9.2.2.
 fn effect_of(method: &Method) -> Effect {
     if method.is_idempotent() {
--- a/tests/questionnaire_answers.rs
+++ b/tests/questionnaire_answers.rs
@@ -51,7 +51,7 @@
     out_of_bounds => { "slots": 0, "probes_per_s": 1000, "urgent_share_percent": 100 }
     cold_above_slots => { "cold_slots": 13 }
     connections_below_slots => { "connections": 11 }
-    everything_urgent => { "urgent_kinds": ["GET /", "POST /gate"] }
+    everything_urgent => { "urgent_kinds": ["GET /", "POST /gate", "PUT //"] }
     non_idempotent_get => { "non_idempotent_kinds": ["GET /gate"] }
     urgent_without_share => { "urgent_share_percent": 0 }
     no_zone => { "zones": [] }
--- a/tests/questionnaire_generate.rs
+++ b/tests/questionnaire_generate.rs
@@ -98,6 +98,25 @@
         assert_eq!(service.kinds[0].name, flood.name, "the longest path comes first");
     }
 
+    urgent_command_stays_non_idempotent => {
+        let mut answers = herd();
+        answers.urgent_kinds = [kind("POST /dispatch"), kind("PATCH /pulls")].into();
+        let service = generate(&Config::default(), &answers).expect("the answers fit");
+        for name in ["POST /dispatch", "PATCH /pulls"] {
+            let rule = rule(&service, name).expect("a rule");
+            assert_eq!((rule.urgency, rule.effect), (Urgency::Urgent, Effect::NonIdempotent));
+        }
+    }
+
+    rule_covers_whole_path_segments_only => {
+        let mut answers = herd();
+        answers.urgent_kinds = [kind("PUT /look")].into();
+        answers.non_idempotent_kinds = [kind("PUT /lookup"), kind("PUT /look/up")].into();
+        let service = generate(&Config::default(), &answers).expect("the answers fit");
+        assert_eq!(rule(&service, "PUT /lookup").expect("a rule").urgency, Urgency::Ordinary);
+        assert_eq!(rule(&service, "PUT /look/up").expect("a rule").urgency, Urgency::Urgent);
+    }
+
     difference_reads_line_by_line => {
         let before = config_of(&[herd()]);
         let mut after = Config::clone(&config_of(&[herd(), second_branch()]));
