--- a/src/decision/routing/health.rs
+++ b/src/decision/routing/health.rs
@@ -19,6 +19,8 @@
 const FAILURE_WEIGHT: f64 = 0.25;
 /// Smoothed share of failures above which a backend server is avoided.
 const FAILURE_SHARE_MAX: f64 = 0.5;
+/// Time in which half of the smoothed share of failures is forgiven, in µs.
+const FAILURE_HALF_LIFE_US: f64 = 1_000_000.0;
 /// First avoidance, in µs. Each further one in a row doubles it.
 const AVOID_FIRST_US: u64 = 100_000;
 /// Longest avoidance, in µs.
@@ -30,15 +32,32 @@
 #[derive(Debug, Clone, Default)]
 pub(super) struct Health {
     failure_share: f64,
+    share_at_us: u64,
     avoided_until_us: u64,
     avoidances_in_row: u32,
     trials_answered: u32,
 }
 
 impl Health {
-    /// Smoothed share of requests that failed, from 0 to 1.
-    pub(super) fn failure_share(&self) -> f64 {
-        self.failure_share
+    /// Share of requests expected to fail, from 0 to 1; zero when a trial is due.
+    pub(super) fn failure_share(&self, now_us: u64) -> f64 {
+        let trial_due = self.avoidances_in_row > 0 && now_us >= self.avoided_until_us;
+        if trial_due {
+            0.0
+        } else {
+            self.share_now(now_us)
+        }
+    }
+
+    fn share_now(&self, now_us: u64) -> f64 {
+        let age_us = now_us.saturating_sub(self.share_at_us) as f64;
+        self.failure_share * (-age_us / FAILURE_HALF_LIFE_US).exp2()
+    }
+
+    fn note_outcome(&mut self, failed: f64, now_us: u64) {
+        let share = self.share_now(now_us);
+        self.failure_share = share + FAILURE_WEIGHT * (failed - share);
+        self.share_at_us = now_us;
     }
 
     /// Whether a request may go there; on probation one at a time does.
@@ -59,7 +78,7 @@
     }
 
     fn record_answer(&mut self, now_us: u64) {
-        self.failure_share *= 1.0 - FAILURE_WEIGHT;
+        self.note_outcome(0.0, now_us);
         if self.avoidances_in_row == 0 || now_us < self.avoided_until_us {
             return;
         }
@@ -70,7 +89,7 @@
     }
 
     fn record_failure(&mut self, now_us: u64) {
-        self.failure_share += FAILURE_WEIGHT * (1.0 - self.failure_share);
+        self.note_outcome(1.0, now_us);
         let on_probation = self.avoidances_in_row > 0;
         if on_probation || self.failure_share > FAILURE_SHARE_MAX {
             self.avoid(now_us);
--- a/src/decision/routing/score.rs
+++ b/src/decision/routing/score.rs
@@ -11,7 +11,7 @@
 /// Requests at once assumed before a backend server has reported its limit.
 const LIMIT_DEFAULT: u32 = 1;
 /// Part of the run time that full use of the slots adds, so that ties go to the emptier one.
-const OCCUPANCY_WEIGHT: f64 = 0.25;
+const OCCUPANCY_WEIGHT: f64 = 0.05;
 /// Cost of a failed request, in µs.
 const FAILURE_COST_US: f64 = 50_000.0;
 
@@ -53,7 +53,7 @@
     let ahead = (load + 1.0 - limit).max(0.0) / limit;
     let occupancy = OCCUPANCY_WEIGHT * load / limit;
     let crossing_us = if entry.near { 0.0 } else { CROSSING_US };
-    let failure_us = FAILURE_COST_US * entry.health.failure_share();
+    let failure_us = FAILURE_COST_US * entry.health.failure_share(now_us);
     service_time_us(entry) * (1.0 + ahead + occupancy) + crossing_us + failure_us
 }
 
--- /dev/null
+++ b/tests/retry_rules.rs
@@ -0,0 +1,165 @@
+//! Which requests may be tried again, and how much work retries add.
+
+#[path = "support/cases.rs"]
+mod cases;
+
+use bronzelock::decision::retry::{RetryBudget, RetryContext, RetrySettings, may_retry};
+use bronzelock::model::reasons::{RefusalReason, RetryReason, RunState};
+use bronzelock::model::request::Effect;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const CONTEXT: RetryContext = RetryContext {
+    effect: Effect::Idempotent,
+    run_state: RunState::NotRun,
+    hops: 1,
+    hops_max: 3,
+    retry_allowed_by_caller: true,
+    deadline_left_us: 1_000,
+    reason: RetryReason::GateRefused,
+};
+
+const LOST: RetryContext = RetryContext {
+    run_state: RunState::Unknown,
+    reason: RetryReason::ConnectionLost,
+    ..CONTEXT
+};
+
+fn budget(burst: u32) -> RetryBudget {
+    RetryBudget::new(RetrySettings {
+        percent_of_requests: 10,
+        burst,
+        hops_max: 3,
+    })
+}
+
+fn decides(ctx: RetryContext, burst: u32, expected: Result<(), RefusalReason>) {
+    assert_eq!(may_retry(ctx, &mut budget(burst)), expected);
+}
+
+cases! {
+    decides:
+    gate_refusal_needs_no_budget(CONTEXT, 0, Ok(()));
+    unreachable_peer_needs_no_budget(
+        RetryContext { reason: RetryReason::PeerUnreachable, ..CONTEXT }, 0, Ok(()));
+    gate_refusal_of_non_idempotent_work_is_retried(
+        RetryContext { effect: Effect::NonIdempotent, ..CONTEXT }, 0, Ok(()));
+    hops_are_bounded(
+        RetryContext { hops: 3, ..CONTEXT }, 9, Err(RefusalReason::HopsExhausted));
+    nothing_after_the_deadline(
+        RetryContext { deadline_left_us: 0, ..CONTEXT }, 9, Err(RefusalReason::DeadlineLapsed));
+    shed_draws_on_the_budget(
+        RetryContext { reason: RetryReason::ServerShed, ..CONTEXT }, 0,
+        Err(RefusalReason::RetryBudgetSpent));
+    idempotent_work_is_run_again(LOST, 1, Ok(()));
+    idempotent_work_waits_for_the_budget(LOST, 0, Err(RefusalReason::RetryBudgetSpent));
+    another_layer_retries(
+        RetryContext { retry_allowed_by_caller: false, ..LOST }, 9,
+        Err(RefusalReason::ConnectionLost));
+}
+
+#[test]
+fn non_idempotent_work_never_runs_again_after_a_possible_dispatch() {
+    for reason in RetryReason::ALL {
+        for hops in 0..4 {
+            let ctx = RetryContext {
+                effect: Effect::NonIdempotent,
+                run_state: RunState::Unknown,
+                reason: *reason,
+                hops,
+                ..CONTEXT
+            };
+            let mut budget = budget(1);
+            assert!(may_retry(ctx, &mut budget).is_err(), "{ctx:?}");
+            assert!(budget.withdraw(), "budget is left alone");
+        }
+    }
+}
+
+#[test]
+fn budget_earns_a_tenth_of_requests_up_to_its_burst() {
+    let mut budget = budget(2);
+    while budget.withdraw() {}
+    for _ in 0..9 {
+        budget.deposit();
+    }
+    assert!(!budget.withdraw());
+    budget.deposit();
+    assert!(budget.withdraw());
+    for _ in 0..1_000 {
+        budget.deposit();
+    }
+    let retries = std::iter::from_fn(|| budget.withdraw().then_some(())).count();
+    assert_eq!(retries, 2);
+}
+
+/// Calls down a chain of layers, each with its own budget and a fifth of runs failing.
+struct Chain {
+    budgets: Vec<RetryBudget>,
+    rng: StdRng,
+    calls: u64,
+    runs: u64,
+}
+
+/// How a layer's answer failed: whether layers above may still retry it.
+struct Failed {
+    retry_allowed_above: bool,
+}
+
+impl Chain {
+    fn call(&mut self, layer: usize) -> Result<(), Failed> {
+        self.budgets[layer].deposit();
+        self.calls += 1;
+        let mut hops = 0;
+        loop {
+            hops += 1;
+            let Err(failed) = self.run(layer) else {
+                return Ok(());
+            };
+            let ctx = RetryContext {
+                hops,
+                retry_allowed_by_caller: failed.retry_allowed_above,
+                reason: RetryReason::ServerFailed,
+                ..LOST
+            };
+            if may_retry(ctx, &mut self.budgets[layer]).is_err() {
+                return Err(Failed {
+                    retry_allowed_above: false,
+                });
+            }
+        }
+    }
+
+    /// One run at a layer: fails by itself, or calls the layer below.
+    fn run(&mut self, layer: usize) -> Result<(), Failed> {
+        self.runs += 1;
+        if self.rng.random_ratio(1, 5) {
+            return Err(Failed {
+                retry_allowed_above: true,
+            });
+        }
+        if layer + 1 == self.budgets.len() {
+            return Ok(());
+        }
+        self.call(layer + 1)
+    }
+}
+
+#[test]
+fn calls_13_deep_stay_under_a_fifth_more_work() {
+    let mut chain = Chain {
+        budgets: vec![budget(20); 13],
+        rng: StdRng::seed_from_u64(5),
+        calls: 0,
+        runs: 0,
+    };
+    for _ in 0..20_000 {
+        let runs_before = chain.runs;
+        let _outcome = chain.call(0);
+        let runs = chain.runs - runs_before;
+        assert!(runs <= 3 * 13, "one call made {runs} runs");
+    }
+    let ratio = chain.runs as f64 / chain.calls as f64;
+    assert!(ratio > 1.05, "no retries were made");
+    assert!(ratio < 1.2, "runs are {ratio:.3} of the calls");
+}
--- /dev/null
+++ b/tests/support/mod.rs
@@ -0,0 +1,3 @@
+//! Shared by several test files.
+
+pub mod cases;
