Refuse new work on a node that is cut off; probe within the budget

Cause: a node cut off from log and peers, or waking from a long pause, could not hear that its availability zone was taken out, and went on; nobody probed an idle backend server. Ruled out: an age of the log alone, since a mere outage of the log would stop all service; counting live members, since a cut-off node takes minutes to suspect them all. Change: a node is in touch while it reads the log or hears from half of the zones of its region within 5 s; else its gate refuses as not run. Probes from the budget, skipped where traffic has answered; three failures in a row make the backend server absent until one succeeds. The queue's delay bound is 50 ms, after the gate's own measurement.

--- a/src/agreement/follower.rs
+++ b/src/agreement/follower.rs
@@ -10,6 +10,7 @@
 use super::snapshot::Snapshot;
 use crate::edge::log_client::LogClient;
 use crate::kernel::metrics::Event;
+use crate::kernel::shards::lock;
 use crate::kernel::{Kernel, StepError};
 
 /// Records that one read asks for.
@@ -87,7 +88,10 @@
         passing_on::pass_on(kernel, page);
     }
     match progress {
-        Some(Progress::CaughtUp) => Read::AtEnd,
+        Some(Progress::CaughtUp) => {
+            lock(&kernel.state.knowledge).log_read(kernel.now_us());
+            Read::AtEnd
+        }
         Some(Progress::ReadFrom(_)) => Read::More,
         Some(Progress::Gap { needed, earliest }) => {
             log::warn!("config: the log keeps {earliest} on, needed is {needed}");
--- a/src/plugins/announce.rs
+++ b/src/plugins/announce.rs
@@ -157,6 +157,7 @@
     let gate = &kernel.state.gate;
     match announcement.state {
         AnnouncedState::Up if kernel.stop.is_leaving() => {}
+        AnnouncedState::Up if same && kernel.state.server_unreachable.load(Ordering::Relaxed) => {}
         AnnouncedState::Up => gate.handle(GateEvent::Announced { boot }),
         AnnouncedState::Leaving => gate.handle(GateEvent::Leaving),
     }
--- a/src/plugins/membership.rs
+++ b/src/plugins/membership.rs
@@ -173,6 +173,7 @@
     async fn received(&self, datagram: &[u8], from: SocketAddr) {
         match self.codec.decode(datagram) {
             Ok(message) => {
+                self.heard(&message.sender);
                 self.handle(MembershipEvent::Received { from, message })
                     .await;
             }
@@ -183,6 +184,11 @@
         }
     }
 
+    fn heard(&self, member: &Member) {
+        let now_us = self.kernel.now_us();
+        lock(&self.kernel.state.knowledge).heard(&member.region, &member.zone, now_us);
+    }
+
     async fn handle(&self, event: MembershipEvent) {
         let mut actions = Vec::new();
         let now_us = self.kernel.now_us();
@@ -223,6 +229,10 @@
 
 /// Keeps the peer table and the routers in step with one member.
 fn changed(kernel: &Kernel, member: &Member) {
+    if member.is_present() {
+        let mut knowledge = lock(&kernel.state.knowledge);
+        knowledge.expect(&member.region, &member.zone, kernel.now_us());
+    }
     let before = kernel.state.peer(&member.server);
     let takes_work = matches!(member.state, MemberState::Alive | MemberState::Suspect);
     let routed = member.service.as_ref().filter(|_service| takes_work);
--- a/src/plugins/mod.rs
+++ b/src/plugins/mod.rs
@@ -8,4 +8,5 @@
 pub mod membership;
 pub mod metrics;
 pub mod peer;
+pub mod probe;
 pub mod ticket;
--- /dev/null
+++ b/src/plugins/probe.rs
@@ -0,0 +1,95 @@
+//! Plug-in that probes an idle backend server, within its budget.
+//!
+//! A probe only tells whether the backend server can be reached: its own word on health and load
+//! lags or misleads. One that traffic has answered is skipped.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::HOST;
+
+use crate::decision::gate::GateEvent;
+use crate::decision::probe_budget::ProbeBudget;
+use crate::kernel::Kernel;
+use crate::kernel::metrics::Event;
+use crate::kernel::plugin::{Plugin, Stage, Started};
+use crate::model::ids::ConfigVersion;
+use crate::request::state::AnnouncedServer;
+
+/// Path of the backend server's health endpoint.
+const HEALTH_PATH: &str = "/-/health";
+
+/// Probes in a row that fail before the backend server counts as absent.
+const FAILURES_MAX: u32 = 3;
+
+inventory::submit! { Plugin { name: "probe", stage: Stage::Serve, start } }
+
+fn start(kernel: Arc<Kernel>) -> Started {
+    Box::pin(async move {
+        kernel.tasks.spawn(run(Arc::clone(&kernel)));
+        Ok(())
+    })
+}
+
+async fn run(kernel: Arc<Kernel>) {
+    let period_ms = kernel.settings.probe.period_ms;
+    let mut ticks = kernel.timer.subscribe(period_ms, period_ms);
+    let mut budget = ProbeBudget::new(0);
+    let mut budget_version = ConfigVersion::default();
+    let mut failures = 0;
+    while let Some(now_us) = ticks.tick().await {
+        let Some(server) = kernel.state.server.load_full() else {
+            failures = 0;
+            continue;
+        };
+        let config = kernel.state.config.load();
+        if config.version != budget_version {
+            let service = config.services.get(&server.service);
+            budget = ProbeBudget::new(service.map_or(0, |service| service.bears.probes_per_s));
+            budget_version = config.version;
+        }
+        let last_us = kernel.state.last_answer_us.load(Ordering::Relaxed);
+        if !budget.allow(now_us, (last_us > 0).then_some(last_us)) {
+            kernel.metrics.count(Event::ProbeSkipped);
+            continue;
+        }
+        let reached = probe(&kernel, &server).await;
+        failures = if reached { 0 } else { failures + 1 };
+        note(&kernel, &server, reached, failures);
+    }
+}
+
+/// Sends one probe; whether a whole answer came in time.
+async fn probe(kernel: &Kernel, server: &AnnouncedServer) -> bool {
+    kernel.metrics.count(Event::ProbeSent);
+    let request = Request::get(HEALTH_PATH)
+        .header(HOST, server.pool.address().to_string())
+        .body(Full::new(Bytes::new()));
+    let Ok(request) = request else { return false };
+    let limit = Duration::from_millis(kernel.settings.probe.timeout_ms);
+    let sending = server.pool.send(request, None);
+    matches!(tokio::time::timeout(limit, sending).await, Ok(Ok(_)))
+}
+
+fn note(kernel: &Kernel, server: &AnnouncedServer, reached: bool, failures: u32) {
+    let unreachable = failures >= FAILURES_MAX;
+    let before = kernel
+        .state
+        .server_unreachable
+        .swap(unreachable, Ordering::Relaxed);
+    if unreachable && !before {
+        log::warn!("probe: the backend server cannot be reached, new work is refused");
+        kernel.state.gate.handle(GateEvent::Absent);
+    }
+    if reached && before && !kernel.stop.is_leaving() {
+        log::info!("probe: the backend server can be reached again");
+        kernel
+            .state
+            .gate
+            .handle(GateEvent::Announced { boot: server.boot });
+    }
+}
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -15,6 +15,7 @@
 use crate::edge::server_pool::{Echo, Reached, SendError};
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
+use crate::kernel::shards::lock;
 use crate::model::reasons::{RefusalReason, RunState};
 
 const US_PER_MS: u64 = 1_000;
@@ -27,6 +28,9 @@
 /// # Errors
 /// [`Failure`] says whether any byte may have reached the backend server.
 pub async fn run(kernel: &Arc<Kernel>, call: &Call, serial: Option<u64>) -> CallResult {
+    if lock(&kernel.state.knowledge).is_cut_off(kernel.now_us()) {
+        return Err(not_run(RefusalReason::KnowledgeStale));
+    }
     let gate = &kernel.state.gate;
     let admitted = gate
         .admit(call.branch.clone(), call.urgency, call.deadline_us)
--- a/src/request/state.rs
+++ b/src/request/state.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -11,6 +11,7 @@
 use super::admission::GateCell;
 use super::executor::TicketCell;
 use crate::agreement::config_fold::ConfigFold;
+use crate::decision::knowledge::Knowledge;
 use crate::decision::membership::Member;
 use crate::decision::retry::RetryBudget;
 use crate::decision::routing::Router;
@@ -25,6 +26,8 @@
 use crate::model::names::{ServerName, ServiceName, ZoneName};
 use crate::settings::NodeSettings;
 
+const US_PER_MS: u64 = 1_000;
+
 /// Locks over the routers; one service is in one shard.
 const ROUTER_SHARDS: usize = 16;
 
@@ -83,6 +86,10 @@
     pub ticket_key: TicketKey,
     /// The backend server beside this node, while its lease holds.
     pub server: ArcSwapOption<AnnouncedServer>,
+    /// Whether probes found that the backend server cannot be reached.
+    pub server_unreachable: AtomicBool,
+    /// When this node last heard from the log and from other nodes.
+    pub knowledge: Mutex<Knowledge>,
     /// Changes whenever the backend server's announcement does.
     pub server_changed: watch::Sender<u64>,
     /// Changes whenever another configuration comes into force.
@@ -123,6 +130,11 @@
             tickets: TicketCell::new(settings, incarnation),
             ticket_key: TicketKey::from_secret(settings.peer.token.expose()),
             server: ArcSwapOption::empty(),
+            server_unreachable: AtomicBool::new(false),
+            knowledge: Mutex::new(Knowledge::new(
+                Arc::clone(&settings.node.region),
+                settings.gate.knowledge_age_max_ms * US_PER_MS,
+            )),
             server_changed: watch::Sender::new(0),
             config_changed: watch::Sender::new(ConfigVersion::default()),
             config_behind: watch::Sender::new(None),
--- a/src/settings/gate.rs
+++ b/src/settings/gate.rs
@@ -12,16 +12,16 @@
     pub queue_delay_max_ms: u64,
     /// Most requests in the queue.
     pub queue_length_max: u32,
-    /// Age of what the node knows of the configuration beyond which it refuses, in ms.
+    /// Time without word from log and peers after which new work is refused, in ms; 0 for never.
     pub knowledge_age_max_ms: u64,
 }
 
 impl Default for GateSettings {
     fn default() -> Self {
         Self {
-            queue_delay_max_ms: 200,
+            queue_delay_max_ms: 50,
             queue_length_max: 1_024,
-            knowledge_age_max_ms: 0,
+            knowledge_age_max_ms: 5_000,
         }
     }
 }
