--- a/src/agreement/catch_up.rs
+++ b/src/agreement/catch_up.rs
@@ -55,6 +55,8 @@
     pub offset: u64,
     /// What it did to the fold.
     pub applied: Applied,
+    /// First offset that a snapshot record does not cover; none for other records.
+    pub covers_below: Option<u64>,
 }
 
 /// Effects of one page.
@@ -62,6 +64,8 @@
 pub struct PageResult {
     /// What the records did, in order.
     pub applied: Vec<AppliedRecord>,
+    /// Whether the records came in at the end of the log, just after they were appended.
+    pub live: bool,
     /// Where reading stands.
     pub progress: Progress,
 }
@@ -71,6 +75,7 @@
 pub struct CatchUp {
     search: Option<Search>,
     ready: bool,
+    at_end: bool,
 }
 
 /// Search for a snapshot beyond a gap.
@@ -110,12 +115,17 @@
     /// [`RecordError`] when a newer program wrote a record; the fold stays before it.
     pub fn on_page(&mut self, fold: &mut Fold, page: &Page) -> Result<PageResult, RecordError> {
         let mut applied = Vec::new();
+        let live = self.at_end;
         if page.next < fold.next_offset() {
             let progress = Progress::LogShorter {
                 covered: fold.next_offset(),
                 next: page.next,
             };
-            return Ok(PageResult { applied, progress });
+            return Ok(PageResult {
+                applied,
+                live,
+                progress,
+            });
         }
         let needed_before = fold.next_offset();
         let mut read_to = page.from.max(page.earliest);
@@ -126,6 +136,7 @@
             applied.push(AppliedRecord {
                 offset: stored.offset,
                 applied: effect,
+                covers_below: covers_below(&record),
             });
             read_to = stored.offset + 1;
             if taken && fold.next_offset() >= page.earliest {
@@ -135,13 +146,18 @@
         let moved = fold.next_offset() > needed_before;
         let stuck = !moved && page.from <= needed_before && read_to > needed_before;
         let progress = self.progress(fold, page, read_to, stuck);
-        Ok(PageResult { applied, progress })
+        Ok(PageResult {
+            applied,
+            live,
+            progress,
+        })
     }
 
     fn progress(&mut self, fold: &Fold, page: &Page, read_to: u64, stuck: bool) -> Progress {
         let needed = fold.next_offset();
         self.search = None;
-        if needed >= page.next {
+        self.at_end = needed >= page.next;
+        if self.at_end {
             self.ready = true;
             return Progress::CaughtUp;
         }
@@ -161,3 +177,10 @@
         Progress::ReadFrom(read_to)
     }
 }
+
+fn covers_below(record: &Record) -> Option<u64> {
+    match record {
+        Record::Snapshot(snapshot) => Some(snapshot.next_offset),
+        Record::Change(_) | Record::Unreadable => None,
+    }
+}
--- a/src/operators/room.rs
+++ b/src/operators/room.rs
@@ -78,7 +78,10 @@
     status: &ClusterStatus,
     action: &ChangeAction,
 ) -> bool {
-    let mut nodes = status.nodes.iter().filter(|node| node.service == *name);
+    let mut nodes = status
+        .nodes
+        .iter()
+        .filter(|node| node.service.as_ref() == Some(name));
     match action {
         ChangeAction::ZoneOut(zone) => config.services[name].zones.contains(zone),
         ChangeAction::ServerOut(server) => nodes.any(|node| node.node == *server),
@@ -101,7 +104,12 @@
             service: service_name(),
         });
     }
-    let nodes = || status.nodes.iter().filter(|node| node.service == *name);
+    let nodes = || {
+        status
+            .nodes
+            .iter()
+            .filter(|node| node.service.as_ref() == Some(name))
+    };
     let remaining: Vec<&NodeStatus> = nodes().filter(|node| takes_work(node, out)).collect();
     if remaining.is_empty() {
         return Some(RoomWarning::NoServer {
--- /dev/null
+++ b/src/plugins/renewal.rs
@@ -0,0 +1,16 @@
+//! Plug-in that keeps a snapshot of the configuration in the log.
+
+use std::sync::Arc;
+
+use crate::agreement::renewer;
+use crate::kernel::Kernel;
+use crate::kernel::plugin::{Plugin, Stage, Started};
+
+inventory::submit! { Plugin { name: "renewal", stage: Stage::Learn, start } }
+
+fn start(kernel: Arc<Kernel>) -> Started {
+    Box::pin(async move {
+        kernel.tasks.spawn(renewer::run(Arc::clone(&kernel)));
+        Ok(())
+    })
+}
--- a/src/settings/admin.rs
+++ b/src/settings/admin.rs
@@ -6,6 +6,7 @@
 
 use super::check::Problems;
 use super::peer::Secret;
+use crate::operators::admin_api::access::TOKEN_BYTES_MIN;
 
 /// Administration listener and its token.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
@@ -32,9 +33,10 @@
         if self
             .token
             .as_ref()
-            .is_some_and(|token| token.expose().is_empty())
+            .is_some_and(|token| token.expose().trim().len() < TOKEN_BYTES_MIN)
         {
-            problems.add("admin.token", "an empty text", "a token, or no admin.token");
+            let fits = format!("at least {TOKEN_BYTES_MIN} bytes, or no admin.token");
+            problems.add("admin.token", "a shorter token", fits);
         }
     }
 }
