Give each test node an address of its own

Cause: one of 6 runs of tests/admin_node.rs failed to start a node: a port that was found free had been taken by another connection in between.

Ruled out: trying again with other ports, which would hide a node that does not start for another reason.

Change: each node has its own loopback address, so all use the same fixed ports, and no outgoing connection can take them.

--- a/tests/admin_node.rs
+++ b/tests/admin_node.rs
@@ -2,7 +2,8 @@
 
 mod common;
 
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use bronzelock::cli::operators::console::Console;
@@ -17,6 +18,12 @@
 
 /// Tries of a check that waits for another process's step; each waits 20 ms.
 const TRIES: usize = 1_000;
+// Each node has an address of its own, so the ports may be the same.
+const CALLER_PORT: u16 = 7_001;
+const ANNOUNCE_PORT: u16 = 7_002;
+const PEER_PORT: u16 = 7_003;
+const ADMIN_PORT: u16 = 7_004;
+const GOSSIP_PORT: u16 = 7_005;
 const RETENTION_MS: u64 = 4_000;
 
 #[derive(Debug, Parser)]
@@ -25,14 +32,12 @@
     command: OperatorCommand,
 }
 
-fn free_tcp() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound address")
-}
-
-fn free_udp() -> SocketAddr {
-    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
-    socket.local_addr().expect("a bound address")
+/// A loopback address that no other node and no outgoing connection uses.
+fn own_address() -> IpAddr {
+    static NODES: AtomicU8 = AtomicU8::new(1);
+    let process = (std::process::id() % 60_000) as u16 + 256;
+    let [high, low] = process.to_be_bytes();
+    IpAddr::from([127, high, low, NODES.fetch_add(1, Ordering::Relaxed)])
 }
 
 /// A node of one test with the addresses that others need.
@@ -43,12 +48,14 @@
 }
 
 async fn start(name: &str, log: SocketAddr, contacts: &[SocketAddr]) -> TestNode {
-    let (admin, gossip) = (free_tcp(), free_udp());
+    let own = own_address();
+    let at = |port| SocketAddr::new(own, port);
+    let (admin, gossip) = (at(ADMIN_PORT), at(GOSSIP_PORT));
     let settings = json!({
         "node": {"server": name, "region": "thailand", "zone": "saraburi", "leave_notice_ms": 0},
-        "caller": {"listen": free_tcp()},
-        "announce": {"listen": free_tcp()},
-        "peer": {"listen": free_tcp(), "token": "a token of all the nodes"},
+        "caller": {"listen": at(CALLER_PORT)},
+        "announce": {"listen": at(ANNOUNCE_PORT)},
+        "peer": {"listen": at(PEER_PORT), "token": "a token of all the nodes"},
         "log": {"address": log, "timeout_ms": 500, "read_wait_ms": 100, "retry_ms": 20,
                 "retention_ms": RETENTION_MS},
         "admin": {"listen": admin},
