--- a/src/agreement/config_fold.rs
+++ b/src/agreement/config_fold.rs
@@ -1,48 +1,43 @@
 //! The fold of one node, shared by those who read, pass on, publish and renew.
 
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 
-use super::catch_up::{CatchUp, Page, Progress};
+use super::catch_up::{CatchUp, Page, PageResult, Progress};
 use super::fold::Fold;
 use super::in_force;
-use super::record::Record;
-use super::renewal::{Check, Decision, Renewal};
 use super::snapshot::Snapshot;
 use crate::kernel::Kernel;
 use crate::kernel::shards::lock;
-use crate::model::config::Config;
-
-const US_PER_MS: u64 = 1_000;
 
 /// The fold of this node with its place in the log.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct ConfigFold {
     state: Mutex<State>,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct State {
     fold: Fold,
     catch_up: CatchUp,
-    renewal: Renewal,
     /// When the log was last read to its end, in µs.
     caught_up_us: Option<u64>,
+    snapshot_seen: Option<SnapshotSeen>,
 }
 
-impl ConfigFold {
-    /// A fold that knows nothing. The log keeps records for `retention_ms`.
-    pub fn new(retention_ms: u64) -> Self {
-        let state = State {
-            fold: Fold::new(),
-            catch_up: CatchUp::default(),
-            renewal: Renewal::new(retention_ms),
-            caught_up_us: None,
-        };
-        Self {
-            state: Mutex::new(state),
-        }
-    }
+/// A snapshot record that was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct SnapshotSeen {
+    /// When it was read, in µs.
+    pub at_us: u64,
+    /// Offset of the record.
+    pub offset: u64,
+    /// First offset that it does not cover.
+    pub covers_below: u64,
+    /// Whether it was read just after it was appended.
+    pub live: bool,
+}
 
+impl ConfigFold {
     /// A copy of the state, for peers and the log.
     pub fn snapshot(&self) -> Snapshot {
         lock(&self.state).fold.snapshot()
@@ -53,10 +48,9 @@
         look(&lock(&self.state).fold)
     }
 
-    /// The configuration, once the node has caught up.
-    pub fn ready_config(&self) -> Option<Arc<Config>> {
-        let state = lock(&self.state);
-        state.catch_up.is_ready().then(|| state.fold.config())
+    /// Whether the state may be brought into force.
+    pub fn is_ready(&self) -> bool {
+        lock(&self.state).catch_up.is_ready()
     }
 
     /// When the log was last read to its end, in µs.
@@ -96,12 +90,10 @@
             if at_end {
                 state.caught_up_us = Some(kernel.now_us());
             }
-            note_snapshots(
-                &mut state.renewal,
-                page,
-                kernel.now_us() / US_PER_MS,
-                at_end,
-            );
+            if let Ok(result) = &result {
+                let seen = snapshot_in(result, kernel.now_us());
+                state.snapshot_seen = seen.or(state.snapshot_seen);
+            }
             (result, config)
         };
         if let Some(config) = config {
@@ -116,25 +108,22 @@
         }
     }
 
-    /// The snapshot to append now, if this node is to renew it.
-    pub fn renewal_due(&self, now_us: u64, members: u32, draw: f64) -> Option<Snapshot> {
-        let mut state = lock(&self.state);
-        let check = Check {
-            now_ms: now_us / US_PER_MS,
-            caught_up: state.caught_up_us.is_some(),
-            next_offset: state.fold.next_offset(),
-            members,
-            draw,
-        };
-        let due = state.renewal.check(&check) == Decision::Append;
-        due.then(|| state.fold.snapshot())
+    /// The last snapshot record that was read.
+    pub fn snapshot_seen(&self) -> Option<SnapshotSeen> {
+        lock(&self.state).snapshot_seen
     }
 }
 
-fn note_snapshots(renewal: &mut Renewal, page: &Page, now_ms: u64, at_end: bool) {
-    for stored in &page.records {
-        if let Ok(Record::Snapshot(snapshot)) = Record::parse(&stored.text) {
-            renewal.on_snapshot(now_ms, stored.offset, snapshot.next_offset, at_end);
-        }
-    }
+fn snapshot_in(result: &PageResult, now_us: u64) -> Option<SnapshotSeen> {
+    let newest = result.applied.iter().rev().find_map(|record| {
+        let covers_below = record.covers_below?;
+        Some((record.offset, covers_below))
+    });
+    let (offset, covers_below) = newest?;
+    Some(SnapshotSeen {
+        at_us: now_us,
+        offset,
+        covers_below,
+        live: result.live,
+    })
 }
--- a/src/agreement/follower.rs
+++ b/src/agreement/follower.rs
@@ -8,7 +8,7 @@
 use super::catch_up::Progress;
 use super::passing_on;
 use super::snapshot::Snapshot;
-use crate::edge::log_client::LogClient;
+use crate::edge::log_client::{LogClient, LogError};
 use crate::kernel::metrics::Event;
 use crate::kernel::shards::lock;
 use crate::kernel::{Kernel, StepError};
@@ -105,6 +105,34 @@
     }
 }
 
+/// Why the log was not read to its end.
+#[derive(Debug, displaydoc::Display)]
+pub enum ReadToEndError {
+    /// {0}
+    Log(LogError),
+    /// the log lacks records, or holds records that this node cannot apply
+    Stuck,
+}
+
+/// Reads to the end of the log without waiting for new records.
+///
+/// # Errors
+/// [`ReadToEndError`] when the log cannot be read or followed.
+pub async fn read_to_end(kernel: &Kernel, log: &LogClient) -> Result<(), ReadToEndError> {
+    loop {
+        let from = kernel.state.config_fold.read_from();
+        let reading = log.read(from, RECORDS_MAX, 0).await;
+        let page = reading.map_err(ReadToEndError::Log)?;
+        match kernel.state.config_fold.take_page(kernel, &page) {
+            Some(Progress::CaughtUp) => return Ok(()),
+            Some(Progress::ReadFrom(_)) => {}
+            Some(Progress::Gap { .. } | Progress::LogShorter { .. }) | None => {
+                return Err(ReadToEndError::Stuck);
+            }
+        }
+    }
+}
+
 /// Asks a peer that holds a newer configuration.
 pub async fn follow_peers(kernel: Arc<Kernel>) {
     let mut behind = kernel.state.config_behind.subscribe();
--- a/src/agreement/publisher.rs
+++ b/src/agreement/publisher.rs
@@ -1,136 +1,137 @@
-//! Publishes operators' changes through the log and finds out what became of them.
+//! Publishes changes: the I/O around the state machine in [`super::publish`].
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::sync::watch;
+use tokio::time::Instant;
 
-use super::catch_up::Progress;
 use super::change::Change;
+use super::follower::{ReadToEndError, read_to_end};
 use super::publish::{Action, Event, NotAcceptedReason, Publication, Publish};
 use super::record::RecordWire;
-use crate::edge::log_client::LogClient;
+use crate::edge::log_client::{LogClient, LogError};
 use crate::kernel::Kernel;
+use crate::kernel::metrics;
 use crate::kernel::shards::lock;
 use crate::model::ids::ChangeId;
 
-/// Time until an operator is told what is known.
-const ANSWER_MAX: Duration = Duration::from_secs(5);
+/// Time in which an operator is told an outcome, in ms.
+const REPORT_MS: u64 = 10_000;
+/// Time for which an unknown outcome is looked for after it was reported, in ms.
+const RESOLVE_MS: u64 = 60_000;
+/// Pause between two reads for an unknown outcome, in ms.
+const RESOLVE_PAUSE_MS: u64 = 200;
 
-/// Time for which an unknown outcome is followed up.
-const RESOLVE_MAX: Duration = Duration::from_mins(1);
+type Reports = watch::Receiver<Option<Publication>>;
 
-/// Pause between two reads while an outcome is unknown.
-const RESOLVE_PAUSE: Duration = Duration::from_millis(100);
-
-/// Records that one read asks for.
-const RECORDS_MAX: u32 = 256;
-
-type Outcome = watch::Receiver<Option<Publication>>;
-
-/// Changes that are on their way into the log.
-#[derive(Debug)]
+/// Changes that this node is publishing, by id.
+#[derive(Debug, Default)]
 pub struct Publisher {
-    log: LogClient,
-    under_way: Mutex<HashMap<ChangeId, Outcome>>,
+    running: Arc<Mutex<HashMap<ChangeId, Reports>>>,
 }
 
 impl Publisher {
-    /// A publisher with nothing on its way.
-    pub fn new(log: LogClient) -> Self {
-        Self {
-            log,
-            under_way: Mutex::new(HashMap::new()),
-        }
-    }
-
-    /// Publishes `change`; a repeat of its id joins the one under way.
-    pub async fn publish(self: &Arc<Self>, kernel: &Arc<Kernel>, change: Change) -> Publication {
-        let mut outcome = self.begin(kernel, change);
-        let known = outcome.wait_for(Option::is_some);
-        match tokio::time::timeout(ANSWER_MAX, known).await {
-            Ok(Ok(publication)) => publication.clone().unwrap_or(Publication::Unknown),
-            Ok(Err(_)) | Err(_) => Publication::Unknown,
+    /// Publishes a change, or joins the publication of the same id.
+    ///
+    /// The work goes on when the caller goes away.
+    pub async fn publish(&self, kernel: &Arc<Kernel>, change: Change) -> Publication {
+        let mut reports = self.start(kernel, change);
+        match reports.wait_for(Option::is_some).await {
+            Ok(report) => report.clone().unwrap_or(Publication::Unknown),
+            Err(_ended) => Publication::Unknown,
         }
     }
 
-    fn begin(self: &Arc<Self>, kernel: &Arc<Kernel>, change: Change) -> Outcome {
-        let id = change.id.clone();
-        let mut under_way = lock(&self.under_way);
-        if let Some(outcome) = under_way.get(&id) {
-            return outcome.clone();
+    fn start(&self, kernel: &Arc<Kernel>, change: Change) -> Reports {
+        let mut running = lock(&self.running);
+        if let Some(reports) = running.get(&change.id) {
+            return reports.clone();
         }
-        let (sender, outcome) = watch::channel(None);
-        under_way.insert(id.clone(), outcome.clone());
-        let (publisher, kernel) = (Arc::clone(self), Arc::clone(kernel));
-        kernel.work.spawn({
-            let kernel = Arc::clone(&kernel);
-            async move {
-                let following = publisher.follow(&kernel, change);
-                let publication = match tokio::time::timeout(RESOLVE_MAX, following).await {
-                    Ok(publication) => publication,
-                    Err(_elapsed) => Publication::Unknown,
-                };
-                lock(&publisher.under_way).remove(&id);
-                sender.send_replace(Some(publication));
+        let (report, reports) = watch::channel(None);
+        running.insert(change.id.clone(), reports.clone());
+        let (kernel_of_task, table) = (Arc::clone(kernel), Arc::clone(&self.running));
+        kernel.tasks.spawn(async move {
+            let id = change.id.clone();
+            let work = drive(&kernel_of_task, change, &report);
+            tokio::select! {
+                () = kernel_of_task.stop.stopped() => {}
+                () = work => {}
             }
+            lock(&table).remove(&id);
         });
-        outcome
+        reports
     }
+}
 
-    /// Feeds the state machine of one change until its outcome is final.
-    async fn follow(&self, kernel: &Kernel, change: Change) -> Publication {
-        let text = RecordWire::from(&change).to_text();
-        let mut publish = Publish::new(change);
-        let mut event = self.read_to_end(kernel).await;
-        loop {
-            let action = kernel
-                .state
-                .config_fold
-                .with(|fold| publish.on(event, fold));
-            event = match action {
-                Action::Report(publication) => return publication,
-                Action::Append => self.append(&text).await,
-                Action::ReadToEnd => self.read_to_end(kernel).await,
-                Action::Wait => {
-                    tokio::time::sleep(RESOLVE_PAUSE).await;
-                    self.read_to_end(kernel).await
-                }
-            };
+/// Feeds the state machine until the outcome is final or no longer looked for.
+async fn drive(kernel: &Kernel, change: Change, report: &watch::Sender<Option<Publication>>) {
+    let log = kernel.config_log();
+    let text = RecordWire::from(&change).to_text();
+    let mut publish = Publish::new(change);
+    let started = Instant::now();
+    let report_by = started + Duration::from_millis(REPORT_MS);
+    let resolve_by = started + Duration::from_millis(RESOLVE_MS);
+    let mut action = Action::ReadToEnd;
+    while Instant::now() < resolve_by {
+        let late = report.borrow().is_none() && Instant::now() >= report_by;
+        let event = match action {
+            // Nothing was appended yet, so the refusal is certain.
+            Action::Append if late => Event::AppendRefused(NotAcceptedReason::ReadTooSlow),
+            _ if late => Event::DeadlinePassed,
+            Action::ReadToEnd => read(kernel, &log).await,
+            Action::Append => append(kernel, &log, &text).await,
+            Action::Wait | Action::Report(_) => {
+                tokio::time::sleep(Duration::from_millis(RESOLVE_PAUSE_MS)).await;
+                read(kernel, &log).await
+            }
+        };
+        action = kernel
+            .state
+            .config_fold
+            .with(|fold| publish.on(event, fold));
+        if let Action::Report(publication) = &action {
+            log::info!("publish: change {} is {publication:?}", publish.change().id);
+            report.send_replace(Some(publication.clone()));
+        }
+        if publish.is_done() {
+            return;
         }
     }
+}
 
-    async fn append(&self, text: &str) -> Event {
-        match self.log.append(text).await {
-            Ok(offset) => Event::Appended { offset },
-            Err(error) => {
-                log::warn!("config: {error}");
-                error
-                    .not_appended()
-                    .map_or(Event::AppendLost, Event::AppendRefused)
-            }
+async fn read(kernel: &Kernel, log: &LogClient) -> Event {
+    match read_to_end(kernel, log).await {
+        Ok(()) => Event::ReadToEnd,
+        Err(error) => {
+            kernel.metrics.count(metrics::Event::LogFailed);
+            log::warn!("publish: {error}");
+            Event::ReadFailed(why_unread(&error))
         }
     }
+}
 
-    async fn read_to_end(&self, kernel: &Kernel) -> Event {
-        loop {
-            let from = kernel.state.config_fold.read_from();
-            let page = match self.log.read(from, RECORDS_MAX, 0).await {
-                Ok(page) => page,
-                Err(error) => {
-                    log::warn!("config: {error}");
-                    let reason = error.not_appended();
-                    return Event::ReadFailed(reason.unwrap_or(NotAcceptedReason::LogDown));
-                }
-            };
-            match kernel.state.config_fold.take_page(kernel, &page) {
-                Some(Progress::CaughtUp) => return Event::ReadToEnd,
-                Some(Progress::ReadFrom(_)) => {}
-                Some(Progress::Gap { .. } | Progress::LogShorter { .. }) | None => {
-                    return Event::ReadFailed(NotAcceptedReason::LogDown);
-                }
-            }
-        }
+fn why_unread(error: &ReadToEndError) -> NotAcceptedReason {
+    match error {
+        ReadToEndError::Log(error) => error
+            .not_appended()
+            .unwrap_or(NotAcceptedReason::ReadTooSlow),
+        ReadToEndError::Stuck => NotAcceptedReason::LogIncomplete,
     }
 }
+
+async fn append(kernel: &Kernel, log: &LogClient, text: &str) -> Event {
+    match log.append(text).await {
+        Ok(offset) => Event::Appended { offset },
+        Err(error) => lost_or_refused(kernel, &error),
+    }
+}
+
+fn lost_or_refused(kernel: &Kernel, error: &LogError) -> Event {
+    kernel.metrics.count(metrics::Event::LogFailed);
+    log::warn!("publish: {error}");
+    error
+        .not_appended()
+        .map_or(Event::AppendLost, Event::AppendRefused)
+}
--- a/src/edge/peer_rpc.rs
+++ b/src/edge/peer_rpc.rs
@@ -23,8 +23,12 @@
     pub load: LoadReport,
 }
 
-/// Status of a node, none while its backend server is unknown to the configuration.
-pub type WireStatus = NodeStatus;
+/// What operators read about a node.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireStatus {
+    /// The node's own view of itself.
+    pub node: NodeStatus,
+}
 
 /// A newer state of the configuration, as JSON text since it is self-describing.
 #[derive(Debug, Clone)]
@@ -106,7 +110,7 @@
     async fn config_newer_than(version: ConfigVersion) -> Option<WireConfig>;
     /// Takes a page of the log that a reader of the availability zone passes on.
     async fn config_page(page: WirePage);
-    /// Tells the node's status for operators.
+    /// Tells what operators read about the node.
     async fn status() -> WireStatus;
     /// Tells the load of the gate, as a heartbeat for pairs that exchange no requests.
     async fn load() -> WireLoad;
--- a/src/edge/peer_server.rs
+++ b/src/edge/peer_server.rs
@@ -127,7 +127,9 @@
     }
 
     async fn status(self, _context: Context) -> WireStatus {
-        node_status::own(&self.kernel)
+        WireStatus {
+            node: node_status::own(&self.kernel),
+        }
     }
 
     async fn load(self, _context: Context) -> WireLoad {
--- a/src/kernel/metrics.rs
+++ b/src/kernel/metrics.rs
@@ -2,6 +2,7 @@
 //!
 //! Requests only add to atomics. A plug-in flushes what was added since the last flush.
 
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use cadence::{Counted, Gauged, StatsdClient};
@@ -157,10 +158,11 @@
             .collect()
     }
 
-    /// Each refusal reason with its count.
-    pub fn refusals(&self) -> impl Iterator<Item = (RefusalReason, u64)> {
-        let reasons = RefusalReason::ALL.iter().copied();
-        reasons.zip(self.refusals.iter().map(Counter::total))
+    /// Refusals since the start, by reason; reasons without any are left out.
+    pub fn refusals(&self) -> BTreeMap<RefusalReason, u64> {
+        let counted = RefusalReason::ALL.iter().zip(&self.refusals);
+        let totals = counted.map(|(reason, counter)| (*reason, counter.total()));
+        totals.filter(|(_reason, total)| *total > 0).collect()
     }
 
     /// Sends what was counted since the last flush.
--- a/src/plugins/config.rs
+++ b/src/plugins/config.rs
@@ -1,8 +1,8 @@
-//! Plug-in that follows the configuration, brings it into force and keeps it in the log.
+//! Plug-in that follows the configuration and brings it into force.
 
 use std::sync::Arc;
 
-use crate::agreement::{follower, in_force, renewer};
+use crate::agreement::{follower, in_force};
 use crate::kernel::Kernel;
 use crate::kernel::plugin::{Plugin, Stage, Started};
 
@@ -11,9 +11,8 @@
 fn start(kernel: Arc<Kernel>) -> Started {
     Box::pin(async move {
         let (tasks, log) = (&kernel.tasks, kernel.config_log());
-        tasks.spawn(follower::read_log(Arc::clone(&kernel), log.clone()));
+        tasks.spawn(follower::read_log(Arc::clone(&kernel), log));
         tasks.spawn(follower::follow_peers(Arc::clone(&kernel)));
-        tasks.spawn(renewer::run(Arc::clone(&kernel), log));
         tasks.spawn(in_force::keep_gate_configured(Arc::clone(&kernel)));
         Ok(())
     })
--- a/src/plugins/mod.rs
+++ b/src/plugins/mod.rs
@@ -9,4 +9,5 @@
 pub mod metrics;
 pub mod peer;
 pub mod probe;
+pub mod renewal;
 pub mod ticket;
--- a/src/request/state.rs
+++ b/src/request/state.rs
@@ -125,7 +125,7 @@
         let retry = settings.routing.retry;
         Self {
             config: ArcSwap::default(),
-            config_fold: ConfigFold::new(settings.log.retention_ms),
+            config_fold: ConfigFold::default(),
             gate: Arc::new(GateCell::new(incarnation, clock)),
             tickets: TicketCell::new(settings, incarnation),
             ticket_key: TicketKey::from_secret(settings.peer.token.expose()),
--- a/tests/common/admin.rs
+++ b/tests/common/admin.rs
@@ -79,7 +79,7 @@
         service: Some(ServiceName::new("herd").expect("a name")),
         zone: zone(zone_name),
         version: ConfigVersion(version),
-        age_ms: 40,
+        log_age_ms: Some(40),
         state: ServerState::Warm,
         limit: 12,
         in_flight: 3,
