Check the configuration exhaustively from a small specification

Cause: the fold, the reader and the publication are tested one by one; how they hold together when operators race, append answers are lost, nodes lose their memory and the log forgets was not explored. Publish derives equality, so that states can be compared. Found: NotAccepted claimed that the change "is not in the log and will not be". Operator sends a change, the append lands, the node crashes; the operator repeats the change at a node that cannot read the log and is told NotAccepted(LogUnreachable); then the first append comes into force. A node cannot know of earlier attempts, so the report now speaks of its own attempt alone. The specification takes it as final only at the first attempt; taking it as final at a repeat is one of the seeded faults. Also: ticket_invalid() gives the refusal of a text that is no ticket.

--- a/src/agreement/publish.rs
+++ b/src/agreement/publish.rs
@@ -35,7 +35,7 @@
     Rejected(Rejection),
     /// It does not fit the configuration of this version.
     Invalid(ConfigVersion),
-    /// It is not in the log and will not be.
+    /// This attempt put nothing into the log; an earlier one with the same id may have.
     NotAccepted(NotAcceptedReason),
     /// It may be in the log; ask again by its id.
     Unknown,
@@ -89,7 +89,7 @@
 }
 
 /// One change on its way into the log.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Publish {
     change: Change,
     phase: Phase,
--- a/src/decision/ticket/mod.rs
+++ b/src/decision/ticket/mod.rs
@@ -17,7 +17,7 @@
 pub use answer::{AnswerHeader, StoredAnswer};
 pub use fingerprint::{Fingerprint, FingerprintParts};
 pub use key::TicketKey;
-pub use refusals::{before_executor, ticket_required};
+pub use refusals::{before_executor, ticket_invalid, ticket_required};
 pub use settings::TicketTableSettings;
 pub use slot::TicketOutcome;
 pub use table::{Claim, TicketCounts, TicketTable};
--- a/src/decision/ticket/refusals.rs
+++ b/src/decision/ticket/refusals.rs
@@ -9,6 +9,11 @@
     not_run(RefusalReason::TicketRequired)
 }
 
+/// Refusal of a text that is no valid ticket; it may be a damaged copy of one that has run.
+pub const fn ticket_invalid() -> Refusal {
+    unknown(RefusalReason::TicketInvalid)
+}
+
 /// What a node other than the executor may say when it refuses a message that bears a ticket.
 ///
 /// Another message with the same ticket may have reached the executor by another path, so only
--- a/src/decision/ticket/table.rs
+++ b/src/decision/ticket/table.rs
@@ -9,7 +9,7 @@
 
 use super::answer::StoredAnswer;
 use super::fingerprint::Fingerprint;
-use super::refusals::{not_run, unknown};
+use super::refusals::{not_run, ticket_invalid, unknown};
 use super::settings::TicketTableSettings;
 use super::slot::{BoundRequest, Progress, Slot, TicketOutcome};
 use super::token::Ticket;
@@ -121,7 +121,7 @@
             return Claim::Refuse(unknown(RefusalReason::TicketExecutorGone));
         }
         if ticket.service != *service {
-            return Claim::Refuse(unknown(RefusalReason::TicketInvalid));
+            return Claim::Refuse(ticket_invalid());
         }
         let now_us = self.now_us;
         let Some(slot) = self.slots.get_mut(&ticket.serial) else {
@@ -269,7 +269,7 @@
     if ticket.expires_us <= now_us {
         unknown(RefusalReason::TicketExpired)
     } else {
-        unknown(RefusalReason::TicketInvalid)
+        ticket_invalid()
     }
 }
 
--- /dev/null
+++ b/tests/config_spec/world.rs
@@ -0,0 +1,122 @@
+//! State of the whole specification and what must hold in it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use bronzelock::model::names::ZoneName;
+
+use super::log::{Entry, Log, zone_of};
+use super::node::Node;
+use super::operator::{Operator, Told};
+
+/// How often each event may happen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Bounds {
+    /// Times that operators send a change to a node, repeats included.
+    pub sends: u8,
+    /// Appends that the log carries out twice.
+    pub doubles: u8,
+    /// Snapshots that nodes append.
+    pub snapshots: u8,
+    /// Records that the log forgets.
+    pub trims: u8,
+    /// Nodes that lose all memory and start anew.
+    pub crashes: u8,
+}
+
+/// What must hold in every reachable state.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Promise {
+    /// The version in force at a node never decreases.
+    NeverReverts,
+    /// A version is the same configuration on every node, at any time.
+    OneConfigPerVersion,
+    /// A change told as accepted is in force from its version on.
+    AcceptedIsInForce,
+    /// A change told as not accepted is never in force.
+    NotAcceptedIsNever,
+    /// Nodes that read to the end of the log agree.
+    Converges,
+}
+
+/// What really happened, which no node knows as a whole.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct History {
+    /// Availability zones out by version, as first seen at a node.
+    pub zones_out: BTreeMap<u64, BTreeSet<ZoneName>>,
+    pub reverted: bool,
+    pub two_configs: bool,
+}
+
+impl History {
+    /// Notes a node's state after a step, and before it if the node kept its memory.
+    pub fn note(&mut self, before: Option<&Node>, after: &Node) {
+        self.reverted |= before.is_some_and(|before| after.version() < before.version());
+        let seen = self.zones_out.entry(after.version());
+        let first = seen.or_insert_with(|| after.zones_out().clone());
+        self.two_configs |= first != after.zones_out();
+    }
+}
+
+/// The whole state.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct World {
+    pub log: Log,
+    /// Appends that the log has not carried out.
+    pub on_the_way: Vec<Entry>,
+    pub nodes: [Node; 2],
+    pub operators: [Operator; 2],
+    /// Events that may still happen.
+    pub left: Bounds,
+    pub history: History,
+}
+
+impl World {
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            log: Log::default(),
+            on_the_way: Vec::new(),
+            nodes: Default::default(),
+            operators: [Operator::new(0), Operator::new(1)],
+            left: bounds,
+            history: History::default(),
+        }
+    }
+
+    pub fn broken_promise(&self) -> Option<Promise> {
+        if self.history.reverted {
+            return Some(Promise::NeverReverts);
+        }
+        if self.history.two_configs {
+            return Some(Promise::OneConfigPerVersion);
+        }
+        let told = self
+            .operators
+            .iter()
+            .find_map(|operator| self.broken_word(operator));
+        told.or_else(|| self.diverges().then_some(Promise::Converges))
+    }
+
+    fn broken_word(&self, operator: &Operator) -> Option<Promise> {
+        let zone = zone_of(operator.index);
+        match operator.told? {
+            Told::Accepted { version } => {
+                let mut since = self.history.zones_out.range(version..);
+                let missing = since.any(|(_, zones)| !zones.contains(&zone));
+                let unseen = !self.history.zones_out.contains_key(&version);
+                (missing || unseen).then_some(Promise::AcceptedIsInForce)
+            }
+            Told::NotInForce => {
+                let mut ever = self.history.zones_out.values();
+                let in_force = ever.any(|zones| zones.contains(&zone));
+                in_force.then_some(Promise::NotAcceptedIsNever)
+            }
+        }
+    }
+
+    /// Whether nodes that have read to the end differ; every state leads there by reading on.
+    fn diverges(&self) -> bool {
+        let at_end = |node: &Node| node.next_offset() >= self.log.next();
+        let [first, second] = &self.nodes;
+        at_end(first) && at_end(second) && first != second
+    }
+}
