--- a/standins/examples/loadgen.rs
+++ b/standins/examples/loadgen.rs
@@ -6,7 +6,7 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use standins::backend_server::{WitnessDetail, fetch_witnesses};
+use standins::backend_server::fetch_settled_witnesses;
 use standins::load::{LoadArguments, LoadReport, LoadSettings, run};
 use standins::oracle::violations;
 use standins::runtime::{self, Threads};
@@ -58,7 +58,7 @@
     if servers.is_empty() {
         return Ok(0);
     }
-    let witnesses = fetch_witnesses(servers, WitnessDetail::All).await?;
+    let witnesses = fetch_settled_witnesses(servers).await?;
     for witness in &witnesses {
         println!("{} ran {} requests", witness.server, witness.runs);
     }
--- a/standins/src/backend_server/mod.rs
+++ b/standins/src/backend_server/mod.rs
@@ -32,7 +32,7 @@
 pub use reports::{HealthReport, HealthStatus, LoadSample};
 pub use settings::BackendServerSettings;
 pub use witness::{BootRuns, KeyRuns, RequestRuns, Witness, WitnessDetail};
-pub use witness_client::{WitnessError, fetch_witnesses};
+pub use witness_client::{WitnessError, fetch_settled_witnesses, fetch_witnesses};
 pub use work_request::{
     BRANCH_HEADER, IDEMPOTENCY_KEY_HEADER, NOT_RUN_HEADER, REQUEST_ID_HEADER, TIMEOUT_HEADER,
     WorkAnswer,
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -52,7 +52,7 @@
 /// Refusals for one reason.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReasonCount {
-    /// Reason of the problem document, or `none`.
+    /// Reason of the problem document, or `no-reason`.
     pub reason: String,
     /// Refusals.
     pub count: u64,
--- a/standins/src/load/tally.rs
+++ b/standins/src/load/tally.rs
@@ -19,6 +19,9 @@
 /// Significant digits of a latency within one second.
 const SECOND_DIGITS: u8 = 2;
 
+/// Name under which refusals without a reason are counted.
+const NO_REASON: &str = "no-reason";
+
 /// Latencies in µs.
 #[derive(Debug, Clone)]
 pub(super) struct LatencyHistogram(pub Histogram<u64>);
@@ -168,7 +171,7 @@
             }
             Outcome::Refused { status, problem } => {
                 self.count_status(status.as_u16());
-                let reason = problem.reason.as_deref().unwrap_or("none");
+                let reason = problem.reason.as_deref().unwrap_or(NO_REASON);
                 *self.by_reason.entry(reason.to_owned()).or_default() += 1;
                 self.refused_latency.record(latency);
                 self.second(intended).refused += 1;
--- a/standins/tests/standins/backend_server.rs
+++ b/standins/tests/standins/backend_server.rs
@@ -3,7 +3,7 @@
 use hyper::StatusCode;
 use standins::backend_server::{
     BackendServerSettings, BehaviourChange, NOT_RUN_HEADER, Neighbour, REQUEST_ID_HEADER,
-    RequestRuns, TIMEOUT_HEADER, WorkAnswer,
+    RequestRuns, TIMEOUT_HEADER, WorkAnswer, fetch_settled_witnesses,
 };
 
 use crate::support::{
@@ -115,6 +115,16 @@
         assert!(try_ask(address, get("/x")).await.is_err());
     }
 
+    settled_witness_waits_for_the_last_run => {
+        let server = start(BackendServerSettings { service_time_us: 300_000, ..warm() }).await;
+        let running = tokio::spawn(ask(server.address(), get("/x")));
+        eventually("request runs", || witness(&server).runs == 1).await;
+        let seen = fetch_settled_witnesses(&[server.address()]).await.expect("witness");
+        assert_eq!((seen[0].in_flight, seen[0].runs), (0, 1));
+        assert_eq!(running.await.expect("request ends").status, StatusCode::OK);
+        server.stop().await;
+    }
+
     stop_closes_idle_connections => {
         let server = start(warm()).await;
         let mut used = open(server.address()).await;
