Print why a load run could not be measured

Cause: a refused setting was shown as the name of its variant, with the exit code of a wrong answer. Ruled out: nothing else. Change: loadgen prints the error's text and exits with 2; 1 stays for wrong answers and broken promises. Before: 'Error: NoRate', exit code 1. Conclusion: scripts can tell a failed run from a failed promise.

--- a/standins/examples/loadgen.rs
+++ b/standins/examples/loadgen.rs
@@ -11,6 +11,9 @@
 use standins::oracle::violations;
 use standins::runtime::{self, Threads};
 
+/// Exit code of a run that could not be measured.
+const EXIT_NOT_MEASURED: u8 = 2;
+
 /// Open-loop load generator; fails on a wrong answer or a broken promise
 #[derive(Debug, Parser)]
 struct Arguments {
@@ -28,9 +31,19 @@
     threads: Threads,
 }
 
-fn main() -> Result<ExitCode, Box<dyn Error>> {
+fn main() -> ExitCode {
     env_logger::init();
     let arguments = Arguments::parse();
+    match start(arguments) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("loadgen: {error}");
+            ExitCode::from(EXIT_NOT_MEASURED)
+        }
+    }
+}
+
+fn start(arguments: Arguments) -> Result<ExitCode, Box<dyn Error>> {
     runtime::start(arguments.threads)?.block_on(measure(arguments))
 }
 
