--- a/standins/src/load/tally.rs
+++ b/standins/src/load/tally.rs
@@ -19,6 +19,9 @@
 /// Significant digits of a latency within one second.
 const SECOND_DIGITS: u8 = 2;
 
+/// Name under which refusals without a reason are counted.
+const NO_REASON: &str = "no-reason";
+
 /// Latencies in µs.
 #[derive(Debug, Clone)]
 pub(super) struct LatencyHistogram(pub Histogram<u64>);
@@ -77,6 +80,7 @@
     pub sent: u64,
     pub answered: u64,
     pub repeats: u64,
+    pub moved: u64,
     pub timed_out: u64,
     pub foreign_ids: u64,
     pub wrong_lengths: u64,
@@ -98,6 +102,7 @@
             sent: 0,
             answered: 0,
             repeats: 0,
+            moved: 0,
             timed_out: 0,
             foreign_ids: 0,
             wrong_lengths: 0,
@@ -127,6 +132,7 @@
         self.sent += other.sent;
         self.answered += other.answered;
         self.repeats += other.repeats;
+        self.moved += other.moved;
         self.timed_out += other.timed_out;
         self.foreign_ids += other.foreign_ids;
         self.wrong_lengths += other.wrong_lengths;
@@ -165,7 +171,7 @@
             }
             Outcome::Refused { status, problem } => {
                 self.count_status(status.as_u16());
-                let reason = problem.reason.as_deref().unwrap_or("none");
+                let reason = problem.reason.as_deref().unwrap_or(NO_REASON);
                 *self.by_reason.entry(reason.to_owned()).or_default() += 1;
                 self.refused_latency.record(latency);
                 self.second(intended).refused += 1;
@@ -229,6 +235,11 @@
         self.lock().repeats += 1;
     }
 
+    /// Counts a try for want of a connection to the target before.
+    pub fn count_moved(&self) {
+        self.lock().moved += 1;
+    }
+
     /// Records how long after its intended time a request was sent.
     pub fn record_send_delay(&self, delay: Duration) {
         self.lock().send_delay.record(delay);
--- a/standins/tests/standins/backend_server.rs
+++ b/standins/tests/standins/backend_server.rs
@@ -3,7 +3,7 @@
 use hyper::StatusCode;
 use standins::backend_server::{
     BackendServerSettings, BehaviourChange, NOT_RUN_HEADER, Neighbour, REQUEST_ID_HEADER,
-    RequestRuns, TIMEOUT_HEADER, WorkAnswer,
+    RequestRuns, TIMEOUT_HEADER, WorkAnswer, fetch_settled_witnesses,
 };
 
 use crate::support::{
@@ -46,7 +46,7 @@
         let server = start(BackendServerSettings { slots: 1, ..endless() }).await;
         let address = server.address();
         let first = tokio::spawn(try_ask(address, get("/first")));
-        eventually("first request runs", || witness(&server).in_flight == 1).await;
+        eventually("first request runs", || witness(&server).runs == 1).await;
         let shed = ask(address, get("/second")).await;
         assert_eq!(shed.status, StatusCode::SERVICE_UNAVAILABLE);
         assert_eq!(shed.headers[NOT_RUN_HEADER], "1");
@@ -82,7 +82,7 @@
         let server = start(cold).await;
         let address = server.address();
         let running = [0, 1].map(|_| tokio::spawn(try_ask(address, get("/x"))));
-        eventually("both run", || witness(&server).in_flight == 2).await;
+        eventually("both run", || witness(&server).runs == 2).await;
         let seen = witness(&server);
         assert_eq!((seen.cold_in_flight_max, seen.overloaded_cold), (2, 1));
         let health = ask(address, get("/-/health")).await;
@@ -109,12 +109,22 @@
         let server = start(BackendServerSettings { service_time_us: 50_000, ..warm() }).await;
         let address = server.address();
         let open = tokio::spawn(ask(address, get("/x")));
-        eventually("request runs", || witness(&server).in_flight == 1).await;
+        eventually("request runs", || witness(&server).runs == 1).await;
         server.stop().await;
         assert_eq!(open.await.expect("request ends").status, StatusCode::OK);
         assert!(try_ask(address, get("/x")).await.is_err());
     }
 
+    settled_witness_waits_for_the_last_run => {
+        let server = start(BackendServerSettings { service_time_us: 300_000, ..warm() }).await;
+        let running = tokio::spawn(ask(server.address(), get("/x")));
+        eventually("request runs", || witness(&server).runs == 1).await;
+        let seen = fetch_settled_witnesses(&[server.address()]).await.expect("witness");
+        assert_eq!((seen[0].in_flight, seen[0].runs), (0, 1));
+        assert_eq!(running.await.expect("request ends").status, StatusCode::OK);
+        server.stop().await;
+    }
+
     stop_closes_idle_connections => {
         let server = start(warm()).await;
         let mut used = open(server.address()).await;
@@ -128,7 +138,7 @@
         let server = start(endless()).await;
         let address = server.address();
         let running = tokio::spawn(try_ask(address, get("/x")));
-        eventually("request runs", || witness(&server).in_flight == 1).await;
+        eventually("request runs", || witness(&server).runs == 1).await;
         let change = with_body("PUT", "/-/behaviour", r#"{"cold_restart":true}"#);
         assert_eq!(ask(address, change).await.status, StatusCode::OK);
         assert!(running.await.expect("request ends").is_err());
