--- a/src/agreement/catch_up.rs
+++ b/src/agreement/catch_up.rs
@@ -55,8 +55,6 @@
     pub offset: u64,
     /// What it did to the fold.
     pub applied: Applied,
-    /// First offset that a snapshot record does not cover; none for other records.
-    pub covers_below: Option<u64>,
 }
 
 /// Effects of one page.
@@ -64,8 +62,6 @@
 pub struct PageResult {
     /// What the records did, in order.
     pub applied: Vec<AppliedRecord>,
-    /// Whether the records came in at the end of the log, just after they were appended.
-    pub live: bool,
     /// Where reading stands.
     pub progress: Progress,
 }
@@ -75,7 +71,6 @@
 pub struct CatchUp {
     search: Option<Search>,
     ready: bool,
-    at_end: bool,
 }
 
 /// Search for a snapshot beyond a gap.
@@ -115,17 +110,12 @@
     /// [`RecordError`] when a newer program wrote a record; the fold stays before it.
     pub fn on_page(&mut self, fold: &mut Fold, page: &Page) -> Result<PageResult, RecordError> {
         let mut applied = Vec::new();
-        let live = self.at_end;
         if page.next < fold.next_offset() {
             let progress = Progress::LogShorter {
                 covered: fold.next_offset(),
                 next: page.next,
             };
-            return Ok(PageResult {
-                applied,
-                live,
-                progress,
-            });
+            return Ok(PageResult { applied, progress });
         }
         let needed_before = fold.next_offset();
         let mut read_to = page.from.max(page.earliest);
@@ -136,7 +126,6 @@
             applied.push(AppliedRecord {
                 offset: stored.offset,
                 applied: effect,
-                covers_below: covers_below(&record),
             });
             read_to = stored.offset + 1;
             if taken && fold.next_offset() >= page.earliest {
@@ -146,18 +135,13 @@
         let moved = fold.next_offset() > needed_before;
         let stuck = !moved && page.from <= needed_before && read_to > needed_before;
         let progress = self.progress(fold, page, read_to, stuck);
-        Ok(PageResult {
-            applied,
-            live,
-            progress,
-        })
+        Ok(PageResult { applied, progress })
     }
 
     fn progress(&mut self, fold: &Fold, page: &Page, read_to: u64, stuck: bool) -> Progress {
         let needed = fold.next_offset();
         self.search = None;
-        self.at_end = needed >= page.next;
-        if self.at_end {
+        if needed >= page.next {
             self.ready = true;
             return Progress::CaughtUp;
         }
@@ -177,10 +161,3 @@
         Progress::ReadFrom(read_to)
     }
 }
-
-fn covers_below(record: &Record) -> Option<u64> {
-    match record {
-        Record::Snapshot(snapshot) => Some(snapshot.next_offset),
-        Record::Change(_) | Record::Unreadable => None,
-    }
-}
--- a/src/agreement/follower.rs
+++ b/src/agreement/follower.rs
@@ -3,11 +3,11 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use super::catch_up::{CatchUp, Page, PageResult, Progress};
+use super::catch_up::{CatchUp, Page, Progress};
 use super::fold::Fold;
 use super::in_force;
 use super::snapshot::Snapshot;
-use crate::edge::log_client::{LogClient, LogError};
+use crate::edge::log_client::LogClient;
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::kernel::shards::lock;
@@ -30,20 +30,6 @@
     catch_up: CatchUp,
     /// When the log was last read to its end, in µs.
     caught_up_us: Option<u64>,
-    snapshot_seen: Option<SnapshotSeen>,
-}
-
-/// A snapshot record that was read.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct SnapshotSeen {
-    /// When it was read, in µs.
-    pub at_us: u64,
-    /// Offset of the record.
-    pub offset: u64,
-    /// First offset that it does not cover.
-    pub covers_below: u64,
-    /// Whether it was read just after it was appended.
-    pub live: bool,
 }
 
 impl ConfigFold {
@@ -62,16 +48,6 @@
         lock(&self.state).caught_up_us
     }
 
-    /// Whether the state may be brought into force.
-    pub fn is_ready(&self) -> bool {
-        lock(&self.state).catch_up.is_ready()
-    }
-
-    /// The last snapshot record that was read.
-    pub fn snapshot_seen(&self) -> Option<SnapshotSeen> {
-        lock(&self.state).snapshot_seen
-    }
-
     /// Takes a peer's state when it is newer.
     pub fn adopt(&self, kernel: &Kernel, snapshot: Snapshot) {
         let config = {
@@ -102,10 +78,6 @@
             if matches!(&result, Ok(result) if result.progress == Progress::CaughtUp) {
                 state.caught_up_us = Some(kernel.now_us());
             }
-            if let Ok(result) = &result {
-                let seen = snapshot_in(result, kernel.now_us());
-                state.snapshot_seen = seen.or(state.snapshot_seen);
-            }
             (result, config)
         };
         if let Some(config) = config {
@@ -121,50 +93,6 @@
     }
 }
 
-fn snapshot_in(result: &PageResult, now_us: u64) -> Option<SnapshotSeen> {
-    let newest = result.applied.iter().rev().find_map(|record| {
-        let covers_below = record.covers_below?;
-        Some((record.offset, covers_below))
-    });
-    let (offset, covers_below) = newest?;
-    Some(SnapshotSeen {
-        at_us: now_us,
-        offset,
-        covers_below,
-        live: result.live,
-    })
-}
-
-/// Why the log was not read to its end.
-#[derive(Debug, displaydoc::Display)]
-pub enum ReadToEndError {
-    /// {0}
-    Log(LogError),
-    /// the log lacks records, or holds records that this node cannot apply
-    Stuck,
-}
-
-/// Reads to the end of the log without waiting for new records.
-///
-/// # Errors
-/// [`ReadToEndError`] when the log cannot be read or followed.
-pub async fn read_to_end(kernel: &Kernel, log: &LogClient) -> Result<(), ReadToEndError> {
-    loop {
-        let from = kernel.state.config_fold.read_from();
-        let page = log
-            .read(from, RECORDS_MAX, 0)
-            .await
-            .map_err(ReadToEndError::Log)?;
-        match kernel.state.config_fold.take_page(kernel, &page) {
-            Some(Progress::CaughtUp) => return Ok(()),
-            Some(Progress::ReadFrom(_)) => {}
-            Some(Progress::Gap { .. } | Progress::LogShorter { .. }) | None => {
-                return Err(ReadToEndError::Stuck);
-            }
-        }
-    }
-}
-
 /// Reads the log until the node stops.
 pub async fn read_log(kernel: Arc<Kernel>, log: LogClient) {
     let mut failures = 0;
--- a/src/agreement/mod.rs
+++ b/src/agreement/mod.rs
@@ -11,8 +11,6 @@
 pub mod members;
 pub mod outcome;
 pub mod publish;
-pub mod publisher;
 pub mod record;
 pub mod renewal;
-pub mod renewer;
 pub mod snapshot;
--- a/src/cli/operators/status.rs
+++ b/src/cli/operators/status.rs
@@ -6,7 +6,6 @@
 use super::error::CliError;
 use super::{StatusArgs, client};
 use crate::model::load::ServerState;
-use crate::model::names::ServiceName;
 use crate::operators::status::{ClusterStatus, NodeStatus};
 
 /// Time between two prints of `--watch`, in ms.
@@ -32,8 +31,8 @@
 fn text(status: &ClusterStatus) -> String {
     let mut lines = vec![head(status)];
     lines.push(format!(
-        "{:<20} {:<12} {:<16} {:>7} {:>11} {:<8} {:>9} {:>7}  {}",
-        "NODE", "SERVICE", "ZONE", "VERSION", "LOG READ", "STATE", "RUNNING", "WAITING", "REFUSED"
+        "{:<20} {:<12} {:<16} {:>7} {:>8} {:<8} {:>9} {:>7}  {}",
+        "NODE", "SERVICE", "ZONE", "VERSION", "AGE", "STATE", "RUNNING", "WAITING", "REFUSED"
     ));
     lines.extend(status.nodes.iter().map(row));
     lines.join("\n")
@@ -70,13 +69,12 @@
         .map(|(reason, count)| format!("{}={count}", reason.as_str()))
         .collect();
     format!(
-        "{:<20} {:<12} {:<16} {:>7} {:>11} {:<8} {:>9} {:>7}  {}",
+        "{:<20} {:<12} {:<16} {:>7} {:>5} ms {:<8} {:>9} {:>7}  {}",
         node.node.as_str(),
-        node.service.as_ref().map_or("-", ServiceName::as_str),
+        node.service.as_str(),
         node.zone.as_str(),
         node.version.0,
-        node.log_age_ms
-            .map_or("never".to_owned(), |age_ms| format!("{age_ms} ms")),
+        node.age_ms,
         state(node.state),
         format!("{}/{}", node.in_flight, node.limit),
         node.queued,
--- a/src/edge/peer_rpc.rs
+++ b/src/edge/peer_rpc.rs
@@ -8,7 +8,6 @@
 use crate::model::load::LoadReport;
 use crate::model::names::ServiceName;
 use crate::model::reasons::Refusal;
-use crate::operators::status::NodeStatus;
 
 /// A ticket in its text form, or why none was issued.
 pub type WireTicket = Result<String, Refusal>;
@@ -20,13 +19,6 @@
     pub load: LoadReport,
 }
 
-/// What operators read about a node.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct WireStatus {
-    /// The node's own view of itself.
-    pub node: NodeStatus,
-}
-
 /// A newer state of the configuration, as JSON text since it is self-describing.
 #[derive(Debug, Clone)]
 pub struct WireConfig(pub SnapshotWire);
@@ -56,8 +48,6 @@
     async fn issue_ticket(service: ServiceName) -> WireTicket;
     /// Gives the state of the configuration when it is newer than `version`.
     async fn config_newer_than(version: ConfigVersion) -> Option<WireConfig>;
-    /// Tells what operators read about the node.
-    async fn status() -> WireStatus;
     /// Tells the load of the gate, as a heartbeat for pairs that exchange no requests.
     async fn load() -> WireLoad;
 }
--- a/src/edge/peer_server.rs
+++ b/src/edge/peer_server.rs
@@ -12,14 +12,13 @@
 
 use super::handshake::{self, PeerKey};
 use super::peer_client::codec;
-use super::peer_rpc::{PeerNode, WireConfig, WireLoad, WireStatus, WireTicket};
+use super::peer_rpc::{PeerNode, WireConfig, WireLoad, WireTicket};
 use super::wire::{WireCall, WireReply};
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::model::ids::{ConfigVersion, RequestId};
 use crate::model::names::ServiceName;
 use crate::model::reasons::{RefusalReason, RunState};
-use crate::operators::node_status;
 use crate::request::call::{Call, CallResult, Failure, Step};
 use crate::request::executor;
 
@@ -121,12 +120,6 @@
         (snapshot.version() > version).then(|| WireConfig(snapshot.into()))
     }
 
-    async fn status(self, _context: Context) -> WireStatus {
-        WireStatus {
-            node: node_status::own(&self.kernel),
-        }
-    }
-
     async fn load(self, _context: Context) -> WireLoad {
         WireLoad {
             load: self.kernel.state.gate.load(),
--- a/src/kernel/metrics.rs
+++ b/src/kernel/metrics.rs
@@ -2,7 +2,6 @@
 //!
 //! Requests only add to atomics. A plug-in flushes what was added since the last flush.
 
-use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use cadence::{Counted, Gauged, StatsdClient};
@@ -158,13 +157,6 @@
             .collect()
     }
 
-    /// Refusals since the start, by reason; reasons without any are left out.
-    pub fn refusals(&self) -> BTreeMap<RefusalReason, u64> {
-        let counted = RefusalReason::ALL.iter().zip(&self.refusals);
-        let totals = counted.map(|(reason, counter)| (*reason, counter.total()));
-        totals.filter(|(_reason, total)| *total > 0).collect()
-    }
-
     /// Sends what was counted since the last flush.
     pub fn flush(&self) {
         for (name, counter) in self.named() {
--- a/src/operators/admin_api/backend.rs
+++ b/src/operators/admin_api/backend.rs
@@ -20,7 +20,7 @@
     fn publish(&self, change: Change) -> impl Future<Output = Publication> + Send;
 
     /// Status of all nodes that are known.
-    fn status(&self) -> impl Future<Output = ClusterStatus> + Send;
+    fn status(&self) -> ClusterStatus;
 
     /// Recent changes, the oldest first.
     fn changes(&self) -> Vec<OutcomeEntry>;
--- a/src/operators/admin_api/publishing.rs
+++ b/src/operators/admin_api/publishing.rs
@@ -63,7 +63,7 @@
     if is_new(&headers.id, &action, backend)? {
         check_answers(&action, headers.base, &config)?;
         if !headers.confirmed {
-            check_room(&action, &config, backend).await?;
+            check_room(&action, &config, backend)?;
         }
     }
     let id = headers.id.clone();
@@ -138,12 +138,12 @@
     }
 }
 
-async fn check_room<B: AdminBackend>(
+fn check_room<B: AdminBackend>(
     action: &ChangeAction,
     config: &Config,
     backend: &B,
 ) -> Result<(), Problem> {
-    let warnings = room::warnings(config, &backend.status().await, action);
+    let warnings = room::warnings(config, &backend.status(), action);
     if warnings.is_empty() {
         return Ok(());
     }
--- a/src/operators/admin_api/reading.rs
+++ b/src/operators/admin_api/reading.rs
@@ -77,8 +77,8 @@
 }
 
 /// Status of all nodes.
-pub async fn status<B: AdminBackend>(backend: Arc<B>) -> Response<Bytes> {
-    let status = backend.status().await;
+pub fn status<B: AdminBackend>(backend: &B) -> Response<Bytes> {
+    let status = backend.status();
     versioned(status.version, &status)
 }
 
--- a/src/operators/admin_api/routes.rs
+++ b/src/operators/admin_api/routes.rs
@@ -81,7 +81,7 @@
     let status = warp::path!("v1" / "status")
         .and(warp::get())
         .and(held.clone())
-        .then(reading::status::<B>);
+        .map(|backend: Arc<B>| reading::status(backend.as_ref()));
     let changes = warp::path!("v1" / "changes")
         .and(warp::get())
         .and(held.clone())
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -4,8 +4,6 @@
 pub mod answers;
 pub mod difference;
 pub mod generate;
-pub mod node_backend;
-pub mod node_status;
 pub mod questionnaire;
 pub mod room;
 pub mod status;
--- a/src/operators/room.rs
+++ b/src/operators/room.rs
@@ -78,10 +78,7 @@
     status: &ClusterStatus,
     action: &ChangeAction,
 ) -> bool {
-    let mut nodes = status
-        .nodes
-        .iter()
-        .filter(|node| node.service.as_ref() == Some(name));
+    let mut nodes = status.nodes.iter().filter(|node| node.service == *name);
     match action {
         ChangeAction::ZoneOut(zone) => config.services[name].zones.contains(zone),
         ChangeAction::ServerOut(server) => nodes.any(|node| node.node == *server),
@@ -104,12 +101,7 @@
             service: service_name(),
         });
     }
-    let nodes = || {
-        status
-            .nodes
-            .iter()
-            .filter(|node| node.service.as_ref() == Some(name))
-    };
+    let nodes = || status.nodes.iter().filter(|node| node.service == *name);
     let remaining: Vec<&NodeStatus> = nodes().filter(|node| takes_work(node, out)).collect();
     if remaining.is_empty() {
         return Some(RoomWarning::NoServer {
--- a/src/operators/status.rs
+++ b/src/operators/status.rs
@@ -25,14 +25,14 @@
 pub struct NodeStatus {
     /// Name of the backend server and of the node beside it.
     pub node: ServerName,
-    /// Service of the backend server; none while it has not announced itself.
-    pub service: Option<ServiceName>,
+    /// Service of the backend server.
+    pub service: ServiceName,
     /// Availability zone.
     pub zone: ZoneName,
     /// Version that the node has confirmed.
     pub version: ConfigVersion,
-    /// Time since the node last read the log to its end, in ms; none when it never did.
-    pub log_age_ms: Option<u64>,
+    /// Age of this status, in ms.
+    pub age_ms: u64,
     /// Whether the backend server takes new work.
     pub state: ServerState,
     /// Requests that may run at once now.
--- a/src/plugins/mod.rs
+++ b/src/plugins/mod.rs
@@ -1,6 +1,5 @@
 //! Plug-ins of the node. Each registers itself with the kernel; this is the list of all.
 
-pub mod admin;
 pub mod announce;
 pub mod caller;
 pub mod config;
@@ -8,5 +7,4 @@
 pub mod membership;
 pub mod metrics;
 pub mod peer;
-pub mod renewal;
 pub mod ticket;
--- a/tests/common/admin.rs
+++ b/tests/common/admin.rs
@@ -58,7 +58,7 @@
             .into()
     }
 
-    async fn status(&self) -> ClusterStatus {
+    fn status(&self) -> ClusterStatus {
         self.status.lock().expect("no test panicked").clone()
     }
 
@@ -76,10 +76,10 @@
 pub fn herd_node(name: &str, zone_name: &str, version: u64) -> NodeStatus {
     NodeStatus {
         node: ServerName::new(name).expect("a name"),
-        service: Some(ServiceName::new("herd").expect("a name")),
+        service: ServiceName::new("herd").expect("a name"),
         zone: zone(zone_name),
         version: ConfigVersion(version),
-        log_age_ms: Some(40),
+        age_ms: 40,
         state: ServerState::Warm,
         limit: 12,
         in_flight: 3,
