--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -5,8 +5,10 @@
 
 pub(crate) mod draws;
 pub mod gate;
+pub mod knowledge;
 pub mod membership;
 pub mod probe_budget;
+pub mod readers;
 pub mod retry;
 pub mod routing;
 pub mod ticket;
