--- a/src/agreement/catch_up.rs
+++ b/src/agreement/catch_up.rs
@@ -62,6 +62,8 @@
 pub struct PageResult {
     /// What the records did, in order.
     pub applied: Vec<AppliedRecord>,
+    /// Whether the reader was at the end before, so that the records were just appended.
+    pub live: bool,
     /// Where reading stands.
     pub progress: Progress,
 }
@@ -71,6 +73,7 @@
 pub struct CatchUp {
     search: Option<Search>,
     ready: bool,
+    at_end: bool,
 }
 
 /// Search for a snapshot beyond a gap.
@@ -110,12 +113,17 @@
     /// [`RecordError`] when a newer program wrote a record; the fold stays before it.
     pub fn on_page(&mut self, fold: &mut Fold, page: &Page) -> Result<PageResult, RecordError> {
         let mut applied = Vec::new();
+        let live = self.at_end;
         if page.next < fold.next_offset() {
             let progress = Progress::LogShorter {
                 covered: fold.next_offset(),
                 next: page.next,
             };
-            return Ok(PageResult { applied, progress });
+            return Ok(PageResult {
+                applied,
+                live,
+                progress,
+            });
         }
         let needed_before = fold.next_offset();
         let mut read_to = page.from.max(page.earliest);
@@ -135,13 +143,18 @@
         let moved = fold.next_offset() > needed_before;
         let stuck = !moved && page.from <= needed_before && read_to > needed_before;
         let progress = self.progress(fold, page, read_to, stuck);
-        Ok(PageResult { applied, progress })
+        Ok(PageResult {
+            applied,
+            live,
+            progress,
+        })
     }
 
     fn progress(&mut self, fold: &Fold, page: &Page, read_to: u64, stuck: bool) -> Progress {
         let needed = fold.next_offset();
         self.search = None;
-        if needed >= page.next {
+        self.at_end = needed >= page.next;
+        if self.at_end {
             self.ready = true;
             return Progress::CaughtUp;
         }
--- a/src/agreement/config_fold.rs
+++ b/src/agreement/config_fold.rs
@@ -96,12 +96,9 @@
             if at_end {
                 state.caught_up_us = Some(kernel.now_us());
             }
-            note_snapshots(
-                &mut state.renewal,
-                page,
-                kernel.now_us() / US_PER_MS,
-                at_end,
-            );
+            let live = matches!(&result, Ok(result) if result.live);
+            let now_ms = kernel.now_us() / US_PER_MS;
+            note_snapshots(&mut state.renewal, page, now_ms, live);
             (result, config)
         };
         if let Some(config) = config {
@@ -131,10 +128,10 @@
     }
 }
 
-fn note_snapshots(renewal: &mut Renewal, page: &Page, now_ms: u64, at_end: bool) {
+fn note_snapshots(renewal: &mut Renewal, page: &Page, now_ms: u64, live: bool) {
     for stored in &page.records {
         if let Ok(Record::Snapshot(snapshot)) = Record::parse(&stored.text) {
-            renewal.on_snapshot(now_ms, stored.offset, snapshot.next_offset, at_end);
+            renewal.on_snapshot(now_ms, stored.offset, snapshot.next_offset, live);
         }
     }
 }
--- a/src/agreement/publish.rs
+++ b/src/agreement/publish.rs
@@ -24,6 +24,8 @@
     RecordRefused,
     /// the log could not be read to its end in time
     ReadTooSlow,
+    /// the log lacks records that this node needs, or holds some that it cannot apply
+    LogIncomplete,
 }
 
 /// What became of a change, as its operator is told.
--- a/src/agreement/publisher.rs
+++ b/src/agreement/publisher.rs
@@ -121,14 +121,14 @@
                 Err(error) => {
                     log::warn!("config: {error}");
                     let reason = error.not_appended();
-                    return Event::ReadFailed(reason.unwrap_or(NotAcceptedReason::LogDown));
+                    return Event::ReadFailed(reason.unwrap_or(NotAcceptedReason::ReadTooSlow));
                 }
             };
             match kernel.state.config_fold.take_page(kernel, &page) {
                 Some(Progress::CaughtUp) => return Event::ReadToEnd,
                 Some(Progress::ReadFrom(_)) => {}
                 Some(Progress::Gap { .. } | Progress::LogShorter { .. }) | None => {
-                    return Event::ReadFailed(NotAcceptedReason::LogDown);
+                    return Event::ReadFailed(NotAcceptedReason::LogIncomplete);
                 }
             }
         }
