--- a/tests/fold_rules.rs
+++ b/tests/fold_rules.rs
@@ -193,6 +193,17 @@
         assert!(reader.is_ready());
     }
 
+    records_are_live_only_for_a_reader_that_was_at_the_end => {
+        let (mut fold, mut reader) = (Fold::new(), CatchUp::default());
+        let texts = [RecordWire::from(&Fold::new().snapshot()).to_text()];
+        let first = reader.on_page(&mut fold, &page(0, &texts, 1)).expect("readable");
+        assert!(!first.live, "how long the snapshot has been there is not known");
+        assert_eq!(first.progress, Progress::CaughtUp);
+        let later = [change_text(&change("a", 0, ChangeAction::ZoneOut(zone("x"))))];
+        let second = reader.on_page(&mut fold, &page(0, &later, 2)).expect("readable");
+        assert!(second.live);
+    }
+
     peers_state_makes_a_starting_node_ready => {
         let mut reader = CatchUp::default();
         assert!(!reader.is_ready());
