--- /dev/null
+++ b/examples/routing_compare/main.rs
@@ -0,0 +1,103 @@
+//! Tail latency of the routing policies against small fake gates, same seed and arrivals.
+//!
+//! `cargo run --release --example routing_compare -- [--seeds 1,2,3] [--load-percent 70]`.
+//! Entry nodes spread over three zones choose on reports that arrive with replies and by a slow
+//! heartbeat; each gate is a queue with slots. Latencies count from arrival to reply.
+
+mod run;
+mod workload;
+
+use bronzelock::decision::routing::RoutingPolicy;
+use clap::Parser;
+
+use run::{Outcome, Run};
+use workload::{FAULTS, Fault, arrivals, slowdowns};
+
+#[derive(Debug, Parser)]
+struct Options {
+    /// Seeds of arrivals and run times.
+    #[arg(long, value_delimiter = ',', default_values_t = [1, 2, 3, 4, 5])]
+    seeds: Vec<u64>,
+    /// Compare only two choices, for trials of its constants.
+    #[arg(long)]
+    chosen_only: bool,
+    /// Offered load, in percent of all slots.
+    #[arg(long, default_value_t = 70)]
+    load_percent: u64,
+}
+
+const POLICIES: [RoutingPolicy; 4] = [
+    RoutingPolicy::Random,
+    RoutingPolicy::RoundRobin,
+    RoutingPolicy::LeastKnownLoad,
+    RoutingPolicy::TwoChoices,
+];
+
+fn main() {
+    let options = Options::parse();
+    println!(
+        "{:<15} {:<15} {:>8} {:>8} {:>8} {:>9} {:>8} {:>7} {:>7}   median of {} runs (spread of p99)",
+        "fault",
+        "policy",
+        "p50 ms",
+        "p99 ms",
+        "p99.9 ms",
+        "refused ‰",
+        "failed ‰",
+        "hops",
+        "cross %",
+        options.seeds.len()
+    );
+    for fault in FAULTS {
+        let policies = POLICIES.iter().copied();
+        let chosen = |p: &RoutingPolicy| !options.chosen_only || *p == RoutingPolicy::default();
+        for policy in policies.filter(chosen) {
+            row(fault, policy, &options);
+        }
+    }
+}
+
+fn row(fault: Fault, policy: RoutingPolicy, options: &Options) {
+    let seeds = options.seeds.iter();
+    let outcomes: Vec<Outcome> = seeds
+        .map(|seed| run(fault, policy, *seed, options.load_percent))
+        .collect();
+    let at = |quantile: f64| {
+        let values = outcomes.iter();
+        sorted(values.map(|o| o.latency_us.value_at_quantile(quantile) as f64 / 1_000.0))
+    };
+    let per_request = |count: fn(&Outcome) -> u64| {
+        sorted(outcomes.iter().map(|o| count(o) as f64 / o.requests as f64))
+    };
+    let p99 = at(0.99);
+    println!(
+        "{:<15} {:<15} {:>8.2} {:>8.2} {:>8.2} {:>9.2} {:>8.2} {:>7.3} {:>7.1}   ({:.2} to {:.2})",
+        format!("{fault:?}"),
+        format!("{policy:?}"),
+        median(&at(0.5)),
+        median(&p99),
+        median(&at(0.999)),
+        median(&per_request(|o| o.refused)) * 1_000.0,
+        median(&per_request(|o| o.failed)) * 1_000.0,
+        median(&per_request(|o| o.hops)),
+        median(&per_request(|o| o.crossings)) * 100.0,
+        p99[0],
+        p99[p99.len() - 1],
+    );
+}
+
+fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
+    let mut values: Vec<f64> = values.collect();
+    values.sort_by(f64::total_cmp);
+    values
+}
+
+fn median(values: &[f64]) -> f64 {
+    values[values.len() / 2]
+}
+
+fn run(fault: Fault, policy: RoutingPolicy, seed: u64, load_percent: u64) -> Outcome {
+    let arrivals = arrivals(fault, seed, load_percent);
+    let slowdowns = slowdowns(fault, seed);
+    Run::new(fault, policy, &arrivals, &slowdowns).finish()
+}
--- a/examples/routing_compare.rs
+++ b/examples/routing_compare/run.rs
@@ -1,8 +1,4 @@
-//! Tail latency of the routing policies against small fake gates, same seed and arrivals.
-//!
-//! `cargo run --release --example routing_compare -- [--seeds 1,2,3] [--load-percent 70]`.
-//! Entry nodes spread over three zones choose on reports that arrive with replies and by a slow
-//! heartbeat; each gate is a queue with slots. Latencies count from arrival to reply.
+//! Entry nodes with routers, and fake gates that queue.
 
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
@@ -11,84 +7,17 @@
 use bronzelock::model::ids::Incarnation;
 use bronzelock::model::load::{LoadReport, ServerState};
 use bronzelock::model::names::{ServerName, ServiceName, ZoneName};
-use clap::Parser;
 use hdrhistogram::Histogram;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
 
-const SERVERS: usize = 6;
+use super::workload::{Arrival, Fault, RUN_US, SERVERS, SLOTS, Slowdown};
+
 const ZONES: usize = 3;
-const SLOTS: usize = 9;
 const QUEUE_MAX: usize = 36;
 const HOPS_MAX: usize = 3;
-const SERVICE_TIME_US: f64 = 5_000.0;
 const CROSSING_US: u64 = 1_000;
 const HEARTBEAT_US: u64 = 200_000;
-const RUN_US: u64 = 10_000_000;
 const WEIGHT_OF_NEWEST_RUN: f64 = 0.1;
 
-#[derive(Debug, Parser)]
-struct Options {
-    /// Seeds of arrivals and run times.
-    #[arg(long, value_delimiter = ',', default_values_t = [1, 2, 3, 4, 5])]
-    seeds: Vec<u64>,
-    /// Compare only two choices, for trials of its constants.
-    #[arg(long)]
-    chosen_only: bool,
-    /// Offered load, in percent of all slots.
-    #[arg(long, default_value_t = 70)]
-    load_percent: u64,
-}
-
-/// What goes wrong during a run.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Fault {
-    None,
-    /// One server at a time runs ten times slower for 50 to 500 ms, twice a second.
-    Slowdowns,
-    /// The same, and reports arrive a second late.
-    LaggingReports,
-    /// One server always reports that it is idle, and slows down at times.
-    LyingServer,
-    /// The arrival rate is five times as high for 100 ms in every 2 s.
-    Bursts,
-    /// One server fails every request at once.
-    FailsFast,
-}
-
-const FAULTS: [Fault; 6] = [
-    Fault::None,
-    Fault::Slowdowns,
-    Fault::LaggingReports,
-    Fault::LyingServer,
-    Fault::Bursts,
-    Fault::FailsFast,
-];
-
-const POLICIES: [RoutingPolicy; 4] = [
-    RoutingPolicy::Random,
-    RoutingPolicy::RoundRobin,
-    RoutingPolicy::LeastKnownLoad,
-    RoutingPolicy::TwoChoices,
-];
-
-/// One request, drawn before the run so that every policy meets the same.
-#[derive(Debug, Clone, Copy)]
-struct Arrival {
-    at_us: u64,
-    entry: usize,
-    work_us: u64,
-    draw: u64,
-}
-
-/// A slowdown of one server.
-#[derive(Debug, Clone, Copy)]
-struct Slowdown {
-    server: usize,
-    from_us: u64,
-    to_us: u64,
-}
-
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     Arrive(usize),
@@ -130,16 +59,17 @@
 }
 
 /// Outcome of one run.
-struct Outcome {
-    latency_us: Histogram<u64>,
-    refused: u64,
-    failed: u64,
-    hops: u64,
-    crossings: u64,
-    requests: u64,
+pub struct Outcome {
+    pub latency_us: Histogram<u64>,
+    pub refused: u64,
+    pub failed: u64,
+    pub hops: u64,
+    pub crossings: u64,
+    pub requests: u64,
 }
 
-struct Run<'a> {
+/// One run: entry nodes with their routers, and the fake gates.
+pub struct Run<'a> {
     fault: Fault,
     arrivals: &'a [Arrival],
     slowdowns: &'a [Slowdown],
@@ -165,129 +95,8 @@
     ServiceName::new("ductbook").expect("valid name")
 }
 
-fn main() {
-    let options = Options::parse();
-    println!(
-        "{:<15} {:<15} {:>8} {:>8} {:>8} {:>9} {:>8} {:>7} {:>7}   median of {} runs (spread of p99)",
-        "fault",
-        "policy",
-        "p50 ms",
-        "p99 ms",
-        "p99.9 ms",
-        "refused ‰",
-        "failed ‰",
-        "hops",
-        "cross %",
-        options.seeds.len()
-    );
-    for fault in FAULTS {
-        let policies = POLICIES.iter().copied();
-        let chosen = |p: &RoutingPolicy| !options.chosen_only || *p == RoutingPolicy::default();
-        for policy in policies.filter(chosen) {
-            row(fault, policy, &options);
-        }
-    }
-}
-
-fn row(fault: Fault, policy: RoutingPolicy, options: &Options) {
-    let seeds = options.seeds.iter();
-    let outcomes: Vec<Outcome> = seeds
-        .map(|seed| run(fault, policy, *seed, options.load_percent))
-        .collect();
-    let at = |quantile: f64| {
-        let values = outcomes.iter();
-        sorted(values.map(|o| o.latency_us.value_at_quantile(quantile) as f64 / 1_000.0))
-    };
-    let per_request = |count: fn(&Outcome) -> u64| {
-        sorted(outcomes.iter().map(|o| count(o) as f64 / o.requests as f64))
-    };
-    let p99 = at(0.99);
-    println!(
-        "{:<15} {:<15} {:>8.2} {:>8.2} {:>8.2} {:>9.2} {:>8.2} {:>7.3} {:>7.1}   ({:.2} to {:.2})",
-        format!("{fault:?}"),
-        format!("{policy:?}"),
-        median(&at(0.5)),
-        median(&p99),
-        median(&at(0.999)),
-        median(&per_request(|o| o.refused)) * 1_000.0,
-        median(&per_request(|o| o.failed)) * 1_000.0,
-        median(&per_request(|o| o.hops)),
-        median(&per_request(|o| o.crossings)) * 100.0,
-        p99[0],
-        p99[p99.len() - 1],
-    );
-}
-
-fn sorted(values: impl Iterator<Item = f64>) -> Vec<f64> {
-    let mut values: Vec<f64> = values.collect();
-    values.sort_by(f64::total_cmp);
-    values
-}
-
-fn median(values: &[f64]) -> f64 {
-    values[values.len() / 2]
-}
-
-fn run(fault: Fault, policy: RoutingPolicy, seed: u64, load_percent: u64) -> Outcome {
-    let arrivals = arrivals(fault, seed, load_percent);
-    let slowdowns = slowdowns(fault, seed);
-    Run::new(fault, policy, &arrivals, &slowdowns).finish()
-}
-
-fn arrivals(fault: Fault, seed: u64, load_percent: u64) -> Vec<Arrival> {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let mut arrivals = Vec::new();
-    let capacity_per_us = (SERVERS * SLOTS) as f64 / SERVICE_TIME_US;
-    let usual_gap_us = 1.0 / (capacity_per_us * load_percent as f64 / 100.0);
-    let mut at = 0.0;
-    while at < RUN_US as f64 {
-        let in_burst = fault == Fault::Bursts && (at as u64) % 2_000_000 < 100_000;
-        let gap_us = if in_burst {
-            usual_gap_us / 5.0
-        } else {
-            usual_gap_us
-        };
-        at += exponential(&mut rng) * gap_us;
-        arrivals.push(Arrival {
-            at_us: at as u64,
-            entry: rng.random_range(0..SERVERS),
-            work_us: (exponential(&mut rng) * SERVICE_TIME_US) as u64,
-            draw: rng.random(),
-        });
-    }
-    arrivals
-}
-
-fn exponential(rng: &mut StdRng) -> f64 {
-    -(1.0 - rng.random::<f64>()).ln()
-}
-
-fn slowdowns(fault: Fault, seed: u64) -> Vec<Slowdown> {
-    let slows = matches!(
-        fault,
-        Fault::Slowdowns | Fault::LaggingReports | Fault::LyingServer
-    );
-    let mut rng = StdRng::seed_from_u64(seed + 1_000);
-    let mut slowdowns = Vec::new();
-    for step in 0..RUN_US / 500_000 {
-        let from_us = step * 500_000;
-        let server = match fault {
-            Fault::LyingServer => 0,
-            _ => rng.random_range(0..SERVERS),
-        };
-        let to_us = from_us + rng.random_range(50_000..500_000);
-        slowdowns.push(Slowdown {
-            server,
-            from_us,
-            to_us,
-        });
-    }
-    slowdowns.retain(|_| slows);
-    slowdowns
-}
-
 impl<'a> Run<'a> {
-    fn new(
+    pub fn new(
         fault: Fault,
         policy: RoutingPolicy,
         arrivals: &'a [Arrival],
@@ -321,7 +130,7 @@
         run
     }
 
-    fn finish(mut self) -> Outcome {
+    pub fn finish(mut self) -> Outcome {
         while let Some(Reverse((at_us, _, event))) = self.events.pop() {
             self.now_us = at_us;
             self.step(event);
--- /dev/null
+++ b/examples/routing_compare/workload.rs
@@ -0,0 +1,103 @@
+//! Arrivals and faults of one run, drawn before it so that every policy meets the same.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+pub const SERVERS: usize = 6;
+pub const SLOTS: usize = 9;
+pub const SERVICE_TIME_US: f64 = 5_000.0;
+pub const RUN_US: u64 = 10_000_000;
+
+/// What goes wrong during a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    None,
+    /// One server at a time runs ten times slower for 50 to 500 ms, twice a second.
+    Slowdowns,
+    /// The same, and reports arrive a second late.
+    LaggingReports,
+    /// One server always reports that it is idle, and slows down at times.
+    LyingServer,
+    /// The arrival rate is five times as high for 100 ms in every 2 s.
+    Bursts,
+    /// One server fails every request at once.
+    FailsFast,
+}
+
+pub const FAULTS: [Fault; 6] = [
+    Fault::None,
+    Fault::Slowdowns,
+    Fault::LaggingReports,
+    Fault::LyingServer,
+    Fault::Bursts,
+    Fault::FailsFast,
+];
+
+/// One request, drawn before the run so that every policy meets the same.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrival {
+    pub at_us: u64,
+    pub entry: usize,
+    pub work_us: u64,
+    pub draw: u64,
+}
+
+/// A slowdown of one server.
+#[derive(Debug, Clone, Copy)]
+pub struct Slowdown {
+    pub server: usize,
+    pub from_us: u64,
+    pub to_us: u64,
+}
+
+pub fn arrivals(fault: Fault, seed: u64, load_percent: u64) -> Vec<Arrival> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut arrivals = Vec::new();
+    let capacity_per_us = (SERVERS * SLOTS) as f64 / SERVICE_TIME_US;
+    let usual_gap_us = 1.0 / (capacity_per_us * load_percent as f64 / 100.0);
+    let mut at = 0.0;
+    while at < RUN_US as f64 {
+        let in_burst = fault == Fault::Bursts && (at as u64) % 2_000_000 < 100_000;
+        let gap_us = if in_burst {
+            usual_gap_us / 5.0
+        } else {
+            usual_gap_us
+        };
+        at += exponential(&mut rng) * gap_us;
+        arrivals.push(Arrival {
+            at_us: at as u64,
+            entry: rng.random_range(0..SERVERS),
+            work_us: (exponential(&mut rng) * SERVICE_TIME_US) as u64,
+            draw: rng.random(),
+        });
+    }
+    arrivals
+}
+
+pub fn exponential(rng: &mut StdRng) -> f64 {
+    -(1.0 - rng.random::<f64>()).ln()
+}
+
+pub fn slowdowns(fault: Fault, seed: u64) -> Vec<Slowdown> {
+    let slows = matches!(
+        fault,
+        Fault::Slowdowns | Fault::LaggingReports | Fault::LyingServer
+    );
+    let mut rng = StdRng::seed_from_u64(seed + 1_000);
+    let mut slowdowns = Vec::new();
+    for step in 0..RUN_US / 500_000 {
+        let from_us = step * 500_000;
+        let server = match fault {
+            Fault::LyingServer => 0,
+            _ => rng.random_range(0..SERVERS),
+        };
+        let to_us = from_us + rng.random_range(50_000..500_000);
+        slowdowns.push(Slowdown {
+            server,
+            from_us,
+            to_us,
+        });
+    }
+    slowdowns.retain(|_| slows);
+    slowdowns
+}
--- a/tests/support/mod.rs
+++ /dev/null
@@ -1,3 +0,0 @@
-//! Shared by several test files.
-
-pub mod cases;
