--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod check;
 pub mod node;
+pub mod operators;
 
 use std::process::ExitCode;
 
@@ -26,6 +27,8 @@
     Node(node::NodeArguments),
     /// Check a settings file and start nothing.
     Check(check::CheckArguments),
+    #[command(flatten)]
+    Operators(operators::OperatorCommand),
 }
 
 impl Cli {
@@ -34,6 +37,7 @@
         match self.command {
             Command::Node(arguments) => node::run(&arguments),
             Command::Check(arguments) => check::run(&arguments),
+            Command::Operators(command) => operators::run_in_terminal(command),
         }
     }
 }
--- a/src/decision/membership/prober.rs
+++ b/src/decision/membership/prober.rs
@@ -11,6 +11,9 @@
 /// Members passed over in search of one to probe, at most.
 const SKIPS_MAX: usize = 16;
 
+/// Members held dead and waiting for a ping, at most.
+const DOUBTFUL_MAX: usize = 64;
+
 /// A probe that has not been acknowledged.
 #[derive(Debug, Clone)]
 pub(super) struct Probe {
@@ -35,13 +38,38 @@
     round: Vec<usize>,
     pub(super) probe: Option<Probe>,
     pub(super) relays: Vec<Relay>,
-    disputed: Vec<ServerName>,
+    early: Vec<ServerName>,
+    doubtful: Vec<ServerName>,
 }
 
 impl Prober {
-    /// Asks for an early probe of a member that others hold dead.
-    pub(super) fn dispute(&mut self, server: &ServerName) {
-        self.disputed.push(server.clone());
+    /// Asks for an early probe of a suspect, so that it can refute.
+    pub(super) fn probe_early(&mut self, server: &ServerName) {
+        self.early.push(server.clone());
+    }
+
+    /// Asks for a ping of a member that is held dead but that others hold alive.
+    pub(super) fn doubt_death(&mut self, server: &ServerName) {
+        if self.doubtful.len() < DOUBTFUL_MAX && !self.doubtful.contains(server) {
+            self.doubtful.push(server.clone());
+        }
+    }
+
+    /// A member that is held dead, and perhaps is not.
+    pub(super) fn next_doubtful(
+        &mut self,
+        table: &MemberTable,
+        draws: &mut Draws,
+    ) -> Option<Member> {
+        while !self.doubtful.is_empty() {
+            let index = draws.index(self.doubtful.len());
+            let server = self.doubtful.swap_remove(index);
+            let member = table.get(&server).map(|record| &record.member);
+            if let Some(member) = member.filter(|member| !member.is_present()) {
+                return Some(member.clone());
+            }
+        }
+        None
     }
 
     /// The next member to probe; those that `skip` accepts are passed over.
@@ -51,7 +79,7 @@
         draws: &mut Draws,
         skip: impl Fn(&Member) -> bool,
     ) -> Option<Member> {
-        if let Some(member) = self.next_disputed(table, draws) {
+        if let Some(member) = self.next_early(table, draws) {
             return Some(member);
         }
         for _ in 0..SKIPS_MAX {
@@ -75,10 +103,10 @@
         self.round.clear();
     }
 
-    fn next_disputed(&mut self, table: &MemberTable, draws: &mut Draws) -> Option<Member> {
-        while !self.disputed.is_empty() {
-            let index = draws.index(self.disputed.len());
-            let server = self.disputed.swap_remove(index);
+    fn next_early(&mut self, table: &MemberTable, draws: &mut Draws) -> Option<Member> {
+        while !self.early.is_empty() {
+            let index = draws.index(self.early.len());
+            let server = self.early.swap_remove(index);
             let record = table.get(&server);
             if record.is_some_and(Record::is_suspect) {
                 return record.map(|record| record.member.clone());
--- a/src/operators/questionnaire.rs
+++ b/src/operators/questionnaire.rs
@@ -1,7 +1,9 @@
 //! The questions that a team answers, one set for each service and branch.
 
-/// One question of the questionnaire.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+use serde::Serialize;
+
+/// One question of the questionnaire; scripts read it as JSON.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Question {
     /// Key of the answer in the JSON file.
     pub key: &'static str,
@@ -57,7 +59,8 @@
     key: "non_idempotent_kinds",
     text: "Which kinds of request must never run twice?",
     help: "Name each command whose repetition does harm. It is run at most once; when its \
-           answer is lost, the caller is told that the outcome is unknown.",
+           answer is lost, the caller is told that the outcome is unknown. POST and PATCH are \
+           always treated so, named or not; name a PUT or DELETE that needs it.",
     fits: KINDS_FIT,
     example: "[\"POST /gate\"]",
 };
--- a/src/plugins/config.rs
+++ b/src/plugins/config.rs
@@ -10,16 +10,10 @@
 
 fn start(kernel: Arc<Kernel>) -> Started {
     Box::pin(async move {
-        let log = kernel.config_log();
-        kernel
-            .tasks
-            .spawn(follower::read_log(Arc::clone(&kernel), log));
-        kernel
-            .tasks
-            .spawn(follower::follow_peers(Arc::clone(&kernel)));
-        kernel
-            .tasks
-            .spawn(in_force::keep_gate_configured(Arc::clone(&kernel)));
+        let (tasks, log) = (&kernel.tasks, kernel.config_log());
+        tasks.spawn(follower::read_log(Arc::clone(&kernel), log));
+        tasks.spawn(follower::follow_peers(Arc::clone(&kernel)));
+        tasks.spawn(in_force::keep_gate_configured(Arc::clone(&kernel)));
         Ok(())
     })
 }
--- a/standins/examples/loadgen.rs
+++ b/standins/examples/loadgen.rs
@@ -6,11 +6,14 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use standins::backend_server::{WitnessDetail, fetch_witnesses};
+use standins::backend_server::fetch_settled_witnesses;
 use standins::load::{LoadArguments, LoadReport, LoadSettings, run};
 use standins::oracle::violations;
 use standins::runtime::{self, Threads};
 
+/// Exit code of a run that could not be measured.
+const EXIT_NOT_MEASURED: u8 = 2;
+
 /// Open-loop load generator; fails on a wrong answer or a broken promise
 #[derive(Debug, Parser)]
 struct Arguments {
@@ -28,9 +31,19 @@
     threads: Threads,
 }
 
-fn main() -> Result<ExitCode, Box<dyn Error>> {
+fn main() -> ExitCode {
     env_logger::init();
     let arguments = Arguments::parse();
+    match start(arguments) {
+        Ok(code) => code,
+        Err(error) => {
+            eprintln!("loadgen: {error}");
+            ExitCode::from(EXIT_NOT_MEASURED)
+        }
+    }
+}
+
+fn start(arguments: Arguments) -> Result<ExitCode, Box<dyn Error>> {
     runtime::start(arguments.threads)?.block_on(measure(arguments))
 }
 
@@ -58,7 +71,7 @@
     if servers.is_empty() {
         return Ok(0);
     }
-    let witnesses = fetch_witnesses(servers, WitnessDetail::All).await?;
+    let witnesses = fetch_settled_witnesses(servers).await?;
     for witness in &witnesses {
         println!("{} ran {} requests", witness.server, witness.runs);
     }
--- a/standins/src/load/report.rs
+++ b/standins/src/load/report.rs
@@ -52,14 +52,14 @@
 /// Refusals for one reason.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReasonCount {
-    /// Reason of the problem document, or `none`.
+    /// Reason of the problem document, or `no-reason`.
     pub reason: String,
     /// Refusals.
     pub count: u64,
 }
 
 /// Answers lost at one step.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LostCount {
     /// Step that failed.
     pub step: ClientStep,
@@ -111,7 +111,7 @@
 }
 
 /// What was measured of one kind of request, or of all.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct KindReport {
     /// Name of the kind.
     pub name: String,
@@ -121,6 +121,8 @@
     pub answered: u64,
     /// Attempts beyond the first.
     pub repeats: u64,
+    /// Tries at the next target for want of a connection; no byte had been sent.
+    pub moved: u64,
     /// Final answers by status.
     pub by_status: Vec<StatusCount>,
     /// Refusals by reason.
@@ -173,6 +175,7 @@
             sent: counts.sent,
             answered: counts.answered,
             repeats: counts.repeats,
+            moved: counts.moved,
             by_status: counts.by_status.iter().map(status).collect(),
             by_reason: counts.by_reason.iter().map(reason).collect(),
             lost: counts.lost.iter().map(lost).collect(),
@@ -191,7 +194,7 @@
 }
 
 /// What one run measured.
-#[derive(Debug, Clone, PartialEq, Serialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Time from the first intended send time to the last outcome, in ms.
     pub elapsed_ms: u64,
