--- a/src/agreement/publish.rs
+++ b/src/agreement/publish.rs
@@ -11,7 +11,7 @@
 use super::outcome::{Outcome, Rejection};
 use crate::model::ids::ConfigVersion;
 
-/// Why a change is certainly not in the log.
+/// Why an attempt put nothing into the log.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, displaydoc::Display)]
 pub enum NotAcceptedReason {
     /// the log could not be reached
