Say "not run" of a ticketed request only at its executor; clear at the first byte

Cause: an entry node that refused a repeat early (body bound, deadline, branch, damaged ticket) said "not run" though the first message may have run, so a caller with a fresh ticket would run the work twice. The check before dispatch came before the connection was opened, up to 500 ms ahead of the first byte. A panic of a ticketed run left its ticket in progress for ever. Ruled out: asking the executor for each such refusal, it costs a message and the answer may be lost all the same. Change: refusals before the executor are unknown when a ticket is borne; the clearance is asked on the open connection; a guard records an unknown outcome. The administration API speaks of the attempt only.

--- a/src/edge/peer_server.rs
+++ b/src/edge/peer_server.rs
@@ -144,5 +144,9 @@
 }
 
 fn malformed() -> Failure {
-    Failure::new(RefusalReason::PeerRejected, RunState::NotRun, Step::Forward)
+    Failure::new(
+        RefusalReason::PeerRejected,
+        RunState::Unknown,
+        Step::Forward,
+    )
 }
--- a/src/edge/server_pool.rs
+++ b/src/edge/server_pool.rs
@@ -37,6 +37,8 @@
     MaybeSent,
     /// The answer began but was incomplete or too long.
     AnswerBroken,
+    /// The sender withdrew it right before the first byte.
+    Withdrawn,
 }
 
 /// A request that got no whole answer.
@@ -140,15 +142,23 @@
 
     /// Sends one request and reads the whole answer, which must carry `echo`.
     ///
+    /// `clearance` is asked once, on an open connection right before the first byte.
+    ///
     /// # Errors
     /// [`SendError`] says whether any byte may have reached the backend server.
     pub async fn send(
         self: &Arc<Self>,
         request: Request<Full<Bytes>>,
         echo: Option<&Echo>,
+        clearance: impl FnOnce() -> bool,
     ) -> Result<Response<Bytes>, SendError> {
         let head_only = request.method() == Method::HEAD;
-        let (lease, response) = self.send_head(request).await?;
+        let first = self.lease().await?;
+        if !clearance() {
+            first.0.give_back();
+            return Err(self.error(Reached::Withdrawn, "send", "it may not run any more"));
+        }
+        let (lease, response) = self.send_head(request, first).await?;
         if echo.is_some_and(|echo| !echo.matches(&response)) {
             let cause = "the answer belongs to another request";
             return Err(self.error(Reached::AnswerBroken, "answer", cause));
@@ -159,19 +169,23 @@
     }
 
     /// Writes the request; a connection that was closed while idle is replaced by a new one.
-    async fn send_head(
-        &self,
+    async fn send_head<'a>(
+        &'a self,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Lease<'_>, Response<hyper::body::Incoming>), SendError> {
+        first: (Lease<'a>, bool),
+    ) -> Result<(Lease<'a>, Response<hyper::body::Incoming>), SendError> {
+        let (mut lease, mut reused) = first;
         loop {
-            let (mut lease, reused) = self.lease().await?;
             let Some(connection) = lease.connection.as_mut() else {
                 return Err(self.error(Reached::NotSent, "connect", "the connection is closed"));
             };
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((lease, response)),
                 Err(mut failed) => match failed.take_message() {
-                    Some(unsent) if reused => request = unsent,
+                    Some(unsent) if reused => {
+                        request = unsent;
+                        (lease, reused) = self.lease().await?;
+                    }
                     Some(_unsent) => {
                         return Err(self.error(Reached::NotSent, "send", failed.into_error()));
                     }
--- a/src/operators/admin_api/problem.rs
+++ b/src/operators/admin_api/problem.rs
@@ -182,7 +182,9 @@
     pub fn not_accepted(reason: NotAcceptedReason) -> Self {
         Self::new(
             ProblemKind::NotAccepted,
-            format!("{reason}; nothing was changed"),
+            format!(
+                "{reason}; this attempt changed nothing, an earlier one with the same id may have"
+            ),
         )
     }
 
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -38,15 +38,24 @@
     let slot = admitted.map_err(|refusal| Failure::from_refusal(refusal, Step::Admit))?;
     let server = server_for(kernel, call)?;
     let request = http_request(kernel, call, &server)?;
-    check_still_wanted(kernel, call, serial)?;
-    kernel.metrics.count(Event::ServerDispatched);
     let echo = server.echoes_request_id.then(|| echo_of(call));
-    let sending = server.pool.send(request, echo.as_ref());
+    let mut withdrawn = None;
+    let clearance = || match check_still_wanted(kernel, call, serial) {
+        Ok(()) => {
+            kernel.metrics.count(Event::ServerDispatched);
+            true
+        }
+        Err(failure) => {
+            withdrawn = Some(failure);
+            false
+        }
+    };
+    let sending = server.pool.send(request, echo.as_ref(), clearance);
     let ends_us = call.deadline_us + finish_grace_us(kernel, serial);
     let ends = kernel.clock.instant_at(ends_us);
     match tokio::time::timeout_at(ends.into(), sending).await {
         Ok(Ok(response)) => answered(kernel, slot, response),
-        Ok(Err(error)) => Err(send_failed(kernel, slot, &error)),
+        Ok(Err(error)) => Err(withdrawn.unwrap_or_else(|| send_failed(kernel, slot, &error))),
         Err(_elapsed) => {
             kernel.metrics.count(Event::ServerConnectionDropped);
             slot.finish(RunOutcome::TimedOut);
@@ -178,7 +187,7 @@
 fn send_failed(kernel: &Kernel, slot: Slot, failed: &SendError) -> Failure {
     log::debug!("dispatch: {}", failed.error);
     let (outcome, reason, run_state) = match failed.reached {
-        Reached::NotSent => (
+        Reached::NotSent | Reached::Withdrawn => (
             RunOutcome::NotSent,
             RefusalReason::ServerAbsent,
             RunState::NotRun,
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -11,6 +11,7 @@
 use super::call::{Answer, Call, Failure};
 use super::classify::{self, HttpRequest, refuse};
 use super::{headers, problem, ticketed};
+use crate::decision::ticket::before_executor;
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::model::ids::RequestId;
@@ -28,15 +29,11 @@
 {
     kernel.metrics.count(Event::CallerRequest);
     let draw = rand::random();
-    let (id, attempted) = match classify::request_id(&request.headers, draw) {
-        Ok(id) => (id, serve(&kernel, &request, id, body).await),
-        Err(failure) => (
-            RequestId(draw),
-            Attempted {
-                result: Err(failure),
-                hops: 0,
-            },
-        ),
+    let named = classify::request_id(&request.headers, draw);
+    let id = named.as_ref().copied().unwrap_or(RequestId(draw));
+    let attempted = match named {
+        Ok(id) => serve(&kernel, &request, id, body).await,
+        Err(failure) => refused(&request, failure),
     };
     let mut response = match attempted.result {
         Ok(answer) => answer_response(answer),
@@ -72,10 +69,18 @@
 ) -> Attempted {
     match accept(kernel, request, id, body).await {
         Ok(accepted) => dispatch(kernel, &accepted.call).await,
-        Err(failure) => Attempted {
-            result: Err(failure),
-            hops: 0,
-        },
+        Err(failure) => refused(request, failure),
+    }
+}
+
+/// A refusal before dispatch. Of a request with a ticket only its executor may say "not run".
+fn refused(request: &HttpRequest, mut failure: Failure) -> Attempted {
+    if request.headers.contains_key(headers::TICKET) {
+        failure.refusal = before_executor(failure.refusal);
+    }
+    Attempted {
+        result: Err(failure),
+        hops: 0,
     }
 }
 
--- a/src/request/executor.rs
+++ b/src/request/executor.rs
@@ -9,7 +9,7 @@
 use super::dispatch;
 use crate::decision::ticket::{
     AnswerHeader, Claim, Fingerprint, FingerprintParts, StoredAnswer, Ticket, TicketCounts,
-    TicketOutcome, TicketTable, TicketTableSettings,
+    TicketOutcome, TicketTable, TicketTableSettings, ticket_invalid,
 };
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
@@ -111,7 +111,7 @@
 async fn run_ticketed(kernel: &Arc<Kernel>, call: &Call, text: &str) -> CallResult {
     let ticket = Ticket::decode(text, &kernel.state.ticket_key).map_err(|error| {
         log::info!("executor: a ticket was refused: {error}");
-        Failure::new(RefusalReason::TicketInvalid, RunState::NotRun, Step::Ticket)
+        Failure::from_refusal(ticket_invalid(), Step::Ticket)
     })?;
     match claim(kernel, call, &ticket) {
         Claimed::Refused(refusal) => Err(Failure::from_refusal(refusal, Step::Ticket)),
@@ -164,17 +164,18 @@
     serial: u64,
     sender: watch::Sender<Option<CallResult>>,
 ) {
+    let mut guard = RunGuard {
+        kernel: Arc::clone(&kernel),
+        serial,
+        ended: false,
+    };
     let result = dispatch::run(&kernel, &call, Some(serial)).await;
     let outcome = match &result {
         Ok(answer) => TicketOutcome::Answered(Arc::new(stored(answer))),
         Err(failure) if failure.is_not_run() => TicketOutcome::NotRun(failure.refusal),
         Err(failure) => TicketOutcome::Unknown(failure.refusal),
     };
-    {
-        let mut core = lock(&kernel.state.tickets.core);
-        core.table.finish(serial, outcome, kernel.now_us());
-        core.running.remove(&serial);
-    }
+    guard.end(outcome);
     let next_ticket = issue_ticket(&kernel, &call.service).ok();
     let result = result.map(|answer| Answer {
         next_ticket,
@@ -183,6 +184,31 @@
     sender.send_replace(Some(result));
 }
 
+/// Records the outcome of a ticketed run, as unknown when the run ends without one.
+struct RunGuard {
+    kernel: Arc<Kernel>,
+    serial: u64,
+    ended: bool,
+}
+
+impl RunGuard {
+    fn end(&mut self, outcome: TicketOutcome) {
+        self.ended = true;
+        let mut core = lock(&self.kernel.state.tickets.core);
+        core.table
+            .finish(self.serial, outcome, self.kernel.now_us());
+        core.running.remove(&self.serial);
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end(TicketOutcome::Unknown(still_running().refusal));
+        }
+    }
+}
+
 async fn await_outcome(kernel: &Kernel, call: &Call, mut running: Running) -> CallResult {
     let deadline = kernel.clock.instant_at(call.deadline_us);
     let outcome = running.wait_for(Option::is_some);
--- a/tests/knowledge_rules.rs
+++ b/tests/knowledge_rules.rs
@@ -1,6 +1,7 @@
 //! When a node counts as cut off from the log and its peers.
 
-mod support;
+#[path = "support/cases.rs"]
+mod cases;
 
 use std::sync::Arc;
 
