--- a/src/kernel/metrics.rs
+++ b/src/kernel/metrics.rs
@@ -46,8 +46,6 @@
     PeerRejected => "peer.rejected",
     /// A request was dispatched to the backend server.
     ServerDispatched => "server.dispatched",
-    /// A connection to the backend server was opened.
-    ServerConnected => "server.connected",
     /// A connection to the backend server was closed for an unfinished request.
     ServerConnectionDropped => "server.connection-dropped",
     /// A late, crossed or incomplete answer was dropped.
