Fail early towards frozen peers; serve what was accepted before the close

Cause: a peer that is frozen gives no error, so each request waited out its deadline on the old connection; callers queued behind one connection attempt after the other; connections in the listen queue were cut at the close; the connection cap of a backend server that announced itself before its configuration stayed at the default. Found by reading. Change: a timeout drops the connection; a failed attempt counts for 100 ms; accepting goes before closing and answers of a leaving node end their connection; the cap follows the configuration.

--- a/src/agreement/in_force.rs
+++ b/src/agreement/in_force.rs
@@ -43,12 +43,15 @@
     let config = kernel.state.config.load();
     let gate = &kernel.state.gate;
     gate.handle(GateEvent::SetOut(out_reason(&kernel.settings, &config)));
-    let Some(service) = kernel.state.own_service() else {
+    let Some(server) = kernel.state.server.load_full() else {
         return;
     };
-    let Some(service) = config.services.get(&service) else {
+    let Some(service) = config.services.get(&server.service) else {
         return;
     };
+    server
+        .pool
+        .set_connections_max(service.bears.connections as usize);
     gate.handle(GateEvent::Configure(GateLimits {
         bears: service.bears,
         branches: service.branches.clone(),
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -41,9 +41,11 @@
 {
     let places = Arc::new(Semaphore::new(bounds.connections_max));
     loop {
+        // Connections that the system has taken before the close are served, too.
         let accepted = tokio::select! {
-            () = kernel.stop.closed() => return,
+            biased;
             accepted = listener.accept() => accepted,
+            () = kernel.stop.closed() => return,
         };
         let stream = match accepted {
             Ok((stream, _address)) => stream,
--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpStream;
@@ -26,7 +26,22 @@
 /// Requests to one peer that wait for an answer.
 const IN_FLIGHT_MAX: usize = 65_536;
 
-type Connecting = std::sync::Arc<Mutex<Option<PeerNodeClient>>>;
+/// Time after a failed attempt in which no other is made.
+const REOPEN_PAUSE: Duration = Duration::from_millis(100);
+
+/// One connection to a peer; its lock is held while it is opened.
+#[derive(Debug, Default)]
+enum Slot {
+    #[default]
+    Closed,
+    Open(PeerNodeClient),
+    Failed {
+        at: Instant,
+        error: StepError,
+    },
+}
+
+type Connecting = std::sync::Arc<Mutex<Slot>>;
 
 #[derive(Debug, Default)]
 struct Peer {
@@ -61,12 +76,20 @@
     pub async fn client(&self, address: SocketAddr) -> Result<PeerNodeClient, StepError> {
         let connecting = self.connecting(address);
         let mut slot = connecting.lock().await;
-        if let Some(client) = slot.as_ref() {
-            return Ok(client.clone());
+        match &*slot {
+            Slot::Open(client) => return Ok(client.clone()),
+            Slot::Failed { at, error } if at.elapsed() < REOPEN_PAUSE => return Err(error.clone()),
+            Slot::Closed | Slot::Failed { .. } => {}
         }
-        let client = self.connect(address).await?;
-        *slot = Some(client.clone());
-        Ok(client)
+        let opened = self.connect(address).await;
+        *slot = match &opened {
+            Ok(client) => Slot::Open(client.clone()),
+            Err(error) => Slot::Failed {
+                at: Instant::now(),
+                error: error.clone(),
+            },
+        };
+        opened
     }
 
     /// Drops the connections to a peer after one broke; the next request opens a new one.
--- a/src/edge/server_pool.rs
+++ b/src/edge/server_pool.rs
@@ -3,6 +3,7 @@
 //! A connection whose request did not end with a whole answer is closed, never used again.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -88,7 +89,7 @@
 #[derive(Debug)]
 pub struct ServerPool {
     address: SocketAddr,
-    connections_max: usize,
+    connections_max: AtomicUsize,
     state: Mutex<State>,
     tasks: Tasks,
 }
@@ -122,7 +123,7 @@
     pub fn new(address: SocketAddr, connections_max: usize, tasks: Tasks) -> Self {
         Self {
             address,
-            connections_max,
+            connections_max: AtomicUsize::new(connections_max),
             state: Mutex::new(State::default()),
             tasks,
         }
@@ -133,6 +134,12 @@
         self.address
     }
 
+    /// Sets how many connections may be open from now on.
+    pub fn set_connections_max(&self, connections_max: usize) {
+        self.connections_max
+            .store(connections_max, Ordering::Relaxed);
+    }
+
     /// Closes idle connections.
     pub fn close_idle(&self) {
         let mut state = lock(&self.state);
@@ -229,7 +236,7 @@
         }
         {
             let mut state = lock(&self.state);
-            if state.open >= self.connections_max {
+            if state.open >= self.connections_max.load(Ordering::Relaxed) {
                 let cause = "all connections that the backend server bears are in use";
                 return Err(self.error(Reached::NotSent, "connect", cause));
             }
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -44,6 +44,9 @@
         fields.insert(headers::REQUEST_ID, value);
     }
     fields.insert(headers::HOPS, HeaderValue::from(attempted.hops));
+    if kernel.stop.is_leaving() {
+        fields.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     if response.status().is_success() {
         kernel.metrics.count(Event::CallerAnswer);
     }
--- a/src/request/forward.rs
+++ b/src/request/forward.rs
@@ -82,15 +82,14 @@
     error: &RpcError,
 ) -> Forwarded {
     log::debug!("forward: run (peer {server}): {error}");
-    match error {
-        RpcError::DeadlineExceeded => Forwarded::failed(
-            RefusalReason::DeadlinePassedRunning,
-            RunState::Unknown,
-            server,
-        ),
+    // A peer that is frozen or cut off gives no error: the next request opens a new connection,
+    // which fails early and as not run.
+    kernel.state.peer_pool.forget(peer.address);
+    let reason = match error {
+        RpcError::DeadlineExceeded => RefusalReason::DeadlinePassedRunning,
         RpcError::Shutdown | RpcError::Channel(_) | RpcError::Send(_) | RpcError::Server(_) => {
-            kernel.state.peer_pool.forget(peer.address);
-            Forwarded::failed(RefusalReason::ConnectionLost, RunState::Unknown, server)
+            RefusalReason::ConnectionLost
         }
-    }
+    };
+    Forwarded::failed(reason, RunState::Unknown, server)
 }
