--- a/tests/membership_protocol.rs
+++ b/tests/membership_protocol.rs
@@ -74,6 +74,18 @@
     assert_eq!(changes_to(&exchange, MemberState::Dead), 0);
 }
 
+#[test]
+fn death_by_hearsay_is_first_a_suspicion_and_is_refuted() {
+    let mut exchange = converged(8);
+    let mut dead = member(3, 0);
+    dead.state = MemberState::Dead;
+    exchange.feed(0, MembershipEvent::Learned(dead));
+    assert_eq!(exchange.state_at(0, 3), Some(MemberState::Suspect));
+    exchange.run_ms(10_000);
+    assert_eq!(exchange.state_at(0, 3), Some(MemberState::Alive));
+    assert_eq!(changes_to(&exchange, MemberState::Dead), 0);
+}
+
 #[test]
 fn restart_replaces_the_old_incarnation_and_is_no_failure() {
     let mut exchange = converged(32);
