Test real processes under failure: kill -9, pauses, outages, stops, bad answers

Nodes run as child processes of the built binary, with in-process stand-ins for the log and for backend servers; the witnesses and the oracle judge. Signals go to the very child.

--- /dev/null
+++ b/tests/processes/main.rs
@@ -0,0 +1,11 @@
+//! Real node processes under failure, with stand-ins for the log and for backend servers.
+
+mod answers;
+mod cluster;
+mod crash;
+mod http;
+mod log_outage;
+mod node_process;
+mod path;
+mod service_out;
+mod stop;
--- /dev/null
+++ b/tests/processes/stop.rs
@@ -0,0 +1,73 @@
+//! Graceful shutdowns under load cut no request.
+
+use standins::load::LoadReport;
+
+use crate::cluster::{Cluster, QUICK, ServerPace, cases, pause};
+use crate::node_process::Signal;
+
+const THREE: [(&str, &str, &str); 3] = [
+    ("herd-1", "herd", "ratchaburi"),
+    ("herd-2", "herd", "saraburi"),
+    ("herd-3", "herd", "nakhon-pathom"),
+];
+
+fn assert_nothing_cut(report: &LoadReport) {
+    let lost = &report.overall.lost;
+    assert!(
+        lost.is_empty() && report.overall.timed_out == 0,
+        "{lost:?}\n{report}"
+    );
+}
+
+fn assert_every_idempotent_request_answered(report: &LoadReport) {
+    let idempotent = &report.kinds[0];
+    assert_eq!(idempotent.answered, idempotent.sent, "{report}");
+}
+
+/// A ticket drawn before its executor left is refused: as not run while it leaves, later as unknown.
+fn assert_only_of_gone_executors(report: &LoadReport) {
+    for refused in &report.kinds[1].by_reason {
+        let reason = refused.reason.as_str();
+        assert!(
+            matches!(reason, "leaving" | "ticket-executor-gone"),
+            "{report}"
+        );
+    }
+}
+
+cases! {
+    rolling_restart_under_load_cuts_no_request => {
+        let mut cluster = Cluster::start(&THREE, QUICK).await;
+        let load = cluster.load_on(&[0, 1, 2], 60.0, 12_000);
+        let report = cluster.load(load, async |cluster| {
+            for pair in 0..THREE.len() {
+                pause(300).await;
+                cluster.pairs[pair].node.signal(Signal::Terminate);
+                let exit = cluster.pairs[pair].node.wait().await;
+                assert!(exit.success(), "{exit}");
+                cluster.pairs[pair].node.restart().await;
+                cluster.wait_until_answers(pair).await;
+            }
+        }).await;
+        assert_nothing_cut(&report);
+        cluster.assert_promises(&report).await;
+        assert_every_idempotent_request_answered(&report);
+        assert_only_of_gone_executors(&report);
+    }
+
+    sigterm_in_a_flood_cuts_no_request => {
+        let pace = ServerPace { service_time_ms: 40 };
+        let mut cluster = Cluster::start(&THREE[..2], pace).await;
+        // Two warm backend servers bear 600 requests a second.
+        let load = cluster.load_on(&[0, 1], 900.0, 4_000);
+        let report = cluster.load(load, async |cluster| {
+            pause(1_000).await;
+            cluster.pairs[0].node.signal(Signal::Terminate);
+            let exit = cluster.pairs[0].node.wait().await;
+            assert!(exit.success(), "{exit}");
+        }).await;
+        assert_nothing_cut(&report);
+        cluster.assert_promises(&report).await;
+        assert!(report.overall.answered > 0, "{report}");
+    }
+}
