Take callers' connections once the node knows where to send requests

Cause: a restarted node listened for callers before it had the configuration and the members, so a rolling restart refused idempotent requests as no-server (4 of 724, then 2 of 724, 60 requests/s). Ruled out: the leaving node, whose refusals say leaving and are tried elsewhere. Change: the address is bound at the start as before, but connections are taken once every service in force has a known backend server, or after 2 s. Until then connections are refused, and callers go on to another node.

--- a/src/plugins/caller.rs
+++ b/src/plugins/caller.rs
@@ -1,9 +1,14 @@
 //! Plug-in that listens for callers' HTTP requests.
+//!
+//! The address is bound at the start. Connections are taken once the node knows where to send
+//! requests, so that a node that restarts refuses no request for want of knowledge; until then
+//! callers' connections are refused and they go on to another node.
 
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpSocket};
 use warp::Filter;
 use warp::http::{HeaderMap, Method};
 use warp::path::FullPath;
@@ -12,35 +17,85 @@
 use crate::kernel::Kernel;
 use crate::kernel::error::StepError;
 use crate::kernel::plugin::{Plugin, Stage, Started};
+use crate::model::names::ServiceName;
 use crate::request::classify::HttpRequest;
 use crate::request::entry;
 
+/// Connections that wait to be accepted at most.
+const BACKLOG: u32 = 1_024;
+
+/// Time between two looks at what the node knows, in ms.
+const READY_PERIOD_MS: u64 = 20;
+
+/// Time after which connections are taken whatever the node knows, in ms.
+const READY_LIMIT_MS: u64 = 2_000;
+
 inventory::submit! { Plugin { name: "caller", stage: Stage::Serve, start } }
 
 fn start(kernel: Arc<Kernel>) -> Started {
     Box::pin(async move {
-        let settings = &kernel.settings.caller;
-        let address = settings.listen;
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|cause| StepError::with_peer("caller: bind", address, cause))?;
-        let bounds = HttpBounds {
-            part: "caller",
-            connections_max: settings.connections_max,
-            head_timeout_ms: settings.head_timeout_ms,
-        };
-        log::info!("caller: listening on {address}");
-        let routes = routes(Arc::clone(&kernel));
-        kernel.tasks.spawn(http_server::serve(
-            Arc::clone(&kernel),
-            listener,
-            bounds,
-            routes,
-        ));
+        let address = kernel.settings.caller.listen;
+        let error = |cause| StepError::with_peer("caller: bind", address, cause);
+        let socket = bind(address).map_err(error)?;
+        kernel.tasks.spawn(serve(Arc::clone(&kernel), socket));
         Ok(())
     })
 }
 
+fn bind(address: SocketAddr) -> std::io::Result<TcpSocket> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    Ok(socket)
+}
+
+async fn serve(kernel: Arc<Kernel>, socket: TcpSocket) {
+    wait_until_ready(&kernel).await;
+    let listener = match socket.listen(BACKLOG) {
+        Ok(listener) => listener,
+        Err(error) => {
+            log::error!("caller: cannot listen, leaving: {error}");
+            return kernel.stop.leave();
+        }
+    };
+    serve_on(kernel, listener).await;
+}
+
+async fn serve_on(kernel: Arc<Kernel>, listener: TcpListener) {
+    let settings = &kernel.settings.caller;
+    log::info!("caller: listening on {}", settings.listen);
+    let bounds = HttpBounds {
+        part: "caller",
+        connections_max: settings.connections_max,
+        head_timeout_ms: settings.head_timeout_ms,
+    };
+    let routes = routes(Arc::clone(&kernel));
+    http_server::serve(kernel, listener, bounds, routes).await;
+}
+
+/// Waits until every service in force has a candidate, or the limit passes.
+async fn wait_until_ready(kernel: &Kernel) {
+    let mut ticks = kernel.timer.subscribe(READY_PERIOD_MS, READY_PERIOD_MS);
+    for _ in 0..READY_LIMIT_MS / READY_PERIOD_MS {
+        if knows_every_service(kernel) || ticks.tick().await.is_none() {
+            return;
+        }
+    }
+    log::info!("caller: some service in force has no known backend server");
+}
+
+fn knows_every_service(kernel: &Kernel) -> bool {
+    let config = kernel.state.config.load();
+    let has_candidate = |service: &ServiceName| {
+        let router = kernel.state.routers.lock(service);
+        router.servers_of(service).next().is_some()
+    };
+    config.version.0 > 0 && config.services.keys().all(has_candidate)
+}
+
 fn routes(
     kernel: Arc<Kernel>,
 ) -> impl Filter<Extract = (impl warp::Reply,), Error = Infallible> + Clone {
