--- a/scripts/measure/common.sh
+++ b/scripts/measure/common.sh
@@ -99,3 +99,15 @@
   LOG_PID="" CONTACTS="[]" NODES=()
   SERVER_PID=() NODE_PID=()
 }
+
+# start_bare_server NAME [flags of server_standin]: a backend server without a node beside it.
+start_bare_server() {
+  local name=$1
+  shift
+  next_port
+  SERVER[$name]="127.0.0.1:$PORT"
+  "$BIN/examples/server_standin" --name "$name" --listen "${SERVER[$name]}" --threads 2 "$@" \
+    >"$WORK/$name.server" 2>&1 &
+  SERVER_PID[$name]=$!
+  wait_for_text "$WORK/$name.server" listening
+}
