--- a/scripts/measure/common.sh
+++ b/scripts/measure/common.sh
@@ -111,3 +111,12 @@
   SERVER_PID[$name]=$!
   wait_for_text "$WORK/$name.server" listening
 }
+
+# cpu_ms PID: processor time that a process has used.
+cpu_ms() { awk -v hz="$(getconf CLK_TCK)" '{print int(($14 + $15) * 1000 / hz)}' "/proc/$1/stat"; }
+
+# switches PID: times that a thread of the process gave up its processor to wait.
+switches() { cat "/proc/$1"/task/*/status | awk '/^voluntary_ctxt_switches/ {sum += $2} END {print sum}'; }
+
+# answered REPORT: whole answers of all kinds, the first count of that name.
+answered() { grep -m1 -oE '"answered": ?[0-9]+' "$1" | grep -oE '[0-9]+'; }
--- a/scripts/measure/overhead.sh
+++ b/scripts/measure/overhead.sh
@@ -30,11 +30,25 @@
 wait_for_warm 1
 sleep 1
 write_kinds "${SERVER[twin]}"
+
+# counted ROW RUN [flags of loadgen]: one run, with the nodes' waits and processor time per call.
+counted() {
+  local row=$1 run=$2 waits cpu calls
+  waits=$(($(switches "${NODE_PID[herd-1]}") + $(switches "${NODE_PID[entry-1]}")))
+  cpu=$(($(cpu_ms "${NODE_PID[herd-1]}") + $(cpu_ms "${NODE_PID[entry-1]}")))
+  run_load "$@"
+  calls=$(($(answered "$REPORTS/$row/$run.json") / 2)) # half of the calls go straight
+  waits=$(($(switches "${NODE_PID[herd-1]}") + $(switches "${NODE_PID[entry-1]}") - waits))
+  cpu=$(($(cpu_ms "${NODE_PID[herd-1]}") + $(cpu_ms "${NODE_PID[entry-1]}") - cpu))
+  note "$row" "$run" waits_per_call "$(awk "BEGIN {print $waits / $calls}")"
+  note "$row" "$run" cpu_us_per_call "$(awk "BEGIN {print $cpu * 1000 / $calls}")"
+}
+
 for run in $(seq "$RUNS"); do
   for case in "local-idle herd-1 $IDLE_PER_S" "peer-idle entry-1 $IDLE_PER_S" \
     "local-busy herd-1 $BUSY_PER_S" "peer-busy entry-1 $BUSY_PER_S"; do
     read -r row node rate <<<"$case"
-    run_load "$row" "$run" --targets "${CALLER[$node]}" --kinds "$WORK/kinds.json" --rate "$rate" \
+    counted "$row" "$run" --targets "${CALLER[$node]}" --kinds "$WORK/kinds.json" --rate "$rate" \
       --seconds "$SECONDS_PER_RUN" --connections 32 --timeout-ms 2000 --threads 2 --spacing even
   done
 done
@@ -42,3 +56,6 @@
 noise="noise p99 ms=again-straight.p99_ms,straight p50 ms=straight.p50_ms,straight p99 ms=straight.p99_ms"
 print_table "$added,$noise,through answered %=through.answered_percent,straight answered %=straight.answered_percent,load average=extra.load_average" \
   local-idle peer-idle local-busy peer-busy
+echo "threads of the nodes that waited, and their processor time, per call:"
+print_table "waits per call=extra.waits_per_call,CPU µs per call=extra.cpu_us_per_call" \
+  local-idle peer-idle local-busy peer-busy
--- a/scripts/measure/probes.sh
+++ b/scripts/measure/probes.sh
@@ -7,8 +7,6 @@
 BUSY_PER_S=1000
 SERVERS=8
 
-# cpu_ms PID: processor time that a process has used.
-cpu_ms() { awk -v hz="$(getconf CLK_TCK)" '{print int(($14 + $15) * 1000 / hz)}' "/proc/$1/stat"; }
 cpu_ms_sum() {
   local name sum=0
   for name in "${NODES[@]}"; do sum=$((sum + $(cpu_ms "${NODE_PID[$name]}"))); done
--- a/standins/examples/report.rs
+++ b/standins/examples/report.rs
@@ -12,6 +12,9 @@
 use clap::Parser;
 use standins::load::{KindReport, LoadReport};
 
+/// Values nearer to 0 are printed with three decimals, others with two.
+const THREE_DECIMALS_BELOW: f64 = 10.0;
+
 /// Prints medians over runs, with the least and greatest in brackets, as a Markdown table
 #[derive(Debug, Parser)]
 struct Arguments {
@@ -218,6 +221,8 @@
 fn short(value: f64) -> String {
     if value.fract() == 0.0 {
         format!("{value:.0}")
+    } else if value.abs() < THREE_DECIMALS_BELOW {
+        format!("{value:.3}")
     } else {
         format!("{value:.2}")
     }
