--- a/src/agreement/passing_on.rs
+++ b/src/agreement/passing_on.rs
@@ -8,6 +8,7 @@
 use crate::decision::readers;
 use crate::edge::peer_rpc::WirePage;
 use crate::kernel::Kernel;
+use crate::kernel::metrics::Event;
 use crate::model::names::ServerName;
 use crate::request::state::ConfigHint;
 
@@ -47,6 +48,7 @@
 pub fn pass_on(kernel: &Arc<Kernel>, page: Page) {
     let page = Arc::new(page);
     for peer in zone_peers(kernel) {
+        kernel.metrics.count(Event::PagePassedOn);
         let (sender, page) = (Arc::clone(kernel), Arc::clone(&page));
         kernel.tasks.spawn(async move {
             let sending = send(&sender, peer.address, &page);
--- a/src/kernel/metrics.rs
+++ b/src/kernel/metrics.rs
@@ -68,6 +68,12 @@
     GossipRejected => "gossip.rejected",
     /// Bytes of gossip that were sent.
     GossipBytes => "gossip.bytes",
+    /// A gossip datagram was received and accepted.
+    GossipReceived => "gossip.received",
+    /// Bytes of gossip that were received and accepted.
+    GossipBytesReceived => "gossip.bytes-received",
+    /// A page of configuration records was passed on to a peer.
+    PagePassedOn => "config.page-passed-on",
     /// The log could not be read or appended to.
     LogFailed => "log.failed",
     /// A configuration version came into force.
--- a/src/plugins/membership.rs
+++ b/src/plugins/membership.rs
@@ -173,6 +173,7 @@
     async fn received(&self, datagram: &[u8], from: SocketAddr) {
         match self.codec.decode(datagram) {
             Ok(message) => {
+                self.count_received(datagram.len());
                 self.heard(&message.sender);
                 self.handle(MembershipEvent::Received { from, message })
                     .await;
@@ -184,6 +185,12 @@
         }
     }
 
+    fn count_received(&self, bytes: usize) {
+        let metrics = &self.kernel.metrics;
+        metrics.count(Event::GossipReceived);
+        metrics.add(Event::GossipBytesReceived, bytes as u64);
+    }
+
     fn heard(&self, member: &Member) {
         let now_us = self.kernel.now_us();
         lock(&self.kernel.state.knowledge).heard(&member.region, &member.zone, now_us);
