--- a/standins/examples/node_meter/process.rs
+++ b/standins/examples/node_meter/process.rs
@@ -13,7 +13,11 @@
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat"))?;
     let after_name = text.rsplit(')').next().unwrap_or_default();
     let fields: Vec<&str> = after_name.split_whitespace().collect();
-    let ticks = |index: usize| fields.get(index).and_then(|field| field.parse::<u64>().ok());
+    let ticks = |index: usize| {
+        fields
+            .get(index)
+            .and_then(|field| field.parse::<u64>().ok())
+    };
     let user = ticks(USER_TICKS_FIELD);
     let system = ticks(SYSTEM_TICKS_FIELD);
     let total = user.zip(system).map(|(user, system)| user + system);
