--- a/src/agreement/in_force.rs
+++ b/src/agreement/in_force.rs
@@ -6,10 +6,9 @@
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::model::config::Config;
+use crate::model::units::US_PER_MS;
 use crate::settings::NodeSettings;
 
-const US_PER_MS: u64 = 1_000;
-
 /// Brings `config` into force, unless a newer one is.
 pub fn bring(kernel: &Kernel, config: Arc<Config>) {
     let in_force = kernel.state.config.load().version;
--- a/src/agreement/renewer.rs
+++ b/src/agreement/renewer.rs
@@ -10,6 +10,7 @@
 use crate::edge::log_client::LogClient;
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
+use crate::model::units::US_PER_MS;
 
 /// Checks within one retention.
 const CHECKS_PER_RETENTION: u64 = 180;
@@ -18,8 +19,6 @@
 const CHECK_MS_MAX: u64 = 60_000;
 /// Age of the last read to the end of the log that still counts as caught up, in checks.
 const CAUGHT_UP_CHECKS: u64 = 2;
-const US_PER_MS: u64 = 1_000;
-
 /// Checks until the node stops.
 pub async fn run(kernel: Arc<Kernel>) {
     let retention_ms = kernel.settings.log.retention_ms;
--- a/src/decision/ticket/table.rs
+++ b/src/decision/ticket/table.rs
@@ -13,8 +13,7 @@
 use super::settings::TicketTableSettings;
 use super::slot::{BoundRequest, Progress, Slot, TicketOutcome};
 use super::token::Ticket;
-
-const US_PER_MS: u64 = 1_000;
+use crate::model::units::US_PER_MS;
 
 /// What to do with a message that bears a ticket.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -9,5 +9,6 @@
 pub mod peer_client;
 pub mod peer_rpc;
 pub mod peer_server;
+pub mod send_error;
 pub mod server_pool;
 pub mod wire;
--- a/src/edge/server_pool.rs
+++ b/src/edge/server_pool.rs
@@ -10,12 +10,13 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::send_error::{Echo, Reached, SendError};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::kernel::tasks::Tasks;
@@ -29,43 +30,6 @@
 /// Longest time to open a connection.
 const CONNECT_MAX: Duration = Duration::from_millis(500);
 
-/// How far a request came before it failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reached {
-    /// No byte of it was written.
-    NotSent,
-    /// It may have reached the backend server.
-    MaybeSent,
-    /// The answer began but was incomplete or too long.
-    AnswerBroken,
-    /// The sender withdrew it right before the first byte.
-    Withdrawn,
-}
-
-/// A request that got no whole answer.
-#[derive(Debug)]
-pub struct SendError {
-    /// How far it came.
-    pub reached: Reached,
-    /// Step and cause.
-    pub error: StepError,
-}
-
-/// Header by which an answer proves which request it belongs to.
-#[derive(Debug)]
-pub struct Echo {
-    /// Name of the header.
-    pub name: &'static str,
-    /// Value that the request carried.
-    pub value: HeaderValue,
-}
-
-impl Echo {
-    fn matches<B>(&self, response: &Response<B>) -> bool {
-        response.headers().get(self.name) == Some(&self.value)
-    }
-}
-
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -7,3 +7,4 @@
 pub mod names;
 pub mod reasons;
 pub mod request;
+pub mod units;
--- a/src/operators/node_status.rs
+++ b/src/operators/node_status.rs
@@ -7,10 +7,9 @@
 use crate::model::ids::ConfigVersion;
 use crate::model::load::ServerState;
 use crate::model::names::ServerName;
+use crate::model::units::US_PER_MS;
 use crate::request::state::PeerAddress;
 
-const US_PER_MS: u64 = 1_000;
-
 /// The node's own status.
 pub fn own(kernel: &Kernel) -> NodeStatus {
     let load = kernel.state.gate.load();
--- a/src/plugins/announce.rs
+++ b/src/plugins/announce.rs
@@ -20,10 +20,9 @@
 use crate::kernel::plugin::{Plugin, Stage, Started};
 use crate::model::ids::BootId;
 use crate::model::names::ServiceName;
+use crate::model::units::US_PER_MS;
 use crate::request::state::AnnouncedServer;
 
-const US_PER_MS: u64 = 1_000;
-
 /// Longest announcement, in bytes.
 const BODY_BYTES_MAX: u64 = 4_096;
 
--- a/src/plugins/membership.rs
+++ b/src/plugins/membership.rs
@@ -10,15 +10,15 @@
 use crate::decision::membership::{
     DATAGRAM_BYTES_MAX, Member, MemberState, Membership, MembershipAction, MembershipEvent,
 };
-use crate::decision::routing::Candidate;
 use crate::edge::gossip_codec::GossipCodec;
 use crate::kernel::Kernel;
 use crate::kernel::error::StepError;
 use crate::kernel::metrics::Event;
 use crate::kernel::plugin::{Plugin, Stage, Started};
 use crate::kernel::shards::lock;
-use crate::model::names::{ServerName, ServiceName};
-use crate::request::state::{ConfigHint, PeerAddress};
+use crate::model::names::ServiceName;
+use crate::request::directory;
+use crate::request::state::ConfigHint;
 
 inventory::submit! { Plugin { name: "membership", stage: Stage::Bind, start } }
 
@@ -122,7 +122,7 @@
             }
         }
         let service = kernel.state.own_service();
-        route_own(
+        directory::route_own(
             &kernel,
             routed.as_ref(),
             service.as_ref().filter(|_service| !leaving),
@@ -134,27 +134,6 @@
     }
 }
 
-/// Keeps the own backend server among the candidates of its service.
-fn route_own(kernel: &Kernel, before: Option<&ServiceName>, now: Option<&ServiceName>) {
-    let own = &kernel.settings.node.server;
-    if let Some(service) = before.filter(|service| Some(*service) != now) {
-        kernel.state.routers.lock(service).remove(own);
-    }
-    if let Some(service) = now {
-        let zone = kernel.settings.node.zone.clone();
-        let candidate = Candidate {
-            server: own.clone(),
-            zone,
-            service: service.clone(),
-        };
-        kernel
-            .state
-            .routers
-            .lock(service)
-            .upsert(candidate, kernel.now_us());
-    }
-}
-
 /// Takes in members that were read from the log.
 async fn follow_learned(runner: Arc<Runner>, mut learned: broadcast::Receiver<Member>) {
     loop {
@@ -211,7 +190,7 @@
                 Ok(datagram) => self.send(to, &datagram).await,
                 Err(error) => log::error!("membership: a message was not sent: {error}"),
             },
-            MembershipAction::Changed(member) => changed(&self.kernel, &member),
+            MembershipAction::Changed(member) => directory::take(&self.kernel, &member),
             MembershipAction::ConfigBehind { peer, version } => {
                 let behind = &self.kernel.state.config_behind;
                 behind.send_replace(Some(ConfigHint { peer, version }));
@@ -233,69 +212,3 @@
         }
     }
 }
-
-/// Keeps the peer table and the routers in step with one member.
-fn changed(kernel: &Kernel, member: &Member) {
-    if member.is_present() {
-        let mut knowledge = lock(&kernel.state.knowledge);
-        knowledge.expect(&member.region, &member.zone, kernel.now_us());
-    }
-    let before = kernel.state.peer(&member.server);
-    let takes_work = matches!(member.state, MemberState::Alive | MemberState::Suspect);
-    let routed = member.service.as_ref().filter(|_service| takes_work);
-    unroute(kernel, &member.server, before.as_ref(), routed);
-    if let Some(service) = routed {
-        let candidate = Candidate {
-            server: member.server.clone(),
-            zone: member.zone.clone(),
-            service: service.clone(),
-        };
-        kernel
-            .state
-            .routers
-            .lock(service)
-            .upsert(candidate, kernel.now_us());
-    }
-    note_peer(kernel, member, before);
-}
-
-fn unroute(
-    kernel: &Kernel,
-    server: &ServerName,
-    before: Option<&PeerAddress>,
-    now: Option<&ServiceName>,
-) {
-    let Some(service) = before.and_then(|peer| peer.service.as_ref()) else {
-        return;
-    };
-    if Some(service) != now {
-        kernel.state.routers.lock(service).remove(server);
-    }
-}
-
-/// A dead node's address is kept, so that a repeat with its ticket still finds it.
-fn note_peer(kernel: &Kernel, member: &Member, before: Option<PeerAddress>) {
-    let peer = PeerAddress {
-        incarnation: member.incarnation,
-        address: member.peer_address,
-        service: member.service.clone(),
-        zone: member.zone.clone(),
-        live: member.is_present(),
-    };
-    if let Some(before) = before
-        && (before.address != peer.address || before.incarnation != peer.incarnation)
-    {
-        kernel.state.peer_pool.forget(before.address);
-    }
-    log::debug!(
-        "membership: {} of {} is {:?}",
-        member.server,
-        member.zone,
-        member.state
-    );
-    kernel
-        .state
-        .peers
-        .lock(&member.server)
-        .insert(member.server.clone(), peer);
-}
--- a/src/request/classify.rs
+++ b/src/request/classify.rs
@@ -10,12 +10,11 @@
 use crate::model::names::{BranchName, ServerName, ServiceName};
 use crate::model::reasons::{RefusalReason, RunState};
 use crate::model::request::{Effect, Urgency};
+use crate::model::units::US_PER_MS;
 
 /// Urgency parameter of `Priority` from which a request counts as ordinary (RFC 9218, section 4.1).
 const ORDINARY_PRIORITY_MIN: u8 = 4;
 
-const US_PER_MS: u64 = 1_000;
-
 /// Longest deadline that a caller may state, in ms.
 const TIMEOUT_MS_MAX: u64 = 3_600_000;
 
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -12,13 +12,12 @@
 use super::headers;
 use super::state::AnnouncedServer;
 use crate::decision::gate::RunOutcome;
-use crate::edge::server_pool::{Echo, Reached, SendError};
+use crate::edge::send_error::{Echo, Reached, SendError};
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::kernel::shards::lock;
 use crate::model::reasons::{RefusalReason, RunState};
-
-const US_PER_MS: u64 = 1_000;
+use crate::model::units::US_PER_MS;
 
 /// When to come back after the backend server shed a request, in ms.
 const SHED_RETRY_AFTER_MS: u64 = 100;
--- a/src/request/executor.rs
+++ b/src/request/executor.rs
@@ -17,10 +17,9 @@
 use crate::model::ids::Incarnation;
 use crate::model::names::ServiceName;
 use crate::model::reasons::{Refusal, RefusalReason, RunState};
+use crate::model::units::US_PER_MS;
 use crate::settings::NodeSettings;
 
-const US_PER_MS: u64 = 1_000;
-
 /// Outcome of a running request, once it is there.
 type Running = watch::Receiver<Option<CallResult>>;
 
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod call;
 pub mod classify;
+pub mod directory;
 pub mod dispatch;
 pub mod entry;
 pub mod executor;
--- a/src/request/state.rs
+++ b/src/request/state.rs
@@ -24,10 +24,9 @@
 use crate::model::config::Config;
 use crate::model::ids::{BootId, ConfigVersion, Incarnation};
 use crate::model::names::{ServerName, ServiceName, ZoneName};
+use crate::model::units::US_PER_MS;
 use crate::settings::NodeSettings;
 
-const US_PER_MS: u64 = 1_000;
-
 /// Locks over the routers; one service is in one shard.
 const ROUTER_SHARDS: usize = 16;
 
