Tell a caller with an invalid ticket that the outcome is unknown

Cause: entry node and executor built this refusal by hand as not run. The text may be a damaged copy of a genuine ticket whose request has run (docs/design/at_most_once.md). The decision code had the right refusal, which nobody used. Change: both take ticket_invalid() of the decision code. Before: ticket::forged_and_damaged_tickets_are_refused_as_unknown failed (not_run was true). After: it passes.

--- a/src/request/executor.rs
+++ b/src/request/executor.rs
@@ -9,7 +9,7 @@
 use super::dispatch;
 use crate::decision::ticket::{
     AnswerHeader, Claim, Fingerprint, FingerprintParts, StoredAnswer, Ticket, TicketCounts,
-    TicketOutcome, TicketTable, TicketTableSettings,
+    TicketOutcome, TicketTable, TicketTableSettings, ticket_invalid,
 };
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
@@ -111,7 +111,7 @@
 async fn run_ticketed(kernel: &Arc<Kernel>, call: &Call, text: &str) -> CallResult {
     let ticket = Ticket::decode(text, &kernel.state.ticket_key).map_err(|error| {
         log::info!("executor: a ticket was refused: {error}");
-        Failure::new(RefusalReason::TicketInvalid, RunState::NotRun, Step::Ticket)
+        Failure::from_refusal(ticket_invalid(), Step::Ticket)
     })?;
     match claim(kernel, call, &ticket) {
         Claimed::Refused(refusal) => Err(Failure::from_refusal(refusal, Step::Ticket)),
--- a/src/request/ticketed.rs
+++ b/src/request/ticketed.rs
@@ -5,7 +5,7 @@
 use super::attempt::Attempted;
 use super::call::{Call, CallResult, Failure, Step};
 use super::{executor, forward};
-use crate::decision::ticket::{Ticket, before_executor, ticket_required};
+use crate::decision::ticket::{Ticket, before_executor, ticket_invalid, ticket_required};
 use crate::kernel::Kernel;
 use crate::model::load::LoadReport;
 use crate::model::names::ServerName;
@@ -37,8 +37,7 @@
         Ok(ticket) => ticket,
         Err(error) => {
             log::info!("ticket: request {} bears no valid ticket: {error}", call.id);
-            let reason = RefusalReason::TicketInvalid;
-            let failure = Failure::new(reason, RunState::NotRun, Step::Ticket);
+            let failure = Failure::from_refusal(ticket_invalid(), Step::Ticket);
             return Attempted {
                 result: Err(failure),
                 hops: 0,
