Count malformed and oversized messages between nodes

Cause: the RPC library ends a connection at a message that it cannot read and tells nobody. Ruled out: unbounded memory; the length is checked before anything is read. Change: the listener takes the requests one by one, and counts such an end as a rejected peer. A peer that goes away is none. Before: peer::oversized_message_is_rejected and peer::malformed_message_is_rejected failed (the counter stayed 0). After: the 8 cases of peer pass.

--- a/src/edge/peer_server.rs
+++ b/src/edge/peer_server.rs
@@ -1,9 +1,11 @@
 //! Listener for peer nodes.
 
+use std::io::ErrorKind;
 use std::sync::Arc;
 use std::time::Duration;
 
 use futures::StreamExt;
+use tarpc::ChannelError;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
@@ -81,16 +83,33 @@
     let config = tarpc::server::Config {
         pending_response_buffer: PENDING_ANSWERS_MAX,
     };
-    let requests = BaseChannel::new(config, transport).execute(
-        PeerService {
-            kernel: Arc::clone(&kernel),
-        }
-        .serve(),
-    );
+    let requests = BaseChannel::new(config, transport).requests();
     let until_stopped = requests.take_until(kernel.stop.stopped());
     tokio::pin!(until_stopped);
     while let Some(request) = until_stopped.next().await {
-        kernel.work.spawn(request);
+        match request {
+            Ok(request) => {
+                let service = PeerService {
+                    kernel: Arc::clone(&kernel),
+                };
+                kernel.work.spawn(request.execute(service.serve()));
+            }
+            Err(error) if is_malformed(&error) => return reject(&kernel, error),
+            Err(error) => {
+                log::debug!("peer: a connection ended: {error}");
+                return;
+            }
+        }
+    }
+}
+
+/// Whether the peer sent bytes that are no message, rather than went away.
+fn is_malformed(error: &ChannelError<std::io::Error>) -> bool {
+    match error {
+        ChannelError::Read(cause) => {
+            matches!(cause.kind(), ErrorKind::InvalidData | ErrorKind::Other)
+        }
+        _ => false,
     }
 }
 
