Name what is allowed for each refused key of the settings

Cause: for missing keys, addresses, names and text that is no JSON the refusal pointed at the docs in place of saying what is allowed, and a missing key was told by its part only. Change: the parser's messages are split into found and allowed, missing keys have their full path.

--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -96,10 +96,38 @@
 
 fn parse_problem(error: &serde_path_to_error::Error<serde_json::Error>) -> Problems {
     let mut problems = Problems::default();
-    let text = error.inner().to_string();
-    let (found, allowed) = text
-        .split_once(", expected ")
-        .unwrap_or((&text, "see docs/operators"));
-    problems.add(&error.path().to_string(), found, allowed);
+    let path = error.path().to_string();
+    let inner = error.inner();
+    let text = inner.to_string();
+    let text = text.split(" at line ").next().unwrap_or(&text);
+    if inner.is_syntax() || inner.is_eof() {
+        let found = format!("{text} at line {}, column {}", inner.line(), inner.column());
+        problems.add(&path, found, "one JSON object");
+    } else if let Some(field) = missing_field(text) {
+        let path = if path == "." {
+            field.to_owned()
+        } else {
+            format!("{path}.{field}")
+        };
+        problems.add(&path, "nothing", "a value; it has no default");
+    } else {
+        let (found, allowed) = found_and_allowed(text);
+        problems.add(&path, found, allowed);
+    }
     problems
 }
+
+/// Name of the field that a parser's message tells to be missing.
+fn missing_field(text: &str) -> Option<&str> {
+    text.strip_prefix("missing field `")?.strip_suffix('`')
+}
+
+/// Splits a parser's message into what was found and what is allowed.
+fn found_and_allowed(text: &str) -> (&str, &str) {
+    if text == "invalid socket address syntax" {
+        return (text, "an IP number and a port, such as 127.0.0.1:7001");
+    }
+    text.split_once(", expected ")
+        .or_else(|| text.split_once("; "))
+        .unwrap_or((text, "see docs/operators"))
+}
