--- a/tests/bad_input/settings.rs
+++ b/tests/bad_input/settings.rs
@@ -27,9 +27,9 @@
 }
 
 /// What `node` prints about a settings file that it refuses.
-fn refusal(name: &str, text: &str) -> String {
+fn refusal(name: &str, text: impl AsRef<str>) -> String {
     let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.json"));
-    std::fs::write(&file, text).expect("settings are written");
+    std::fs::write(&file, text.as_ref()).expect("settings are written");
     let output = Command::new(env!("CARGO_BIN_EXE_bronzelock"))
         .args(["node", "--settings"])
         .arg(&file)
@@ -48,7 +48,7 @@
 
 macro_rules! refused {
     ($($name:ident: $text:expr;)+) => {
-        $(#[test] fn $name() { insta::assert_snapshot!(refusal(stringify!($name), &$text)); })+
+        $(#[test] fn $name() { insta::assert_snapshot!(refusal(stringify!($name), $text)); })+
     };
 }
 
@@ -73,9 +73,9 @@
     same_stream_twice: with("log", "member_stream", json!("bronzelock-config"));
     short_token: with("peer", "token", json!("short"));
     open_admin_without_token: with("admin", "listen", json!("0.0.0.0:9"));
-    not_json: "node = herd-1".to_owned();
+    not_json: "node = herd-1";
     text_after_the_end: format!("{} {{}}", fitting());
-    empty_file: String::new();
+    empty_file: "";
 }
 
 #[test]
