--- a/scripts/measure/zone.sh
+++ b/scripts/measure/zone.sh
@@ -51,10 +51,11 @@
   start_service "$second" "$second_count" "$slots" "$@"
   wait_until 20 admin_ready
   wait_until 10 configure "$WORK/$first.json" "$WORK/$second.json"
-  wait_for_warm $((first_count + second_count))
   add_kinds "$first" $((first_count * slots * 1000000 / SERVICE_TIME_US))
   add_kinds "$second" $((second_count * slots * 1000000 / SERVICE_TIME_US))
   echo "[$KINDS]" >"$WORK/kinds.json"
+  warm_up 4 --targets "$(callers_csv)" --kinds "$WORK/kinds.json" --rate $((RATE / 2))
+  wait_for_warm $((first_count + second_count))
   for run in $(seq "$RUNS"); do
     leave_and_return "$1" &
     mover=$!
