Measurements: overhead, throughput and cold starts; warm up until warm

Cause: a gate that fell back in its cold start does not grow without work, so the table of cold starts gave up waiting for warm nodes once more, after 4 s of load; it now loads until all are warm.

--- a/scripts/measure/cold.sh
+++ b/scripts/measure/cold.sh
@@ -23,8 +23,7 @@
   wait_until 10 admin_ready
   wait_until 10 configure "$WORK/answers.json"
   [ "$1" = warm ] || return 0
-  warm_up 4 --targets "$(callers_csv)" --path /herd/history/7 --branch cold --rate $((RATE_PER_S / 2))
-  wait_for_warm 3
+  warm_up 3 --targets "$(callers_csv)" --path /herd/history/7 --branch cold --rate $((RATE_PER_S / 2))
 }
 
 # full_share ROW RUN: notes the time from now until herd-3 runs as much as herd-2.
--- a/scripts/measure/common.sh
+++ b/scripts/measure/common.sh
@@ -121,7 +121,16 @@
 # answered REPORT: whole answers of all kinds, the first count of that name.
 answered() { grep -m1 -oE '"answered": ?[0-9]+' "$1" | grep -oE '[0-9]+'; }
 
-# warm_up SECONDS [flags of loadgen]: load that ends cold starts, since a gate grows on successes.
+# warm_up COUNT [flags of loadgen]: load until COUNT nodes are warm. A gate grows on successes, so
+# one that fell back in its cold start stays below its slots while nothing is sent.
 warm_up() {
-  "$LOAD" --seconds "$@" --timeout-ms 2000 --threads 2 >"$WORK/warm_up.out" 2>&1 || true
+  local count=$1
+  shift
+  for _ in $(seq 15); do
+    "$LOAD" --seconds 2 "$@" --timeout-ms 2000 --threads 2 >"$WORK/warm_up.out" 2>&1 || true
+    status_has "$count" warm && return 0
+  done
+  echo "gave up warming $count nodes up" >&2
+  "$BIN/bronzelock" status --admin "$(first_admin)" >&2
+  return 1
 }
--- a/scripts/measure/zone.sh
+++ b/scripts/measure/zone.sh
@@ -54,8 +54,7 @@
   add_kinds "$first" $((first_count * slots * 1000000 / SERVICE_TIME_US))
   add_kinds "$second" $((second_count * slots * 1000000 / SERVICE_TIME_US))
   echo "[$KINDS]" >"$WORK/kinds.json"
-  warm_up 4 --targets "$(callers_csv)" --kinds "$WORK/kinds.json" --rate $((RATE / 2))
-  wait_for_warm $((first_count + second_count))
+  warm_up $((first_count + second_count)) --targets "$(callers_csv)" --kinds "$WORK/kinds.json" --rate $((RATE / 2))
   for run in $(seq "$RUNS"); do
     leave_and_return "$1" &
     mover=$!
