Ping a contact only while no member is present at its address

Cause: every node pinged a shared contact once per reconnect period (5 s) for as long as it ran.

Ruled out: probes (they are spread evenly, and a member heard lately is skipped) and requests for the table (they avoid contacts already).

Change: a contact whose address belongs to a member that is not dead is not pinged; probes reach it as any other. A dead or unknown contact is pinged as before, so that a cut heals.

--- a/src/decision/membership/table.rs
+++ b/src/decision/membership/table.rs
@@ -1,6 +1,7 @@
 //! The members that one node knows, itself left out.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 
 use crate::decision::draws::Draws;
 use crate::model::names::ServerName;
@@ -61,6 +62,12 @@
         self.records.len()
     }
 
+    /// Whether a member that is not dead has this membership address.
+    pub(super) fn has_present_at(&self, address: SocketAddr) -> bool {
+        let mut members = self.records.iter().map(|record| &record.member);
+        members.any(|member| member.is_present() && member.gossip_address == address)
+    }
+
     /// Members that are not dead.
     pub(super) fn present(&self) -> usize {
         self.present
--- a/src/decision/membership/tick.rs
+++ b/src/decision/membership/tick.rs
@@ -190,7 +190,7 @@
         }
     }
 
-    /// Now and then pings a dead member or a contact, so that a cut heals.
+    /// Now and then pings a dead member or an unknown contact, so that a cut heals.
     fn reconnect(&mut self, turn: &mut Turn<'_>) {
         let period_us = self.settings.reconnect_period_ms * 1_000;
         if turn.now_us < self.reconnected_at_us + period_us {
@@ -222,13 +222,18 @@
         }
     }
 
+    /// Pings a contact that is not present as a member: probes reach the others.
     fn ping_contact(&mut self, turn: &mut Turn<'_>) {
-        if self.contacts.is_empty() {
+        let contacts = self.contacts.iter().copied();
+        let missing: Vec<_> = contacts
+            .filter(|at| !self.table.has_present_at(*at))
+            .collect();
+        if missing.is_empty() {
             return;
         }
-        let index = turn.draws.index(self.contacts.len());
+        let address = missing[turn.draws.index(missing.len())];
         let nonce = turn.draws.next();
-        self.send(self.contacts[index], Body::Ping { nonce }, &[], turn);
+        self.send(address, Body::Ping { nonce }, &[], turn);
     }
 
     fn request_sync(&mut self, turn: &mut Turn<'_>) {
--- a/tests/membership_protocol.rs
+++ b/tests/membership_protocol.rs
@@ -32,6 +32,27 @@
     assert!(took_ms.is_some());
 }
 
+#[test]
+fn shared_contact_bears_no_more_than_others() {
+    let mut exchange = Exchange::new(96, MembershipSettings::default(), SEED);
+    for index in 0..96 {
+        exchange.restart(index, 1, &[0]);
+    }
+    let took_ms = exchange.run_until(60_000, Exchange::all_know_all);
+    assert!(took_ms.is_some());
+    exchange.run_ms(30_000);
+    exchange.reset_costs();
+    exchange.run_ms(60_000);
+    let mut bytes: Vec<u64> = exchange.nodes.iter().map(|n| n.cost.bytes_in).collect();
+    let at_contact = bytes[0];
+    bytes.sort_unstable();
+    let median = bytes[bytes.len() / 2];
+    assert!(
+        at_contact < 2 * median,
+        "{at_contact} bytes at the contact, {median} at the median node"
+    );
+}
+
 #[test]
 fn lost_datagrams_do_not_make_a_member_dead() {
     let mut exchange = converged(32);
