Let a zone serve before it is taken out in the propagation run

Cause: a trial with 8 nodes saw no work at all in the spare zone, since it was in service for less than half a second between two changes, so its time to the last new work said nothing.

Change: with a witness, a zone that came back stays in service for 1.5 s; the scripts take binaries built before and single scenarios.

--- a/scripts/measure/fleet.sh
+++ b/scripts/measure/fleet.sh
@@ -7,6 +7,12 @@
 FLEET_ZONES=(ratchaburi saraburi nakhon-pathom accra-kaneshie accra-tema accra-airport spare)
 FLEET_REGIONS=(thailand thailand thailand ghana ghana ghana third)
 FLEET_SERVICES=(herd parlour ductbook camlog)
+# Directory of binaries that were built before; without it the scripts build them.
+if [ -n "${FLEET_BIN:-}" ]; then
+  BIN=$FLEET_BIN
+  build() { :; }
+fi
+
 READY_S=120
 NODE_THREADS=1
 ANNOUNCER_PID=""
--- a/scripts/measure/propagation.sh
+++ b/scripts/measure/propagation.sh
@@ -9,13 +9,16 @@
 SEED=${SEED:-1}
 LOAD_PER_S=${LOAD_PER_S:-400}
 OUTAGE_S=5
+STAY_S=1 # time from the start of a node to its next stop
+SCENARIOS="quiet load restart outage"
 OUTAGES=4
-LOAD_SECONDS_PER_CHANGE=3
+LOAD_SECONDS_PER_CHANGE=4
 while [ $# -gt 0 ]; do
   case $1 in
     --sizes) SIZES=$2; shift 2 ;;
     --changes) CHANGES=$2; shift 2 ;;
-    *) echo "usage: propagation.sh [--sizes \"8 32\"] [--changes N]" >&2; exit 2 ;;
+    --scenarios) SCENARIOS=$2; shift 2 ;;
+    *) echo "usage: propagation.sh [--sizes \"8 32\"] [--changes N] [--scenarios \"quiet load\"]" >&2; exit 2 ;;
   esac
 done
 
@@ -37,8 +40,11 @@
   changes "$LOAD_PER_S calls/s" "$CHANGES" --witness "${SERVER[spare]}"
   kill "$load" 2>/dev/null || true
   wait "$load" 2>/dev/null || true
+  echo "  runs in the zone since its start: $(zone_runs)"
 }
 
+zone_runs() { curl -sS "http://${SERVER[spare]}/-/witness?detail=totals" | grep -oE "\"runs\": ?[0-9]+" | head -1; }
+
 # restart_tenth: SIGTERM to a tenth of the nodes, but not the contact, then starts them again.
 restart_tenth() {
   local index name
@@ -54,7 +60,10 @@
   local measuring
   changes "a tenth of the nodes restarting" "$CHANGES" &
   measuring=$!
-  while kill -0 "$measuring" 2>/dev/null; do restart_tenth; done
+  while kill -0 "$measuring" 2>/dev/null; do
+    restart_tenth
+    sleep "$STAY_S"
+  done
   wait "$measuring"
 }
 
@@ -75,9 +84,14 @@
 build
 for size in $SIZES; do
   fleet_start "$size"
-  changes "quiet" "$CHANGES"
-  under_load
-  restarting
-  after_outage
+  for scenario in $SCENARIOS; do
+    case $scenario in
+      quiet) changes "quiet" "$CHANGES" ;;
+      load) under_load ;;
+      restart) restarting ;;
+      outage) after_outage ;;
+      *) echo "no scenario $scenario" >&2; exit 2 ;;
+    esac
+  done
   fleet_stop
 done
--- a/standins/examples/propagation/main.rs
+++ b/standins/examples/propagation/main.rs
@@ -47,6 +47,9 @@
     /// Time that new work is watched for after a zone was taken out, in ms
     #[arg(long, default_value_t = 1_500)]
     watch_ms: u64,
+    /// Time that a zone stays in service before it is taken out, where new work is watched, in ms
+    #[arg(long, default_value_t = 1_500)]
+    back_ms: u64,
     /// Seed of nodes and pauses
     #[arg(long, default_value_t = 1)]
     seed: u64,
@@ -143,6 +146,9 @@
         let confirmed = confirm(arguments, nodes, version, accepted, &mut figures);
         let (last_work, confirmed) = tokio::join!(watching, confirmed);
         confirmed?;
+        if arguments.witness.is_some() && direction == Direction::Back {
+            sleep(Duration::from_millis(arguments.back_ms)).await;
+        }
         match last_work {
             Some(Some(last_ms)) => figures.last_work_ms.record(last_ms)?,
             Some(None) => figures.without_work += 1,
