--- a/src/agreement/in_force.rs
+++ b/src/agreement/in_force.rs
@@ -6,10 +6,9 @@
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::model::config::Config;
+use crate::model::units::US_PER_MS;
 use crate::settings::NodeSettings;
 
-const US_PER_MS: u64 = 1_000;
-
 /// Brings `config` into force, unless a newer one is.
 pub fn bring(kernel: &Kernel, config: Arc<Config>) {
     let in_force = kernel.state.config.load().version;
@@ -43,12 +42,15 @@
     let config = kernel.state.config.load();
     let gate = &kernel.state.gate;
     gate.handle(GateEvent::SetOut(out_reason(&kernel.settings, &config)));
-    let Some(service) = kernel.state.own_service() else {
+    let Some(server) = kernel.state.server.load_full() else {
         return;
     };
-    let Some(service) = config.services.get(&service) else {
+    let Some(service) = config.services.get(&server.service) else {
         return;
     };
+    server
+        .pool
+        .set_connections_max(service.bears.connections as usize);
     gate.handle(GateEvent::Configure(GateLimits {
         bears: service.bears,
         branches: service.branches.clone(),
--- a/src/edge/server_pool.rs
+++ b/src/edge/server_pool.rs
@@ -3,18 +3,20 @@
 //! A connection whose request did not end with a whole answer is closed, never used again.
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONTENT_LENGTH, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::send_error::{Echo, Reached, SendError};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::kernel::tasks::Tasks;
@@ -28,41 +30,6 @@
 /// Longest time to open a connection.
 const CONNECT_MAX: Duration = Duration::from_millis(500);
 
-/// How far a request came before it failed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reached {
-    /// No byte of it was written.
-    NotSent,
-    /// It may have reached the backend server.
-    MaybeSent,
-    /// The answer began but was incomplete or too long.
-    AnswerBroken,
-}
-
-/// A request that got no whole answer.
-#[derive(Debug)]
-pub struct SendError {
-    /// How far it came.
-    pub reached: Reached,
-    /// Step and cause.
-    pub error: StepError,
-}
-
-/// Header by which an answer proves which request it belongs to.
-#[derive(Debug)]
-pub struct Echo {
-    /// Name of the header.
-    pub name: &'static str,
-    /// Value that the request carried.
-    pub value: HeaderValue,
-}
-
-impl Echo {
-    fn matches<B>(&self, response: &Response<B>) -> bool {
-        response.headers().get(self.name) == Some(&self.value)
-    }
-}
-
 #[derive(Debug)]
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -86,7 +53,7 @@
 #[derive(Debug)]
 pub struct ServerPool {
     address: SocketAddr,
-    connections_max: usize,
+    connections_max: AtomicUsize,
     state: Mutex<State>,
     tasks: Tasks,
 }
@@ -120,7 +87,7 @@
     pub fn new(address: SocketAddr, connections_max: usize, tasks: Tasks) -> Self {
         Self {
             address,
-            connections_max,
+            connections_max: AtomicUsize::new(connections_max),
             state: Mutex::new(State::default()),
             tasks,
         }
@@ -131,6 +98,12 @@
         self.address
     }
 
+    /// Sets how many connections may be open from now on.
+    pub fn set_connections_max(&self, connections_max: usize) {
+        self.connections_max
+            .store(connections_max, Ordering::Relaxed);
+    }
+
     /// Closes idle connections.
     pub fn close_idle(&self) {
         let mut state = lock(&self.state);
@@ -140,15 +113,23 @@
 
     /// Sends one request and reads the whole answer, which must carry `echo`.
     ///
+    /// `clearance` is asked once, on an open connection right before the first byte.
+    ///
     /// # Errors
     /// [`SendError`] says whether any byte may have reached the backend server.
     pub async fn send(
         self: &Arc<Self>,
         request: Request<Full<Bytes>>,
         echo: Option<&Echo>,
+        clearance: impl FnOnce() -> bool,
     ) -> Result<Response<Bytes>, SendError> {
         let head_only = request.method() == Method::HEAD;
-        let (lease, response) = self.send_head(request).await?;
+        let first = self.lease().await?;
+        if !clearance() {
+            first.0.give_back();
+            return Err(self.error(Reached::Withdrawn, "send", "it may not run any more"));
+        }
+        let (lease, response) = self.send_head(request, first).await?;
         if echo.is_some_and(|echo| !echo.matches(&response)) {
             let cause = "the answer belongs to another request";
             return Err(self.error(Reached::AnswerBroken, "answer", cause));
@@ -159,19 +140,23 @@
     }
 
     /// Writes the request; a connection that was closed while idle is replaced by a new one.
-    async fn send_head(
-        &self,
+    async fn send_head<'a>(
+        &'a self,
         mut request: Request<Full<Bytes>>,
-    ) -> Result<(Lease<'_>, Response<hyper::body::Incoming>), SendError> {
+        first: (Lease<'a>, bool),
+    ) -> Result<(Lease<'a>, Response<hyper::body::Incoming>), SendError> {
+        let (mut lease, mut reused) = first;
         loop {
-            let (mut lease, reused) = self.lease().await?;
             let Some(connection) = lease.connection.as_mut() else {
                 return Err(self.error(Reached::NotSent, "connect", "the connection is closed"));
             };
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok((lease, response)),
                 Err(mut failed) => match failed.take_message() {
-                    Some(unsent) if reused => request = unsent,
+                    Some(unsent) if reused => {
+                        request = unsent;
+                        (lease, reused) = self.lease().await?;
+                    }
                     Some(_unsent) => {
                         return Err(self.error(Reached::NotSent, "send", failed.into_error()));
                     }
@@ -215,7 +200,7 @@
         }
         {
             let mut state = lock(&self.state);
-            if state.open >= self.connections_max {
+            if state.open >= self.connections_max.load(Ordering::Relaxed) {
                 let cause = "all connections that the backend server bears are in use";
                 return Err(self.error(Reached::NotSent, "connect", cause));
             }
