--- a/scripts/measure/fleet.sh
+++ b/scripts/measure/fleet.sh
@@ -49,7 +49,7 @@
  "deadline_ms": 2000, "deadline_required": false, "body_bytes_max": 65536, "probes_per_s": 2,
  "branch_weight": 1, "urgent_share_percent": 40}
 JSON
-    configure "$WORK/$service.answers"
+    configure "$WORK/$service.answers" || return 1
   done
 }
 
