--- a/scripts/measure/fleet.sh
+++ b/scripts/measure/fleet.sh
@@ -7,6 +7,12 @@
 FLEET_ZONES=(ratchaburi saraburi nakhon-pathom accra-kaneshie accra-tema accra-airport spare)
 FLEET_REGIONS=(thailand thailand thailand ghana ghana ghana third)
 FLEET_SERVICES=(herd parlour ductbook camlog)
+# Directory of binaries that were built before; without it the scripts build them.
+if [ -n "${FLEET_BIN:-}" ]; then
+  BIN=$FLEET_BIN
+  build() { :; }
+fi
+
 READY_S=120
 NODE_THREADS=1
 ANNOUNCER_PID=""
@@ -43,7 +49,7 @@
  "deadline_ms": 2000, "deadline_required": false, "body_bytes_max": 65536, "probes_per_s": 2,
  "branch_weight": 1, "urgent_share_percent": 40}
 JSON
-    configure "$WORK/$service.answers"
+    configure "$WORK/$service.answers" || return 1
   done
 }
 
