Bear only the cold slots from a lost connection until the boot is known

Ruled out: a cold start at each lost connection, which would cost its whole length for one broken connection; more weight for failures, which come after the work was sent. Change: a connection that ends by itself makes the gate fall to the cold slots; the next announcement decides, at no cost if it is the same process. Seen failing first: 12 in flight with the rule off, 3 with it (gate tests).

--- a/src/decision/gate/availability.rs
+++ b/src/decision/gate/availability.rs
@@ -24,11 +24,13 @@
     present: bool,
     leaving: bool,
     out: Option<OutReason>,
+    restart_suspected: bool,
 }
 
 impl Availability {
     /// Takes note of an announcement. A new process is not leaving, whatever the old one was.
     pub fn announce(&mut self, boot: BootId) -> Announcement {
+        self.restart_suspected = false;
         let was_present = std::mem::replace(&mut self.present, true);
         if self.boot != Some(boot) {
             self.boot = Some(boot);
@@ -42,6 +44,16 @@
         }
     }
 
+    /// Takes note that it may have started anew; the next announcement decides.
+    pub fn suspect_restart(&mut self) {
+        self.restart_suspected = true;
+    }
+
+    /// Whether it may have started anew since its last announcement.
+    pub fn is_restart_suspected(&self) -> bool {
+        self.restart_suspected
+    }
+
     /// Takes note that the lease lapsed.
     pub fn set_absent(&mut self) {
         self.present = false;
--- a/src/decision/gate/event.rs
+++ b/src/decision/gate/event.rs
@@ -83,6 +83,8 @@
         /// Run of the backend server process.
         boot: BootId,
     },
+    /// A connection ended by itself, so the backend server may have started anew.
+    RestartSuspected,
     /// The backend server's lease has lapsed.
     Absent,
     /// The backend server or its node is shutting down gracefully.
--- a/src/decision/gate/mod.rs
+++ b/src/decision/gate/mod.rs
@@ -87,6 +87,7 @@
                 self.queue.remove(id);
             }
             GateEvent::Announced { boot } => self.announce(boot, now_us),
+            GateEvent::RestartSuspected => self.availability.suspect_restart(),
             GateEvent::Absent => self.availability.set_absent(),
             GateEvent::Leaving => self.availability.set_leaving(),
             GateEvent::SetOut(out) => self.set_out(out),
@@ -120,7 +121,8 @@
     }
 
     fn state(&self) -> ServerState {
-        let warmth = if self.cold_start.is_cold() {
+        let cold = self.cold_start.is_cold() || self.availability.is_restart_suspected();
+        let warmth = if cold {
             ServerState::Cold
         } else {
             ServerState::Warm
@@ -147,7 +149,12 @@
         let slots = bears.slots.min(bears.connections);
         let slowness = self.service_time.slowness(now_us);
         let adaptive = self.adaptive.get(slots, bears.cold_slots, slowness);
-        adaptive.min(self.cold_start.limit(bears))
+        let borne = adaptive.min(self.cold_start.limit(bears));
+        if self.availability.is_restart_suspected() {
+            borne.min(bears.cold_slots)
+        } else {
+            borne
+        }
     }
 
     fn estimate(&self, now_us: u64) -> WaitEstimate {
--- a/src/edge/server_pool.rs
+++ b/src/edge/server_pool.rs
@@ -56,6 +56,24 @@
     connections_max: AtomicUsize,
     state: Mutex<State>,
     tasks: Tasks,
+    ended: EndedHook,
+}
+
+/// Called when a connection ends by itself, not by this pool.
+#[derive(Clone)]
+pub struct EndedHook(Arc<dyn Fn() + Send + Sync>);
+
+impl EndedHook {
+    /// Makes a hook of a function.
+    pub fn new(call: impl Fn() + Send + Sync + 'static) -> Self {
+        Self(Arc::new(call))
+    }
+}
+
+impl std::fmt::Debug for EndedHook {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("EndedHook(…)")
+    }
 }
 
 /// A connection in use. Dropping it closes it; only [`Lease::give_back`] keeps it.
@@ -84,12 +102,18 @@
 
 impl ServerPool {
     /// Makes a pool without connections.
-    pub fn new(address: SocketAddr, connections_max: usize, tasks: Tasks) -> Self {
+    pub fn new(
+        address: SocketAddr,
+        connections_max: usize,
+        tasks: Tasks,
+        ended: EndedHook,
+    ) -> Self {
         Self {
             address,
             connections_max: AtomicUsize::new(connections_max),
             state: Mutex::new(State::default()),
             tasks,
+            ended,
         }
     }
 
@@ -238,10 +262,12 @@
             .map_err(|e| self.error(Reached::NotSent, "connect", e))?;
         let handshake = http1::handshake(TokioIo::new(stream)).await;
         let (sender, driver) = handshake.map_err(|e| self.error(Reached::NotSent, "connect", e))?;
+        let ended = self.ended.clone();
         let driver = self.tasks.spawn_abortable(async move {
             if let Err(error) = driver.await {
                 log::debug!("server pool: a connection ended: {error}");
             }
+            (ended.0)();
         });
         Ok(Connection {
             sender,
--- a/src/plugins/announce.rs
+++ b/src/plugins/announce.rs
@@ -14,7 +14,7 @@
 
 use crate::decision::gate::GateEvent;
 use crate::edge::http_server::{self, HttpBounds};
-use crate::edge::server_pool::ServerPool;
+use crate::edge::server_pool::{EndedHook, ServerPool};
 use crate::kernel::Kernel;
 use crate::kernel::error::StepError;
 use crate::kernel::plugin::{Plugin, Stage, Started};
@@ -168,7 +168,13 @@
     let connections_max = service.map_or(CONNECTIONS_DEFAULT, |service| {
         service.bears.connections as usize
     });
-    let pool = ServerPool::new(announcement.address, connections_max, kernel.tasks.clone());
+    let gate = Arc::clone(&kernel.state.gate);
+    let pool = ServerPool::new(
+        announcement.address,
+        connections_max,
+        kernel.tasks.clone(),
+        EndedHook::new(move || gate.handle(GateEvent::RestartSuspected)),
+    );
     AnnouncedServer {
         service: announcement.service.clone(),
         boot: BootId(announcement.boot_id),
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -11,7 +11,7 @@
 use super::call::{Answer, Call, CallResult, Failure, Header, Step};
 use super::headers;
 use super::state::AnnouncedServer;
-use crate::decision::gate::RunOutcome;
+use crate::decision::gate::{GateEvent, RunOutcome};
 use crate::edge::send_error::{Echo, Reached, SendError};
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
@@ -206,6 +206,10 @@
         }
     };
     kernel.metrics.count(Event::ServerConnectionDropped);
+    if failed.reached == Reached::MaybeSent {
+        // Before the slot is free, so that nothing is dispatched at the full limit.
+        kernel.state.gate.handle(GateEvent::RestartSuspected);
+    }
     slot.finish(outcome);
     Failure::new(reason, run_state, Step::Dispatch)
 }
--- a/tests/gate/cold_start.rs
+++ b/tests/gate/cold_start.rs
@@ -55,6 +55,26 @@
         }
     }
 
+    lost_connection_bears_the_cold_slots_until_the_boot_is_known(warm()) => |gate| {
+        gate.send(GateEvent::RestartSuspected);
+        let lost: Vec<_> = gate.running.iter().copied().collect();
+        for id in lost {
+            gate.finish(id, RunOutcome::Failed);
+        }
+        for _ in 0..20 {
+            gate.ordinary("north");
+        }
+        assert!(gate.running.len() <= 3, "{} in flight", gate.running.len());
+        assert_eq!(gate.gate.load().state, ServerState::Cold);
+    }
+
+    lost_connection_of_the_same_boot_costs_nothing_after_its_announcement(warm()) => |gate| {
+        gate.send(GateEvent::RestartSuspected);
+        gate.send(GateEvent::Announced { boot: BootId(1) });
+        assert_eq!(gate.gate.load().state, ServerState::Warm);
+        assert_eq!(gate.gate.load().limit, 12);
+    }
+
     time_alone_does_not_grow_it(TestGate::open(cold())) => |gate| {
         gate.tick_after(60_000 * MS);
         for _ in 0..20 {
