Ask callers to close their connections while a node leaves

Cause: answers during the leave notice kept connections open, and the node then closed those that were idle. A request that a caller sent at that moment was cut; its caller cannot tell whether it ran. Change: answers of a leaving node bear 'Connection: close'. A connection that stays idle through the whole notice can still meet the close. Before: stop::leaving_node_asks_callers_to_close_their_connections failed. After: the 3 cases of stop pass.

--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -47,6 +47,10 @@
         fields.insert(headers::REQUEST_ID, value);
     }
     fields.insert(headers::HOPS, HeaderValue::from(attempted.hops));
+    if kernel.stop.is_leaving() {
+        // The caller then sends nothing more on a connection that the node is about to close.
+        fields.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
     if response.status().is_success() {
         kernel.metrics.count(Event::CallerAnswer);
     }
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -1,10 +1,18 @@
 //! Graceful shutdowns under load cut no request.
 
+use http_body_util::Full;
+use hyper::Request;
+use hyper::header::{CONNECTION, HOST};
+use standins::http::client::HttpConnection;
 use standins::load::LoadReport;
 
 use crate::cluster::{Cluster, QUICK, ServerPace, cases, pause};
+use crate::http::HISTORY;
 use crate::node_process::Signal;
 
+/// Time between two requests on one connection, in ms.
+const POLL_MS: u64 = 20;
+
 const THREE: [(&str, &str, &str); 3] = [
     ("herd-1", "herd", "ratchaburi"),
     ("herd-2", "herd", "saraburi"),
@@ -55,6 +63,22 @@
         assert_only_of_gone_executors(&report);
     }
 
+    leaving_node_asks_callers_to_close_their_connections => {
+        let cluster = Cluster::start(&THREE[..1], QUICK).await;
+        let node = &cluster.pairs[0];
+        let mut connection = HttpConnection::open(node.caller()).await.expect("a connection");
+        node.node.signal(Signal::Terminate);
+        loop {
+            let request = Request::get(HISTORY).header(HOST, "test").body(Full::default());
+            let answer = connection.send(request.expect("a valid request")).await;
+            let answer = answer.expect("no answer is cut before the caller was told");
+            if answer.headers.get(CONNECTION).is_some_and(|value| value == "close") {
+                break;
+            }
+            pause(POLL_MS).await;
+        }
+    }
+
     sigterm_in_a_flood_cuts_no_request => {
         let pace = ServerPace { service_time_ms: 40 };
         let mut cluster = Cluster::start(&THREE[..2], pace).await;
