Flood backend servers rather than the machine in failures.sh

4000 requests/s that run 2 ms are fewer than five backend servers bear, and more than the load generator could send beside the nodes: 14527 of 59840 were lost or timed out. Backend servers now take 60 ms, so 1500 requests/s exceed their 1000.

--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -14,7 +14,10 @@
 
 SECONDS_PER_CASE=15
 RATE_PER_S=150
-FLOOD_PER_S=4000
+# More than five backend servers of 12 slots bear at FLOOD_SERVICE_TIME_US.
+FLOOD_PER_S=1500
+FLOOD_SERVICE_TIME_US=60000
+SERVICE_TIME_US=2000
 # Longer than the lease of an announcement and the detection of a failed node.
 PAUSE_S=8
 ZONES=(ratchaburi saraburi nakhon-pathom)
@@ -35,7 +38,8 @@
   local i
   start_log
   for i in 1 2 3 4 5; do
-    start_pair "herd-$i" herd "${ZONES[$((i % 3))]}" --cold-slots 2 --cold-ms 20000
+    start_pair "herd-$i" herd "${ZONES[$((i % 3))]}" --cold-slots 2 --cold-ms 20000 \
+      --service-time-us "$SERVICE_TIME_US"
   done
   wait_until 10 admin_ready &&
     wait_until 10 configure "$ROOT/examples/answers/herd.json" &&
@@ -209,5 +213,6 @@
 run_case host-replaced "$RATE_PER_S" yes act_host_replaced
 run_case second-node "$RATE_PER_S" no act_second_node
 run_case rolling-restart "$RATE_PER_S" no act_rolling_restart
+SERVICE_TIME_US=$FLOOD_SERVICE_TIME_US
 run_case sigterm-in-flood "$FLOOD_PER_S" no act_sigterm_in_flood
 exit "$BROKEN"
