End every process of a script even when one has ended already

Cause: under 'set -e' the exit handler stopped at the first signal to a process that was gone, so backend server and log stand-ins of two failed runs stayed. Ruled out: a hanging stand-in; each ended on SIGTERM. Seen: after a script whose node was killed exits with 1, no process of it is left.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -166,6 +166,7 @@
 # stop_all: ends every process that is left, by its id.
 stop_all() {
   local name
+  set +e # a process that has ended already must not keep the others from being ended
   for name in "${!NODE_PID[@]}"; do kill -CONT "${NODE_PID[$name]}" 2>/dev/null; kill -TERM "${NODE_PID[$name]}" 2>/dev/null; done
   for name in "${!SERVER_PID[@]}"; do kill -TERM "${SERVER_PID[$name]}" 2>/dev/null; done
   [ -n "$LOG_PID" ] && kill -TERM "$LOG_PID" 2>/dev/null
