Receive stop signals from before the plug-ins start

Cause: a node that got SIGTERM within its first milliseconds exited with 143, since the handlers were installed after the plug-ins had started. Change: the signals are received from before the start; a stop that came meanwhile is handled right after it.

--- a/src/cli/node.rs
+++ b/src/cli/node.rs
@@ -7,7 +7,7 @@
 
 use super::{EXIT_BAD_INPUT, EXIT_FAILED};
 use crate::kernel::StepError;
-use crate::kernel::node::Node;
+use crate::kernel::node::{Node, StopSignals};
 use crate::settings::{self, NodeSettings};
 
 /// Filter of logs when `RUST_LOG` is not set.
@@ -46,5 +46,10 @@
         .enable_all()
         .build()
         .map_err(|error| StepError::local("start the runtime", error))?;
-    runtime.block_on(async { Node::start(settings).await?.run_until_signal().await })
+    runtime.block_on(async {
+        let signals = StopSignals::listen()?;
+        let node = Node::start(settings).await?;
+        node.run_until(signals).await;
+        Ok(())
+    })
 }
--- a/src/kernel/node.rs
+++ b/src/kernel/node.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 use super::clock::Clock;
 use super::context::Kernel;
@@ -21,6 +21,35 @@
 /// Time that loops have to end after the last request, in ms.
 const LOOPS_END_MS: u64 = 2_000;
 
+/// SIGTERM and SIGINT from the moment that this is made, so that none is missed during the start.
+#[derive(Debug)]
+pub struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+}
+
+impl StopSignals {
+    /// Begins to receive them.
+    ///
+    /// # Errors
+    /// [`StepError`] when signals cannot be received.
+    pub fn listen() -> Result<Self, StepError> {
+        let error = |cause: std::io::Error| StepError::local("signals", cause);
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).map_err(error)?,
+            interrupt: signal(SignalKind::interrupt()).map_err(error)?,
+        })
+    }
+
+    /// Waits for one and names it.
+    async fn received(&mut self) -> &'static str {
+        tokio::select! {
+            _signal = self.terminate.recv() => "SIGTERM",
+            _signal = self.interrupt.recv() => "SIGINT",
+        }
+    }
+}
+
 /// A node whose plug-ins have started.
 #[derive(Debug)]
 pub struct Node {
@@ -60,21 +89,13 @@
         &self.kernel
     }
 
-    /// Serves until SIGTERM, SIGINT or a plug-in asks to leave, then shuts down gracefully.
-    ///
-    /// # Errors
-    /// [`StepError`] when signals cannot be received.
-    pub async fn run_until_signal(self) -> Result<(), StepError> {
-        let error = |cause: std::io::Error| StepError::local("signals", cause);
-        let mut terminate = signal(SignalKind::terminate()).map_err(error)?;
-        let mut interrupt = signal(SignalKind::interrupt()).map_err(error)?;
+    /// Serves until a signal or a plug-in asks to leave, then shuts down gracefully.
+    pub async fn run_until(self, mut signals: StopSignals) {
         tokio::select! {
-            _signal = terminate.recv() => log::info!("kernel: SIGTERM, leaving"),
-            _signal = interrupt.recv() => log::info!("kernel: SIGINT, leaving"),
+            name = signals.received() => log::info!("kernel: {name}, leaving"),
             () = self.kernel.stop.left() => {}
         }
         self.shut_down().await;
-        Ok(())
     }
 
     /// Announces that the node leaves, lets every request finish, and ends.
