Wait until nodes take callers' connections before a load begins

Cause: since nodes take connections only once they know where to send, the table of cold starts ended with a refused connection. Change: configure waits until every node accepts.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -105,6 +105,14 @@
 # first_admin: address of some node's administration API.
 first_admin() { echo "${ADMIN[${NODES[0]}]}"; }
 
+# callers_ready: whether every node takes callers' connections.
+callers_ready() {
+  local name
+  for name in "${NODES[@]}"; do
+    (exec 3<>"/dev/tcp/${CALLER[$name]/://}") 2>/dev/null || return 1
+  done
+}
+
 # configure ANSWERS...: publishes each file of answers through the first node.
 configure() {
   local answers
@@ -112,6 +120,7 @@
     "$BIN/bronzelock" configure --answers "$answers" --admin "$(first_admin)" --yes >"$WORK/configure.out" 2>&1 ||
       { cat "$WORK/configure.out" >&2; return 1; }
   done
+  wait_until 5 callers_ready
 }
 
 # wait_until SECONDS COMMAND...: repeats a command until it succeeds.
