--- /dev/null
+++ b/src/edge/ended_hook.rs
@@ -0,0 +1,26 @@
+//! Hook for connections that end by themselves.
+
+use std::fmt;
+use std::sync::Arc;
+
+/// Called when a connection ends by itself, not by this pool.
+#[derive(Clone)]
+pub struct EndedHook(Arc<dyn Fn() + Send + Sync>);
+
+impl EndedHook {
+    /// Makes a hook of a function.
+    pub fn new(call: impl Fn() + Send + Sync + 'static) -> Self {
+        Self(Arc::new(call))
+    }
+
+    /// Calls it.
+    pub fn call(&self) {
+        (self.0)();
+    }
+}
+
+impl fmt::Debug for EndedHook {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("EndedHook(…)")
+    }
+}
--- a/src/edge/server_pool.rs
+++ b/src/edge/server_pool.rs
@@ -16,6 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use super::ended_hook::EndedHook;
 use super::send_error::{Echo, Reached, SendError};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
@@ -59,23 +60,6 @@
     ended: EndedHook,
 }
 
-/// Called when a connection ends by itself, not by this pool.
-#[derive(Clone)]
-pub struct EndedHook(Arc<dyn Fn() + Send + Sync>);
-
-impl EndedHook {
-    /// Makes a hook of a function.
-    pub fn new(call: impl Fn() + Send + Sync + 'static) -> Self {
-        Self(Arc::new(call))
-    }
-}
-
-impl std::fmt::Debug for EndedHook {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("EndedHook(…)")
-    }
-}
-
 /// A connection in use. Dropping it closes it; only [`Lease::give_back`] keeps it.
 #[derive(Debug)]
 struct Lease<'a> {
@@ -267,7 +251,7 @@
             if let Err(error) = driver.await {
                 log::debug!("server pool: a connection ended: {error}");
             }
-            (ended.0)();
+            ended.call();
         });
         Ok(Connection {
             sender,
--- a/src/plugins/announce.rs
+++ b/src/plugins/announce.rs
@@ -13,8 +13,9 @@
 use warp::http::StatusCode;
 
 use crate::decision::gate::GateEvent;
+use crate::edge::ended_hook::EndedHook;
 use crate::edge::http_server::{self, HttpBounds};
-use crate::edge::server_pool::{EndedHook, ServerPool};
+use crate::edge::server_pool::ServerPool;
 use crate::kernel::Kernel;
 use crate::kernel::error::StepError;
 use crate::kernel::plugin::{Plugin, Stage, Started};
--- a/tests/fuzz_tickets.rs
+++ b/tests/fuzz_tickets.rs
@@ -1,19 +1,17 @@
 //! Stateful fuzzing of at most once by tickets; `scripts/fuzz.sh` runs it for longer.
 
+#[path = "support/fuzzing.rs"]
+mod fuzzing;
 mod ticket_fuzz;
 
-use std::time::{Duration, Instant};
+use fuzzing::{Extent, fuzz_rounds};
+use ticket_fuzz::System;
 
-use ticket_fuzz::{Seen, fuzz};
-
-const CASES: u32 = 400;
-const SEED: u64 = 4;
-
-/// Environment variable with the seconds that the run lasts at least.
-const SECONDS_VARIABLE: &str = "BRONZELOCK_FUZZ_SECONDS";
-
-/// Environment variable with the first seed.
-const SEED_VARIABLE: &str = "BRONZELOCK_FUZZ_SEED";
+const EXTENT: Extent = Extent {
+    cases: 400,
+    events_max: 400,
+    seed: 4,
+};
 
 /// What a run must come across to prove anything.
 const MUST_SEE: [&str; 11] = [
@@ -30,28 +28,7 @@
     "answer-not-held",
 ];
 
-fn number_from(variable: &str) -> Option<u64> {
-    let text = std::env::var(variable).ok()?;
-    Some(text.parse().expect("a whole number"))
-}
-
-fn check_that_much_was_seen(seen: &Seen) {
-    for name in MUST_SEE {
-        assert!(seen.count(name) > 0, "the run never came across {name}");
-    }
-}
-
 #[test]
 fn tickets_run_work_at_most_once() {
-    let seconds = number_from(SECONDS_VARIABLE).unwrap_or(0);
-    let first_seed = number_from(SEED_VARIABLE).unwrap_or(SEED);
-    let end = Instant::now() + Duration::from_secs(seconds);
-    for seed in first_seed.. {
-        let seen = fuzz(CASES, seed);
-        println!("seed {seed}, {CASES} cases: {seen:?}");
-        check_that_much_was_seen(&seen);
-        if Instant::now() >= end {
-            return;
-        }
-    }
+    fuzz_rounds::<System>(EXTENT, &MUST_SEE);
 }
--- a/tests/node_fuzz/node.rs
+++ b/tests/node_fuzz/node.rs
@@ -16,7 +16,7 @@
 use bronzelock::model::request::Urgency;
 
 use super::event::NODES;
-use super::seen;
+use crate::fuzzing::seen;
 
 pub const SLOTS: u32 = 3;
 pub const COLD_SLOTS: u32 = 1;
--- a/tests/node_fuzz/system.rs
+++ b/tests/node_fuzz/system.rs
@@ -15,7 +15,7 @@
 use super::event::{Event, Events, NODES, Pick};
 use super::log::Log;
 use super::node::{Node, Said, server_name, service_name, zone_name};
-use super::seen;
+use crate::fuzzing::seen;
 
 /// Records that reach the end of any log of a case.
 const ALL_RECORDS: usize = 1_000;
--- a/tests/ticket_fuzz/executor.rs
+++ b/tests/ticket_fuzz/executor.rs
@@ -13,7 +13,7 @@
 
 use super::message::{Request, Told, Work};
 use super::oracle::Oracle;
-use super::seen;
+use crate::fuzzing::seen;
 
 const SETTINGS: TicketTableSettings = TicketTableSettings {
     capacity: 4,
--- a/tests/ticket_fuzz/system.rs
+++ b/tests/ticket_fuzz/system.rs
@@ -10,7 +10,7 @@
 use super::executor::{Executor, Spoken, executor_name, told};
 use super::message::{CallerIndex, Message, Reply, Request, Told, Work};
 use super::oracle::Oracle;
-use super::seen;
+use crate::fuzzing::seen;
 
 #[derive(Debug)]
 struct Caller {
