Drop a request between nodes that nobody made; one way to refuse early

Cause: the heartbeat request load() had no caller, and a refusal before any attempt was written out in three places. Change: load() and its wire type are gone; Attempted::refused serves all three. Behaviour as before.

--- a/src/edge/peer_rpc.rs
+++ b/src/edge/peer_rpc.rs
@@ -8,7 +8,6 @@
 use crate::agreement::catch_up::{Page, StoredRecord};
 use crate::agreement::record::SnapshotWire;
 use crate::model::ids::ConfigVersion;
-use crate::model::load::LoadReport;
 use crate::model::names::ServiceName;
 use crate::model::reasons::Refusal;
 use crate::operators::status::NodeStatus;
@@ -16,13 +15,6 @@
 /// A ticket in its text form, or why none was issued.
 pub type WireTicket = Result<String, Refusal>;
 
-/// Load of a gate and the service of its backend server.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct WireLoad {
-    /// Load now.
-    pub load: LoadReport,
-}
-
 /// What operators read about a node.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireStatus {
@@ -112,6 +104,4 @@
     async fn config_page(page: WirePage);
     /// Tells what operators read about the node.
     async fn status() -> WireStatus;
-    /// Tells the load of the gate, as a heartbeat for pairs that exchange no requests.
-    async fn load() -> WireLoad;
 }
--- a/src/edge/peer_server.rs
+++ b/src/edge/peer_server.rs
@@ -14,7 +14,7 @@
 
 use super::handshake::{self, PeerKey};
 use super::peer_client::codec;
-use super::peer_rpc::{PeerNode, WireConfig, WireLoad, WirePage, WireStatus, WireTicket};
+use super::peer_rpc::{PeerNode, WireConfig, WirePage, WireStatus, WireTicket};
 use super::wire::{WireCall, WireReply};
 use crate::agreement::passing_on;
 use crate::kernel::Kernel;
@@ -150,12 +150,6 @@
             node: node_status::own(&self.kernel),
         }
     }
-
-    async fn load(self, _context: Context) -> WireLoad {
-        WireLoad {
-            load: self.kernel.state.gate.load(),
-        }
-    }
 }
 
 async fn run_call(kernel: &Arc<Kernel>, call: Call) -> CallResult {
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -24,6 +24,16 @@
     pub hops: u32,
 }
 
+impl Attempted {
+    /// A request that was refused before any backend server was tried.
+    pub fn refused(failure: Failure) -> Self {
+        Self {
+            result: Err(failure),
+            hops: 0,
+        }
+    }
+}
+
 /// Runs `call` on a backend server of its service.
 pub async fn run(kernel: &Arc<Kernel>, call: &Call) -> Attempted {
     lock(&kernel.state.retry_budget).deposit();
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -82,10 +82,7 @@
     if request.headers.contains_key(headers::TICKET) {
         failure.refusal = before_executor(failure.refusal);
     }
-    Attempted {
-        result: Err(failure),
-        hops: 0,
-    }
+    Attempted::refused(failure)
 }
 
 /// Chooses the way of a call by its effect, key and ticket.
--- a/src/request/ticketed.rs
+++ b/src/request/ticketed.rs
@@ -25,10 +25,7 @@
         Ok(ticket) => failure.fresh_ticket = Some(ticket),
         Err(refusal) => failure = Failure::from_refusal(refusal, Step::Ticket),
     }
-    Attempted {
-        result: Err(failure),
-        hops: 0,
-    }
+    Attempted::refused(failure)
 }
 
 /// Sends a request to the one executor that its ticket names.
@@ -38,10 +35,7 @@
         Err(error) => {
             log::info!("ticket: request {} bears no valid ticket: {error}", call.id);
             let failure = Failure::from_refusal(ticket_invalid(), Step::Ticket);
-            return Attempted {
-                result: Err(failure),
-                hops: 0,
-            };
+            return Attempted::refused(failure);
         }
     };
     let mut result = send(kernel, call, &ticket).await;
