--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Commands of the `bronzelock` binary.
 
 pub mod check;
+pub mod host;
 pub mod node;
 pub mod operators;
 
@@ -25,6 +26,8 @@
 enum Command {
     /// Run the node beside a backend server until SIGTERM or SIGINT.
     Node(node::NodeArguments),
+    /// Run a node on a host of the users' platform until SIGTERM or SIGINT.
+    Host(host::HostArguments),
     /// Check a settings file and start nothing.
     Check(check::CheckArguments),
     #[command(flatten)]
@@ -36,6 +39,7 @@
     pub fn run(self) -> ExitCode {
         match self.command {
             Command::Node(arguments) => node::run(&arguments),
+            Command::Host(arguments) => host::run(&arguments),
             Command::Check(arguments) => check::run(&arguments),
             Command::Operators(command) => operators::run_in_terminal(command),
         }
--- /dev/null
+++ b/src/decision/host/mod.rs
@@ -0,0 +1,12 @@
+//! Decisions of a host's node: what is agreed, where work goes, who waits, what may be repeated.
+
+pub mod announced;
+pub mod claims;
+pub mod cold_rate;
+pub mod gate;
+pub mod keyed_state;
+pub mod peers;
+pub mod placement;
+pub mod retry_window;
+pub mod run_times;
+pub mod split;
--- /dev/null
+++ b/src/decision/host/retry_window.rs
@@ -0,0 +1,117 @@
+//! This node's part of the retry budget that all nodes share.
+//!
+//! The budget of a service is a ratio of its requests plus a slack, over any window. Each node
+//! keeps to the ratio of its own requests plus an equal part of the slack, so the sum keeps too,
+//! however load is spread. A node that has just started uses no slack for one window, since its
+//! former run may have used it.
+
+use std::collections::HashMap;
+
+use crate::model::names::ServiceName;
+
+/// Buckets that a window is divided into.
+const BUCKETS: u64 = 50;
+
+/// Part of the budget that this node uses; calls made by a repeated run count as repeats as well.
+const USED_PART: f64 = 0.7;
+
+/// Budget of the whole system.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBounds {
+    /// Repeats per request.
+    pub ratio: f64,
+    /// Repeats in one window besides, over all nodes.
+    pub slack: f64,
+    /// Length of the window, in µs.
+    pub window_us: u64,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Counts {
+    /// Bucket number, requests, repeats.
+    buckets: Vec<(u64, u32, u32)>,
+}
+
+/// Requests and repeats of this node in the last window, by service.
+#[derive(Debug)]
+pub struct RetryWindow {
+    bounds: RetryBounds,
+    started_us: u64,
+    services: HashMap<ServiceName, Counts>,
+}
+
+impl RetryWindow {
+    /// A window that begins empty.
+    pub fn new(bounds: RetryBounds, now_us: u64) -> Self {
+        Self {
+            bounds,
+            started_us: now_us,
+            services: HashMap::new(),
+        }
+    }
+
+    /// Notes a request that came in for a service.
+    pub fn note_request(&mut self, service: &ServiceName, now_us: u64) {
+        let bucket = self.bucket(now_us);
+        self.counts(service).add(bucket, 1, 0);
+    }
+
+    /// Takes one repeat for a service; false when the budget is spent. `nodes` share the slack.
+    pub fn take_repeat(&mut self, service: &ServiceName, nodes: usize, now_us: u64) -> bool {
+        let left = self.left(service, nodes, now_us);
+        if left < 1.0 {
+            return false;
+        }
+        let bucket = self.bucket(now_us);
+        self.counts(service).add(bucket, 0, 1);
+        true
+    }
+
+    /// Repeats that are left for a service now.
+    pub fn left(&mut self, service: &ServiceName, nodes: usize, now_us: u64) -> f64 {
+        let bounds = self.bounds;
+        let bucket = self.bucket(now_us);
+        let young = now_us.saturating_sub(self.started_us) < bounds.window_us;
+        let slack = if young {
+            0.0
+        } else {
+            bounds.slack / nodes.max(1) as f64
+        };
+        let (requests, repeats) = self.counts(service).sums(bucket);
+        (bounds.ratio * requests + slack) * USED_PART - repeats
+    }
+
+    fn bucket(&self, now_us: u64) -> u64 {
+        now_us / (self.bounds.window_us / BUCKETS).max(1)
+    }
+
+    fn counts(&mut self, service: &ServiceName) -> &mut Counts {
+        self.services.entry(service.clone()).or_default()
+    }
+}
+
+impl Counts {
+    fn add(&mut self, bucket: u64, requests: u32, repeats: u32) {
+        match self.buckets.last_mut() {
+            Some(last) if last.0 == bucket => {
+                last.1 += requests;
+                last.2 += repeats;
+            }
+            _ => self.buckets.push((bucket, requests, repeats)),
+        }
+    }
+
+    /// Requests and repeats of the window that ends with `bucket`.
+    ///
+    /// Repeats count one bucket longer than requests, so that no window slides past the bound.
+    fn sums(&mut self, bucket: u64) -> (f64, f64) {
+        self.buckets.retain(|(at, _, _)| at + BUCKETS >= bucket);
+        let within = self
+            .buckets
+            .iter()
+            .filter(|(at, _, _)| at + BUCKETS > bucket);
+        let requests: u32 = within.map(|(_, requests, _)| requests).sum();
+        let repeats: u32 = self.buckets.iter().map(|(_, _, repeats)| repeats).sum();
+        (f64::from(requests), f64::from(repeats))
+    }
+}
--- /dev/null
+++ b/src/decision/host/split.rs
@@ -0,0 +1,34 @@
+//! Spreads the requests of a route over its targets by weight.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use crate::model::host_config::{Route, Target};
+
+/// Smooth weighted round robin (as in nginx): shares hold over any short run of requests.
+#[derive(Debug, Default)]
+pub struct Split {
+    routes: HashMap<Arc<str>, Vec<i64>>,
+}
+
+impl Split {
+    /// The target of the route's next request. `draw` sets where a new sequence starts.
+    pub fn next<'a>(&mut self, route: &'a Route, draw: u64) -> Option<&'a Target> {
+        if route.targets.len() < 2 {
+            return route.targets.first();
+        }
+        let total: i64 = route.targets.iter().map(|t| i64::from(t.weight)).sum();
+        let credits = self.routes.entry(Arc::clone(&route.name)).or_default();
+        if credits.len() != route.targets.len() {
+            *credits = vec![0; route.targets.len()];
+            let lead = draw as usize % credits.len();
+            credits[lead] = (draw >> 8) as i64 % total.max(1);
+        }
+        for (credit, target) in credits.iter_mut().zip(&route.targets) {
+            *credit += i64::from(target.weight);
+        }
+        let best = (0..credits.len()).max_by_key(|index| credits[*index])?;
+        credits[best] -= total;
+        route.targets.get(best)
+    }
+}
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -5,6 +5,7 @@
 
 pub(crate) mod draws;
 pub mod gate;
+pub mod host;
 pub mod knowledge;
 pub mod membership;
 pub mod probe_budget;
--- a/src/decision/routing/health.rs
+++ b/src/decision/routing/health.rs
@@ -17,7 +17,7 @@
 
 impl ReturnKind {
     /// Whether the time until then tells how busy the backend server is.
-    pub(super) fn tells_time_spent(self) -> bool {
+    pub fn tells_time_spent(self) -> bool {
         match self {
             Self::Answered | Self::Cancelled => true,
             Self::Refused | Self::Failed | Self::Unreachable => false,
@@ -40,7 +40,7 @@
 
 /// What one router has seen of a backend server's failures.
 #[derive(Debug, Clone, Default)]
-pub(super) struct Health {
+pub struct Health {
     failure_share: f64,
     share_at_us: u64,
     avoided_until_us: u64,
@@ -50,7 +50,7 @@
 
 impl Health {
     /// Share of requests expected to fail, from 0 to 1; zero when a trial is due.
-    pub(super) fn failure_share(&self, now_us: u64) -> f64 {
+    pub fn failure_share(&self, now_us: u64) -> f64 {
         let trial_due = self.avoidances_in_row > 0 && now_us >= self.avoided_until_us;
         if trial_due {
             0.0
@@ -71,14 +71,14 @@
     }
 
     /// Whether a request may go there; on probation one at a time does.
-    pub(super) fn admits(&self, outstanding: u32, now_us: u64) -> bool {
+    pub fn admits(&self, outstanding: u32, now_us: u64) -> bool {
         if self.avoidances_in_row == 0 {
             return true;
         }
         now_us >= self.avoided_until_us && outstanding == 0
     }
 
-    pub(super) fn record(&mut self, kind: ReturnKind, now_us: u64) {
+    pub fn record(&mut self, kind: ReturnKind, now_us: u64) {
         match kind {
             ReturnKind::Answered => self.record_answer(now_us),
             ReturnKind::Failed => self.record_failure(now_us),
--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -12,7 +12,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-pub use health::ReturnKind;
+pub use health::{Health, ReturnKind};
 pub use policy::RoutingPolicy;
 
 use crate::decision::draws::Draws;
--- /dev/null
+++ b/src/edge/http1/client.rs
@@ -0,0 +1,158 @@
+//! One client connection, for one request at a time.
+
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::BytesMut;
+use socket2::{SockRef, TcpKeepalive};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::time::Instant;
+
+use super::reader::{MessageLimits, MessageReader, ReadError, Received};
+use super::{Response, ResponseHead};
+
+/// Time after which sent bytes that nobody acknowledged end a connection.
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_000);
+
+/// Pause before and between keep-alive probes of a silent connection.
+const KEEP_ALIVE: Duration = Duration::from_secs(1);
+
+/// Keep-alive probes without an answer that end a connection.
+const KEEP_ALIVE_PROBES: u32 = 2;
+
+/// Opens a TCP connection that ends by itself when the other side falls silent.
+///
+/// # Errors
+/// The cause, also `TimedOut` when it takes longer than `timeout`.
+pub async fn connect(address: SocketAddr, timeout: Duration) -> std::io::Result<TcpStream> {
+    let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
+    let stream = match connecting.await {
+        Ok(stream) => stream?,
+        Err(_elapsed) => return Err(ErrorKind::TimedOut.into()),
+    };
+    watch_silence(&stream)?;
+    Ok(stream)
+}
+
+/// Makes a connection end by itself when the other side falls silent.
+///
+/// # Errors
+/// When a socket option cannot be set.
+pub fn watch_silence(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))?;
+    let keep_alive = TcpKeepalive::new()
+        .with_time(KEEP_ALIVE)
+        .with_interval(KEEP_ALIVE)
+        .with_retries(KEEP_ALIVE_PROBES);
+    socket.set_tcp_keepalive(&keep_alive)
+}
+
+/// How an exchange failed.
+#[derive(Debug)]
+pub struct ExchangeError {
+    /// Whether no byte of the request was written.
+    pub nothing_written: bool,
+    /// What happened.
+    pub cause: ReadError,
+}
+
+/// A connection with the bytes that are still to be read from it.
+#[derive(Debug)]
+pub struct ClientConnection {
+    stream: TcpStream,
+    reader: MessageReader<ResponseHead>,
+    reusable: bool,
+    /// When the last exchange ended.
+    pub idle_since: Instant,
+    /// Time that the other side said it keeps an idle connection.
+    pub idle_max: Option<Duration>,
+}
+
+impl ClientConnection {
+    /// Takes over an open connection.
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            reader: MessageReader::default(),
+            reusable: true,
+            idle_since: Instant::now(),
+            idle_max: None,
+        }
+    }
+
+    /// Whether another request may be sent: nothing is left to read and the other side is there.
+    pub fn is_reusable(&self) -> bool {
+        if !self.reusable || self.reader.has_unread_bytes() {
+            return false;
+        }
+        let mut byte = [0; 1];
+        matches!(self.stream.try_read(&mut byte), Err(error) if error.kind() == ErrorKind::WouldBlock)
+    }
+
+    /// Sends one request and reads responses until `accept` takes one; others are dropped.
+    ///
+    /// # Errors
+    /// [`ExchangeError`] when no response was accepted; the connection is of no further use.
+    pub async fn exchange(
+        &mut self,
+        request: &[u8],
+        head_only: bool,
+        limits: MessageLimits,
+        accept: impl Fn(&Response) -> bool,
+    ) -> Result<Response, ExchangeError> {
+        self.reusable = false;
+        self.reader.bodiless = head_only;
+        let mut unwritten = BytesMut::from(request);
+        let (mut input, mut output) = self.stream.split();
+        loop {
+            let whole = unwritten.is_empty();
+            let received = tokio::select! {
+                biased;
+                written = output.write_buf(&mut unwritten), if !whole => {
+                    // A failed write may still be followed by an answer that tells why.
+                    if let Err(error) = written {
+                        if unwritten.len() == request.len() {
+                            return Err(ExchangeError { nothing_written: true, cause: ReadError::Io(error) });
+                        }
+                        unwritten.clear();
+                    }
+                    continue;
+                }
+                received = self.reader.next(&mut input, limits) => received,
+            };
+            let response = match received {
+                Ok(Received::Message(head, body)) => Response { head, body },
+                Ok(Received::ContinueExpected) => continue,
+                Err(cause) => {
+                    let nothing_written = unwritten.len() == request.len();
+                    return Err(ExchangeError {
+                        nothing_written,
+                        cause,
+                    });
+                }
+            };
+            if matches!(response.head.status, 100..=199) || !accept(&response) {
+                continue;
+            }
+            self.reusable = whole && response.head.keep_alive;
+            self.idle_since = Instant::now();
+            self.idle_max = keep_alive_timeout(&response.head).or(self.idle_max);
+            return Ok(response);
+        }
+    }
+}
+
+/// Time in a `Keep-Alive: timeout=N` header.
+fn keep_alive_timeout(head: &ResponseHead) -> Option<Duration> {
+    let value = crate::model::header::text_of(&head.headers, "keep-alive")?;
+    let parameters = value.split(',').map(str::trim);
+    let seconds = parameters.filter_map(|parameter| parameter.strip_prefix("timeout="));
+    seconds
+        .filter_map(|digits| digits.parse().ok())
+        .next()
+        .map(Duration::from_secs)
+}
--- /dev/null
+++ b/src/edge/http1/head.rs
@@ -0,0 +1,263 @@
+//! Heads of HTTP/1.1 messages.
+
+use bytes::{Buf, Bytes, BytesMut};
+use displaydoc::Display;
+
+use super::body::{BodyError, Framing};
+use crate::model::header::{Header, text_of};
+
+/// Most headers of one message.
+const HEADERS_MAX: usize = 128;
+
+/// Headers that concern one connection and are never forwarded (RFC 9110, section 7.6.1).
+const CONNECTION_HEADERS: [&str; 10] = [
+    "connection",
+    "content-length",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why a head cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub enum HeadError {
+    /// the head is malformed: {0}
+    Malformed(httparse::Error),
+    /// the head is longer than {0} bytes
+    TooLong(usize),
+    /// {0}
+    Body(BodyError),
+}
+
+impl std::error::Error for HeadError {}
+
+/// Request line and headers.
+#[derive(Debug, Clone)]
+pub struct RequestHead {
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub target: String,
+    /// Headers in their order.
+    pub headers: Vec<Header>,
+    /// Whether the connection may carry further requests.
+    pub keep_alive: bool,
+}
+
+/// Status and headers.
+#[derive(Debug, Clone)]
+pub struct ResponseHead {
+    /// Status code.
+    pub status: u16,
+    /// Headers in their order.
+    pub headers: Vec<Header>,
+    /// Whether the connection may carry further requests.
+    pub keep_alive: bool,
+}
+
+impl ResponseHead {
+    /// A head without headers on a connection that is kept.
+    pub fn new(status: u16) -> Self {
+        Self {
+            status,
+            headers: Vec::new(),
+            keep_alive: true,
+        }
+    }
+}
+
+/// A kind of message that [`super::MessageReader`] reads.
+pub trait Head: Sized {
+    /// Parses one head off the front of `buffer`; none while it is incomplete.
+    ///
+    /// # Errors
+    /// [`HeadError`] when it is malformed or longer than `bytes_max`.
+    fn parse(buffer: &mut BytesMut, bytes_max: usize) -> Result<Option<Self>, HeadError>;
+
+    /// How the end of the body is found.
+    ///
+    /// # Errors
+    /// [`BodyError`] when the headers contradict each other.
+    fn framing(&self) -> Result<Framing, BodyError>;
+
+    /// Whether the sender waits for `100 Continue` before it sends the body.
+    fn expects_continue(&self) -> bool;
+}
+
+impl Head for RequestHead {
+    fn parse(buffer: &mut BytesMut, bytes_max: usize) -> Result<Option<Self>, HeadError> {
+        let mut space = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut parsed = httparse::Request::new(&mut space);
+        let status = parsed.parse(buffer).map_err(HeadError::Malformed)?;
+        let Some(length) = complete(status, buffer.len(), bytes_max)? else {
+            return Ok(None);
+        };
+        let headers = owned(parsed.headers);
+        let head = Self {
+            method: parsed.method.unwrap_or_default().to_owned(),
+            target: parsed.path.unwrap_or_default().to_owned(),
+            keep_alive: keeps_alive(parsed.version, &headers),
+            headers,
+        };
+        buffer.advance(length);
+        Ok(Some(head))
+    }
+
+    fn framing(&self) -> Result<Framing, BodyError> {
+        Framing::of_request(&self.headers)
+    }
+
+    fn expects_continue(&self) -> bool {
+        text_of(&self.headers, "expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
+    }
+}
+
+impl Head for ResponseHead {
+    fn parse(buffer: &mut BytesMut, bytes_max: usize) -> Result<Option<Self>, HeadError> {
+        let mut space = [httparse::EMPTY_HEADER; HEADERS_MAX];
+        let mut parsed = httparse::Response::new(&mut space);
+        let status = parsed.parse(buffer).map_err(HeadError::Malformed)?;
+        let Some(length) = complete(status, buffer.len(), bytes_max)? else {
+            return Ok(None);
+        };
+        let headers = owned(parsed.headers);
+        let head = Self {
+            status: parsed.code.unwrap_or_default(),
+            keep_alive: keeps_alive(parsed.version, &headers),
+            headers,
+        };
+        buffer.advance(length);
+        Ok(Some(head))
+    }
+
+    fn framing(&self) -> Result<Framing, BodyError> {
+        Framing::of_response(self.status, &self.headers)
+    }
+
+    fn expects_continue(&self) -> bool {
+        false
+    }
+}
+
+fn complete(
+    status: httparse::Status<usize>,
+    buffered: usize,
+    bytes_max: usize,
+) -> Result<Option<usize>, HeadError> {
+    match status {
+        httparse::Status::Complete(length) if length <= bytes_max => Ok(Some(length)),
+        httparse::Status::Partial if buffered <= bytes_max => Ok(None),
+        httparse::Status::Complete(_) | httparse::Status::Partial => {
+            Err(HeadError::TooLong(bytes_max))
+        }
+    }
+}
+
+fn owned(parsed: &[httparse::Header<'_>]) -> Vec<Header> {
+    let copied = parsed
+        .iter()
+        .map(|header| Header::new(header.name, Bytes::copy_from_slice(header.value)));
+    copied.collect()
+}
+
+fn keeps_alive(version: Option<u8>, headers: &[Header]) -> bool {
+    let says = |word: &str| {
+        let values = headers
+            .iter()
+            .filter(|header| header.is_named("connection"));
+        values
+            .filter_map(|header| std::str::from_utf8(&header.value).ok())
+            .flat_map(|value| value.split(','))
+            .any(|option| option.trim().eq_ignore_ascii_case(word))
+    };
+    match version {
+        Some(1) => !says("close"),
+        _ => says("keep-alive"),
+    }
+}
+
+/// Headers that are passed on: all but those of this connection.
+pub fn forwarded(headers: &[Header]) -> Vec<Header> {
+    let named: Vec<&str> = headers
+        .iter()
+        .filter(|header| header.is_named("connection"))
+        .filter_map(|header| std::str::from_utf8(&header.value).ok())
+        .flat_map(|value| value.split(','))
+        .map(str::trim)
+        .collect();
+    let concerns_connection = |header: &&Header| {
+        CONNECTION_HEADERS.iter().any(|name| header.is_named(name))
+            || header.is_named("expect")
+            || named.iter().any(|name| header.is_named(name))
+    };
+    let kept = headers.iter().filter(|header| !concerns_connection(header));
+    kept.cloned().collect()
+}
+
+/// Writes a request with its length.
+pub fn write_request(
+    out: &mut BytesMut,
+    method: &str,
+    target: &str,
+    headers: &[Header],
+    body: &[u8],
+) {
+    for part in [method, " ", target, " HTTP/1.1\r\n"] {
+        out.extend_from_slice(part.as_bytes());
+    }
+    write_headers(out, headers);
+    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        write_length(out, body.len());
+    }
+    out.extend_from_slice(b"\r\n");
+    out.extend_from_slice(body);
+}
+
+/// Writes a response with its length; `close` ends the connection after it.
+pub fn write_response(
+    out: &mut BytesMut,
+    status: u16,
+    headers: &[Header],
+    body: &[u8],
+    head_only: bool,
+    close: bool,
+) {
+    let line = format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status));
+    out.extend_from_slice(line.as_bytes());
+    write_headers(out, headers);
+    if close {
+        out.extend_from_slice(b"Connection: close\r\n");
+    }
+    if !matches!(status, 204 | 304) {
+        write_length(out, body.len());
+    }
+    out.extend_from_slice(b"\r\n");
+    if !head_only {
+        out.extend_from_slice(body);
+    }
+}
+
+fn write_headers(out: &mut BytesMut, headers: &[Header]) {
+    for header in headers {
+        out.extend_from_slice(header.name.as_bytes());
+        out.extend_from_slice(b": ");
+        out.extend_from_slice(&header.value);
+        out.extend_from_slice(b"\r\n");
+    }
+}
+
+fn write_length(out: &mut BytesMut, length: usize) {
+    out.extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
+}
+
+fn reason_phrase(status: u16) -> &'static str {
+    let known = hyper::StatusCode::from_u16(status).ok();
+    known
+        .and_then(|status| status.canonical_reason())
+        .unwrap_or("Status")
+}
--- /dev/null
+++ b/src/edge/http1/reader.rs
@@ -0,0 +1,153 @@
+//! Reads whole messages off a connection. Every wait may be cancelled without losing bytes.
+
+use bytes::{Bytes, BytesMut};
+use displaydoc::Display;
+use tokio::io::{AsyncRead, AsyncReadExt};
+
+use super::body::{BodyCollector, BodyError, Framing};
+use super::head::{Head, HeadError};
+
+/// Room that a read makes, in bytes.
+const READ_BYTES: usize = 4_096;
+
+/// Bounds of one message.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MessageLimits {
+    /// Longest head, in bytes.
+    pub head_bytes_max: usize,
+    /// Longest body, in bytes.
+    pub body_bytes_max: usize,
+}
+
+/// Why no message could be read.
+#[derive(Debug, Display)]
+pub enum ReadError {
+    /// the connection broke: {0}
+    Io(std::io::Error),
+    /// {0}
+    Head(HeadError),
+    /// {0}
+    Body(BodyError),
+    /// the connection ended within a message
+    Truncated,
+    /// the connection ended
+    Ended,
+}
+
+impl std::error::Error for ReadError {}
+
+/// What a reader found next.
+#[derive(Debug)]
+pub enum Received<H> {
+    /// The sender waits for `100 Continue`.
+    ContinueExpected,
+    /// A whole message.
+    Message(H, Bytes),
+}
+
+#[derive(Debug)]
+enum Stage<H> {
+    Head,
+    Body(H, BodyCollector, bool),
+}
+
+/// Reads messages of one kind from one connection.
+#[derive(Debug)]
+pub struct MessageReader<H> {
+    buffer: BytesMut,
+    stage: Stage<H>,
+    /// Whether messages bear no body whatever their headers say, as answers to HEAD do.
+    pub bodiless: bool,
+}
+
+impl<H> Default for MessageReader<H> {
+    fn default() -> Self {
+        Self {
+            buffer: BytesMut::new(),
+            stage: Stage::Head,
+            bodiless: false,
+        }
+    }
+}
+
+impl<H: Head> MessageReader<H> {
+    /// Whether bytes have arrived that belong to no message read so far.
+    pub fn has_unread_bytes(&self) -> bool {
+        !self.buffer.is_empty()
+    }
+
+    /// Whether a message has begun to arrive.
+    pub fn is_within_message(&self) -> bool {
+        !self.buffer.is_empty() || matches!(self.stage, Stage::Body(..))
+    }
+
+    /// Reads the next message.
+    ///
+    /// # Errors
+    /// [`ReadError`] when the connection ended or what came is no message.
+    pub async fn next(
+        &mut self,
+        stream: &mut (impl AsyncRead + Unpin),
+        limits: MessageLimits,
+    ) -> Result<Received<H>, ReadError> {
+        loop {
+            if let Some(received) = self.advance(limits)? {
+                return Ok(received);
+            }
+            self.buffer.reserve(READ_BYTES);
+            let count = stream.read_buf(&mut self.buffer).await;
+            if count.map_err(ReadError::Io)? == 0 {
+                return self.at_end();
+            }
+        }
+    }
+
+    /// Parses as far as the bytes at hand go.
+    fn advance(&mut self, limits: MessageLimits) -> Result<Option<Received<H>>, ReadError> {
+        if matches!(self.stage, Stage::Head) {
+            let head = H::parse(&mut self.buffer, limits.head_bytes_max);
+            let Some(head) = head.map_err(ReadError::Head)? else {
+                return Ok(None);
+            };
+            let framing = if self.bodiless {
+                Framing::Length(0)
+            } else {
+                head.framing().map_err(ReadError::Body)?
+            };
+            let body = BodyCollector::new(framing, limits.body_bytes_max);
+            let asked = !head.expects_continue();
+            self.stage = Stage::Body(head, body.map_err(ReadError::Body)?, asked);
+        }
+        let Stage::Body(_head, body, asked) = &mut self.stage else {
+            return Ok(None);
+        };
+        if body.feed(&mut self.buffer).map_err(ReadError::Body)? {
+            return Ok(self.take_message());
+        }
+        if !std::mem::replace(asked, true) {
+            return Ok(Some(Received::ContinueExpected));
+        }
+        Ok(None)
+    }
+
+    fn at_end(&mut self) -> Result<Received<H>, ReadError> {
+        let whole = match &self.stage {
+            Stage::Head if self.buffer.is_empty() => return Err(ReadError::Ended),
+            Stage::Head => false,
+            Stage::Body(_head, body, _asked) => body.ends_with_connection(),
+        };
+        if whole {
+            return self.take_message().ok_or(ReadError::Truncated);
+        }
+        Err(ReadError::Truncated)
+    }
+
+    fn take_message(&mut self) -> Option<Received<H>> {
+        match std::mem::replace(&mut self.stage, Stage::Head) {
+            Stage::Body(head, body, _asked) => {
+                Some(Received::Message(head, body.collected.freeze()))
+            }
+            Stage::Head => None,
+        }
+    }
+}
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -4,6 +4,7 @@
 pub mod gossip_codec;
 mod gossip_wire;
 pub mod handshake;
+pub mod http1;
 pub mod http_exchange;
 pub mod http_server;
 pub mod log_client;
--- /dev/null
+++ b/src/host/context.rs
@@ -0,0 +1,137 @@
+//! What the parts of a host's node share.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Mutex;
+
+use arc_swap::ArcSwapOption;
+use tokio::sync::Notify;
+
+use super::backend_server::BackendServer;
+use super::events::EventLog;
+use super::executor::Executions;
+use super::gate_cell::GateCell;
+use super::peer_client::PeerClients;
+use crate::decision::host::claims::Claims;
+use crate::decision::host::keyed_state::KeyedState;
+use crate::decision::host::peers::{Introduction, Peers};
+use crate::decision::host::retry_window::{RetryBounds, RetryWindow};
+use crate::decision::host::run_times::RunTimes;
+use crate::decision::host::split::Split;
+use crate::kernel::clock::Clock;
+use crate::kernel::stop::Stop;
+use crate::kernel::tasks::Tasks;
+use crate::model::host_config::HostConfig;
+use crate::model::ids::Incarnation;
+use crate::model::units::US_PER_S;
+use crate::settings::host::HostSettings;
+
+/// Identifiers of non-idempotent requests that are remembered at once.
+const CLAIMS_MAX: usize = 50_000;
+
+/// Time that an identifier is remembered, in µs; longer than any caller waits.
+const CLAIM_HOLD_US: u64 = 60 * US_PER_S;
+
+/// State that the parts of one node share, each piece under its own lock.
+#[derive(Debug)]
+pub struct Host {
+    /// Checked settings.
+    pub settings: HostSettings,
+    /// This run of the node.
+    pub incarnation: Incarnation,
+    /// Monotonic clock that counts suspension.
+    pub clock: Clock,
+    /// Loops and connections, joined at the end.
+    pub tasks: Tasks,
+    /// Requests that run detached from their connection, joined before the loops.
+    pub work: Tasks,
+    /// Stages of the graceful shutdown.
+    pub stop: Stop,
+    /// Structured log and counters.
+    pub events: EventLog,
+    /// Configuration in force; none until one is known.
+    pub config: ArcSwapOption<HostConfig>,
+    /// Latest records of the operators' log.
+    pub operator: Mutex<KeyedState>,
+    /// Told when the operators' log has to be read again.
+    pub operator_behind: Notify,
+    /// Nodes on other hosts.
+    pub peers: Mutex<Peers>,
+    /// Connections to them.
+    pub peer_clients: PeerClients,
+    /// Gate before the backend server.
+    pub gate: GateCell,
+    /// Connections to the backend server.
+    pub server: BackendServer,
+    /// Told when the gate's load has changed in a way that others should know.
+    pub load_changed: Notify,
+    /// Identifiers of non-idempotent requests.
+    pub claims: Mutex<Claims>,
+    /// Non-idempotent requests that run.
+    pub executions: Executions,
+    /// This node's part of the retry budget.
+    pub retries: Mutex<RetryWindow>,
+    /// Usual run times by route.
+    pub run_times: Mutex<RunTimes>,
+    /// Spread of split routes.
+    pub split: Mutex<Split>,
+}
+
+impl Host {
+    /// State of a node that knows nothing yet.
+    pub fn new(settings: HostSettings) -> Self {
+        let incarnation = Incarnation(rand::random());
+        let clock = Clock::start();
+        let tasks = Tasks::default();
+        let bounds = RetryBounds {
+            ratio: settings.bounds.retry_ratio,
+            slack: settings.bounds.retry_slack,
+            window_us: (settings.bounds.retry_window_s * US_PER_S as f64) as u64,
+        };
+        let events = EventLog::start(&settings.host.name, clock);
+        Self {
+            incarnation,
+            clock,
+            stop: Stop::default(),
+            config: ArcSwapOption::empty(),
+            operator: Mutex::default(),
+            operator_behind: Notify::new(),
+            peers: Mutex::default(),
+            peer_clients: PeerClients::new(tasks.clone()),
+            gate: GateCell::new(incarnation, clock),
+            server: BackendServer::new(settings.backend_server.address),
+            load_changed: Notify::new(),
+            claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_HOLD_US)),
+            executions: Executions::default(),
+            retries: Mutex::new(RetryWindow::new(bounds, clock.now_us())),
+            run_times: Mutex::default(),
+            split: Mutex::default(),
+            work: Tasks::default(),
+            tasks,
+            events,
+            settings,
+        }
+    }
+
+    /// Now, in µs of the node's clock.
+    pub fn now_us(&self) -> u64 {
+        self.clock.now_us()
+    }
+
+    /// How this node introduces itself.
+    pub fn introduction(&self) -> Introduction {
+        let announced = self
+            .gate
+            .with(|gate| gate.announced().map(|a| a.service.clone()));
+        Introduction {
+            address: self.settings.host.ip,
+            incarnation: self.incarnation,
+            zone: self.settings.host.zone.clone(),
+            service: announced.unwrap_or_else(|| self.settings.backend_server.service.clone()),
+        }
+    }
+
+    /// Where the node on another host takes requests of nodes.
+    pub fn peer_address(&self, ip: IpAddr) -> SocketAddr {
+        SocketAddr::new(ip, self.settings.listen.peers.port())
+    }
+}
--- /dev/null
+++ b/src/host/entry.rs
@@ -0,0 +1,223 @@
+//! A caller's request from its head to the response.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::attempts::Attempts;
+use super::context::Host;
+use super::events::Completed;
+use super::outcome::Miss;
+use crate::edge::http1::server::{Handler, ServerLimits};
+use crate::edge::http1::{MessageLimits, Request, Response};
+use crate::kernel::shards::lock;
+use crate::model::header::Header;
+use crate::model::host_config::{CallerBounds, HostConfig, Route};
+use crate::model::host_request::{CallerRequest, HostWork, ServerAnswer};
+use crate::model::names::ServiceName;
+use crate::model::reasons::RefusalReason;
+use crate::model::units::US_PER_MS;
+use crate::platform::{answers, requests};
+
+/// When to come back while no configuration is known, in µs.
+const NO_CONFIG_RETRY_AFTER_US: u64 = 300_000;
+
+/// When to come back if nothing else is known, in µs.
+const RETRY_AFTER_DEFAULT_US: u64 = 200_000;
+
+/// Longest time that a caller without a deadline of its own waits, in ms.
+const WAIT_MS_DEFAULT: u64 = 60_000;
+
+/// Takes the requests of callers on this host and of its backend server.
+#[derive(Debug)]
+pub struct CallerHandler(pub Arc<Host>);
+
+impl Handler for CallerHandler {
+    fn limits(&self) -> ServerLimits {
+        let config = self.0.config.load();
+        let bounds = config
+            .as_ref()
+            .map_or_else(CallerBounds::default, |config| config.callers);
+        ServerLimits {
+            message: MessageLimits {
+                head_bytes_max: bounds.head_bytes_max,
+                body_bytes_max: bounds.body_bytes_max,
+            },
+            head_timeout: Duration::from_millis(bounds.head_timeout_ms),
+            idle_timeout: Duration::from_millis(bounds.idle_timeout_ms),
+        }
+    }
+
+    async fn answer(self: Arc<Self>, request: Request, caller: SocketAddr) -> Response {
+        let arrived_us = self.0.now_us();
+        let _open = self.0.events.open_request();
+        match requests::decode(request) {
+            Some(request) => answer(&self.0, request, caller, arrived_us).await,
+            None => Response::own(400, Vec::new(), "the request bears no identifier\n"),
+        }
+    }
+
+    fn is_closing(&self) -> bool {
+        self.0.stop.is_leaving()
+    }
+}
+
+async fn answer(
+    host: &Arc<Host>,
+    request: CallerRequest,
+    caller: SocketAddr,
+    arrived_us: u64,
+) -> Response {
+    let id = Arc::clone(&request.id);
+    let Some(config) = host.config.load_full() else {
+        let miss = Miss::not_sent(RefusalReason::NoConfiguration);
+        return refusal(
+            host,
+            &id,
+            None,
+            &miss.retry_after(NO_CONFIG_RETRY_AFTER_US),
+            arrived_us,
+        );
+    };
+    let Some(route) = config.route(&request.host, &request.target).cloned() else {
+        host.events
+            .no_route(&id, &request.host, &request.target, config.version);
+        return Response::own(404, vec![answers::request_id(&id)], "no route matches\n");
+    };
+    let Some(service) = next_target(host, &route) else {
+        return refusal(
+            host,
+            &id,
+            Some(&route),
+            &Miss::not_sent(RefusalReason::NoServer),
+            arrived_us,
+        );
+    };
+    let work = work(host, request, &route, arrived_us, caller);
+    let (result, deadline_us) = (
+        run(host, &route, &service, work.clone()).await,
+        work.deadline_us,
+    );
+    match result {
+        Ok(answer) => response(host, &id, &route, &config, answer, arrived_us, deadline_us),
+        Err(miss) => refusal(host, &id, Some(&route), &miss, arrived_us),
+    }
+}
+
+fn next_target(host: &Host, route: &Route) -> Option<ServiceName> {
+    let mut split = lock(&host.split);
+    split
+        .next(route, rand::random())
+        .map(|target| target.service.clone())
+}
+
+fn work(
+    host: &Host,
+    request: CallerRequest,
+    route: &Route,
+    arrived_us: u64,
+    caller: SocketAddr,
+) -> HostWork {
+    let wait_us = request.wait_ms.unwrap_or(WAIT_MS_DEFAULT) * US_PER_MS;
+    let mut headers = request.headers;
+    headers.push(requests::caller_service(
+        &host.settings.backend_server.service,
+    ));
+    HostWork {
+        id: request.id,
+        effect: route.effect,
+        rank: route.rank,
+        invested: caller.ip() == host.settings.host.ip,
+        deadline_us: arrived_us + wait_us.min(route.timeout_us),
+        usual_run_us: lock(&host.run_times).usual_us(&route.name),
+        method: request.method,
+        target: request.target,
+        headers,
+        body: request.body,
+    }
+}
+
+async fn run(
+    host: &Arc<Host>,
+    route: &Route,
+    service: &ServiceName,
+    work: HostWork,
+) -> Result<ServerAnswer, Miss> {
+    lock(&host.retries).note_request(service, host.now_us());
+    let deadline = host.clock.instant_at(work.deadline_us);
+    let attempts = Attempts {
+        host,
+        route,
+        service,
+        work,
+    };
+    let running = attempts.run();
+    let timed = tokio::time::timeout_at(deadline.into(), running);
+    timed
+        .await
+        .unwrap_or_else(|_elapsed| Err(Miss::unknown(RefusalReason::DeadlinePassedRunning)))
+}
+
+fn response(
+    host: &Host,
+    id: &Arc<str>,
+    route: &Route,
+    config: &HostConfig,
+    answer: ServerAnswer,
+    arrived_us: u64,
+    deadline_us: u64,
+) -> Response {
+    let now_us = host.now_us();
+    host.events.answered(&Completed {
+        id,
+        route: &route.name,
+        status: answer.status,
+        took_us: now_us - arrived_us,
+        left_us: deadline_us.saturating_sub(now_us),
+        in_time: now_us - arrived_us <= route.objective_us,
+        config_version: config.version,
+    });
+    let mut headers = answer.headers;
+    headers.push(answers::request_id(id));
+    Response::own(answer.status, headers, answer.body)
+}
+
+/// The response to a request without an answer: 503 where it surely has not run, 504 where the
+/// time was up, else 502.
+fn refusal(
+    host: &Host,
+    id: &Arc<str>,
+    route: Option<&Route>,
+    miss: &Miss,
+    arrived_us: u64,
+) -> Response {
+    let took_us = host.now_us() - arrived_us;
+    host.events
+        .refused(id, route.map(|route| &*route.name), miss, took_us);
+    let mut headers = vec![answers::request_id(id), json()];
+    let status = match miss.reason {
+        _ if miss.is_not_run() => 503,
+        RefusalReason::DeadlinePassedRunning => 504,
+        _ => 502,
+    };
+    if status == 503 {
+        let base_us = miss.retry_after_us.unwrap_or(RETRY_AFTER_DEFAULT_US);
+        headers.push(answers::retry_after(spread(base_us)));
+    }
+    let problem = serde_json::json!({
+        "title": miss.reason.as_str(),
+        "status": status,
+        "not_run": miss.is_not_run(),
+        "host": &*host.settings.host.name,
+    });
+    Response::own(status, headers, problem.to_string())
+}
+
+/// Spreads returns over half of the time again, so that refused requests do not return together.
+fn spread(base_us: u64) -> u64 {
+    base_us + rand::random::<u64>() % (base_us / 2).max(1)
+}
+
+fn json() -> Header {
+    Header::new("Content-Type", "application/problem+json")
+}
--- /dev/null
+++ b/src/host/events.rs
@@ -0,0 +1,432 @@
+//! Structured log: one JSON line for each decision that touches a request or changes a belief.
+//!
+//! Lines are collected in memory and written by a thread of their own, so no request waits for
+//! standard output. What is beyond the bounds is counted and told.
+
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::io::Write;
+use std::net::IpAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::Serialize;
+use serde_json::{Map, Value};
+
+use super::context::Host;
+use super::outcome::Miss;
+use crate::decision::host::announced::{Announcement, Novelty};
+use crate::kernel::clock::Clock;
+use crate::kernel::shards::lock;
+use crate::model::load::ServerState;
+use crate::model::units::US_PER_S;
+
+/// Pause between two writes.
+const WRITE_PERIOD: Duration = Duration::from_millis(50);
+
+/// Bytes that wait to be written at most; beyond them lines are dropped.
+const PENDING_BYTES_MAX: usize = 256 << 10;
+
+/// Lines about refusals, failures and beliefs per second at most.
+const NOTABLE_PER_S: u32 = 300;
+
+/// Lines about plain answers per second at most.
+const PLAIN_PER_S: u32 = 2;
+
+/// Step of a request's way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Step {
+    /// Sending it to another host.
+    Forward,
+    /// Waiting at the gate.
+    Admit,
+    /// At the backend server.
+    Dispatch,
+    /// Asking what became of it.
+    Settle,
+}
+
+/// What decided, with its age.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Detail {
+    /// Requests waiting in the gate.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub queued: Option<u16>,
+    /// Requests running on the backend server.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub in_flight: Option<u16>,
+    /// Most requests that may run at once.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub limit: Option<u16>,
+    /// How long work takes, in percent of its usual time.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub slowness_percent: Option<u16>,
+    /// Time left until the deadline, in ms.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub left_ms: Option<u64>,
+    /// Whether the backend server takes new work.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub state: Option<ServerState>,
+    /// Host that was tried.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub peer: Option<IpAddr>,
+}
+
+impl Detail {
+    /// Only names the host that was tried.
+    pub fn peer(ip: IpAddr) -> Self {
+        Self {
+            peer: Some(ip),
+            ..Self::default()
+        }
+    }
+}
+
+/// A request that got a whole answer.
+#[derive(Debug)]
+pub struct Completed<'a> {
+    /// The request.
+    pub id: &'a str,
+    /// Its route.
+    pub route: &'a str,
+    /// Status of the answer.
+    pub status: u16,
+    /// Time since it arrived, in µs.
+    pub took_us: u64,
+    /// Time left until its deadline, in µs.
+    pub left_us: u64,
+    /// Whether it came within the route's objective.
+    pub in_time: bool,
+    /// Version of the configuration that chose its route.
+    pub config_version: u64,
+}
+
+#[derive(Debug, Default)]
+struct Pending {
+    lines: Vec<u8>,
+    second: u64,
+    notable: u32,
+    plain: u32,
+    dropped: u64,
+}
+
+/// Log and counters of one node.
+#[derive(Debug)]
+pub struct EventLog {
+    clock: Clock,
+    host: Arc<str>,
+    pending: Arc<Mutex<Pending>>,
+    written: AtomicU64,
+    open: AtomicU64,
+    counters: Mutex<BTreeMap<String, u64>>,
+}
+
+/// A caller's request that is open.
+#[derive(Debug)]
+pub struct OpenRequest<'a>(&'a EventLog);
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Weight {
+    Plain,
+    Notable,
+}
+
+impl EventLog {
+    /// Starts the writing thread, which ends with the process.
+    pub fn start(host: &Arc<str>, clock: Clock) -> Self {
+        let pending = Arc::new(Mutex::new(Pending::default()));
+        let writer = Arc::clone(&pending);
+        let spawned = std::thread::Builder::new()
+            .name("log-writer".to_owned())
+            .stack_size(64 << 10)
+            .spawn(move || write_lines(&writer));
+        if let Err(error) = spawned {
+            log::error!("events: the writing thread did not start: {error}");
+        }
+        Self {
+            clock,
+            host: Arc::clone(host),
+            pending,
+            written: AtomicU64::new(0),
+            open: AtomicU64::new(0),
+            counters: Mutex::default(),
+        }
+    }
+
+    /// Counts a caller's request as open until the guard is dropped.
+    pub fn open_request(&self) -> OpenRequest<'_> {
+        self.open.fetch_add(1, Ordering::Relaxed);
+        OpenRequest(self)
+    }
+
+    /// Callers' requests that are open.
+    pub fn open_requests(&self) -> u64 {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// A change of the process's own life or of what it believes.
+    pub fn state(&self, event: &str, fields: Value) {
+        self.write(Weight::Notable, event, fields);
+    }
+
+    /// A request got a whole answer.
+    pub fn answered(&self, completed: &Completed<'_>) {
+        let word = if completed.in_time { "in-time" } else { "late" };
+        self.count(&format!(
+            "answers{{status=\"{}\",time=\"{word}\"}}",
+            completed.status
+        ));
+        let plain = completed.in_time && completed.status < 500;
+        let weight = if plain {
+            Weight::Plain
+        } else {
+            Weight::Notable
+        };
+        self.write(
+            weight,
+            "answered",
+            serde_json::json!({
+                "id": completed.id,
+                "route": completed.route,
+                "status": completed.status,
+                "took_ms": completed.took_us / 1_000,
+                "left_ms": completed.left_us / 1_000,
+                "in_time": completed.in_time,
+                "config_version": completed.config_version,
+            }),
+        );
+    }
+
+    /// A request got no answer from a backend server.
+    pub fn refused(&self, id: &str, route: Option<&str>, miss: &Miss, took_us: u64) {
+        let reason = miss.reason.as_str();
+        let not_run = miss.is_not_run();
+        self.count(&format!(
+            "refusals{{reason=\"{reason}\",not_run=\"{not_run}\"}}"
+        ));
+        self.write(
+            Weight::Notable,
+            "refused",
+            serde_json::json!({
+                "id": id,
+                "route": route,
+                "reason": reason,
+                "not_run": not_run,
+                "took_ms": took_us / 1_000,
+                "retry_after_ms": miss.retry_after_ms(),
+            }),
+        );
+    }
+
+    /// No route matches a request.
+    pub fn no_route(&self, id: &str, host: &str, target: &str, config_version: u64) {
+        self.count("refusals{reason=\"no-route\",not_run=\"true\"}");
+        self.write(
+            Weight::Notable,
+            "no-route",
+            serde_json::json!({
+                "id": id, "host": host, "target": target, "config_version": config_version,
+            }),
+        );
+    }
+
+    /// One try of a request came to nothing.
+    pub fn missed(&self, id: &str, step: Step, miss: &Miss, detail: &Detail) {
+        self.count(&format!("misses{{reason=\"{}\"}}", miss.reason.as_str()));
+        self.write(
+            Weight::Notable,
+            "missed",
+            serde_json::json!({
+                "id": id,
+                "step": step,
+                "reason": miss.reason.as_str(),
+                "not_run": miss.is_not_run(),
+                "arrived": miss.arrived,
+                "inputs": detail,
+            }),
+        );
+    }
+
+    /// A request goes to another host.
+    pub fn retried(&self, id: &str, from: Option<IpAddr>, to: Option<IpAddr>, arrivals: u32) {
+        self.count("retries");
+        self.write(
+            Weight::Notable,
+            "retried",
+            serde_json::json!({
+                "id": id, "from": name(from), "to": name(to), "arrivals": arrivals,
+            }),
+        );
+    }
+
+    /// A connection to another node could not be used.
+    pub fn peer_lost(&self, id: &str, peer: IpAddr, error: &impl Display) {
+        self.count("peer_connections_lost");
+        self.write(
+            Weight::Notable,
+            "peer-lost",
+            serde_json::json!({
+                "id": id, "peer": peer, "error": error.to_string(),
+            }),
+        );
+    }
+
+    /// The backend server takes no connections.
+    pub fn server_unreachable(&self, error: &impl Display) {
+        self.count("server_connect_failures");
+        self.write(
+            Weight::Notable,
+            "server-unreachable",
+            serde_json::json!({
+                "error": error.to_string(),
+            }),
+        );
+    }
+
+    /// The backend server's announcement changed what the gate does.
+    pub fn announced(&self, announcement: &Announcement, novelty: Novelty, state: ServerState) {
+        self.write(
+            Weight::Notable,
+            "announced",
+            serde_json::json!({
+                "instance": &*announcement.instance,
+                "born_ms": announcement.born_ms,
+                "sequence": announcement.sequence,
+                "said": format!("{:?}", announcement.state),
+                "cold_left_ms": announcement.cold_left_us / 1_000,
+                "new_start": novelty == Novelty::NewStart,
+                "state": state,
+            }),
+        );
+    }
+
+    /// An announcement was malformed or from another writer.
+    pub fn announcement_refused(&self, target: &str, error: &impl Display) {
+        self.count("announcements_refused");
+        self.write(
+            Weight::Notable,
+            "announcement-refused",
+            serde_json::json!({
+                "target": target, "error": error.to_string(),
+            }),
+        );
+    }
+
+    /// Adds one to a counter. Labels come from closed sets, so the number of counters is bounded.
+    pub fn count(&self, counter: &str) {
+        let mut counters = lock(&self.counters);
+        match counters.get_mut(counter) {
+            Some(count) => *count += 1,
+            None => {
+                counters.insert(counter.to_owned(), 1);
+            }
+        }
+    }
+
+    /// Counters and gauges in the text exposition format.
+    pub fn metrics_text(&self, host: &Host) -> String {
+        let load = host.gate.load();
+        let mut text = String::new();
+        let mut line = |name: &str, value: u64| {
+            text.push_str(&format!("bronzelock_{name} {value}\n"));
+        };
+        for (counter, count) in lock(&self.counters).iter() {
+            line(counter, *count);
+        }
+        line("gate_in_flight", u64::from(load.in_flight));
+        line("gate_queued", u64::from(load.queued));
+        line("gate_limit", u64::from(load.limit));
+        line("server_slowness_percent", u64::from(load.slowness_percent));
+        line("server_connections_opened", host.server.opened());
+        line(
+            "config_version",
+            host.config
+                .load()
+                .as_ref()
+                .map_or(0, |config| config.version),
+        );
+        line("peers_known", lock(&host.peers).nodes() as u64 - 1);
+        line("log_lines_written", self.written.load(Ordering::Relaxed));
+        text
+    }
+
+    fn write(&self, weight: Weight, event: &str, fields: Value) {
+        let now_us = self.clock.now_us();
+        let mut pending = lock(&self.pending);
+        if !pending.admit(weight, now_us / US_PER_S) {
+            return;
+        }
+        let mut line = Map::new();
+        line.insert("at_ms".to_owned(), (now_us / 1_000).into());
+        line.insert("event".to_owned(), event.into());
+        line.insert("host".to_owned(), (&*self.host).into());
+        if let Value::Object(fields) = fields {
+            line.extend(fields);
+        }
+        if let Ok(mut bytes) = serde_json::to_vec(&line) {
+            bytes.push(b'\n');
+            pending.lines.extend_from_slice(&bytes);
+            self.written.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+fn name(ip: Option<IpAddr>) -> String {
+    ip.map_or_else(|| "own".to_owned(), |ip| ip.to_string())
+}
+
+impl Pending {
+    /// Whether one more line fits the bounds; refusals and beliefs go before plain answers.
+    fn admit(&mut self, weight: Weight, second: u64) -> bool {
+        if self.second != second {
+            if self.dropped > 0 {
+                let line = format!(
+                    "{{\"event\":\"lines-dropped\",\"count\":{}}}\n",
+                    self.dropped
+                );
+                self.lines.extend_from_slice(line.as_bytes());
+            }
+            (self.second, self.notable, self.plain, self.dropped) = (second, 0, 0, 0);
+        }
+        let (count, max) = match weight {
+            Weight::Plain => (&mut self.plain, PLAIN_PER_S),
+            Weight::Notable => (&mut self.notable, NOTABLE_PER_S),
+        };
+        let fits = *count < max && self.lines.len() < PENDING_BYTES_MAX;
+        if fits {
+            *count += 1;
+        } else if weight == Weight::Notable {
+            self.dropped += 1;
+        }
+        fits
+    }
+}
+
+/// Writes what is pending, for as long as the process runs.
+fn write_lines(pending: &Mutex<Pending>) {
+    let mut lines = Vec::new();
+    loop {
+        std::thread::sleep(WRITE_PERIOD);
+        std::mem::swap(&mut lines, &mut lock(pending).lines);
+        if lines.is_empty() {
+            continue;
+        }
+        let mut output = std::io::stdout().lock();
+        if output
+            .write_all(&lines)
+            .and_then(|()| output.flush())
+            .is_err()
+        {
+            return;
+        }
+        lines.clear();
+    }
+}
--- /dev/null
+++ b/src/host/load_reports.rs
@@ -0,0 +1,201 @@
+//! Load reports between hosts, as datagrams; they also show that a host lives.
+//!
+//! Each node tells all others of its load when it changes in a way that matters to them, and now
+//! and then without a change. A host that it does not know, or knows by a former run, is asked to
+//! introduce itself. Hosts that fell silent are told as well: after a restart that is how a node
+//! learns of the others.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::Instant;
+
+use super::context::Host;
+use super::peer_rpc::WireIntroduction;
+use crate::decision::host::peers::Introduction;
+use crate::kernel::shards::lock;
+use crate::model::load::HostLoad;
+
+/// Time between two reports without a change, to hosts of the same availability zone.
+const NEAR_PERIOD: Duration = Duration::from_millis(250);
+
+/// Time between two reports without a change, to hosts of other availability zones.
+const FAR_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Shortest time between two reports.
+const PAUSE: Duration = Duration::from_millis(25);
+
+/// Longest datagram that is read, in bytes.
+const DATAGRAM_BYTES_MAX: usize = 1_024;
+
+/// Version of the datagrams; others are ignored.
+const WIRE_VERSION: u8 = 1;
+
+#[derive(Debug, Serialize, Deserialize)]
+enum Message {
+    /// Load of a host that has introduced itself.
+    Load,
+    /// An introduction; `reply_wanted` asks the receiver for its own.
+    Hello {
+        introduction: WireIntroduction,
+        reply_wanted: bool,
+    },
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct Datagram {
+    version: u8,
+    load: HostLoad,
+    /// Offset up to which the sender has seen the operators' log.
+    operator_end: u64,
+    message: Message,
+}
+
+/// Sends and receives reports until the node stops.
+pub async fn run(host: Arc<Host>, socket: UdpSocket) {
+    let reports = Reports {
+        host,
+        socket: Arc::new(socket),
+    };
+    tokio::join!(reports.receive(), reports.send());
+}
+
+struct Reports {
+    host: Arc<Host>,
+    socket: Arc<UdpSocket>,
+}
+
+impl Reports {
+    async fn send(&self) {
+        let host = &self.host;
+        let (mut near_due, mut far_due) = (Instant::now(), Instant::now());
+        let mut greeted = false;
+        loop {
+            let changed = tokio::select! {
+                () = host.stop.stopped() => return,
+                () = host.load_changed.notified() => true,
+                () = tokio::time::sleep_until(near_due.min(far_due)) => false,
+            };
+            let now = Instant::now();
+            let (near, far) = (changed || now >= near_due, changed || now >= far_due);
+            if near {
+                near_due = now + NEAR_PERIOD;
+            }
+            if far {
+                far_due = now + FAR_PERIOD;
+            }
+            let targets = self.targets(near, far);
+            let message = if greeted {
+                Message::Load
+            } else {
+                self.hello(true)
+            };
+            greeted |= !targets.is_empty();
+            let datagram = self.datagram(message);
+            for target in targets {
+                self.send_to(target, &datagram).await;
+            }
+            lock(&host.peers).forget_silent(host.now_us());
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    fn targets(&self, near: bool, far: bool) -> Vec<IpAddr> {
+        let peers = lock(&self.host.peers);
+        let addresses = peers.addresses(&self.host.settings.host.zone);
+        let wanted = addresses.filter(|(_ip, same_zone)| if *same_zone { near } else { far });
+        wanted.map(|(ip, _same_zone)| ip).collect()
+    }
+
+    fn hello(&self, reply_wanted: bool) -> Message {
+        Message::Hello {
+            introduction: self.host.introduction().into(),
+            reply_wanted,
+        }
+    }
+
+    fn datagram(&self, message: Message) -> Vec<u8> {
+        let datagram = Datagram {
+            version: WIRE_VERSION,
+            load: self.host.gate.load(),
+            operator_end: lock(&self.host.operator).end(),
+            message,
+        };
+        postcard::to_stdvec(&datagram).unwrap_or_default()
+    }
+
+    async fn send_to(&self, ip: IpAddr, datagram: &[u8]) {
+        let address = SocketAddr::new(ip, self.host.settings.listen.shared_port_first);
+        if let Err(error) = self.socket.send_to(datagram, address).await {
+            log::debug!("load reports: send failed (peer {ip}): {error}");
+        }
+    }
+
+    async fn receive(&self) {
+        let mut buffer = [0; DATAGRAM_BYTES_MAX];
+        loop {
+            let received = tokio::select! {
+                () = self.host.stop.stopped() => return,
+                received = self.socket.recv_from(&mut buffer) => received,
+            };
+            let Ok((length, from)) = received else {
+                tokio::time::sleep(PAUSE).await;
+                continue;
+            };
+            match postcard::from_bytes::<Datagram>(&buffer[..length]) {
+                Ok(datagram) if datagram.version == WIRE_VERSION => {
+                    self.take(from.ip(), datagram).await;
+                }
+                Ok(_) | Err(_) => self.host.events.count("datagrams_refused"),
+            }
+        }
+    }
+
+    async fn take(&self, from: IpAddr, datagram: Datagram) {
+        let host = &self.host;
+        let now_us = host.now_us();
+        let mut reply_wanted = false;
+        if let Message::Hello {
+            introduction,
+            reply_wanted: wanted,
+        } = datagram.message
+        {
+            reply_wanted = wanted;
+            match Introduction::try_from(introduction) {
+                Ok(introduction) if introduction.address == from => {
+                    let incarnation = introduction.incarnation;
+                    let new = lock(&host.peers).introduce(introduction, true, now_us);
+                    if new {
+                        host.events.state(
+                            "peer-met",
+                            serde_json::json!({
+                                "peer": from, "incarnation": incarnation.0,
+                            }),
+                        );
+                    }
+                }
+                Ok(_) | Err(_) => host.events.count("datagrams_refused"),
+            }
+        }
+        let known = lock(&host.peers).knows(from, datagram.load.incarnation);
+        if !known {
+            let hello = self.datagram(self.hello(true));
+            return self.send_to(from, &hello).await;
+        }
+        {
+            let mut peers = lock(&host.peers);
+            peers.observe(from, datagram.load, now_us);
+            peers.set_operator_end(from, datagram.operator_end);
+        }
+        if datagram.operator_end > lock(&host.operator).end() {
+            host.operator_behind.notify_one();
+        }
+        if reply_wanted {
+            let hello = self.datagram(self.hello(false));
+            self.send_to(from, &hello).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/host/operator_log.rs
@@ -0,0 +1,227 @@
+//! Follows what operators write to the log, and brings it into force.
+
+use std::net::IpAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::context::Host;
+use crate::decision::host::keyed_state::KeyedRecord;
+use crate::kernel::StepError;
+use crate::kernel::shards::lock;
+use crate::model::host_config::HostConfig;
+use crate::platform::names::OPERATOR_TOPIC;
+use crate::platform::operator::{self, Subject};
+use crate::platform::store::{LogPage, StoreClient};
+
+/// Longest time that one read waits for records.
+const READ_WAIT: Duration = Duration::from_secs(10);
+
+/// Pauses after failed reads; the last one repeats.
+const RETRY_PAUSES_MS: [u64; 4] = [100, 250, 500, 1_000];
+
+/// Reads of the newest records after the log was disturbed, since a read may be stale, with the
+/// pauses before them.
+const REREAD_PAUSES_MS: [u64; 4] = [300, 1_000, 2_000, 3_500];
+
+/// Time that the own reading has before a peer is asked for what it has seen.
+const PEER_HEAD_START: Duration = Duration::from_millis(250);
+
+/// Follows the operators' log until the node stops.
+pub async fn follow(host: Arc<Host>) {
+    tokio::select! {
+        () = host.stop.stopped() => {}
+        () = read_on(&host) => {}
+        () = ask_peers(&host) => {}
+    }
+}
+
+/// Reads the log service; after a disturbance the newest records are read again and again for a
+/// while, since answers may be stale.
+async fn read_on(host: &Host) {
+    let mut store = StoreClient::new(host.settings.store.address);
+    let mut failures = 0_usize;
+    let mut rereads = 0_usize;
+    let mut whole = true;
+    loop {
+        let read = read_once(host, &mut store, whole, rereads < REREAD_PAUSES_MS.len()).await;
+        match read {
+            Ok(Next::Whole) => {
+                whole = true;
+                rereads = 0;
+            }
+            Ok(Next::Follow) => {
+                if failures > 0 {
+                    host.events.state(
+                        "store-regained",
+                        serde_json::json!({"part": "operator log"}),
+                    );
+                    rereads = 0;
+                }
+                failures = 0;
+                whole = false;
+            }
+            Ok(Next::Reread) => {
+                rereads += 1;
+                whole = true;
+            }
+            Err(error) => {
+                if failures == 0 {
+                    host.events.state(
+                        "store-lost",
+                        serde_json::json!({
+                            "part": "operator log", "error": error.to_string(),
+                        }),
+                    );
+                }
+                let pause_ms = RETRY_PAUSES_MS[failures.min(RETRY_PAUSES_MS.len() - 1)];
+                failures += 1;
+                whole = true;
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
+        if whole && rereads > 0 && rereads <= REREAD_PAUSES_MS.len() {
+            tokio::time::sleep(Duration::from_millis(REREAD_PAUSES_MS[rereads - 1])).await;
+        }
+    }
+}
+
+/// What is to be read next.
+enum Next {
+    /// The newest record of each key.
+    Whole,
+    /// Records from the known end on.
+    Follow,
+    /// The newest record of each key once more, after a pause.
+    Reread,
+}
+
+async fn read_once(
+    host: &Host,
+    store: &mut StoreClient,
+    whole: bool,
+    may_be_stale: bool,
+) -> Result<Next, StepError> {
+    if whole {
+        let (records, end) = store.newest(OPERATOR_TOPIC).await?;
+        apply(host, records, Some(end));
+        return Ok(Next::Follow);
+    }
+    let from = lock(&host.operator).end();
+    let wait = if may_be_stale {
+        Duration::from_millis(500)
+    } else {
+        READ_WAIT
+    };
+    match store.read(OPERATOR_TOPIC, from, wait).await? {
+        LogPage::Records(records, end) if end >= from => {
+            let nothing = records.is_empty();
+            apply(host, records, None);
+            Ok(if nothing && may_be_stale {
+                Next::Reread
+            } else {
+                Next::Follow
+            })
+        }
+        // An end before what was seen comes from a stale copy.
+        LogPage::Records(..) => Ok(Next::Reread),
+        LogPage::Deleted => Ok(Next::Whole),
+    }
+}
+
+/// Asks a peer that has seen more of the log, when the own reading does not catch up at once.
+async fn ask_peers(host: &Host) {
+    loop {
+        host.operator_behind.notified().await;
+        tokio::time::sleep(PEER_HEAD_START).await;
+        let Some(ip) = peer_ahead(host) else {
+            continue;
+        };
+        match host
+            .peer_clients
+            .operator_records(host.peer_address(ip))
+            .await
+        {
+            Ok(wire) => apply(host, wire.into_records().collect(), None),
+            Err(error) => log::debug!("operator log: a peer gave no records: {error:?}"),
+        }
+    }
+}
+
+/// A peer that has seen more of the log, of the own availability zone if there is one.
+fn peer_ahead(host: &Host) -> Option<IpAddr> {
+    let end = lock(&host.operator).end();
+    let now_us = host.now_us();
+    let zone = &host.settings.host.zone;
+    let peers = lock(&host.peers);
+    let ahead = peers
+        .iter()
+        .filter(|peer| peer.operator_end > end && peer.is_live(now_us));
+    let best = ahead.max_by_key(|peer| (peer.introduction.zone == *zone, peer.operator_end));
+    best.map(|peer| peer.introduction.address)
+}
+
+/// Takes records in; `whole_until` says that they are the newest of all keys as of that offset.
+fn apply(host: &Host, records: Vec<KeyedRecord>, whole_until: Option<u64>) {
+    let mut state = lock(&host.operator);
+    let changed = match whole_until {
+        Some(end) => state.apply_all(records, end),
+        None => records
+            .into_iter()
+            .fold(false, |changed, record| state.apply(record) || changed),
+    };
+    if !changed {
+        return;
+    }
+    let mut zone_out = false;
+    for (record, value) in state.live() {
+        match operator::subject(&record.key) {
+            Subject::Config => set_config(host, value),
+            Subject::ZoneOut(zone) => zone_out |= zone == host.settings.host.zone,
+            Subject::Other => {}
+        }
+    }
+    host.events.state(
+        "operator-records",
+        serde_json::json!({
+            "end": state.end(), "zone_out": zone_out,
+        }),
+    );
+    drop(state);
+    host.gate.with(|gate| gate.set_zone_out(zone_out));
+    host.load_changed.notify_one();
+}
+
+/// Brings a configuration into force unless a newer one is.
+fn set_config(host: &Host, value: &[u8]) {
+    let config = match operator::decode_config(value) {
+        Ok(config) => config,
+        Err(error) => {
+            host.events.state(
+                "config-refused",
+                serde_json::json!({"error": error.to_string()}),
+            );
+            return;
+        }
+    };
+    let in_force = host.config.load().as_ref().map(|config| config.version);
+    if in_force.is_some_and(|version| version >= config.version) {
+        return;
+    }
+    host.events.state(
+        "config",
+        serde_json::json!({
+            "version": config.version, "before": in_force, "routes": config.routes_len(),
+        }),
+    );
+    set_cold_rate(host, &config);
+    host.config.store(Some(Arc::new(config)));
+}
+
+/// Tells the gate what a cold backend server of its service bears.
+fn set_cold_rate(host: &Host, config: &HostConfig) {
+    let service = host.introduction().service;
+    if let Some(bounds) = config.services.get(&service) {
+        let rate = bounds.cold_requests_per_s;
+        host.gate.with(|gate| gate.set_cold_rate(rate));
+    }
+}
--- /dev/null
+++ b/src/host/peer_server.rs
@@ -0,0 +1,96 @@
+//! Listener for the nodes on other hosts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::context::Host;
+use super::executor;
+use super::peer_client::MESSAGE_BYTES_MAX;
+use super::peer_rpc::{PeerHost, WireIntroduction, WireOperatorRecords, WireOutcome, WireWork};
+use crate::edge::http1::client::watch_silence;
+use crate::edge::peer_client::codec;
+use crate::kernel::shards::lock;
+
+/// Pause after a failed accept, such as when file descriptors have run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Requests of one peer that run at once.
+const CONCURRENT_MAX: usize = 512;
+
+/// Serves peers until the node stops.
+pub async fn serve(host: Arc<Host>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            () = host.stop.stopped() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                if let Err(error) = watch_silence(&stream) {
+                    log::warn!(
+                        "peer server: a socket option could not be set (peer {peer}): {error}"
+                    );
+                }
+                host.tasks
+                    .spawn(serve_connection(Arc::clone(&host), stream));
+            }
+            Err(error) => {
+                log::warn!("peer server: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Dropping a request's future, as tarpc does when the peer cancels it, cancels the request.
+async fn serve_connection(host: Arc<Host>, stream: TcpStream) {
+    let framed = codec(MESSAGE_BYTES_MAX).new_framed(stream);
+    let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    let channel = BaseChannel::with_defaults(transport);
+    let service = Service {
+        host: Arc::clone(&host),
+    };
+    let requests = channel.execute(service.serve());
+    let served = requests.for_each_concurrent(CONCURRENT_MAX, |request| request);
+    tokio::select! {
+        () = host.stop.stopped() => {}
+        () = served => {}
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Service {
+    host: Arc<Host>,
+}
+
+impl PeerHost for Service {
+    async fn run(self, _context: Context, work: WireWork) -> WireOutcome {
+        let work = work.into_work(self.host.now_us());
+        let outcome = executor::run(&self.host, work).await;
+        WireOutcome::new(outcome, self.host.gate.load())
+    }
+
+    async fn settle(self, _context: Context, id: String) -> WireOutcome {
+        let outcome = executor::settle(&self.host, &id.into()).await;
+        WireOutcome::new(outcome, self.host.gate.load())
+    }
+
+    async fn ping(self, _context: Context) {}
+
+    async fn operator_records(self, _context: Context) -> WireOperatorRecords {
+        let operator = lock(&self.host.operator);
+        WireOperatorRecords::new(operator.records(), operator.end())
+    }
+
+    async fn known_hosts(self, _context: Context) -> Vec<WireIntroduction> {
+        let peers = lock(&self.host.peers);
+        let known = peers.iter().map(|peer| peer.introduction.clone());
+        known.map(WireIntroduction::from).collect()
+    }
+}
--- /dev/null
+++ b/src/host/probe.rs
@@ -0,0 +1,94 @@
+//! Asks the backend server for its health and load, unless its answers have just told them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::backend_server::ANSWER_LIMITS;
+use super::context::Host;
+use super::executor;
+use crate::model::names::ServiceName;
+use crate::model::request::Effect;
+use crate::model::units::{US_PER_MS, US_PER_S};
+use crate::platform::{answers, requests};
+
+/// Time between two looks whether a probe is due.
+const PERIOD: Duration = Duration::from_millis(50);
+
+/// Age of the load figures from which a probe is due, in µs.
+const LOAD_AGE_MAX_US: u64 = 80 * US_PER_MS;
+
+/// Longest time that a probe takes.
+const TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Part of the allowed probes that is used.
+const BUDGET_PART: f64 = 0.5;
+
+/// Probes until the node stops.
+pub async fn run(host: Arc<Host>) {
+    let pause_us = (US_PER_S as f64 / (host.settings.bounds.probes_per_s * BUDGET_PART)) as u64;
+    let mut next_us = 0;
+    let mut ticks = tokio::time::interval(PERIOD);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            () = host.stop.stopped() => return,
+            _tick = ticks.tick() => {}
+        }
+        host.server.close_idle();
+        let now_us = host.now_us();
+        if now_us < next_us || is_known(&host, now_us) {
+            continue;
+        }
+        next_us = now_us + pause_us;
+        probe(&host).await;
+    }
+}
+
+fn is_known(host: &Host, now_us: u64) -> bool {
+    host.gate
+        .with(|gate| gate.slowness_is_fresh(LOAD_AGE_MAX_US, now_us) && !gate.is_cold(now_us))
+}
+
+/// Path of the health endpoint of the service beside this node.
+fn health_path(host: &Host, service: &ServiceName) -> Option<Arc<str>> {
+    let config = host.config.load();
+    let bounds = config.as_ref()?.services.get(service)?;
+    Some(Arc::clone(&bounds.health_path))
+}
+
+async fn probe(host: &Arc<Host>) {
+    let service = host.introduction().service;
+    let Some(path) = health_path(host, &service) else {
+        return;
+    };
+    let asked = tokio::time::timeout(TIMEOUT, ask(host, &path)).await;
+    if let Ok(Err(error)) = &asked {
+        host.events.server_unreachable(error);
+        host.gate.with(|gate| gate.set_unreachable(true));
+        host.load_changed.notify_one();
+    }
+}
+
+async fn ask(host: &Arc<Host>, path: &str) -> std::io::Result<()> {
+    let mut lease = host.server.lease(Effect::Idempotent).await?;
+    let request = requests::encode_health_check(path, host.server.address());
+    // An answer that names a request belongs to an earlier one.
+    let exchange = lease
+        .connection
+        .exchange(&request, false, ANSWER_LIMITS, |response| {
+            answers::facts(response).request_id.is_none()
+        });
+    let Ok(response) = exchange.await else {
+        return Ok(());
+    };
+    let facts = answers::facts(&response);
+    let well = response.head.status == 200;
+    let now_us = host.now_us();
+    host.gate.with(|gate| match &facts.instance {
+        Some(instance) => gate.observe_health(instance, well, now_us),
+        None => gate.set_unreachable(false),
+    });
+    executor::observe(host, &facts);
+    host.server.give_back(lease.connection);
+    Ok(())
+}
--- a/src/kernel/node.rs
+++ b/src/kernel/node.rs
@@ -42,7 +42,7 @@
     }
 
     /// Waits for one and names it.
-    async fn received(&mut self) -> &'static str {
+    pub async fn received(&mut self) -> &'static str {
         tokio::select! {
             _signal = self.terminate.recv() => "SIGTERM",
             _signal = self.interrupt.recv() => "SIGINT",
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,9 +7,12 @@
 pub mod cli;
 pub mod decision;
 pub mod edge;
+pub mod host;
 pub mod kernel;
 pub mod model;
 pub mod operators;
+#[path = "../platform/mod.rs"]
+pub mod platform;
 pub mod plugins;
 pub mod request;
 pub mod settings;
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -38,3 +38,24 @@
     /// Whether new work is taken.
     pub state: ServerState,
 }
+
+/// What a host's gate tells other hosts of its backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostLoad {
+    /// Run of the node that reports.
+    pub incarnation: Incarnation,
+    /// Order of reports within the incarnation.
+    pub sequence: u64,
+    /// Requests running on the backend server.
+    pub in_flight: u16,
+    /// Requests waiting in the gate.
+    pub queued: u16,
+    /// Most requests that may run at once now.
+    pub limit: u16,
+    /// How long work takes now, in percent of its usual time.
+    pub slowness_percent: u16,
+    /// Smoothed time that one request usually runs, in ms.
+    pub run_ms: u16,
+    /// Whether new work is taken.
+    pub state: ServerState,
+}
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod answers;
 pub mod config;
+pub mod header;
+pub mod host_config;
+pub mod host_request;
 pub mod ids;
 pub mod load;
 pub mod names;
--- a/src/request/call.rs
+++ b/src/request/call.rs
@@ -2,20 +2,12 @@
 
 use bytes::Bytes;
 
+pub use crate::model::header::Header;
 use crate::model::ids::RequestId;
 use crate::model::names::{BranchName, ServerName, ServiceName};
 use crate::model::reasons::{Refusal, RefusalReason, RunState};
 use crate::model::request::{Effect, Urgency};
 
-/// One HTTP header that is passed on.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Header {
-    /// Name in lower case.
-    pub name: String,
-    /// Value as it came.
-    pub value: Bytes,
-}
-
 /// A request on its way to a backend server.
 #[derive(Debug, Clone)]
 pub struct Call {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -78,20 +78,41 @@
 /// # Errors
 /// [`Problems`] lists every setting that does not fit; a file that cannot be parsed gives one.
 pub fn parse(text: &str) -> Result<super::NodeSettings, Problems> {
+    let settings: super::NodeSettings = parse_as(text)?;
+    let problems = settings.check();
+    if problems.is_empty() {
+        Ok(settings)
+    } else {
+        Err(problems)
+    }
+}
+
+/// Parses one JSON document.
+///
+/// # Errors
+/// One problem that names the path of the key, what was found and what is allowed.
+pub fn parse_as<T: serde::de::DeserializeOwned>(text: &str) -> Result<T, Problems> {
     let mut deserializer = serde_json::Deserializer::from_str(text);
     let parsed = serde_path_to_error::deserialize(&mut deserializer);
-    let settings: super::NodeSettings = parsed.map_err(|error| parse_problem(&error))?;
+    let settings: T = parsed.map_err(|error| parse_problem(&error))?;
     if let Err(error) = deserializer.end() {
         let mut problems = Problems::default();
         problems.add(".", error, "nothing after the closing brace");
         return Err(problems);
     }
-    let problems = settings.check();
-    if problems.is_empty() {
-        Ok(settings)
-    } else {
-        Err(problems)
-    }
+    Ok(settings)
+}
+
+/// Reads a settings file.
+///
+/// # Errors
+/// One problem when it cannot be read.
+pub fn read_text(path: &std::path::Path) -> Result<String, Problems> {
+    std::fs::read_to_string(path).map_err(|error| {
+        let mut problems = Problems::default();
+        problems.add(&path.display().to_string(), error, "a readable JSON file");
+        problems
+    })
 }
 
 fn parse_problem(error: &serde_path_to_error::Error<serde_json::Error>) -> Problems {
--- a/src/settings/load.rs
+++ b/src/settings/load.rs
@@ -10,10 +10,5 @@
 /// # Errors
 /// [`Problems`] says what does not fit; a file that cannot be read is one problem.
 pub fn read(path: &Path) -> Result<NodeSettings, Problems> {
-    let text = std::fs::read_to_string(path).map_err(|error| {
-        let mut problems = Problems::default();
-        problems.add(&path.display().to_string(), error, "a readable JSON file");
-        problems
-    })?;
-    check::parse(&text)
+    check::parse(&check::read_text(path)?)
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -5,6 +5,7 @@
 pub mod caller;
 pub mod check;
 pub mod gate;
+pub mod host;
 pub mod identity;
 pub mod load;
 pub mod log;
