Read the operators' log again after a disturbance; repeat only idempotent failures

Ruled out: a refused store (no error between 2.2 and 5.9 s in the log). Change: the reads are planned by a state machine of their own; only idempotent requests repeat.

--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -5,6 +5,7 @@
 pub mod cold_rate;
 pub mod gate;
 pub mod keyed_state;
+pub mod log_reader;
 pub mod peers;
 pub mod placement;
 pub mod retry_window;
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -73,7 +73,7 @@
         while let Some((placement, outcome)) = tries.next().await {
             let retry = match outcome.result {
                 Ok(answer) if answer.is_server_error() => {
-                    let retry = self.may_repeat(&progress);
+                    let retry = self.may_run_again(&progress);
                     progress.failed_answer = Some(answer);
                     retry
                 }
@@ -116,18 +116,20 @@
         match (miss.is_not_run(), miss.arrived) {
             (true, false) => progress.refusals < REFUSALS_MAX,
             (true, true) => self.may_repeat(progress),
-            (false, _) => self.work.effect == Effect::Idempotent && self.may_repeat(progress),
+            (false, _) => self.may_run_again(progress),
         }
     }
 
-    /// Takes one repeat out of the budget, if the request may be sent once more.
+    /// Whether a request that has run, or may have, may be sent once more.
+    fn may_run_again(&self, progress: &Progress) -> bool {
+        self.work.effect == Effect::Idempotent && self.may_repeat(progress)
+    }
+
+    /// Takes one repeat out of the budget, if the request may be sent to another backend server.
     fn may_repeat(&self, progress: &Progress) -> bool {
         if progress.arrivals >= self.route.servers_max {
             return false;
         }
-        if self.work.effect == Effect::NonIdempotent && progress.failed_answer.is_some() {
-            return false;
-        }
         let nodes = lock(&self.host.peers).nodes();
         lock(&self.host.retries).take_repeat(self.service, nodes, self.host.now_us())
     }
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -6,6 +6,7 @@
 
 use super::context::Host;
 use crate::decision::host::keyed_state::KeyedRecord;
+use crate::decision::host::log_reader::{LogReader, NextRead, ReadEnd};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::model::host_config::HostConfig;
@@ -13,16 +14,6 @@
 use crate::platform::operator::{self, Subject};
 use crate::platform::store::{LogPage, StoreClient};
 
-/// Longest time that one read waits for records.
-const READ_WAIT: Duration = Duration::from_secs(10);
-
-/// Pauses after failed reads; the last one repeats.
-const RETRY_PAUSES_MS: [u64; 4] = [100, 250, 500, 1_000];
-
-/// Reads of the newest records after the log was disturbed, since a read may be stale, with the
-/// pauses before them.
-const REREAD_PAUSES_MS: [u64; 4] = [300, 1_000, 2_000, 3_500];
-
 /// Time that the own reading has before a peer is asked for what it has seen.
 const PEER_HEAD_START: Duration = Duration::from_millis(250);
 
@@ -35,96 +26,67 @@
     }
 }
 
-/// Reads the log service; after a disturbance the newest records are read again and again for a
-/// while, since answers may be stale.
+/// Reads the log service, as planned.
 async fn read_on(host: &Host) {
     let mut store = StoreClient::new(host.settings.store.address);
-    let mut failures = 0_usize;
-    let mut rereads = 0_usize;
-    let mut whole = true;
+    let mut reader = LogReader::default();
+    let mut next = reader.first();
     loop {
-        let read = read_once(host, &mut store, whole, rereads < REREAD_PAUSES_MS.len()).await;
-        match read {
-            Ok(Next::Whole) => {
-                whole = true;
-                rereads = 0;
-            }
-            Ok(Next::Follow) => {
-                if failures > 0 {
+        let failing = reader.is_failing();
+        let read = read_once(host, &mut store, next).await;
+        let end = match read {
+            Ok(end) => {
+                if failing {
                     host.events.state(
                         "store-regained",
                         serde_json::json!({"part": "operator log"}),
                     );
-                    rereads = 0;
                 }
-                failures = 0;
-                whole = false;
-            }
-            Ok(Next::Reread) => {
-                rereads += 1;
-                whole = true;
+                end
             }
             Err(error) => {
-                if failures == 0 {
+                if !failing {
                     host.events.state(
                         "store-lost",
-                        serde_json::json!({
-                            "part": "operator log", "error": error.to_string(),
-                        }),
+                        serde_json::json!({"part": "operator log", "error": error.to_string()}),
                     );
                 }
-                let pause_ms = RETRY_PAUSES_MS[failures.min(RETRY_PAUSES_MS.len() - 1)];
-                failures += 1;
-                whole = true;
-                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                ReadEnd::Failed
             }
-        }
-        if whole && rereads > 0 && rereads <= REREAD_PAUSES_MS.len() {
-            tokio::time::sleep(Duration::from_millis(REREAD_PAUSES_MS[rereads - 1])).await;
-        }
+        };
+        next = reader.next(end);
     }
 }
 
-/// What is to be read next.
-enum Next {
-    /// The newest record of each key.
-    Whole,
-    /// Records from the known end on.
-    Follow,
-    /// The newest record of each key once more, after a pause.
-    Reread,
-}
-
 async fn read_once(
     host: &Host,
     store: &mut StoreClient,
-    whole: bool,
-    may_be_stale: bool,
-) -> Result<Next, StepError> {
-    if whole {
-        let (records, end) = store.newest(OPERATOR_TOPIC).await?;
-        apply(host, records, Some(end));
-        return Ok(Next::Follow);
-    }
-    let from = lock(&host.operator).end();
-    let wait = if may_be_stale {
-        Duration::from_millis(500)
-    } else {
-        READ_WAIT
+    next: NextRead,
+) -> Result<ReadEnd, StepError> {
+    let wait_ms = match next {
+        NextRead::Newest { pause_ms } => {
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            let (records, end) = store.newest(OPERATOR_TOPIC).await?;
+            let behind = end < lock(&host.operator).end();
+            apply(host, records, Some(end));
+            return Ok(if behind {
+                ReadEnd::Behind
+            } else {
+                ReadEnd::Newest
+            });
+        }
+        NextRead::Follow { wait_ms } => wait_ms,
     };
+    let from = lock(&host.operator).end();
+    let wait = Duration::from_millis(wait_ms);
     match store.read(OPERATOR_TOPIC, from, wait).await? {
-        LogPage::Records(records, end) if end >= from => {
-            let nothing = records.is_empty();
+        LogPage::Records(_, end) if end < from => Ok(ReadEnd::Behind),
+        LogPage::Records(records, _) if records.is_empty() => Ok(ReadEnd::Nothing),
+        LogPage::Records(records, _) => {
             apply(host, records, None);
-            Ok(if nothing && may_be_stale {
-                Next::Reread
-            } else {
-                Next::Follow
-            })
+            Ok(ReadEnd::Records)
         }
-        // An end before what was seen comes from a stale copy.
-        LogPage::Records(..) => Ok(Next::Reread),
-        LogPage::Deleted => Ok(Next::Whole),
+        LogPage::Deleted => Ok(ReadEnd::Deleted),
     }
 }
 
