Ask for the load right before work is sent; bind settlement to one run of a node; end callers' connections in time

Ruled out: slowness during the run (runs that began at 100 and met 400 later took their usual time). Change: settlement names the incarnation; no request is read after 2.7 s of leaving; the gate asks for the load when it is older than 20 ms and moves work on, or holds it while a slow phase lasts.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -5,6 +5,7 @@
 
 use super::announced::{AnnouncedState, Announcement, Novelty};
 use super::cold_rate::ColdRate;
+use super::slowness::Slowness;
 use crate::model::ids::Incarnation;
 use crate::model::load::{HostLoad, ServerState};
 use crate::model::reasons::RefusalReason;
@@ -22,8 +23,8 @@
 /// Part of the expected run time that must be left before the deadline.
 const RUN_PART_NEEDED: f64 = 0.7;
 
-/// Longest time that a slowness is believed in, in µs.
-const SLOWNESS_HOLDS_US: u64 = 2_000_000;
+/// Usual run times that must be left before the deadline for a request to wait for a faster phase.
+const WAIT_DEADLINE_PART: f64 = 2.0;
 
 /// Weight of the newest run in the average run time.
 const RUN_WEIGHT: f64 = 0.05;
@@ -75,6 +76,17 @@
     Refuse(GateRefusal),
 }
 
+/// What to do with an admitted request while the backend server is slow.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Pace {
+    /// Send it now.
+    Now,
+    /// Hold it until the slow phase ends.
+    Wait,
+    /// Refuse it: another host is expected to be faster.
+    Elsewhere,
+}
+
 /// What an answer of the backend server told of it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerReport {
@@ -128,8 +140,7 @@
     cold_rate_per_s: f64,
     cold_rate: ColdRate,
     slots: u32,
-    slowness: f64,
-    slowness_at_us: u64,
+    slowness: Slowness,
     run_us: f64,
     running: HashMap<WorkId, Running>,
     queue: BTreeMap<Order, Queued>,
@@ -152,8 +163,7 @@
             cold_rate_per_s: COLD_RATE_UNKNOWN,
             cold_rate: ColdRate::default(),
             slots: 1,
-            slowness: 1.0,
-            slowness_at_us: 0,
+            slowness: Slowness::default(),
             run_us: RUN_UNKNOWN_US,
             running: HashMap::new(),
             queue: BTreeMap::new(),
@@ -168,7 +178,7 @@
             Novelty::Outdated => return novelty,
             Novelty::NewStart => {
                 self.drained = false;
-                self.slowness = 1.0;
+                self.slowness = Slowness::default();
             }
             Novelty::Renewed => {}
         }
@@ -186,18 +196,20 @@
         self.announced.as_ref()
     }
 
-    /// Takes what an answer told of the backend server.
-    pub fn observe(&mut self, report: ServerReport, now_us: u64) {
+    /// Takes what an answer told of the backend server; whether other hosts should know of it.
+    pub fn observe(&mut self, report: ServerReport, now_us: u64) -> bool {
+        let state_before = self.state(now_us);
+        let mut changed = false;
         if let Some(slots) = report.slots {
             self.slots = slots.max(1);
         }
         if let Some(percent) = report.slowness_percent {
-            self.slowness = f64::from(percent.max(1)) / 100.0;
-            self.slowness_at_us = now_us;
+            changed = self.slowness.tell(percent, now_us);
         }
         if let Some(left_us) = report.cold_left_us {
             self.warmth = Warmth::ColdUntil(now_us + left_us);
         }
+        changed || self.state(now_us) != state_before
     }
 
     /// Takes the outcome of a health check; `well` also means that it is not leaving.
@@ -241,16 +253,33 @@
 
     /// Present slowness: how long work takes, relative to its usual time.
     pub fn slowness(&self, now_us: u64) -> f64 {
-        if now_us.saturating_sub(self.slowness_at_us) < SLOWNESS_HOLDS_US {
-            self.slowness
-        } else {
-            1.0
-        }
+        self.slowness.factor(now_us)
     }
 
-    /// Whether the slowness was told less than `age_us` ago.
-    pub fn slowness_is_fresh(&self, age_us: u64, now_us: u64) -> bool {
-        self.slowness_at_us > 0 && now_us.saturating_sub(self.slowness_at_us) < age_us
+    /// Age of the slowness, in µs.
+    pub fn slowness_age_us(&self, now_us: u64) -> u64 {
+        self.slowness.age_us(now_us)
+    }
+
+    /// What to do with an admitted request, given how slow the backend server is now.
+    pub fn pace(
+        &self,
+        usual_run_us: f64,
+        slowness_max: f64,
+        deadline_us: u64,
+        now_us: u64,
+    ) -> Pace {
+        let slowness = self.slowness(now_us);
+        if slowness > slowness_max {
+            return Pace::Elsewhere;
+        }
+        let left_us = deadline_us.saturating_sub(now_us) as f64;
+        let has_time = left_us > usual_run_us * WAIT_DEADLINE_PART;
+        if has_time && self.slowness.waiting_pays(usual_run_us, now_us) {
+            Pace::Wait
+        } else {
+            Pace::Now
+        }
     }
 
     /// A new identifier for an offer.
@@ -391,6 +420,8 @@
             queued: self.queue.len() as u16,
             limit: self.limit(now_us) as u16,
             slowness_percent: (self.slowness(now_us) * 100.0) as u16,
+            slowness_age_ms: (self.slowness.age_us(now_us) / US_PER_MS).min(u64::from(u16::MAX))
+                as u16,
             run_ms: (self.run_us / US_PER_MS as f64) as u16,
             state: self.state(now_us),
         }
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -10,4 +10,5 @@
 pub mod placement;
 pub mod retry_window;
 pub mod run_times;
+pub mod slowness;
 pub mod split;
--- a/src/decision/host/placement.rs
+++ b/src/decision/host/placement.rs
@@ -16,7 +16,7 @@
 const CROSSING_PART: f64 = 0.1;
 
 /// Age at which half of a slowness has passed, in µs.
-const SLOWNESS_HALF_LIFE_US: f64 = 250_000.0;
+const SLOWNESS_HALF_LIFE_US: f64 = 500_000.0;
 
 /// Slowness that is expected where none was told lately.
 const SLOWNESS_USUAL: f64 = 1.6;
@@ -24,6 +24,12 @@
 /// How much longer work takes on a cold backend server.
 const COLD_SLOWNESS: f64 = 2.0;
 
+/// Time that is lost by trying another host after a refusal, in µs.
+const MOVE_ON_US: f64 = 3_000.0;
+
+/// Slowness that is always accepted.
+const SLOWNESS_ACCEPTED: f64 = 1.4;
+
 /// Part of the cost that is random, so that nodes with the same reports differ in near ties.
 const JITTER: f64 = 0.05;
 
@@ -53,8 +59,8 @@
     pub candidate: Candidate,
     /// Time until the answer is expected, in µs.
     pub finish_us: f64,
-    /// Slowness that is expected there.
-    pub slowness: f64,
+    /// Slowness there above which the next best host is expected to be faster.
+    pub slowness_max: f64,
 }
 
 impl Candidate {
@@ -64,7 +70,8 @@
             return SLOWNESS_USUAL;
         };
         let told = f64::from(load.slowness_percent.max(1)) / 100.0;
-        let weight = (-(self.load_age_us as f64) / SLOWNESS_HALF_LIFE_US).exp2();
+        let age_us = self.load_age_us + u64::from(load.slowness_age_ms) * US_PER_MS;
+        let weight = (-(age_us as f64) / SLOWNESS_HALF_LIFE_US).exp2();
         told * weight + SLOWNESS_USUAL * (1.0 - weight)
     }
 
@@ -113,25 +120,46 @@
     draw: u64,
 ) -> Option<Placement> {
     let mut draws = Draws::new(draw);
-    let mut best: Option<(bool, f64, Placement)> = None;
-    for candidate in candidates {
-        if excluded.contains(&candidate.address) {
-            continue;
-        }
-        let finish_us = candidate.finish_us(usual_run_us);
-        let jitter = 1.0 + JITTER * draws.unit();
-        let cost = finish_us * jitter / (1.0 - candidate.failure_share.min(0.95));
-        let better = best
-            .as_ref()
-            .is_none_or(|(avoided, least, _)| (candidate.avoided, cost) < (*avoided, *least));
-        if better {
-            let placement = Placement {
-                candidate,
+    let mut ranked: Vec<Ranked> = candidates
+        .filter(|candidate| !excluded.contains(&candidate.address))
+        .map(|candidate| {
+            let finish_us = candidate.finish_us(usual_run_us);
+            let jitter = 1.0 + JITTER * draws.unit();
+            Ranked {
+                cost_us: finish_us * jitter / (1.0 - candidate.failure_share.min(0.95)),
                 finish_us,
-                slowness: candidate.slowness(),
-            };
-            best = Some((candidate.avoided, cost, placement));
-        }
-    }
-    best.map(|(_avoided, _cost, placement)| placement)
+                candidate,
+            }
+        })
+        .collect();
+    let best = take_best(&mut ranked)?;
+    let next = take_best(&mut ranked).filter(|next| !next.candidate.avoided);
+    let slowness_max = next.map_or(f64::INFINITY, |next| {
+        let other_us = next.finish_us + MOVE_ON_US;
+        (other_us / usual_run_us.max(1.0)).max(SLOWNESS_ACCEPTED)
+    });
+    Some(Placement {
+        candidate: best.candidate,
+        finish_us: best.finish_us,
+        slowness_max,
+    })
+}
+
+/// Removes the best one; avoided ones only where no other is left.
+fn take_best(ranked: &mut Vec<Ranked>) -> Option<Ranked> {
+    let order = |a: &Ranked, b: &Ranked| {
+        let avoided = a.candidate.avoided.cmp(&b.candidate.avoided);
+        avoided.then(a.cost_us.total_cmp(&b.cost_us))
+    };
+    let indices = 0..ranked.len();
+    let best = indices.min_by(|a, b| order(&ranked[*a], &ranked[*b]))?;
+    Some(ranked.swap_remove(best))
+}
+
+/// A candidate with what it costs.
+#[derive(Debug, Clone, Copy)]
+struct Ranked {
+    candidate: Candidate,
+    cost_us: f64,
+    finish_us: f64,
 }
--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -82,9 +82,10 @@
             Ok((stream, caller)) => {
                 let connection = Connection::new(Arc::clone(&handler), stream, caller);
                 let stopped = stop.clone();
+                let closed = stop.clone();
                 tasks.spawn(async move {
                     tokio::select! {
-                        () = connection.run() => {}
+                        () = connection.run(closed.closed()) => {}
                         () = stopped.stopped() => {}
                     }
                     drop(place);
@@ -131,7 +132,10 @@
     }
 
     /// Serves until the connection ends. Answers that are due are dropped when the caller closes.
-    async fn run(mut self) {
+    ///
+    /// Once `closed` resolves no further request is read.
+    async fn run(mut self, closed: impl Future<Output = ()>) {
+        tokio::pin!(closed);
         let mut pending = FuturesOrdered::new();
         let mut reading = true;
         loop {
@@ -183,6 +187,7 @@
                         },
                     }
                 }
+                () = &mut closed, if reading => reading = false,
                 () = tokio::time::sleep(wait), if timed => {
                     if within {
                         self.write_refusal(408);
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -18,6 +18,7 @@
 use crate::kernel::shards::lock;
 use crate::model::host_config::Route;
 use crate::model::host_request::{HostWork, ServerAnswer};
+use crate::model::ids::Incarnation;
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 use crate::model::request::Effect;
@@ -171,10 +172,12 @@
         progress.tried.push(placement.candidate.address);
         progress.arrivals += 1;
         let host = self.host;
+        let mut work = self.work.clone();
+        work.slowness_max = placement.slowness_max;
         async move {
             let outcome = match placement.candidate.address {
-                None => executor::run(host, self.work.clone()).await,
-                Some(ip) => self.forward(ip).await,
+                None => executor::run(host, work).await,
+                Some(ip) => self.forward(ip, &work).await,
             };
             if outcome.facts.run_us > 0
                 && outcome.result.as_ref().is_ok_and(|a| !a.is_server_error())
@@ -186,13 +189,16 @@
         }
     }
 
-    async fn forward(&self, ip: IpAddr) -> Outcome {
+    async fn forward(&self, ip: IpAddr, work: &HostWork) -> Outcome {
         let host = self.host;
         let address = host.peer_address(ip);
         let outstanding = Outstanding::new(host, ip);
+        let incarnation = lock(&host.peers)
+            .get(ip)
+            .map(|peer| peer.introduction.incarnation);
         let now_us = host.now_us();
         let left = Duration::from_micros(self.work.deadline_us.saturating_sub(now_us));
-        let wire = WireWork::new(&self.work, now_us);
+        let wire = WireWork::new(work, now_us);
         let miss = match host.peer_clients.run(address, wire, left).await {
             Ok(reply) => {
                 let load = reply.load;
@@ -210,7 +216,7 @@
                 host.events.peer_lost(&self.work.id, ip, &error);
                 outstanding.end(ReturnKind::Unreachable);
                 if self.work.effect == Effect::NonIdempotent {
-                    return self.settle(ip).await;
+                    return self.settle(ip, incarnation).await;
                 }
                 Miss::unknown(RefusalReason::ConnectionLost)
             }
@@ -226,15 +232,19 @@
 
     /// Asks the node that may have got a non-idempotent request to bar it or to say what became
     /// of it.
-    async fn settle(&self, ip: IpAddr) -> Outcome {
+    async fn settle(&self, ip: IpAddr, incarnation: Option<Incarnation>) -> Outcome {
         let host = self.host;
         let address = host.peer_address(ip);
         let give_up_us = host.now_us() + SETTLE_MAX.as_micros() as u64;
+        let incarnation = incarnation.unwrap_or_default();
         while host.now_us() < give_up_us.min(self.work.deadline_us) {
             let left_us = self.work.deadline_us.saturating_sub(host.now_us());
-            let asked =
-                host.peer_clients
-                    .settle(address, &self.work.id, Duration::from_micros(left_us));
+            let asked = host.peer_clients.settle(
+                address,
+                &self.work.id,
+                incarnation,
+                Duration::from_micros(left_us),
+            );
             match asked.await {
                 Ok(reply) => return Outcome::from(reply),
                 Err(PeerError::Deadline) => break,
--- a/src/host/entry.rs
+++ b/src/host/entry.rs
@@ -129,6 +129,7 @@
         rank: route.rank,
         invested: caller.ip() == host.settings.host.ip,
         deadline_us: arrived_us + wait_us.min(route.timeout_us),
+        slowness_max: f64::INFINITY,
         usual_run_us: lock(&host.run_times).usual_us(&route.name),
         method: request.method,
         target: request.target,
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -15,8 +15,9 @@
 use super::events::{Detail, Step};
 use super::gate_cell::Admitted;
 use super::outcome::{Miss, Outcome, RunFacts};
+use super::probe;
 use crate::decision::host::claims::{Claim, ClaimError};
-use crate::decision::host::gate::Work;
+use crate::decision::host::gate::{Pace, Work};
 use crate::edge::http1::Response;
 use crate::edge::http1::client::ExchangeError;
 use crate::kernel::shards::lock;
@@ -28,6 +29,12 @@
 /// Time for which the outcome of a non-idempotent request is held after it ended.
 const OUTCOME_HELD: Duration = Duration::from_secs(5);
 
+/// Age of the slowness from which the backend server is asked again before work is sent, in µs.
+const SLOWNESS_AGE_MAX_US: u64 = 20_000;
+
+/// Pause between two looks whether a slow phase has ended.
+const PACE_PAUSE: Duration = Duration::from_millis(25);
+
 type OutcomeWatch = watch::Receiver<Option<Outcome>>;
 
 /// Non-idempotent requests that run or have just run, by identifier.
@@ -162,6 +169,7 @@
     admitted: &mut Admitted<'_>,
     facts: &mut RunFacts,
 ) -> Result<Response, Miss> {
+    await_pace(host, work).await?;
     let mut lease = lease(host, host.server.lease(work.effect).await)?;
     loop {
         let started_us = host.now_us();
@@ -209,6 +217,29 @@
     }
 }
 
+/// Holds an admitted request while its backend server is slow, if that pays.
+async fn await_pace(host: &Arc<Host>, work: &HostWork) -> Result<(), Miss> {
+    loop {
+        if host.gate.with(|gate| gate.slowness_age_us(host.now_us())) > SLOWNESS_AGE_MAX_US {
+            probe::refresh(host).await;
+        }
+        let now_us = host.now_us();
+        let pace = host.gate.with(|gate| {
+            gate.pace(
+                work.usual_run_us,
+                work.slowness_max,
+                work.deadline_us,
+                now_us,
+            )
+        });
+        match pace {
+            Pace::Now => return Ok(()),
+            Pace::Elsewhere => return Err(Miss::not_sent(RefusalReason::ServerSlow)),
+            Pace::Wait => tokio::time::sleep(PACE_PAUSE).await,
+        }
+    }
+}
+
 fn lease(host: &Host, leased: std::io::Result<Lease>) -> Result<Lease, Miss> {
     leased.map_err(|error| {
         host.events.server_unreachable(&error);
@@ -254,11 +285,7 @@
 /// Takes what an answer tells of the backend server into the gate.
 pub fn observe(host: &Host, facts: &AnswerFacts) {
     let now_us = host.now_us();
-    let changed = host.gate.with(|gate| {
-        let before = (gate.slowness(now_us), gate.state(now_us));
-        gate.observe(facts.report, now_us);
-        before != (gate.slowness(now_us), gate.state(now_us))
-    });
+    let changed = host.gate.with(|gate| gate.observe(facts.report, now_us));
     if changed {
         host.load_changed.notify_one();
     }
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -27,10 +27,10 @@
 const SMALL_LISTENER_CONNECTIONS_MAX: usize = 32;
 
 /// Time after SIGTERM in which callers may still come, since they learn of it with a delay.
-const CALLERS_LEAVE: Duration = Duration::from_millis(3_000);
+const CALLERS_LEAVE: Duration = Duration::from_millis(2_700);
 
 /// Part of the grace time in which requests may finish.
-const GRACE_PART: f64 = 0.85;
+const GRACE_PART: f64 = 0.95;
 
 /// Time that loops have to end.
 const LOOPS_END: Duration = Duration::from_millis(300);
@@ -136,6 +136,11 @@
     socket.listen(BACKLOG).map_err(error)
 }
 
+/// Whether a caller or another node waits for an answer.
+fn is_busy(host: &Host) -> bool {
+    host.events.open_requests() > 0 || host.gate.load().in_flight > 0
+}
+
 /// Lets callers go elsewhere, finishes what was taken on, and ends within the grace time.
 async fn shut_down(host: &Arc<Host>) {
     let started = tokio::time::Instant::now();
@@ -144,7 +149,8 @@
     host.gate.with(|gate| gate.set_leaving());
     host.load_changed.notify_one();
     tokio::time::sleep(CALLERS_LEAVE.min(finish_by - started)).await;
-    while host.events.open_requests() > 0 && tokio::time::Instant::now() < finish_by {
+    host.stop.close();
+    while is_busy(host) && tokio::time::Instant::now() < finish_by {
         tokio::time::sleep(DRAIN_LOOK).await;
     }
     host.events.state(
--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -16,6 +16,7 @@
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::kernel::tasks::Tasks;
+use crate::model::ids::Incarnation;
 
 /// Longest message between nodes, in bytes.
 pub const MESSAGE_BYTES_MAX: usize = 80 << 20;
@@ -89,11 +90,12 @@
         &self,
         address: SocketAddr,
         id: &str,
+        incarnation: Incarnation,
         left: Duration,
     ) -> Result<WireOutcome, PeerError> {
         self.forget(address);
         let client = self.client(address).await?;
-        let call = client.settle(context(left), id.to_owned());
+        let call = client.settle(context(left), id.to_owned(), incarnation.0);
         self.watched(address, &client, call).await
     }
 
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -22,8 +22,9 @@
 pub trait PeerHost {
     /// Runs a request at the backend server beside the node.
     async fn run(work: WireWork) -> WireOutcome;
-    /// Bars a request that was not sent yet, or tells what became of it.
-    async fn settle(id: String) -> WireOutcome;
+    /// Bars a request that was not sent yet, or tells what became of it. Only the run of the node
+    /// that it was forwarded to can know.
+    async fn settle(id: String, incarnation: u64) -> WireOutcome;
     /// Answers at once; shows that the connection works.
     async fn ping();
     /// Latest records of the operators' log.
@@ -68,6 +69,7 @@
     invested: bool,
     left_us: u64,
     usual_run_us: u32,
+    slowness_max_percent: u16,
     method: String,
     target: String,
     headers: Vec<WireHeader>,
@@ -84,6 +86,7 @@
             invested: work.invested,
             left_us: work.deadline_us.saturating_sub(now_us),
             usual_run_us: work.usual_run_us as u32,
+            slowness_max_percent: (work.slowness_max * 100.0) as u16,
             method: work.method.clone(),
             target: work.target.clone(),
             headers: to_wire(work.headers.clone()),
@@ -100,6 +103,7 @@
             invested: self.invested,
             deadline_us: now_us.saturating_add(self.left_us),
             usual_run_us: f64::from(self.usual_run_us),
+            slowness_max: f64::from(self.slowness_max_percent) / 100.0,
             method: self.method,
             target: self.target,
             headers: from_wire(self.headers),
--- a/src/host/peer_server.rs
+++ b/src/host/peer_server.rs
@@ -11,11 +11,13 @@
 
 use super::context::Host;
 use super::executor;
+use super::outcome::{Miss, Outcome};
 use super::peer_client::MESSAGE_BYTES_MAX;
 use super::peer_rpc::{PeerHost, WireIntroduction, WireOperatorRecords, WireOutcome, WireWork};
 use crate::edge::http1::client::watch_silence;
 use crate::edge::peer_client::codec;
 use crate::kernel::shards::lock;
+use crate::model::reasons::RefusalReason;
 
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -76,8 +78,12 @@
         WireOutcome::new(outcome, self.host.gate.load())
     }
 
-    async fn settle(self, _context: Context, id: String) -> WireOutcome {
-        let outcome = executor::settle(&self.host, &id.into()).await;
+    async fn settle(self, _context: Context, id: String, incarnation: u64) -> WireOutcome {
+        let outcome = if incarnation == self.host.incarnation.0 {
+            executor::settle(&self.host, &id.into()).await
+        } else {
+            Outcome::missed(Miss::unknown(RefusalReason::ConnectionLost))
+        };
         WireOutcome::new(outcome, self.host.gate.load())
     }
 
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -20,6 +20,9 @@
 /// Longest time that a probe takes.
 const TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time that work waits for a probe.
+const REFRESH_TIMEOUT: Duration = Duration::from_millis(30);
+
 /// Part of the allowed probes that is used.
 const BUDGET_PART: f64 = 0.5;
 
@@ -46,7 +49,7 @@
 
 fn is_known(host: &Host, now_us: u64) -> bool {
     host.gate
-        .with(|gate| gate.slowness_is_fresh(LOAD_AGE_MAX_US, now_us) && !gate.is_cold(now_us))
+        .with(|gate| gate.slowness_age_us(now_us) < LOAD_AGE_MAX_US && !gate.is_cold(now_us))
 }
 
 /// Path of the health endpoint of the service beside this node.
@@ -56,6 +59,15 @@
     Some(Arc::clone(&bounds.health_path))
 }
 
+/// Asks for the load right before work is sent, and waits only briefly for the answer.
+pub async fn refresh(host: &Arc<Host>) {
+    let service = host.introduction().service;
+    if let Some(path) = health_path(host, &service) {
+        // Whether it came in time shows in the age of the figures.
+        let _asked = tokio::time::timeout(REFRESH_TIMEOUT, ask(host, &path)).await;
+    }
+}
+
 async fn probe(host: &Arc<Host>) {
     let service = host.introduction().service;
     let Some(path) = health_path(host, &service) else {
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -42,6 +42,8 @@
     pub deadline_us: u64,
     /// Its usual run time, in µs.
     pub usual_run_us: f64,
+    /// Slowness of the backend server above which another host is expected to be faster.
+    pub slowness_max: f64,
     /// Method.
     pub method: String,
     /// Path and query.
--- a/src/model/ids.rs
+++ b/src/model/ids.rs
@@ -6,7 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 /// One run of a node process, drawn at random at its start.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
 pub struct Incarnation(pub u64);
 
 /// One run of a backend server process, as it announces itself.
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -54,6 +54,8 @@
     pub limit: u16,
     /// How long work takes now, in percent of its usual time.
     pub slowness_percent: u16,
+    /// Age of that figure, in ms.
+    pub slowness_age_ms: u16,
     /// Smoothed time that one request usually runs, in ms.
     pub run_ms: u16,
     /// Whether new work is taken.
--- a/src/model/reasons.rs
+++ b/src/model/reasons.rs
@@ -70,6 +70,8 @@
         ServerAbsent => "server-absent",
         /// The backend server refused the work and said that it was not run.
         ServerShed => "server-shed",
+        /// The backend server is slower now than the node that sent the work accepts.
+        ServerSlow => "server-slow",
         /// No live backend server of the service can be chosen.
         NoServer => "no-server",
         /// Every backend server that was tried refused.
