--- a/src/decision/host/claims.rs
+++ b/src/decision/host/claims.rs
@@ -26,7 +26,7 @@
 /// Identifiers until their deadline has passed, bounded in number.
 #[derive(Debug)]
 pub struct Claims {
-    claims: HashMap<Arc<str>, Claim>,
+    by_id: HashMap<Arc<str>, Claim>,
     expiries: VecDeque<(u64, Arc<str>)>,
     capacity: usize,
     hold_us: u64,
@@ -38,7 +38,7 @@
     /// `hold_us` is longer than the longest deadline, so that a late copy is still recognised.
     pub fn new(capacity: usize, hold_us: u64) -> Self {
         Self {
-            claims: HashMap::new(),
+            by_id: HashMap::new(),
             expiries: VecDeque::new(),
             capacity,
             hold_us,
@@ -51,10 +51,10 @@
     /// [`ClaimError`] when it must not run.
     pub fn claim(&mut self, id: &Arc<str>, now_us: u64) -> Result<(), ClaimError> {
         self.expire(now_us);
-        match self.claims.get(id) {
+        match self.by_id.get(id) {
             Some(Claim::Taken) => Err(ClaimError::AlreadyTaken),
             Some(Claim::Barred) => Err(ClaimError::Barred),
-            None if self.claims.len() >= self.capacity => Err(ClaimError::Full),
+            None if self.by_id.len() >= self.capacity => Err(ClaimError::Full),
             None => {
                 self.insert(id, Claim::Taken, now_us);
                 Ok(())
@@ -67,10 +67,10 @@
     /// None means that it could not be remembered, so nothing is certain.
     pub fn bar(&mut self, id: &Arc<str>, now_us: u64) -> Option<Claim> {
         self.expire(now_us);
-        if let Some(claim) = self.claims.get(id) {
+        if let Some(claim) = self.by_id.get(id) {
             return Some(*claim);
         }
-        if self.claims.len() >= self.capacity {
+        if self.by_id.len() >= self.capacity {
             return None;
         }
         self.insert(id, Claim::Barred, now_us);
@@ -79,13 +79,13 @@
 
     /// Bars a claimed request that was refused before any byte of it was sent.
     pub fn withdraw(&mut self, id: &Arc<str>) {
-        if let Some(claim) = self.claims.get_mut(id) {
+        if let Some(claim) = self.by_id.get_mut(id) {
             *claim = Claim::Barred;
         }
     }
 
     fn insert(&mut self, id: &Arc<str>, claim: Claim, now_us: u64) {
-        self.claims.insert(Arc::clone(id), claim);
+        self.by_id.insert(Arc::clone(id), claim);
         self.expiries
             .push_back((now_us + self.hold_us, Arc::clone(id)));
     }
@@ -97,7 +97,7 @@
             .is_some_and(|(at_us, _id)| *at_us <= now_us)
         {
             if let Some((_at_us, id)) = self.expiries.pop_front() {
-                self.claims.remove(&id);
+                self.by_id.remove(&id);
             }
         }
     }
--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -1,6 +1,6 @@
 //! The gate of a host: whether, when and in which order requests go to the backend server.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
 use super::announced::{AnnouncedState, Announcement, Novelty};
@@ -116,6 +116,19 @@
     since_us: u64,
 }
 
+/// Why no new work is taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Closure {
+    /// The backend server has said that it leaves.
+    ServerLeaving,
+    /// Operators have taken the availability zone out.
+    ZoneOut,
+    /// The node itself is leaving.
+    NodeLeaving,
+    /// No connection to the backend server can be opened.
+    Unreachable,
+}
+
 /// What is known of the backend server's warmth.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Warmth {
@@ -132,10 +145,7 @@
     reports: u64,
     announced: Option<Announcement>,
     health_seen: bool,
-    drained: bool,
-    zone_out: bool,
-    leaving: bool,
-    unreachable: bool,
+    closures: BTreeSet<Closure>,
     warmth: Warmth,
     cold_rate_per_s: f64,
     cold_rate: ColdRate,
@@ -155,10 +165,7 @@
             reports: 0,
             announced: None,
             health_seen: false,
-            drained: false,
-            zone_out: false,
-            leaving: false,
-            unreachable: false,
+            closures: BTreeSet::new(),
             warmth: Warmth::Unknown,
             cold_rate_per_s: COLD_RATE_UNKNOWN,
             cold_rate: ColdRate::default(),
@@ -177,15 +184,17 @@
         match novelty {
             Novelty::Outdated => return novelty,
             Novelty::NewStart => {
-                self.drained = false;
+                self.set(Closure::ServerLeaving, false);
                 self.slowness = Slowness::default();
             }
             Novelty::Renewed => {}
         }
         // A backend server that has said it leaves is not used again, whatever it says later.
-        self.drained |= announcement.state != AnnouncedState::Ready;
+        if announcement.state != AnnouncedState::Ready {
+            self.set(Closure::ServerLeaving, true);
+        }
         self.slots = announcement.slots.max(1);
-        self.unreachable = false;
+        self.set(Closure::Unreachable, false);
         self.warmth = Warmth::ColdUntil(now_us + announcement.cold_left_us);
         self.announced = Some(announcement);
         novelty
@@ -213,8 +222,8 @@
     }
 
     /// Takes the outcome of a health check; `well` also means that it is not leaving.
-    pub fn observe_health(&mut self, instance: &str, well: bool, now_us: u64) {
-        self.unreachable = false;
+    pub fn observe_health(&mut self, instance: &str, well: bool) {
+        self.set(Closure::Unreachable, false);
         if self.announced.is_none() && well {
             self.health_seen = true;
         }
@@ -223,7 +232,6 @@
             // Another start answers at the address; its own announcement is still to come.
             self.suspect_restart();
         }
-        let _ = now_us;
     }
 
     /// Takes note that the backend server may have started anew.
@@ -233,17 +241,17 @@
 
     /// Takes note whether connections to the backend server can be opened.
     pub fn set_unreachable(&mut self, unreachable: bool) {
-        self.unreachable = unreachable;
+        self.set(Closure::Unreachable, unreachable);
     }
 
     /// Takes note whether operators have taken the availability zone out.
     pub fn set_zone_out(&mut self, zone_out: bool) {
-        self.zone_out = zone_out;
+        self.set(Closure::ZoneOut, zone_out);
     }
 
     /// Takes note that the node is leaving.
     pub fn set_leaving(&mut self) {
-        self.leaving = true;
+        self.set(Closure::NodeLeaving, true);
     }
 
     /// Sets the rate that a cold backend server bears.
@@ -429,11 +437,13 @@
 
     /// Whether the backend server takes new work.
     pub fn state(&self, now_us: u64) -> ServerState {
-        if self.unreachable || (self.announced.is_none() && !self.health_seen) {
+        let is = |closure| self.closures.contains(&closure);
+        let known = self.announced.is_some() || self.health_seen;
+        if is(Closure::Unreachable) || !known {
             ServerState::Absent
-        } else if self.zone_out {
+        } else if is(Closure::ZoneOut) {
             ServerState::Out
-        } else if self.drained || self.leaving {
+        } else if is(Closure::ServerLeaving) || is(Closure::NodeLeaving) {
             ServerState::Leaving
         } else if self.is_cold(now_us) {
             ServerState::Cold
@@ -442,6 +452,14 @@
         }
     }
 
+    fn set(&mut self, closure: Closure, closed: bool) {
+        if closed {
+            self.closures.insert(closure);
+        } else {
+            self.closures.remove(&closure);
+        }
+    }
+
     fn closed_because(&self, now_us: u64) -> Option<RefusalReason> {
         match self.state(now_us) {
             ServerState::Absent => Some(RefusalReason::ServerAbsent),
--- a/src/decision/host/split.rs
+++ b/src/decision/host/split.rs
@@ -22,7 +22,7 @@
         if credits.len() != route.targets.len() {
             *credits = vec![0; route.targets.len()];
             let lead = draw as usize % credits.len();
-            credits[lead] = (draw >> 8) as i64 % total.max(1);
+            credits[lead] = (draw >> 8).cast_signed() % total.max(1);
         }
         for (credit, target) in credits.iter_mut().zip(&route.targets) {
             *credit += i64::from(target.weight);
--- a/src/decision/routing/health.rs
+++ b/src/decision/routing/health.rs
@@ -78,6 +78,7 @@
         now_us >= self.avoided_until_us && outstanding == 0
     }
 
+    /// Learns from how a request came back.
     pub fn record(&mut self, kind: ReturnKind, now_us: u64) {
         match kind {
             ReturnKind::Answered => self.record_answer(now_us),
--- a/src/edge/http1/body.rs
+++ b/src/edge/http1/body.rs
@@ -142,11 +142,17 @@
                 }
                 Stage::Length(left) => match self.take(buffer, left)? {
                     0 => self.stage = Stage::Done,
-                    left => return self.wait(Stage::Length(left)),
+                    left => {
+                        self.stage = Stage::Length(left);
+                        return Ok(false);
+                    }
                 },
                 Stage::ChunkData(left) => match self.take(buffer, left)? {
                     0 => self.stage = Stage::ChunkEnd,
-                    left => return self.wait(Stage::ChunkData(left)),
+                    left => {
+                        self.stage = Stage::ChunkData(left);
+                        return Ok(false);
+                    }
                 },
                 Stage::ChunkEnd => {
                     if buffer.len() < 2 {
@@ -186,11 +192,6 @@
         }
     }
 
-    fn wait(&mut self, stage: Stage) -> Result<bool, BodyError> {
-        self.stage = stage;
-        Ok(false)
-    }
-
     /// Moves up to `wanted` bytes over; returns how many are still missing.
     fn take(&mut self, buffer: &mut BytesMut, wanted: u64) -> Result<u64, BodyError> {
         let count = wanted.min(buffer.len() as u64) as usize;
--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -14,7 +14,7 @@
 use super::{Response, ResponseHead};
 
 /// Time after which sent bytes that nobody acknowledged end a connection.
-const UNACKNOWLEDGED_MAX: Duration = Duration::from_millis(1_000);
+const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(1);
 
 /// Pause before and between keep-alive probes of a silent connection.
 const KEEP_ALIVE: Duration = Duration::from_secs(1);
@@ -150,9 +150,8 @@
 fn keep_alive_timeout(head: &ResponseHead) -> Option<Duration> {
     let value = crate::model::header::text_of(&head.headers, "keep-alive")?;
     let parameters = value.split(',').map(str::trim);
-    let seconds = parameters.filter_map(|parameter| parameter.strip_prefix("timeout="));
+    let mut seconds = parameters.filter_map(|parameter| parameter.strip_prefix("timeout="));
     seconds
-        .filter_map(|digits| digits.parse().ok())
-        .next()
+        .find_map(|digits| digits.parse().ok())
         .map(Duration::from_secs)
 }
--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -162,7 +162,7 @@
                 }
                 Some(answered) = pending.next(), if answers_wanted => {
                     let last = pending.is_empty() && !self.reader.is_within_message();
-                    if self.write(answered, last) {
+                    if self.write(&answered, last) {
                         reading = false;
                         pending.clear();
                     }
@@ -214,7 +214,7 @@
     }
 
     /// Writes an answer; true if it is the connection's last.
-    fn write(&mut self, answered: Answered, last: bool) -> bool {
+    fn write(&mut self, answered: &Answered, last: bool) -> bool {
         let head = &answered.response.head;
         let close = answered.close || !head.keep_alive || (last && self.handler.is_closing());
         write_response(
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -336,7 +336,7 @@
         let load = host.gate.load();
         let mut text = String::new();
         let mut line = |name: &str, value: u64| {
-            text.push_str(&format!("bronzelock_{name} {value}\n"));
+            text.extend(["bronzelock_", name, " ", &value.to_string(), "\n"]);
         };
         for (counter, count) in lock(&self.counters).iter() {
             line(counter, *count);
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -17,7 +17,7 @@
 use super::outcome::{Miss, Outcome, RunFacts};
 use super::probe;
 use crate::decision::host::claims::{Claim, ClaimError};
-use crate::decision::host::gate::{Pace, Work};
+use crate::decision::host::gate::{HostGate, Pace, Work};
 use crate::edge::http1::Response;
 use crate::edge::http1::client::ExchangeError;
 use crate::kernel::shards::lock;
@@ -204,7 +204,7 @@
                     work.id,
                     error.cause
                 );
-                host.gate.with(|gate| gate.suspect_restart());
+                host.gate.with(HostGate::suspect_restart);
                 host.load_changed.notify_one();
                 return Err(if error.nothing_written {
                     Miss::not_sent(RefusalReason::ServerAbsent)
@@ -295,7 +295,7 @@
 fn check(host: &Host, facts: &AnswerFacts, response: Response) -> Result<Response, Miss> {
     if facts.not_run {
         if facts.instance.is_some() {
-            host.gate.with(|gate| gate.suspect_restart());
+            host.gate.with(HostGate::suspect_restart);
         }
         return Err(Miss::shed());
     }
--- a/src/host/gate_cell.rs
+++ b/src/host/gate_cell.rs
@@ -12,6 +12,10 @@
 use crate::kernel::stop::Stop;
 use crate::model::ids::Incarnation;
 use crate::model::load::HostLoad;
+use crate::model::reasons::RefusalReason;
+
+/// Shortest time between two looks at waiting requests, in µs.
+const WAKEUP_PAUSE_US: u64 = 1_000;
 
 #[derive(Debug)]
 struct Core {
@@ -116,16 +120,13 @@
             }
             (id, at_once)
         };
-        let verdict = match at_once {
-            Some(verdict) => verdict,
-            None => {
-                let waiting = Waiting { cell: self, id };
-                let received = verdict.await;
-                std::mem::forget(waiting);
-                received.map_err(|_gone| {
-                    Miss::not_sent(crate::model::reasons::RefusalReason::Cancelled)
-                })?
-            }
+        let verdict = if let Some(verdict) = at_once {
+            verdict
+        } else {
+            let waiting = Waiting { cell: self, id };
+            let received = verdict.await;
+            std::mem::forget(waiting);
+            received.map_err(|_gone| Miss::not_sent(RefusalReason::Cancelled))?
         };
         match verdict {
             Verdict::Run => Ok(Admitted {
@@ -145,15 +146,11 @@
             let now_us = self.clock.now_us();
             let next_us = lock(&self.core).gate.next_wakeup_us(now_us);
             let due = async {
-                match next_us {
-                    Some(at_us) => {
-                        tokio::time::sleep_until(
-                            self.clock.instant_at(at_us.max(now_us + 1_000)).into(),
-                        )
-                        .await
-                    }
-                    None => std::future::pending().await,
-                }
+                let Some(at_us) = next_us else {
+                    return std::future::pending().await;
+                };
+                let at = self.clock.instant_at(at_us.max(now_us + WAKEUP_PAUSE_US));
+                tokio::time::sleep_until(at.into()).await;
             };
             tokio::select! {
                 () = stop.stopped() => return,
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -12,6 +12,7 @@
 use super::entry::CallerHandler;
 use super::ready::ReadyHandler;
 use super::{directory, load_reports, operator_log, peer_server, probe};
+use crate::decision::host::gate::HostGate;
 use crate::edge::http1::server;
 use crate::kernel::StepError;
 use crate::kernel::node::StopSignals;
@@ -146,7 +147,7 @@
     let started = tokio::time::Instant::now();
     let finish_by = started + Duration::from_secs_f64(host.settings.bounds.grace_s * GRACE_PART);
     host.stop.leave();
-    host.gate.with(|gate| gate.set_leaving());
+    host.gate.with(HostGate::set_leaving);
     host.load_changed.notify_one();
     tokio::time::sleep(CALLERS_LEAVE.min(finish_by - started)).await;
     host.stop.close();
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -125,11 +125,11 @@
 /// Takes records in; `whole_until` says that they are the newest of all keys as of that offset.
 fn apply(host: &Host, records: Vec<KeyedRecord>, whole_until: Option<u64>) {
     let mut state = lock(&host.operator);
-    let changed = match whole_until {
-        Some(end) => state.apply_all(records, end),
-        None => records
-            .into_iter()
-            .fold(false, |changed, record| state.apply(record) || changed),
+    let changed = if let Some(end) = whole_until {
+        state.apply_all(records, end)
+    } else {
+        let applied = records.into_iter().map(|record| state.apply(record));
+        applied.filter(|changed| *changed).count() > 0
     };
     if !changed {
         return;
--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -151,7 +151,7 @@
             tokio::select! {
                 biased;
                 answered = &mut call => return answered.map_err(|error| self.failed(address, &error)),
-                pong = ping => if let Err(error) = pong {
+                checked = ping => if let Err(error) = checked {
                     self.forget(address);
                     let silent = StepError::with_peer("check the connection", address, error);
                     return Err(PeerError::Lost(silent));
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -95,9 +95,8 @@
     };
     let facts = answers::facts(&response);
     let well = response.head.status == 200;
-    let now_us = host.now_us();
     host.gate.with(|gate| match &facts.instance {
-        Some(instance) => gate.observe_health(instance, well, now_us),
+        Some(instance) => gate.observe_health(instance, well),
         None => gate.set_unreachable(false),
     });
     executor::observe(host, &facts);
--- a/src/model/host_config.rs
+++ b/src/model/host_config.rs
@@ -111,8 +111,8 @@
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let prefixes = self.routes.get(host)?;
         let path = path.split('?').next().unwrap_or(path);
-        let ends = path.rmatch_indices('/').map(|(at, _slash)| at + 1);
-        ends.filter_map(|end| prefixes.get(&path[..end])).next()
+        let mut ends = path.rmatch_indices('/').map(|(at, _slash)| at + 1);
+        ends.find_map(|end| prefixes.get(&path[..end]))
     }
 
     /// Number of routes.
--- /dev/null
+++ b/tests/host/gate.rs
@@ -0,0 +1,314 @@
+//! Whether, when and in which order requests go to the backend server.
+
+use bronzelock::decision::host::announced::{AnnouncedState, Announcement, Novelty};
+use bronzelock::decision::host::gate::{HostGate, Pace, ServerReport, Verdict, Work, WorkId};
+use bronzelock::model::ids::Incarnation;
+use bronzelock::model::load::ServerState;
+use bronzelock::model::names::ServiceName;
+use bronzelock::model::reasons::RefusalReason;
+
+const S: u64 = 1_000_000;
+const MS: u64 = 1_000;
+/// Requests that run at once at a warm backend server of 12 slots.
+const LIMIT: usize = 9;
+
+fn said(sequence: u64, state: AnnouncedState, cold_left_us: u64) -> Announcement {
+    Announcement {
+        instance: "i-1".into(),
+        service: ServiceName::new("herd").expect("valid name"),
+        born_ms: 1,
+        sequence,
+        slots: 12,
+        state,
+        cold_left_us,
+    }
+}
+
+fn warm_gate() -> HostGate {
+    let mut gate = HostGate::new(Incarnation(1));
+    gate.set_cold_rate(11.0);
+    gate.announce(said(1, AnnouncedState::Ready, 0), 0);
+    gate
+}
+
+fn work(rank: u8) -> Work {
+    Work {
+        rank,
+        invested: false,
+        deadline_us: 10 * S,
+        usual_run_us: 100.0 * MS as f64,
+    }
+}
+
+fn offer(gate: &mut HostGate, work: Work, now_us: u64) -> (WorkId, Option<Verdict>) {
+    let id = gate.next_id();
+    (id, gate.offer(id, work, now_us))
+}
+
+fn refusal(verdict: Option<Verdict>) -> Option<RefusalReason> {
+    match verdict {
+        Some(Verdict::Refuse(refusal)) => Some(refusal.reason),
+        Some(Verdict::Run) | None => None,
+    }
+}
+
+fn fill(gate: &mut HostGate, now_us: u64) -> Vec<WorkId> {
+    let filled: Vec<_> = (0..LIMIT).map(|_| offer(gate, work(1), now_us)).collect();
+    assert!(
+        filled
+            .iter()
+            .all(|(_id, verdict)| *verdict == Some(Verdict::Run))
+    );
+    filled.into_iter().map(|(id, _verdict)| id).collect()
+}
+
+#[test]
+fn nothing_runs_before_the_backend_server_is_known() {
+    let mut gate = HostGate::new(Incarnation(1));
+    let (_id, verdict) = offer(&mut gate, work(1), 0);
+    assert_eq!(refusal(verdict), Some(RefusalReason::ServerAbsent));
+}
+
+#[test]
+fn no_more_runs_than_the_backend_server_bears_without_slowing_down() {
+    let mut gate = warm_gate();
+    fill(&mut gate, S);
+    let (_id, verdict) = offer(&mut gate, work(1), S);
+    assert_eq!(verdict, None, "it waits");
+}
+
+/// Bursts: when room comes, the most urgent goes first, and calls of running work before new work.
+#[test]
+fn waiting_work_runs_by_urgency_and_then_by_what_was_invested() {
+    let mut gate = warm_gate();
+    let running = fill(&mut gate, S);
+    let (ordinary, _) = offer(&mut gate, work(2), S);
+    let (urgent, _) = offer(&mut gate, work(1), S);
+    let (invested, _) = offer(
+        &mut gate,
+        Work {
+            invested: true,
+            ..work(1)
+        },
+        S,
+    );
+    let mut order = Vec::new();
+    for id in &running[..3] {
+        gate.finished(*id, true, 2 * S);
+        let mut decided = Vec::new();
+        gate.settle(2 * S, &mut decided);
+        order.extend(decided.into_iter().map(|(id, _verdict)| id));
+    }
+    assert_eq!(order, [invested, urgent, ordinary]);
+}
+
+#[test]
+fn work_that_cannot_end_in_time_is_refused_at_once_with_a_time_to_return() {
+    let mut gate = warm_gate();
+    fill(&mut gate, S);
+    let late = Work {
+        deadline_us: S + 20 * MS,
+        ..work(0)
+    };
+    let (_id, verdict) = offer(&mut gate, late, S);
+    let Some(Verdict::Refuse(refusal)) = verdict else {
+        panic!("{verdict:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::DeadlineUnreachable);
+    assert!(refusal.retry_after_us > 0);
+}
+
+#[test]
+fn waiting_work_is_refused_as_soon_as_it_cannot_end_in_time() {
+    let mut gate = warm_gate();
+    fill(&mut gate, S);
+    let (id, verdict) = offer(
+        &mut gate,
+        Work {
+            deadline_us: S + 300 * MS,
+            ..work(1)
+        },
+        S,
+    );
+    assert_eq!(verdict, None);
+    let at_us = gate.next_wakeup_us(S).expect("a time to look again");
+    assert!(at_us < S + 300 * MS);
+    let mut decided = Vec::new();
+    gate.settle(at_us + MS, &mut decided);
+    assert_eq!(decided[0].0, id);
+    assert_eq!(
+        refusal(Some(decided[0].1)),
+        Some(RefusalReason::DeadlineUnreachable)
+    );
+}
+
+#[test]
+fn a_full_queue_keeps_the_most_urgent() {
+    let mut gate = warm_gate();
+    fill(&mut gate, S);
+    let long = Work {
+        deadline_us: 1_000 * S,
+        ..work(2)
+    };
+    let waiting: Vec<_> = (0..24).map(|_| offer(&mut gate, long, S)).collect();
+    assert!(waiting.iter().all(|(_id, verdict)| verdict.is_none()));
+    let (_id, ordinary) = offer(&mut gate, long, S);
+    assert_eq!(refusal(ordinary), Some(RefusalReason::QueueFull));
+    let (_id, urgent) = offer(&mut gate, Work { rank: 0, ..long }, S);
+    assert_eq!(urgent, None);
+    let mut decided = Vec::new();
+    gate.settle(S, &mut decided);
+    assert_eq!(
+        decided[0].0, waiting[23].0,
+        "the last of the least urgent makes room"
+    );
+}
+
+#[test]
+fn nothing_is_sent_after_a_drain_was_acknowledged() {
+    let mut gate = warm_gate();
+    let (id, verdict) = offer(&mut gate, work(1), S);
+    assert_eq!(verdict, Some(Verdict::Run));
+    gate.announce(said(2, AnnouncedState::Draining, 0), S);
+    assert_eq!(
+        gate.clear_to_send(id, 10 * S, S),
+        Err(RefusalReason::Leaving)
+    );
+    gate.announce(said(3, AnnouncedState::Ready, 0), S);
+    assert_eq!(
+        gate.state(S),
+        ServerState::Leaving,
+        "the word holds for this start"
+    );
+    let next = Announcement {
+        born_ms: 2,
+        sequence: 1,
+        ..said(1, AnnouncedState::Ready, 0)
+    };
+    assert_eq!(gate.announce(next, S), Novelty::NewStart);
+    assert_eq!(gate.state(S), ServerState::Warm);
+}
+
+#[test]
+fn nothing_is_sent_into_a_zone_that_is_out() {
+    let mut gate = warm_gate();
+    let (id, _) = offer(&mut gate, work(1), S);
+    gate.set_zone_out(true);
+    assert_eq!(
+        gate.clear_to_send(id, 10 * S, S),
+        Err(RefusalReason::ZoneOut)
+    );
+    gate.set_zone_out(false);
+    assert!(gate.clear_to_send(id, 10 * S, S).is_ok());
+}
+
+#[test]
+fn nothing_is_sent_after_its_deadline() {
+    let mut gate = warm_gate();
+    let (id, _) = offer(&mut gate, work(1), S);
+    assert_eq!(
+        gate.clear_to_send(id, 2 * S, 2 * S),
+        Err(RefusalReason::DeadlineLapsed)
+    );
+}
+
+/// Cold returns: short requests must not add up to more than the rate within any second.
+#[test]
+fn a_cold_backend_server_gets_no_more_than_its_rate_in_any_second() {
+    let mut gate = HostGate::new(Incarnation(1));
+    gate.set_cold_rate(11.0);
+    gate.announce(said(1, AnnouncedState::Ready, 5 * S), 0);
+    let mut sent_us = Vec::new();
+    for now_us in (0..4 * S).step_by(7_000) {
+        let (id, verdict) = offer(&mut gate, work(1), now_us);
+        let mut decided = Vec::new();
+        gate.settle(now_us, &mut decided);
+        let runs = decided
+            .iter()
+            .filter(|(_id, verdict)| *verdict == Verdict::Run);
+        let mut started: Vec<WorkId> = runs.map(|(id, _verdict)| *id).collect();
+        if verdict == Some(Verdict::Run) {
+            started.push(id);
+        } else {
+            gate.cancel(id);
+        }
+        for id in started {
+            assert!(gate.clear_to_send(id, 10 * S, now_us).is_ok());
+            sent_us.push(now_us);
+            gate.finished(id, true, now_us + MS);
+        }
+    }
+    for from_us in &sent_us {
+        let within = sent_us
+            .iter()
+            .filter(|at| (*from_us..from_us + S).contains(*at));
+        assert!(within.count() <= 11);
+    }
+    assert!(sent_us.len() >= 30, "{} in 4 s", sent_us.len());
+}
+
+/// The rate is asked again when the first byte comes long after the dispatch, as after a
+/// connection that had to be opened anew.
+#[test]
+fn a_late_first_byte_asks_the_cold_rate_again() {
+    let mut gate = HostGate::new(Incarnation(1));
+    gate.set_cold_rate(2.0);
+    gate.announce(said(1, AnnouncedState::Ready, 5 * S), 0);
+    let (first, _) = offer(&mut gate, work(1), 0);
+    let (second, verdict) = offer(&mut gate, work(1), 0);
+    assert_eq!(verdict, Some(Verdict::Run));
+    assert!(gate.clear_to_send(first, 10 * S, MS).is_ok());
+    let late = gate.clear_to_send(second, 10 * S, 500 * MS);
+    assert_eq!(late, Err(RefusalReason::ColdStart));
+}
+
+#[test]
+fn a_backend_server_that_may_have_restarted_counts_as_cold() {
+    let mut gate = warm_gate();
+    gate.suspect_restart();
+    assert_eq!(gate.state(S), ServerState::Cold);
+    gate.observe(
+        ServerReport {
+            cold_left_us: Some(0),
+            ..ServerReport::default()
+        },
+        S,
+    );
+    assert_eq!(gate.state(S), ServerState::Warm);
+}
+
+fn slow_gate() -> HostGate {
+    let mut gate = warm_gate();
+    gate.observe(
+        ServerReport {
+            slowness_percent: Some(400),
+            ..ServerReport::default()
+        },
+        S,
+    );
+    gate
+}
+
+/// Noise: work takes as long as the host is slow when it begins.
+#[test]
+fn long_work_waits_for_the_end_of_a_slow_phase_and_short_work_does_not() {
+    let gate = slow_gate();
+    let pace = |usual_run_us| gate.pace(usual_run_us, f64::INFINITY, 10 * S, S + MS);
+    assert_eq!(pace(200.0 * MS as f64), Pace::Wait);
+    assert_eq!(pace(10.0 * MS as f64), Pace::Now);
+}
+
+#[test]
+fn work_goes_elsewhere_when_the_host_is_slower_than_the_sender_accepts() {
+    let gate = slow_gate();
+    assert_eq!(gate.pace(100_000.0, 1.5, 10 * S, S + MS), Pace::Elsewhere);
+}
+
+#[test]
+fn a_slowness_that_lasts_is_not_waited_for() {
+    let gate = slow_gate();
+    assert_eq!(
+        gate.pace(200_000.0, f64::INFINITY, 20 * S, 4 * S),
+        Pace::Now
+    );
+}
--- /dev/null
+++ b/tests/host/http1.rs
@@ -0,0 +1,167 @@
+//! HTTP/1.1 messages as they arrive in pieces, whole, broken or crossed.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bronzelock::edge::http1::client::ClientConnection;
+use bronzelock::edge::http1::server::{self, Handler, ServerLimits};
+use bronzelock::edge::http1::{
+    MessageLimits, MessageReader, ReadError, Received, Request, RequestHead, Response,
+};
+use bronzelock::kernel::stop::Stop;
+use bronzelock::kernel::tasks::Tasks;
+use bronzelock::model::header::text_of;
+use bytes::Bytes;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+
+const LIMITS: MessageLimits = MessageLimits {
+    head_bytes_max: 1_024,
+    body_bytes_max: 64,
+};
+
+async fn read(text: &str) -> Result<(RequestHead, Bytes), ReadError> {
+    let mut reader = MessageReader::<RequestHead>::default();
+    match reader.next(&mut text.as_bytes(), LIMITS).await? {
+        Received::Message(head, body) => Ok((head, body)),
+        Received::ContinueExpected => panic!("no expectation was sent"),
+    }
+}
+
+async fn refused(text: String) {
+    let result = read(&text).await;
+    assert!(
+        matches!(result, Err(ReadError::Head(_) | ReadError::Body(_))),
+        "{result:?}"
+    );
+}
+
+fn check_refused(text: &str) {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(refused(text.to_owned()));
+}
+
+crate::cases! { check_refused:
+    two_lengths("POST / HTTP/1.1\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab");
+    length_and_coding("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n");
+    unknown_coding("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n");
+    signed_length("POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\na");
+    bad_chunk("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n");
+    chunk_without_end("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n");
+    long_body("POST / HTTP/1.1\r\nContent-Length: 65\r\n\r\n");
+    no_head("\u{1}\u{2}\r\n\r\n");
+}
+
+#[tokio::test]
+async fn chunks_are_joined() {
+    let text = "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3;x=y\r\ncde\r\n0\r\nT: 1\r\n\r\n";
+    let (head, body) = read(text).await.expect("a message");
+    assert_eq!((head.target.as_str(), &body[..]), ("/a", &b"abcde"[..]));
+}
+
+#[tokio::test]
+async fn a_message_that_ends_early_is_no_message() {
+    let result = read("POST / HTTP/1.1\r\nContent-Length: 5\r\n\r\nabc").await;
+    assert!(matches!(result, Err(ReadError::Truncated)), "{result:?}");
+}
+
+/// Answers after the number of ms that the path names.
+struct Sleepy;
+
+impl Handler for Sleepy {
+    fn limits(&self) -> ServerLimits {
+        ServerLimits {
+            message: LIMITS,
+            head_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(5),
+        }
+    }
+
+    async fn answer(self: Arc<Self>, request: Request, _caller: SocketAddr) -> Response {
+        let path = request.head.target;
+        let ms = path.trim_start_matches('/').parse().unwrap_or(0);
+        tokio::time::sleep(Duration::from_millis(ms)).await;
+        Response::own(200, Vec::new(), path)
+    }
+
+    fn is_closing(&self) -> bool {
+        false
+    }
+}
+
+async fn serve() -> (SocketAddr, Stop) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let stop = Stop::default();
+    let tasks = Tasks::default();
+    tokio::spawn(server::serve(
+        Arc::new(Sleepy),
+        listener,
+        8,
+        tasks,
+        stop.clone(),
+    ));
+    (address, stop)
+}
+
+/// Pipelined requests: the second one runs while the first does, and is answered after it.
+#[tokio::test]
+async fn pipelined_requests_are_answered_in_their_order() {
+    let (address, _stop) = serve().await;
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    let text = "GET /40 HTTP/1.1\r\n\r\nGET /1 HTTP/1.1\r\nConnection: close\r\n\r\n";
+    stream.write_all(text.as_bytes()).await.expect("written");
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).await.expect("answers");
+    let first = answers.find("/40").expect("the first answer");
+    let second = answers.rfind("/1").expect("the second answer");
+    assert!(first < second, "{answers}");
+}
+
+async fn scripted_server(answer: &'static [u8]) -> TcpStream {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    tokio::spawn(async move {
+        let (mut stream, _from) = listener.accept().await.expect("a connection");
+        let mut request = [0; 256];
+        let _read = stream.read(&mut request).await;
+        stream.write_all(answer).await.expect("written");
+        stream.flush().await.expect("flushed");
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    });
+    TcpStream::connect(address).await.expect("a connection")
+}
+
+async fn exchange(answer: &'static [u8]) -> (ClientConnection, Result<Response, ReadError>) {
+    let mut connection = ClientConnection::new(scripted_server(answer).await);
+    let belongs = |response: &Response| text_of(&response.head.headers, "id") == Some("7");
+    let result = connection
+        .exchange(b"GET / HTTP/1.1\r\n\r\n", false, LIMITS, belongs)
+        .await;
+    (connection, result.map_err(|error| error.cause))
+}
+
+/// A late second answer to an earlier request comes where the next answer is due.
+#[tokio::test]
+async fn an_answer_to_another_request_is_skipped() {
+    let script = b"HTTP/1.1 200 OK\r\nid: 6\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nid: 7\r\nContent-Length: 1\r\n\r\ny";
+    let (_connection, result) = exchange(script).await;
+    assert_eq!(result.expect("an answer").body, "y");
+}
+
+#[tokio::test]
+async fn a_connection_with_bytes_left_over_is_not_used_again() {
+    let script = b"HTTP/1.1 200 OK\r\nid: 7\r\nContent-Length: 1\r\n\r\nyHTTP/1.1 200";
+    let (connection, result) = exchange(script).await;
+    assert!(result.is_ok());
+    assert!(!connection.is_reusable());
+}
+
+#[tokio::test]
+async fn bytes_that_are_no_answer_are_an_error() {
+    let (_connection, result) = exchange(b"\x00\x01garbage\r\n\r\n").await;
+    assert!(matches!(result, Err(ReadError::Head(_))), "{result:?}");
+}
--- /dev/null
+++ b/tests/host/main.rs
@@ -0,0 +1,14 @@
+//! Decisions of a host's node, without a network.
+
+#[path = "../support/cases.rs"]
+mod cases;
+
+mod announced;
+mod budget;
+mod claims;
+mod gate;
+mod http1;
+mod log_reader;
+mod placement;
+mod platform;
+mod routes;
--- /dev/null
+++ b/tests/host/placement.rs
@@ -0,0 +1,113 @@
+//! Which host is chosen for a request.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use bronzelock::decision::host::placement::{Candidate, choose};
+use bronzelock::model::ids::Incarnation;
+use bronzelock::model::load::{HostLoad, ServerState};
+
+const USUAL_RUN_US: f64 = 200_000.0;
+
+fn ip(last: u8) -> Option<IpAddr> {
+    Some(Ipv4Addr::new(10, 0, 0, last).into())
+}
+
+fn candidate(address: Option<IpAddr>, same_zone: bool) -> Candidate {
+    Candidate {
+        address,
+        same_zone,
+        load: Some(HostLoad {
+            incarnation: Incarnation(1),
+            sequence: 1,
+            in_flight: 0,
+            queued: 0,
+            limit: 9,
+            slowness_percent: 100,
+            slowness_age_ms: 0,
+            run_ms: 200,
+            state: ServerState::Warm,
+        }),
+        load_age_us: 0,
+        unreported: 0,
+        failure_share: 0.0,
+        avoided: false,
+    }
+}
+
+fn with(mut candidate: Candidate, change: impl Fn(&mut HostLoad)) -> Candidate {
+    if let Some(load) = &mut candidate.load {
+        change(load);
+    }
+    candidate
+}
+
+fn chosen(candidates: &[Candidate]) -> Option<IpAddr> {
+    let picks: Vec<_> = (0..40)
+        .map(|draw| choose(candidates.iter().copied(), &[], USUAL_RUN_US, draw))
+        .map(|placement| placement.expect("a host").candidate.address)
+        .collect();
+    assert!(picks.iter().all(|pick| *pick == picks[0]), "{picks:?}");
+    picks[0]
+}
+
+#[test]
+fn the_own_availability_zone_goes_first() {
+    let near = candidate(ip(1), true);
+    let far = candidate(ip(2), false);
+    assert_eq!(chosen(&[far, near]), ip(1));
+}
+
+/// Noise: a part of the hosts works several times slower for some hundred ms.
+#[test]
+fn a_host_that_is_slow_now_is_passed_over_for_another_zone() {
+    let near = with(candidate(ip(1), true), |load| load.slowness_percent = 400);
+    let far = candidate(ip(2), false);
+    assert_eq!(chosen(&[near, far]), ip(2));
+}
+
+/// Bursts: a host at its limit makes requests wait.
+#[test]
+fn a_host_with_a_queue_is_passed_over() {
+    let near = with(candidate(None, true), |load| {
+        load.in_flight = 9;
+        load.queued = 6;
+    });
+    let far = candidate(ip(2), false);
+    assert_eq!(chosen(&[near, far]), ip(2));
+}
+
+#[test]
+fn requests_sent_since_the_report_count() {
+    let mut near = candidate(ip(1), true);
+    near.unreported = 18;
+    assert_eq!(chosen(&[near, candidate(ip(2), false)]), ip(2));
+}
+
+#[test]
+fn an_avoided_host_is_the_last_resort() {
+    let mut near = candidate(ip(1), true);
+    near.avoided = true;
+    assert_eq!(chosen(&[near, candidate(ip(2), false)]), ip(2));
+    assert_eq!(chosen(&[near]), ip(1));
+}
+
+#[test]
+fn the_only_host_may_be_as_slow_as_it_is() {
+    let only = choose([candidate(ip(1), true)].into_iter(), &[], USUAL_RUN_US, 7).expect("a host");
+    assert!(only.slowness_max.is_infinite());
+    let two = [candidate(ip(1), true), candidate(ip(2), false)];
+    let first = choose(two.into_iter(), &[], USUAL_RUN_US, 7).expect("a host");
+    assert!(
+        (1.0..2.0).contains(&first.slowness_max),
+        "{}",
+        first.slowness_max
+    );
+}
+
+#[test]
+fn tried_hosts_are_not_chosen_again() {
+    let two = [candidate(ip(1), true), candidate(ip(2), false)];
+    let second = choose(two.into_iter(), &[ip(1)], USUAL_RUN_US, 7).expect("a host");
+    assert_eq!(second.candidate.address, ip(2));
+    assert!(choose(two.into_iter(), &[ip(1), ip(2)], USUAL_RUN_US, 7).is_none());
+}
--- /dev/null
+++ b/tests/host/routes.rs
@@ -0,0 +1,78 @@
+//! Which route a request takes, and how split routes spread.
+
+use std::collections::HashMap;
+
+use bronzelock::decision::host::split::Split;
+use bronzelock::model::host_config::{CallerBounds, HostConfig, Route, Target};
+use bronzelock::model::names::ServiceName;
+use bronzelock::model::request::Effect;
+
+fn target(service: &str, weight: u32) -> Target {
+    Target {
+        service: ServiceName::new(service).expect("valid name"),
+        weight,
+    }
+}
+
+fn route(name: &str, path_prefix: &str, targets: Vec<Target>) -> Route {
+    Route {
+        name: name.into(),
+        host: "a.example".into(),
+        path_prefix: path_prefix.into(),
+        effect: Effect::Idempotent,
+        timeout_us: 1_000_000,
+        objective_us: 500_000,
+        rank: 1,
+        targets,
+        servers_max: 2,
+    }
+}
+
+fn config() -> HostConfig {
+    let routes = vec![
+        route("root", "/", vec![target("herd", 1)]),
+        route("cows", "/cows/", vec![target("herd", 1)]),
+        route("calves", "/cows/calves/", vec![target("herd", 1)]),
+    ];
+    HostConfig::new(1, routes, HashMap::new(), CallerBounds::default())
+}
+
+fn check(host: &str, path: &str, expected: Option<&str>) {
+    let config = config();
+    let found = config.route(host, path).map(|route| route.name.as_ref());
+    assert_eq!(found, expected);
+}
+
+crate::cases! { check:
+    longest_prefix_goes_first("a.example", "/cows/calves/7", Some("calves"));
+    shorter_prefix_holds_for_the_rest("a.example", "/cows/7/calves", Some("cows"));
+    a_prefix_ends_at_a_slash("a.example", "/cowshed/7", Some("root"));
+    the_query_is_no_part_of_the_path("a.example", "/x?y=/cows/calves/", Some("root"));
+    another_host_has_no_route("b.example", "/cows/7", None);
+}
+
+/// A split must keep to its weights also over few requests.
+#[test]
+fn split_keeps_to_its_weights_over_any_run() {
+    let split_route = route(
+        "split",
+        "/s/",
+        vec![target("herd", 90), target("parlour", 10)],
+    );
+    for draw in 0..50 {
+        let mut split = Split::default();
+        let chosen: Vec<bool> = (0..300)
+            .map(|_| {
+                split
+                    .next(&split_route, draw * 977)
+                    .expect("a target")
+                    .weight
+                    == 10
+            })
+            .collect();
+        for run in chosen.windows(100) {
+            let share = run.iter().filter(|small| **small).count();
+            assert!((9..=11).contains(&share), "{share} of 100 at draw {draw}");
+        }
+    }
+}
