Keep requests in their availability zone while they are in time there; hold them through a slow phase

Change: the choice ranks hosts of the own zone first while their expected finish, with a margin of 1.5, is within the route's objective; a gate holds work for the rest of a passing slow phase.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -23,8 +23,8 @@
 /// Part of the expected run time that must be left before the deadline.
 const RUN_PART_NEEDED: f64 = 0.7;
 
-/// Usual run times that must be left before the deadline for a request to wait for a faster phase.
-const WAIT_DEADLINE_PART: f64 = 2.0;
+/// Expected finishes that must fit before an objective or a deadline that is to be met.
+pub const FINISH_MARGIN: f64 = 1.5;
 
 /// Weight of the newest run in the average run time.
 const RUN_WEIGHT: f64 = 0.05;
@@ -76,6 +76,19 @@
     Refuse(GateRefusal),
 }
 
+/// What is expected of an admitted request.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// Its usual run time, in µs.
+    pub usual_run_us: f64,
+    /// When its answer should be there, in µs.
+    pub objective_at_us: u64,
+    /// When its answer must be there, in µs.
+    pub deadline_us: u64,
+    /// Time in which another host is expected to answer, in µs; infinite if there is none.
+    pub other_finish_us: f64,
+}
+
 /// What to do with an admitted request while the backend server is slow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pace {
@@ -270,20 +283,22 @@
     }
 
     /// What to do with an admitted request, given how slow the backend server is now.
-    pub fn pace(
-        &self,
-        usual_run_us: f64,
-        slowness_max: f64,
-        deadline_us: u64,
-        now_us: u64,
-    ) -> Pace {
-        let slowness = self.slowness(now_us);
-        if slowness > slowness_max {
+    pub fn pace(&self, timing: &Timing, now_us: u64) -> Pace {
+        let run_us = timing.usual_run_us;
+        let now_finish_us = run_us * self.slowness(now_us);
+        let left_us = timing.deadline_us.saturating_sub(now_us) as f64;
+        let held = self
+            .slowness
+            .left_us(now_us)
+            .map(|held_us| held_us + run_us);
+        let held = held.filter(|finish_us| finish_us * FINISH_MARGIN < left_us);
+        let best_us = held.map_or(now_finish_us, |finish_us| finish_us.min(now_finish_us));
+        let objective_left_us = timing.objective_at_us.saturating_sub(now_us) as f64;
+        let in_time = best_us * FINISH_MARGIN < objective_left_us;
+        if !in_time && best_us > timing.other_finish_us {
             return Pace::Elsewhere;
         }
-        let left_us = deadline_us.saturating_sub(now_us) as f64;
-        let has_time = left_us > usual_run_us * WAIT_DEADLINE_PART;
-        if has_time && self.slowness.waiting_pays(usual_run_us, now_us) {
+        if best_us < now_finish_us {
             Pace::Wait
         } else {
             Pace::Now
@@ -428,6 +443,7 @@
             queued: self.queue.len() as u16,
             limit: self.limit(now_us) as u16,
             slowness_percent: (self.slowness(now_us) * 100.0) as u16,
+            slow_left_ms: (self.slowness.left_us(now_us).unwrap_or(0.0) / US_PER_MS as f64) as u16,
             slowness_age_ms: (self.slowness.age_us(now_us) / US_PER_MS).min(u64::from(u16::MAX))
                 as u16,
             run_ms: (self.run_us / US_PER_MS as f64) as u16,
--- a/src/decision/host/placement.rs
+++ b/src/decision/host/placement.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 
+use super::gate::FINISH_MARGIN;
 use crate::decision::draws::Draws;
 use crate::model::load::{HostLoad, ServerState};
 use crate::model::units::US_PER_MS;
@@ -24,12 +25,12 @@
 /// How much longer work takes on a cold backend server.
 const COLD_SLOWNESS: f64 = 2.0;
 
+/// Part of the run time that a host at its limit costs beside the wait.
+const CROWDING: f64 = 0.1;
+
 /// Time that is lost by trying another host after a refusal, in µs.
 const MOVE_ON_US: f64 = 3_000.0;
 
-/// Slowness that is always accepted.
-const SLOWNESS_ACCEPTED: f64 = 1.4;
-
 /// Part of the cost that is random, so that nodes with the same reports differ in near ties.
 const JITTER: f64 = 0.05;
 
@@ -59,8 +60,17 @@
     pub candidate: Candidate,
     /// Time until the answer is expected, in µs.
     pub finish_us: f64,
-    /// Slowness there above which the next best host is expected to be faster.
-    pub slowness_max: f64,
+    /// Time in which the next best host is expected to answer, in µs; infinite if there is none.
+    pub other_finish_us: f64,
+}
+
+/// What is wanted of a host.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted {
+    /// Usual run time of the request, in µs.
+    pub usual_run_us: f64,
+    /// Time within which the answer should be there, in µs.
+    pub objective_left_us: f64,
 }
 
 impl Candidate {
@@ -78,7 +88,10 @@
     /// Time until an answer is expected, in µs.
     pub fn finish_us(&self, usual_run_us: f64) -> f64 {
         let slowness = self.slowness();
-        let run_us = usual_run_us * slowness * self.cold_factor();
+        let slow_run_us = usual_run_us * slowness * self.cold_factor();
+        let run_us = self.held_us().map_or(slow_run_us, |held_us| {
+            slow_run_us.min(held_us + usual_run_us * self.cold_factor())
+        });
         let hop_us = match (self.address, self.same_zone) {
             (None, _) => 0.0,
             (Some(_), true) => HOP_US,
@@ -87,6 +100,12 @@
         run_us + self.wait_us(slowness) + hop_us
     }
 
+    /// Time for which the gate would hold the request until a slow phase ends, in µs.
+    fn held_us(&self) -> Option<f64> {
+        let slow_left_ms = self.load?.slow_left_ms;
+        (slow_left_ms > 0).then_some(f64::from(slow_left_ms) * US_PER_MS as f64)
+    }
+
     fn cold_factor(&self) -> f64 {
         match self.load.map(|load| load.state) {
             Some(ServerState::Cold) => COLD_SLOWNESS,
@@ -109,23 +128,24 @@
     }
 }
 
-/// Part of the run time that a host at its limit costs beside the wait.
-const CROWDING: f64 = 0.1;
-
 /// The candidate with the earliest expected finish; avoided ones only where no other is left.
+///
+/// A request stays in its availability zone as long as it is expected to be answered in time there.
 pub fn choose(
     candidates: impl Iterator<Item = Candidate>,
     excluded: &[Option<IpAddr>],
-    usual_run_us: f64,
+    wanted: Wanted,
     draw: u64,
 ) -> Option<Placement> {
     let mut draws = Draws::new(draw);
     let mut ranked: Vec<Ranked> = candidates
         .filter(|candidate| !excluded.contains(&candidate.address))
         .map(|candidate| {
-            let finish_us = candidate.finish_us(usual_run_us);
+            let finish_us = candidate.finish_us(wanted.usual_run_us);
             let jitter = 1.0 + JITTER * draws.unit();
+            let in_time = finish_us * FINISH_MARGIN < wanted.objective_left_us;
             Ranked {
+                crosses: !(candidate.same_zone && in_time),
                 cost_us: finish_us * jitter / (1.0 - candidate.failure_share.min(0.95)),
                 finish_us,
                 candidate,
@@ -134,14 +154,11 @@
         .collect();
     let best = take_best(&mut ranked)?;
     let next = take_best(&mut ranked).filter(|next| !next.candidate.avoided);
-    let slowness_max = next.map_or(f64::INFINITY, |next| {
-        let other_us = next.finish_us + MOVE_ON_US;
-        (other_us / usual_run_us.max(1.0)).max(SLOWNESS_ACCEPTED)
-    });
+    let other_finish_us = next.map_or(f64::INFINITY, |next| next.finish_us + MOVE_ON_US);
     Some(Placement {
         candidate: best.candidate,
         finish_us: best.finish_us,
-        slowness_max,
+        other_finish_us,
     })
 }
 
@@ -149,7 +166,8 @@
 fn take_best(ranked: &mut Vec<Ranked>) -> Option<Ranked> {
     let order = |a: &Ranked, b: &Ranked| {
         let avoided = a.candidate.avoided.cmp(&b.candidate.avoided);
-        avoided.then(a.cost_us.total_cmp(&b.cost_us))
+        let crosses = a.crosses.cmp(&b.crosses);
+        avoided.then(crosses).then(a.cost_us.total_cmp(&b.cost_us))
     };
     let indices = 0..ranked.len();
     let best = indices.min_by(|a, b| order(&ranked[*a], &ranked[*b]))?;
@@ -160,6 +178,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Ranked {
     candidate: Candidate,
+    /// Whether it leaves the availability zone, or is not expected to answer in time.
+    crosses: bool,
     cost_us: f64,
     finish_us: f64,
 }
--- a/src/decision/host/slowness.rs
+++ b/src/decision/host/slowness.rs
@@ -72,14 +72,13 @@
         told.unwrap_or(u64::MAX)
     }
 
-    /// Whether a request that usually runs `usual_us` ends sooner if it waits for the phase's end.
-    pub fn waiting_pays(&self, usual_us: f64, now_us: u64) -> bool {
+    /// Time after which a slow phase is expected to end, in µs; none if work is not slow now, or
+    /// has been for so long that the slowness is no passing one.
+    pub fn left_us(&self, now_us: u64) -> Option<f64> {
         let lasted_us = now_us.saturating_sub(self.phase_began_us) as f64;
-        if lasted_us > self.phase_us * PHASES_PATIENCE {
-            return false;
-        }
-        let lost_us = usual_us * (self.factor(now_us) - 1.0);
-        lost_us > self.phase_us * PHASE_LEFT_PART
+        let passing = lasted_us < self.phase_us * PHASES_PATIENCE;
+        let slow = self.factor(now_us) > CHANGE;
+        (slow && passing).then_some(self.phase_us * PHASE_LEFT_PART)
     }
 }
 
--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -17,7 +17,7 @@
 const UNACKNOWLEDGED_MAX: Duration = Duration::from_secs(1);
 
 /// Pause before and between keep-alive probes of a silent connection.
-const KEEP_ALIVE: Duration = Duration::from_secs(1);
+const KEEP_ALIVE: Duration = Duration::from_secs(5);
 
 /// Keep-alive probes without an answer that end a connection.
 const KEEP_ALIVE_PROBES: u32 = 2;
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -13,7 +13,7 @@
 use super::outcome::{Miss, Outcome};
 use super::peer_client::PeerError;
 use super::peer_rpc::WireWork;
-use crate::decision::host::placement::{self, Candidate, Placement};
+use crate::decision::host::placement::{self, Candidate, Placement, Wanted};
 use crate::decision::routing::ReturnKind;
 use crate::kernel::shards::lock;
 use crate::model::host_config::Route;
@@ -142,7 +142,11 @@
         let peers = lock(&host.peers);
         let others = peers.candidates(self.service, &host.settings.host.zone, now_us);
         let all = own.into_iter().chain(others);
-        placement::choose(all, &progress.tried, self.work.usual_run_us, rand::random())
+        let wanted = Wanted {
+            usual_run_us: self.work.usual_run_us,
+            objective_left_us: self.work.objective_at_us.saturating_sub(now_us) as f64,
+        };
+        placement::choose(all, &progress.tried, wanted, rand::random())
     }
 
     fn own_candidate(&self) -> Option<Candidate> {
@@ -173,7 +177,7 @@
         progress.arrivals += 1;
         let host = self.host;
         let mut work = self.work.clone();
-        work.slowness_max = placement.slowness_max;
+        work.other_finish_us = placement.other_finish_us;
         async move {
             let outcome = match placement.candidate.address {
                 None => executor::run(host, work).await,
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -79,7 +79,7 @@
 impl Host {
     /// State of a node that knows nothing yet.
     pub fn new(settings: HostSettings) -> Self {
-        let incarnation = Incarnation(rand::random());
+        let incarnation = Incarnation(u64::from(rand::random::<u32>()));
         let clock = Clock::start();
         let tasks = Tasks::default();
         let bounds = RetryBounds {
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -17,7 +17,7 @@
 use super::outcome::{Miss, Outcome, RunFacts};
 use super::probe;
 use crate::decision::host::claims::{Claim, ClaimError};
-use crate::decision::host::gate::{HostGate, Pace, Work};
+use crate::decision::host::gate::{HostGate, Pace, Timing, Work};
 use crate::edge::http1::Response;
 use crate::edge::http1::client::ExchangeError;
 use crate::kernel::shards::lock;
@@ -219,19 +219,18 @@
 
 /// Holds an admitted request while its backend server is slow, if that pays.
 async fn await_pace(host: &Arc<Host>, work: &HostWork) -> Result<(), Miss> {
+    let timing = Timing {
+        usual_run_us: work.usual_run_us,
+        objective_at_us: work.objective_at_us,
+        deadline_us: work.deadline_us,
+        other_finish_us: work.other_finish_us,
+    };
     loop {
         if host.gate.with(|gate| gate.slowness_age_us(host.now_us())) > SLOWNESS_AGE_MAX_US {
             probe::refresh(host).await;
         }
         let now_us = host.now_us();
-        let pace = host.gate.with(|gate| {
-            gate.pace(
-                work.usual_run_us,
-                work.slowness_max,
-                work.deadline_us,
-                now_us,
-            )
-        });
+        let pace = host.gate.with(|gate| gate.pace(&timing, now_us));
         match pace {
             Pace::Now => return Ok(()),
             Pace::Elsewhere => return Err(Miss::not_sent(RefusalReason::ServerSlow)),
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -23,7 +23,7 @@
 const NEAR_PERIOD: Duration = Duration::from_millis(250);
 
 /// Time between two reports without a change, to hosts of other availability zones.
-const FAR_PERIOD: Duration = Duration::from_secs(1);
+const FAR_PERIOD: Duration = Duration::from_millis(1_500);
 
 /// Shortest time between two reports.
 const PAUSE: Duration = Duration::from_millis(25);
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -42,8 +42,10 @@
     pub deadline_us: u64,
     /// Its usual run time, in µs.
     pub usual_run_us: f64,
-    /// Slowness of the backend server above which another host is expected to be faster.
-    pub slowness_max: f64,
+    /// When the answer should be there, in µs of this node's clock.
+    pub objective_at_us: u64,
+    /// Time in which another host is expected to answer, in µs; infinite if there is none.
+    pub other_finish_us: f64,
     /// Method.
     pub method: String,
     /// Path and query.
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -56,6 +56,8 @@
     pub slowness_percent: u16,
     /// Age of that figure, in ms.
     pub slowness_age_ms: u16,
+    /// Time after which a passing slowness is expected to end, in ms; zero if it is none.
+    pub slow_left_ms: u16,
     /// Smoothed time that one request usually runs, in ms.
     pub run_ms: u16,
     /// Whether new work is taken.
