In-time work first, early refusal towards a sooner host, coarse load notices, few followers of the log

On the grown sites every node followed the operators' log (store calls the largest price). Change: a gate refuses at once what would be late there and sooner elsewhere; waiting work that is still in time goes before work that is not; hosts are told when the occupancy or slowness changes by a step; calls of running work are known by their deadline and go first in their rank; three hosts of each zone follow the operators' log and the others ask them.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -1,11 +1,12 @@
 //! The gate of a host: whether, when and in which order requests go to the backend server.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use super::announced::{AnnouncedState, Announcement, Novelty};
 use super::cold_rate::ColdRate;
 use super::slowness::Slowness;
+use super::waiting::{Moment, Waiting, WaitingRequests};
 use crate::model::ids::Incarnation;
 use crate::model::load::{HostLoad, ServerState};
 use crate::model::reasons::RefusalReason;
@@ -35,6 +36,9 @@
 /// Time between a dispatch and its first byte after which the cold rate is asked again, in µs.
 const SEND_DELAY_US: u64 = 20_000;
 
+/// Difference up to which two deadlines count as the same, in µs; they travel in whole ms.
+const SAME_DEADLINE_US: u64 = 4_000;
+
 /// Shortest time after which refused work should come back, in µs.
 const RETRY_AFTER_MIN_US: u64 = 50_000;
 
@@ -52,10 +56,21 @@
     pub rank: u8,
     /// Whether earlier work is lost if it is refused, as for calls that a backend server makes.
     pub invested: bool,
-    /// When the answer must be there, in µs.
-    pub deadline_us: u64,
+    /// What is expected of it.
+    pub timing: Timing,
+}
+
+/// What is expected of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
     /// Its usual run time, in µs.
     pub usual_run_us: f64,
+    /// When its answer should be there, in µs.
+    pub objective_at_us: u64,
+    /// When its answer must be there, in µs.
+    pub deadline_us: u64,
+    /// Time in which another host is expected to answer, in µs; infinite if there is none.
+    pub other_finish_us: f64,
 }
 
 /// A refusal; the request was not sent.
@@ -76,19 +91,6 @@
     Refuse(GateRefusal),
 }
 
-/// What is expected of an admitted request.
-#[derive(Debug, Clone, Copy)]
-pub struct Timing {
-    /// Its usual run time, in µs.
-    pub usual_run_us: f64,
-    /// When its answer should be there, in µs.
-    pub objective_at_us: u64,
-    /// When its answer must be there, in µs.
-    pub deadline_us: u64,
-    /// Time in which another host is expected to answer, in µs; infinite if there is none.
-    pub other_finish_us: f64,
-}
-
 /// What to do with an admitted request while the backend server is slow.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Pace {
@@ -111,24 +113,31 @@
     pub cold_left_us: Option<u64>,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-struct Order {
-    rank: u8,
-    is_new: bool,
-    arrival: u64,
-}
-
 #[derive(Debug, Clone, Copy)]
-struct Queued {
-    id: WorkId,
-    work: Work,
+struct Running {
+    deadline_us: u64,
+    dispatched_us: u64,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Running {
-    since_us: u64,
+/// A coarse view of the gate's load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Summary {
+    /// Whether new work is taken.
+    pub state: ServerState,
+    /// Slowness, on a logarithmic scale.
+    pub slowness_step: i32,
+    /// Whether new work would wait.
+    pub full: bool,
+    /// Requests that run or wait, as a multiple of a part of the limit.
+    pub occupied_step: usize,
 }
 
+/// Ratio between two steps of the slowness in a summary.
+const SLOWNESS_STEP: f64 = 1.5;
+
+/// Steps of the occupancy in a summary, up to the limit.
+const OCCUPIED_STEPS: usize = 2;
+
 /// Why no new work is taken.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Closure {
@@ -166,7 +175,7 @@
     slowness: Slowness,
     run_us: f64,
     running: HashMap<WorkId, Running>,
-    queue: BTreeMap<Order, Queued>,
+    waiting: WaitingRequests,
     next_id: u64,
 }
 
@@ -186,7 +195,7 @@
             slowness: Slowness::default(),
             run_us: RUN_UNKNOWN_US,
             running: HashMap::new(),
-            queue: BTreeMap::new(),
+            waiting: WaitingRequests::default(),
             next_id: 0,
         }
     }
@@ -218,20 +227,17 @@
         self.announced.as_ref()
     }
 
-    /// Takes what an answer told of the backend server; whether other hosts should know of it.
-    pub fn observe(&mut self, report: ServerReport, now_us: u64) -> bool {
-        let state_before = self.state(now_us);
-        let mut changed = false;
+    /// Takes what an answer told of the backend server.
+    pub fn observe(&mut self, report: ServerReport, now_us: u64) {
         if let Some(slots) = report.slots {
             self.slots = slots.max(1);
         }
         if let Some(percent) = report.slowness_percent {
-            changed = self.slowness.tell(percent, now_us);
+            self.slowness.tell(percent, now_us);
         }
         if let Some(left_us) = report.cold_left_us {
             self.warmth = Warmth::ColdUntil(now_us + left_us);
         }
-        changed || self.state(now_us) != state_before
     }
 
     /// Takes the outcome of a health check; `well` also means that it is not leaving.
@@ -316,69 +322,74 @@
         if let Some(reason) = self.closed_because(now_us) {
             return Some(self.refuse(reason, now_us));
         }
-        let order = Order {
-            rank: work.rank,
-            is_new: !work.invested,
-            arrival: id.0,
-        };
-        let wait_us = self.expected_wait_us(order, now_us);
+        let waiting = Waiting { id, work };
+        let wait_us = self.expected_wait_us(&waiting, now_us);
         if !self.is_reachable(&work, wait_us, now_us) {
             return Some(self.refuse(RefusalReason::DeadlineUnreachable, now_us));
         }
-        if self.queue.is_empty() && self.has_room(now_us) {
-            self.dispatch(id, now_us);
+        if self.waiting.is_empty() && self.has_room(now_us) {
+            self.dispatch(id, &work, now_us);
             return Some(Verdict::Run);
         }
-        if self.queue.len() >= self.slots as usize * QUEUED_PER_SLOT {
-            let goes_last = self
-                .queue
-                .last_key_value()
-                .is_none_or(|(last, _)| *last < order);
-            if goes_last {
-                return Some(self.refuse(RefusalReason::QueueFull, now_us));
-            }
+        if self.is_sooner_elsewhere(&work, wait_us, now_us) {
+            return Some(self.refuse(RefusalReason::QueueFull, now_us));
         }
-        self.queue.insert(order, Queued { id, work });
+        self.waiting.push(waiting);
         None
     }
 
+    /// Whether another host is expected to answer sooner than this one, which would be late.
+    fn is_sooner_elsewhere(&self, work: &Work, wait_us: f64, now_us: u64) -> bool {
+        let timing = &work.timing;
+        let finish_us = wait_us + timing.usual_run_us * self.slowness(now_us);
+        let objective_left_us = timing.objective_at_us.saturating_sub(now_us) as f64;
+        finish_us > objective_left_us && finish_us > timing.other_finish_us
+    }
+
     /// Takes a waiting request back.
     pub fn cancel(&mut self, id: WorkId) {
-        self.queue.retain(|_order, queued| queued.id != id);
+        self.waiting.remove(id);
     }
 
-    /// Takes note that a dispatched request has ended; `ran` if its time tells how long runs take.
-    pub fn finished(&mut self, id: WorkId, ran: bool, now_us: u64) {
-        let Some(running) = self.running.remove(&id) else {
+    /// Takes note that a dispatched request has ended, and how long it would usually have run.
+    pub fn finished(&mut self, id: WorkId, usual_run_us: Option<f64>) {
+        if self.running.remove(&id).is_none() {
             return;
-        };
-        if ran {
-            let usual_us = now_us.saturating_sub(running.since_us) as f64 / self.slowness(now_us);
+        }
+        if let Some(usual_us) = usual_run_us {
             self.run_us += (usual_us - self.run_us) * RUN_WEIGHT;
         }
     }
 
+    /// Whether a request with this deadline is a call that running work has made: such calls end
+    /// when the work must.
+    pub fn is_call_of_running(&self, deadline_us: u64) -> bool {
+        let mut running = self.running.values();
+        running.any(|work| work.deadline_us.abs_diff(deadline_us) < SAME_DEADLINE_US)
+    }
+
     /// Decides on waiting requests; to be called after every event and at every wake-up.
     pub fn settle(&mut self, now_us: u64, decided: &mut Vec<(WorkId, Verdict)>) {
-        if self.queue.is_empty() {
+        if self.waiting.is_empty() {
             return;
         }
         if let Some(reason) = self.closed_because(now_us) {
             let refusal = self.refuse(reason, now_us);
-            let queue = std::mem::take(&mut self.queue);
-            decided.extend(queue.into_values().map(|queued| (queued.id, refusal)));
+            let waiting = self.waiting.take_all().into_iter();
+            decided.extend(waiting.map(|waiting| (waiting.id, refusal)));
             return;
         }
         self.refuse_overdue(now_us, decided);
+        let moment = self.moment(now_us);
         while self.has_room(now_us) {
-            let Some((_order, queued)) = self.queue.pop_first() else {
+            let Some(first) = self.waiting.take_first(moment) else {
                 return;
             };
-            self.dispatch(queued.id, now_us);
-            decided.push((queued.id, Verdict::Run));
+            self.dispatch(first.id, &first.work, now_us);
+            decided.push((first.id, Verdict::Run));
         }
-        while self.queue.len() > self.slots as usize * QUEUED_PER_SLOT {
-            let Some((_order, last)) = self.queue.pop_last() else {
+        while self.waiting.len() > self.slots as usize * QUEUED_PER_SLOT {
+            let Some(last) = self.waiting.take_last(moment) else {
                 return;
             };
             decided.push((last.id, self.refuse(RefusalReason::QueueFull, now_us)));
@@ -387,13 +398,11 @@
 
     /// When waiting requests must be looked at again, in µs.
     pub fn next_wakeup_us(&self, now_us: u64) -> Option<u64> {
-        let overdue = |queued: &Queued| {
-            queued
-                .work
-                .deadline_us
-                .saturating_sub(self.needed_us(&queued.work, now_us))
+        let overdue_at_us = |waiting: &Waiting| {
+            let needed_us = self.needed_us(&waiting.work, now_us);
+            waiting.work.timing.deadline_us.saturating_sub(needed_us)
         };
-        let overdue_us = self.queue.values().map(overdue).min()?;
+        let overdue_us = self.waiting.iter().map(overdue_at_us).min()?;
         let cold_us = if self.is_cold(now_us) {
             self.cold_rate.next_us()
         } else {
@@ -420,8 +429,9 @@
         if deadline_us <= now_us {
             return Err(RefusalReason::DeadlineLapsed);
         }
-        let since_us = self.running.get(&id).map_or(0, |running| running.since_us);
-        if now_us.saturating_sub(since_us) > SEND_DELAY_US && self.is_cold(now_us) {
+        let running = self.running.get(&id);
+        let dispatched_us = running.map_or(0, |running| running.dispatched_us);
+        if now_us.saturating_sub(dispatched_us) > SEND_DELAY_US && self.is_cold(now_us) {
             if !self.cold_rate.allows(self.cold_rate_per_s, now_us) {
                 return Err(RefusalReason::ColdStart);
             }
@@ -433,6 +443,18 @@
             .map(|known| Arc::clone(&known.instance)))
     }
 
+    /// What other hosts should hear of soon when it changes.
+    pub fn summary(&self, now_us: u64) -> Summary {
+        let limit = self.limit(now_us) as usize;
+        let occupied = self.running.len() + self.waiting.len();
+        Summary {
+            state: self.state(now_us),
+            slowness_step: self.slowness(now_us).log(SLOWNESS_STEP).round() as i32,
+            full: occupied >= limit,
+            occupied_step: occupied * OCCUPIED_STEPS / limit,
+        }
+    }
+
     /// The gate's load for other hosts; each report has a higher sequence.
     pub fn load(&mut self, now_us: u64) -> HostLoad {
         self.reports += 1;
@@ -440,7 +462,7 @@
             incarnation: self.incarnation,
             sequence: self.reports,
             in_flight: self.running.len() as u16,
-            queued: self.queue.len() as u16,
+            queued: self.waiting.len() as u16,
             limit: self.limit(now_us) as u16,
             slowness_percent: (self.slowness(now_us) * 100.0) as u16,
             slow_left_ms: (self.slowness.left_us(now_us).unwrap_or(0.0) / US_PER_MS as f64) as u16,
@@ -508,14 +530,25 @@
         within && (!self.is_cold(now_us) || self.cold_rate.allows(self.cold_rate_per_s, now_us))
     }
 
-    fn dispatch(&mut self, id: WorkId, now_us: u64) {
+    fn dispatch(&mut self, id: WorkId, work: &Work, now_us: u64) {
         self.cold_rate.note(now_us);
-        self.running.insert(id, Running { since_us: now_us });
+        let running = Running {
+            deadline_us: work.timing.deadline_us,
+            dispatched_us: now_us,
+        };
+        self.running.insert(id, running);
+    }
+
+    fn moment(&self, now_us: u64) -> Moment {
+        Moment {
+            now_us,
+            slowness: self.slowness(now_us),
+        }
     }
 
-    fn expected_wait_us(&self, order: Order, now_us: u64) -> f64 {
+    fn expected_wait_us(&self, waiting: &Waiting, now_us: u64) -> f64 {
         let limit = self.limit(now_us) as usize;
-        let ahead = self.queue.range(..order).count();
+        let ahead = self.waiting.ahead_of(waiting, self.moment(now_us));
         let free = limit.saturating_sub(self.running.len());
         if ahead < free {
             return 0.0;
@@ -524,32 +557,27 @@
     }
 
     fn needed_us(&self, work: &Work, now_us: u64) -> u64 {
-        (work.usual_run_us * self.slowness(now_us) * RUN_PART_NEEDED) as u64
+        (work.timing.usual_run_us * self.slowness(now_us) * RUN_PART_NEEDED) as u64
     }
 
     fn is_reachable(&self, work: &Work, wait_us: f64, now_us: u64) -> bool {
         let end_us = now_us + wait_us as u64 + self.needed_us(work, now_us);
-        end_us < work.deadline_us
+        end_us < work.timing.deadline_us
     }
 
     fn refuse_overdue(&mut self, now_us: u64, decided: &mut Vec<(WorkId, Verdict)>) {
-        let overdue: Vec<Order> = self
-            .queue
-            .iter()
-            .filter(|(_order, queued)| !self.is_reachable(&queued.work, 0.0, now_us))
-            .map(|(order, _queued)| *order)
-            .collect();
-        for order in overdue {
-            if let Some(queued) = self.queue.remove(&order) {
-                let refusal = self.refuse(RefusalReason::DeadlineUnreachable, now_us);
-                decided.push((queued.id, refusal));
-            }
-        }
+        let refusal = self.refuse(RefusalReason::DeadlineUnreachable, now_us);
+        let slow_run = self.slowness(now_us) * RUN_PART_NEEDED;
+        let overdue = self.waiting.take_if(|waiting| {
+            let timing = &waiting.work.timing;
+            now_us + (timing.usual_run_us * slow_run) as u64 >= timing.deadline_us
+        });
+        decided.extend(overdue.into_iter().map(|waiting| (waiting.id, refusal)));
     }
 
     fn refuse(&self, reason: RefusalReason, now_us: u64) -> Verdict {
         let limit = f64::from(self.limit(now_us));
-        let drain_us = self.queue.len() as f64 * self.run_us * self.slowness(now_us) / limit;
+        let drain_us = self.waiting.len() as f64 * self.run_us * self.slowness(now_us) / limit;
         let retry_after_us = (drain_us as u64).clamp(RETRY_AFTER_MIN_US, RETRY_AFTER_MAX_US);
         Verdict::Refuse(GateRefusal {
             reason,
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -12,3 +12,4 @@
 pub mod run_times;
 pub mod slowness;
 pub mod split;
+pub mod waiting;
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -18,6 +18,9 @@
 /// Time without a word after which a host is forgotten, in µs.
 const FORGET_US: u64 = 120 * US_PER_S;
 
+/// Hosts of one availability zone that follow the operators' log.
+const FOLLOWERS_PER_ZONE: usize = 3;
+
 /// How a node introduces itself.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Introduction {
@@ -38,9 +41,12 @@
     pub introduction: Introduction,
     /// Offset up to which it has seen the operators' log.
     pub operator_end: u64,
+    /// Whether it follows the operators' log, and the log service answers it.
+    pub follows_log: bool,
     load: Option<HostLoad>,
     load_at_us: u64,
     heard_us: u64,
+    known_since_us: u64,
     outstanding: u32,
     sent_since_load: u32,
     health: Health,
@@ -76,6 +82,8 @@
                 let peer = Peer {
                     introduction,
                     operator_end: 0,
+                    follows_log: false,
+                    known_since_us: now_us,
                     load: None,
                     load_at_us: 0,
                     heard_us,
@@ -112,13 +120,24 @@
         }
     }
 
-    /// Notes up to which offset a host has seen the operators' log.
-    pub fn set_operator_end(&mut self, address: IpAddr, end: u64) {
+    /// Notes up to which offset a host has seen the operators' log, and whether it follows it.
+    pub fn set_log_view(&mut self, address: IpAddr, end: u64, follows: bool) {
         if let Some(peer) = self.peers.get_mut(&address) {
             peer.operator_end = peer.operator_end.max(end);
+            peer.follows_log = follows;
         }
     }
 
+    /// Whether the host at `own` is to follow the operators' log: the first few live hosts of each
+    /// availability zone that can do, and pass on what they read.
+    pub fn is_to_follow(&self, own: IpAddr, zone: &ZoneName, now_us: u64) -> bool {
+        let before = self.peers.range(..own).map(|(_address, peer)| peer);
+        let following = before.filter(|peer| {
+            peer.introduction.zone == *zone && peer.follows_log && peer.is_live(now_us)
+        });
+        following.count() < FOLLOWERS_PER_ZONE
+    }
+
     /// Counts a request as outstanding at a host.
     pub fn sent(&mut self, address: IpAddr) {
         if let Some(peer) = self.peers.get_mut(&address) {
@@ -174,8 +193,10 @@
 
     /// Forgets hosts that have been silent for long.
     pub fn forget_silent(&mut self, now_us: u64) {
-        self.peers
-            .retain(|_address, peer| now_us.saturating_sub(peer.heard_us) < FORGET_US);
+        self.peers.retain(|_address, peer| {
+            let since_us = peer.heard_us.max(peer.known_since_us);
+            now_us.saturating_sub(since_us) < FORGET_US
+        });
     }
 }
 
--- a/src/decision/host/slowness.rs
+++ b/src/decision/host/slowness.rs
@@ -41,8 +41,8 @@
 }
 
 impl Slowness {
-    /// Takes a figure; whether it begins a new phase.
-    pub fn tell(&mut self, percent: u32, now_us: u64) -> bool {
+    /// Takes a figure.
+    pub fn tell(&mut self, percent: u32, now_us: u64) {
         let factor = f64::from(percent.max(1)) / 100.0;
         let changed = factor > self.factor * CHANGE || factor * CHANGE < self.factor;
         if changed {
@@ -54,7 +54,6 @@
         }
         self.factor = factor;
         self.told_us = Some(now_us);
-        changed
     }
 
     /// How long work takes now, relative to its usual time.
--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -62,7 +62,6 @@
     }
     if novelty == Novelty::NewStart || before != after {
         host.events.announced(&told, novelty, after);
-        host.load_changed.notify_one();
     }
 }
 
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -2,6 +2,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::Notify;
@@ -52,6 +53,8 @@
     pub config: ArcSwapOption<HostConfig>,
     /// Latest records of the operators' log.
     pub operator: Mutex<KeyedState>,
+    /// Whether this node follows the operators' log, and the log service answers.
+    pub follows_log: AtomicBool,
     /// Told when the operators' log has to be read again.
     pub operator_behind: Notify,
     /// Nodes on other hosts.
@@ -62,8 +65,6 @@
     pub gate: GateCell,
     /// Connections to the backend server.
     pub server: BackendServer,
-    /// Told when the gate's load has changed in a way that others should know.
-    pub load_changed: Notify,
     /// Identifiers of non-idempotent requests.
     pub claims: Mutex<Claims>,
     /// Non-idempotent requests that run.
@@ -94,12 +95,12 @@
             stop: Stop::default(),
             config: ArcSwapOption::empty(),
             operator: Mutex::default(),
+            follows_log: AtomicBool::new(false),
             operator_behind: Notify::new(),
             peers: Mutex::default(),
             peer_clients: PeerClients::new(tasks.clone()),
             gate: GateCell::new(incarnation, clock),
             server: BackendServer::new(settings.backend_server.address),
-            load_changed: Notify::new(),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_HOLD_US)),
             executions: Executions::default(),
             retries: Mutex::new(RetryWindow::new(bounds, clock.now_us())),
--- a/src/host/entry.rs
+++ b/src/host/entry.rs
@@ -48,11 +48,11 @@
         }
     }
 
-    async fn answer(self: Arc<Self>, request: Request, caller: SocketAddr) -> Response {
+    async fn answer(self: Arc<Self>, request: Request, _caller: SocketAddr) -> Response {
         let arrived_us = self.0.now_us();
         let _open = self.0.events.open_request();
         match requests::decode(request) {
-            Some(request) => answer(&self.0, request, caller, arrived_us).await,
+            Some(request) => answer(&self.0, request, arrived_us).await,
             None => Response::own(400, Vec::new(), "the request bears no identifier\n"),
         }
     }
@@ -62,12 +62,7 @@
     }
 }
 
-async fn answer(
-    host: &Arc<Host>,
-    request: CallerRequest,
-    caller: SocketAddr,
-    arrived_us: u64,
-) -> Response {
+async fn answer(host: &Arc<Host>, request: CallerRequest, arrived_us: u64) -> Response {
     let id = Arc::clone(&request.id);
     let Some(config) = host.config.load_full() else {
         let miss = Miss::not_sent(RefusalReason::NoConfiguration);
@@ -93,7 +88,7 @@
             arrived_us,
         );
     };
-    let work = work(host, request, &route, arrived_us, caller);
+    let work = work(host, request, &route, arrived_us);
     let (result, deadline_us) = (
         run(host, &route, &service, work.clone()).await,
         work.deadline_us,
@@ -111,14 +106,9 @@
         .map(|target| target.service.clone())
 }
 
-fn work(
-    host: &Host,
-    request: CallerRequest,
-    route: &Route,
-    arrived_us: u64,
-    caller: SocketAddr,
-) -> HostWork {
+fn work(host: &Host, request: CallerRequest, route: &Route, arrived_us: u64) -> HostWork {
     let wait_us = request.wait_ms.unwrap_or(WAIT_MS_DEFAULT) * US_PER_MS;
+    let caller_deadline_us = arrived_us + wait_us;
     let mut headers = request.headers;
     headers.push(requests::caller_service(
         &host.settings.backend_server.service,
@@ -127,7 +117,9 @@
         id: request.id,
         effect: route.effect,
         rank: route.rank,
-        invested: caller.ip() == host.settings.host.ip,
+        invested: host
+            .gate
+            .with(|gate| gate.is_call_of_running(caller_deadline_us)),
         deadline_us: arrived_us + wait_us.min(route.timeout_us),
         objective_at_us: arrived_us + route.objective_us,
         other_finish_us: f64::INFINITY,
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -21,7 +21,7 @@
 use crate::edge::http1::Response;
 use crate::edge::http1::client::ExchangeError;
 use crate::kernel::shards::lock;
-use crate::model::host_request::{AnswerFacts, HostWork};
+use crate::model::host_request::{AnswerFacts, HostWork, SERVER_ERROR_MIN};
 use crate::model::reasons::RefusalReason;
 use crate::model::request::Effect;
 use crate::platform::{answers, requests};
@@ -116,8 +116,7 @@
     let admitted = host.gate.admit(Work {
         rank: work.rank,
         invested: work.invested,
-        deadline_us: work.deadline_us,
-        usual_run_us: work.usual_run_us,
+        timing: timing(work),
     });
     let admitted = tokio::select! {
         admitted = admitted => admitted,
@@ -192,7 +191,9 @@
                 observe(host, &answer_facts);
                 host.server.give_back(lease.connection);
                 let checked = check(host, &answer_facts, response)?;
-                admitted.ran = checked.head.status < 500;
+                if checked.head.status < SERVER_ERROR_MIN {
+                    admitted.usual_run_us = Some(facts.run_us as f64 / facts.slowness.max(1.0));
+                }
                 return Ok(checked);
             }
             Err(Lost::Exchange(error)) if error.nothing_written && lease.reused => {
@@ -205,7 +206,6 @@
                     error.cause
                 );
                 host.gate.with(HostGate::suspect_restart);
-                host.load_changed.notify_one();
                 return Err(if error.nothing_written {
                     Miss::not_sent(RefusalReason::ServerAbsent)
                 } else {
@@ -217,14 +217,18 @@
     }
 }
 
-/// Holds an admitted request while its backend server is slow, if that pays.
-async fn await_pace(host: &Arc<Host>, work: &HostWork) -> Result<(), Miss> {
-    let timing = Timing {
+fn timing(work: &HostWork) -> Timing {
+    Timing {
         usual_run_us: work.usual_run_us,
         objective_at_us: work.objective_at_us,
         deadline_us: work.deadline_us,
         other_finish_us: work.other_finish_us,
-    };
+    }
+}
+
+/// Holds an admitted request while its backend server is slow, if that pays.
+async fn await_pace(host: &Arc<Host>, work: &HostWork) -> Result<(), Miss> {
+    let timing = timing(work);
     loop {
         if host.gate.with(|gate| gate.slowness_age_us(host.now_us())) > SLOWNESS_AGE_MAX_US {
             probe::refresh(host).await;
@@ -243,7 +247,6 @@
     leased.map_err(|error| {
         host.events.server_unreachable(&error);
         host.gate.with(|gate| gate.set_unreachable(true));
-        host.load_changed.notify_one();
         Miss::not_sent(RefusalReason::ServerAbsent)
     })
 }
@@ -284,10 +287,7 @@
 /// Takes what an answer tells of the backend server into the gate.
 pub fn observe(host: &Host, facts: &AnswerFacts) {
     let now_us = host.now_us();
-    let changed = host.gate.with(|gate| gate.observe(facts.report, now_us));
-    if changed {
-        host.load_changed.notify_one();
-    }
+    host.gate.with(|gate| gate.observe(facts.report, now_us));
 }
 
 /// Decides whether a response is the backend server's whole answer to the request.
--- a/src/host/gate_cell.rs
+++ b/src/host/gate_cell.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::outcome::Miss;
-use crate::decision::host::gate::{HostGate, Verdict, Work, WorkId};
+use crate::decision::host::gate::{HostGate, Summary, Verdict, Work, WorkId};
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
 use crate::kernel::stop::Stop;
@@ -22,6 +22,7 @@
     gate: HostGate,
     waiting: HashMap<WorkId, oneshot::Sender<Verdict>>,
     decided: Vec<(WorkId, Verdict)>,
+    summary: Option<Summary>,
 }
 
 /// The gate of this node.
@@ -30,6 +31,10 @@
     core: Mutex<Core>,
     clock: Clock,
     wakeup_changed: Notify,
+    /// Told when hosts of the same availability zone should hear of the load.
+    pub near_changed: Notify,
+    /// Told when hosts of other availability zones should hear of the load.
+    pub far_changed: Notify,
 }
 
 /// A request that may be sent. Dropping it tells the gate that the request has ended.
@@ -38,15 +43,14 @@
     cell: &'a GateCell,
     /// Identifies the request at the gate.
     pub id: WorkId,
-    /// Whether its time tells how long runs take.
-    pub ran: bool,
+    /// How long it would usually have run, in µs; none if its time tells nothing.
+    pub usual_run_us: Option<f64>,
 }
 
 impl Drop for Admitted<'_> {
     fn drop(&mut self) {
-        let (id, ran) = (self.id, self.ran);
-        let now_us = self.cell.clock.now_us();
-        self.cell.with(|gate| gate.finished(id, ran, now_us));
+        let (id, usual_run_us) = (self.id, self.usual_run_us);
+        self.cell.with(|gate| gate.finished(id, usual_run_us));
     }
 }
 
@@ -59,12 +63,11 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         let id = self.id;
-        let now_us = self.cell.clock.now_us();
         lock(&self.cell.core).waiting.remove(&id);
         // The verdict may have been on its way when nobody waited for it any more.
         self.cell.with(|gate| {
             gate.cancel(id);
-            gate.finished(id, false, now_us);
+            gate.finished(id, None);
         });
     }
 }
@@ -77,9 +80,12 @@
                 gate: HostGate::new(incarnation),
                 waiting: HashMap::new(),
                 decided: Vec::new(),
+                summary: None,
             }),
             clock,
             wakeup_changed: Notify::new(),
+            near_changed: Notify::new(),
+            far_changed: Notify::new(),
         }
     }
 
@@ -90,12 +96,30 @@
         let core = &mut *core;
         let result = event(&mut core.gate);
         core.settle(now_us);
+        self.tell_changes(core, now_us);
         if !core.waiting.is_empty() {
             self.wakeup_changed.notify_one();
         }
         result
     }
 
+    /// Wakes the load reports when others should hear of a change.
+    fn tell_changes(&self, core: &mut Core, now_us: u64) {
+        let summary = core.gate.summary(now_us);
+        let Some(before) = core.summary.replace(summary) else {
+            return;
+        };
+        if before == summary {
+            return;
+        }
+        self.near_changed.notify_one();
+        let seen_from_afar =
+            |summary: Summary| (summary.state, summary.slowness_step, summary.full);
+        if seen_from_afar(before) != seen_from_afar(summary) {
+            self.far_changed.notify_one();
+        }
+    }
+
     /// Load of the gate now.
     pub fn load(&self) -> HostLoad {
         let now_us = self.clock.now_us();
@@ -118,6 +142,7 @@
                 core.settle(now_us);
                 self.wakeup_changed.notify_one();
             }
+            self.tell_changes(&mut core, now_us);
             (id, at_once)
         };
         let verdict = if let Some(verdict) = at_once {
@@ -132,7 +157,7 @@
             Verdict::Run => Ok(Admitted {
                 cell: self,
                 id,
-                ran: false,
+                usual_run_us: None,
             }),
             Verdict::Refuse(refusal) => {
                 Err(Miss::not_sent(refusal.reason).retry_after(refusal.retry_after_us))
@@ -171,7 +196,7 @@
                 .map(|waiting| waiting.send(verdict));
             let gone = !matches!(sent, Some(Ok(())));
             if gone && verdict == Verdict::Run {
-                self.gate.finished(id, false, now_us);
+                self.gate.finished(id, None);
                 self.gate.settle(now_us, &mut self.decided);
             }
         }
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -7,6 +7,7 @@
 
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -51,6 +52,8 @@
     load: HostLoad,
     /// Offset up to which the sender has seen the operators' log.
     operator_end: u64,
+    /// Whether the sender follows that log.
+    follows_log: bool,
     message: Message,
 }
 
@@ -74,13 +77,17 @@
         let (mut near_due, mut far_due) = (Instant::now(), Instant::now());
         let mut greeted = false;
         loop {
-            let changed = tokio::select! {
+            let (near_changed, far_changed) = tokio::select! {
                 () = host.stop.stopped() => return,
-                () = host.load_changed.notified() => true,
-                () = tokio::time::sleep_until(near_due.min(far_due)) => false,
+                () = host.gate.far_changed.notified() => (true, true),
+                () = host.gate.near_changed.notified() => (true, false),
+                () = tokio::time::sleep_until(near_due.min(far_due)) => (false, false),
             };
             let now = Instant::now();
-            let (near, far) = (changed || now >= near_due, changed || now >= far_due);
+            let (near, far) = (
+                near_changed || now >= near_due,
+                far_changed || now >= far_due,
+            );
             if near {
                 near_due = now + NEAR_PERIOD;
             }
@@ -122,6 +129,7 @@
             version: WIRE_VERSION,
             load: self.host.gate.load(),
             operator_end: lock(&self.host.operator).end(),
+            follows_log: self.host.follows_log.load(Ordering::Relaxed),
             message,
         };
         postcard::to_stdvec(&datagram).unwrap_or_default()
@@ -188,7 +196,7 @@
         {
             let mut peers = lock(&host.peers);
             peers.observe(from, datagram.load, now_us);
-            peers.set_operator_end(from, datagram.operator_end);
+            peers.set_log_view(from, datagram.operator_end, datagram.follows_log);
         }
         if datagram.operator_end > lock(&host.operator).end() {
             host.operator_behind.notify_one();
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -148,7 +148,6 @@
     let finish_by = started + Duration::from_secs_f64(host.settings.bounds.grace_s * GRACE_PART);
     host.stop.leave();
     host.gate.with(HostGate::set_leaving);
-    host.load_changed.notify_one();
     tokio::time::sleep(CALLERS_LEAVE.min(finish_by - started)).await;
     host.stop.close();
     while is_busy(host) && tokio::time::Instant::now() < finish_by {
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::context::Host;
@@ -10,10 +11,17 @@
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::model::host_config::HostConfig;
+use crate::model::units::US_PER_S;
 use crate::platform::names::OPERATOR_TOPIC;
 use crate::platform::operator::{self, Subject};
 use crate::platform::store::{LogPage, StoreClient};
 
+/// Pause between two looks whether this node is to follow the log.
+const FOLLOW_LOOK: Duration = Duration::from_millis(500);
+
+/// Longest time without a read of a node that does not follow the log, in µs.
+const READ_PAUSE_MAX_US: u64 = 20 * US_PER_S;
+
 /// Time that the own reading has before a peer is asked for what it has seen.
 const PEER_HEAD_START: Duration = Duration::from_millis(250);
 
@@ -51,6 +59,7 @@
                         serde_json::json!({"part": "operator log", "error": error.to_string()}),
                     );
                 }
+                host.follows_log.store(false, Ordering::Relaxed);
                 ReadEnd::Failed
             }
         };
@@ -77,6 +86,9 @@
         }
         NextRead::Follow { wait_ms } => wait_ms,
     };
+    if !wait_to_follow(host).await {
+        return Ok(ReadEnd::Nothing);
+    }
     let from = lock(&host.operator).end();
     let wait = Duration::from_millis(wait_ms);
     match store.read(OPERATOR_TOPIC, from, wait).await? {
@@ -90,11 +102,37 @@
     }
 }
 
+/// Lets the first hosts of the availability zone follow the log. A node that is not among them
+/// returns false after a pause.
+async fn wait_to_follow(host: &Host) -> bool {
+    let follows = is_to_follow(host);
+    host.follows_log.store(follows, Ordering::Relaxed);
+    if follows {
+        return true;
+    }
+    let started_us = host.now_us();
+    while !is_to_follow(host) {
+        if host.now_us() - started_us > READ_PAUSE_MAX_US {
+            // One read now and then, in case those that follow the log pass nothing on.
+            return true;
+        }
+        tokio::time::sleep(FOLLOW_LOOK).await;
+    }
+    false
+}
+
+fn is_to_follow(host: &Host) -> bool {
+    let own = &host.settings.host;
+    lock(&host.peers).is_to_follow(own.ip, &own.zone, host.now_us())
+}
+
 /// Asks a peer that has seen more of the log, when the own reading does not catch up at once.
 async fn ask_peers(host: &Host) {
     loop {
         host.operator_behind.notified().await;
-        tokio::time::sleep(PEER_HEAD_START).await;
+        if host.follows_log.load(Ordering::Relaxed) {
+            tokio::time::sleep(PEER_HEAD_START).await;
+        }
         let Some(ip) = peer_ahead(host) else {
             continue;
         };
@@ -150,7 +188,7 @@
     );
     drop(state);
     host.gate.with(|gate| gate.set_zone_out(zone_out));
-    host.load_changed.notify_one();
+    host.gate.far_changed.notify_one();
 }
 
 /// Brings a configuration into force unless a newer one is.
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -77,7 +77,6 @@
     if let Ok(Err(error)) = &asked {
         host.events.server_unreachable(error);
         host.gate.with(|gate| gate.set_unreachable(true));
-        host.load_changed.notify_one();
     }
 }
 
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -8,6 +8,9 @@
 use super::request::Effect;
 use crate::decision::host::gate::ServerReport;
 
+/// Statuses from here on say that the backend server failed a request.
+pub const SERVER_ERROR_MIN: u16 = 500;
+
 /// A caller's request.
 #[derive(Debug, Clone)]
 pub struct CallerRequest {
@@ -70,7 +73,7 @@
 impl ServerAnswer {
     /// Whether the backend server failed the request.
     pub fn is_server_error(&self) -> bool {
-        self.status >= 500
+        self.status >= SERVER_ERROR_MIN
     }
 }
 
