A withdrawn request says nothing about its backend server

Cause: a request that was withdrawn before its first byte counted as one that could not be sent, and closed the gate as if the backend server were away. Ruled out: the limit itself (test of the gate). Change: it counts as cancelled.

--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -199,11 +199,17 @@
 fn send_failed(kernel: &Kernel, slot: Slot, failed: &SendError) -> Failure {
     log::debug!("dispatch: {}", failed.error);
     let (outcome, reason, run_state) = match failed.reached {
-        Reached::NotSent | Reached::Withdrawn => (
+        Reached::NotSent => (
             RunOutcome::NotSent,
             RefusalReason::ServerAbsent,
             RunState::NotRun,
         ),
+        // Says nothing about the backend server.
+        Reached::Withdrawn => (
+            RunOutcome::Cancelled,
+            RefusalReason::ServerAbsent,
+            RunState::NotRun,
+        ),
         Reached::MaybeSent => (
             RunOutcome::Failed,
             RefusalReason::ConnectionLost,
