--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -1,6 +1,7 @@
 //! Commands of the `bronzelock` binary.
 
 pub mod check;
+pub mod explain;
 pub mod host;
 pub mod node;
 pub mod operators;
@@ -28,6 +29,8 @@
     Node(node::NodeArguments),
     /// Run a node on a host of the users' platform until SIGTERM or SIGINT.
     Host(host::HostArguments),
+    /// Tell what the logs of the hosts' nodes say of one request.
+    Explain(explain::ExplainArguments),
     /// Check a settings file and start nothing.
     Check(check::CheckArguments),
     #[command(flatten)]
@@ -40,6 +43,7 @@
         match self.command {
             Command::Node(arguments) => node::run(&arguments),
             Command::Host(arguments) => host::run(&arguments),
+            Command::Explain(arguments) => explain::run(&arguments),
             Command::Check(arguments) => check::run(&arguments),
             Command::Operators(command) => operators::run_in_terminal(command),
         }
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -9,7 +9,7 @@
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use serde::Serialize;
 use serde_json::{Map, Value};
@@ -365,6 +365,7 @@
             return;
         }
         let mut line = Map::new();
+        line.insert("time_ms".to_owned(), time_of_day_ms().into());
         line.insert("at_ms".to_owned(), (now_us / 1_000).into());
         line.insert("event".to_owned(), event.into());
         line.insert("host".to_owned(), (&*self.host).into());
@@ -379,6 +380,12 @@
     }
 }
 
+/// Time of day, by which the logs of several hosts are put in order.
+fn time_of_day_ms() -> u64 {
+    let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since_epoch.map_or(0, |since| since.as_millis() as u64)
+}
+
 fn name(ip: Option<IpAddr>) -> String {
     ip.map_or_else(|| "own".to_owned(), |ip| ip.to_string())
 }
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -31,7 +31,7 @@
 const CALLERS_LEAVE: Duration = Duration::from_millis(2_700);
 
 /// Part of the grace time in which requests may finish.
-const GRACE_PART: f64 = 0.95;
+const GRACE_PART: f64 = 0.9;
 
 /// Time that loops have to end.
 const LOOPS_END: Duration = Duration::from_millis(300);
--- a/src/operators/mod.rs
+++ b/src/operators/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin_api;
 pub mod answers;
 pub mod difference;
+pub mod explain;
 pub mod generate;
 pub mod node_backend;
 pub mod node_status;
