--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -424,6 +424,8 @@
         std::thread::sleep(WRITE_PERIOD);
         std::mem::swap(&mut lines, &mut lock(pending).lines);
         if lines.is_empty() {
+            // Without lines nobody waits for this thread.
+            std::thread::sleep(WRITE_PERIOD);
             continue;
         }
         let mut output = std::io::stdout().lock();
