--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -7,6 +7,7 @@
 use super::cold_rate::ColdRate;
 use super::slowness::Slowness;
 use super::waiting::{Moment, Waiting, WaitingRequests};
+pub use super::work::{GateRefusal, Pace, ServerReport, Summary, Timing, Verdict, Work, WorkId};
 use crate::model::ids::Incarnation;
 use crate::model::load::{HostLoad, ServerState};
 use crate::model::reasons::RefusalReason;
@@ -45,93 +46,12 @@
 /// Longest time after which refused work should come back, in µs.
 const RETRY_AFTER_MAX_US: u64 = 2_000_000;
 
-/// One request at the gate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct WorkId(pub u64);
-
-/// A request that asks to run.
-#[derive(Debug, Clone, Copy)]
-pub struct Work {
-    /// Urgency; 0 is the most urgent.
-    pub rank: u8,
-    /// Whether earlier work is lost if it is refused, as for calls that a backend server makes.
-    pub invested: bool,
-    /// What is expected of it.
-    pub timing: Timing,
-}
-
-/// What is expected of a request.
-#[derive(Debug, Clone, Copy)]
-pub struct Timing {
-    /// Its usual run time, in µs.
-    pub usual_run_us: f64,
-    /// When its answer should be there, in µs.
-    pub objective_at_us: u64,
-    /// When its answer must be there, in µs.
-    pub deadline_us: u64,
-    /// Time in which another host is expected to answer, in µs; infinite if there is none.
-    pub other_finish_us: f64,
-}
-
-/// A refusal; the request was not sent.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct GateRefusal {
-    /// Why.
-    pub reason: RefusalReason,
-    /// When to come back, in µs.
-    pub retry_after_us: u64,
-}
-
-/// The gate's word on one request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// Send it now.
-    Run,
-    /// Refuse it.
-    Refuse(GateRefusal),
-}
-
-/// What to do with an admitted request while the backend server is slow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Pace {
-    /// Send it now.
-    Now,
-    /// Hold it until the slow phase ends.
-    Wait,
-    /// Refuse it: another host is expected to be faster.
-    Elsewhere,
-}
-
-/// What an answer of the backend server told of it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ServerReport {
-    /// Requests that it runs at once.
-    pub slots: Option<u32>,
-    /// How long work takes now, in percent of its usual time.
-    pub slowness_percent: Option<u32>,
-    /// How much longer it is cold, in µs.
-    pub cold_left_us: Option<u64>,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Running {
     deadline_us: u64,
     dispatched_us: u64,
 }
 
-/// A coarse view of the gate's load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Summary {
-    /// Whether new work is taken.
-    pub state: ServerState,
-    /// Slowness, on a logarithmic scale.
-    pub slowness_step: i32,
-    /// Whether new work would wait.
-    pub full: bool,
-    /// Requests that run or wait, as a multiple of a part of the limit.
-    pub occupied_step: usize,
-}
-
 /// Ratio between two steps of the slowness in a summary.
 const SLOWNESS_STEP: f64 = 1.5;
 
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -13,3 +13,4 @@
 pub mod slowness;
 pub mod split;
 pub mod waiting;
+pub mod work;
--- a/src/decision/host/waiting.rs
+++ b/src/decision/host/waiting.rs
@@ -4,7 +4,7 @@
 //! cannot. Inside a rank, calls of running work go before new work, since a refusal would waste
 //! what was done; after that the oldest goes first.
 
-use super::gate::{Work, WorkId};
+use super::work::{Work, WorkId};
 
 /// A request that waits.
 #[derive(Debug, Clone, Copy)]
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -1,20 +1,19 @@
 //! Structured log: one JSON line for each decision that touches a request or changes a belief.
 //!
-//! Lines are collected in memory and written by a thread of their own, so no request waits for
-//! standard output. What is beyond the bounds is counted and told.
+//! Counters of the same events are kept beside it.
 
 use std::collections::BTreeMap;
 use std::fmt::Display;
-use std::io::Write;
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 
 use serde::Serialize;
 use serde_json::{Map, Value};
 
 use super::context::Host;
+use super::log_writer::{LogWriter, Weight};
 use super::outcome::Miss;
 use crate::decision::host::announced::{Announcement, Novelty};
 use crate::kernel::clock::Clock;
@@ -22,18 +21,6 @@
 use crate::model::load::ServerState;
 use crate::model::units::US_PER_S;
 
-/// Pause between two writes.
-const WRITE_PERIOD: Duration = Duration::from_millis(50);
-
-/// Bytes that wait to be written at most; beyond them lines are dropped.
-const PENDING_BYTES_MAX: usize = 256 << 10;
-
-/// Lines about refusals, failures and beliefs per second at most.
-const NOTABLE_PER_S: u32 = 300;
-
-/// Lines about plain answers per second at most.
-const PLAIN_PER_S: u32 = 2;
-
 /// Step of a request's way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -103,21 +90,12 @@
     pub config_version: u64,
 }
 
-#[derive(Debug, Default)]
-struct Pending {
-    lines: Vec<u8>,
-    second: u64,
-    notable: u32,
-    plain: u32,
-    dropped: u64,
-}
-
 /// Log and counters of one node.
 #[derive(Debug)]
 pub struct EventLog {
     clock: Clock,
     host: Arc<str>,
-    pending: Arc<Mutex<Pending>>,
+    writer: LogWriter,
     written: AtomicU64,
     open: AtomicU64,
     counters: Mutex<BTreeMap<String, u64>>,
@@ -133,28 +111,13 @@
     }
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Weight {
-    Plain,
-    Notable,
-}
-
 impl EventLog {
-    /// Starts the writing thread, which ends with the process.
+    /// Starts the log.
     pub fn start(host: &Arc<str>, clock: Clock) -> Self {
-        let pending = Arc::new(Mutex::new(Pending::default()));
-        let writer = Arc::clone(&pending);
-        let spawned = std::thread::Builder::new()
-            .name("log-writer".to_owned())
-            .stack_size(64 << 10)
-            .spawn(move || write_lines(&writer));
-        if let Err(error) = spawned {
-            log::error!("events: the writing thread did not start: {error}");
-        }
         Self {
             clock,
             host: Arc::clone(host),
-            pending,
+            writer: LogWriter::start(),
             written: AtomicU64::new(0),
             open: AtomicU64::new(0),
             counters: Mutex::default(),
@@ -360,21 +323,18 @@
 
     fn write(&self, weight: Weight, event: &str, fields: Value) {
         let now_us = self.clock.now_us();
-        let mut pending = lock(&self.pending);
-        if !pending.admit(weight, now_us / US_PER_S) {
-            return;
-        }
-        let mut line = Map::new();
-        line.insert("time_ms".to_owned(), time_of_day_ms().into());
-        line.insert("at_ms".to_owned(), (now_us / 1_000).into());
-        line.insert("event".to_owned(), event.into());
-        line.insert("host".to_owned(), (&*self.host).into());
-        if let Value::Object(fields) = fields {
-            line.extend(fields);
-        }
-        if let Ok(mut bytes) = serde_json::to_vec(&line) {
-            bytes.push(b'\n');
-            pending.lines.extend_from_slice(&bytes);
+        let added = self.writer.add(weight, now_us / US_PER_S, || {
+            let mut line = Map::new();
+            line.insert("time_ms".to_owned(), time_of_day_ms().into());
+            line.insert("at_ms".to_owned(), (now_us / 1_000).into());
+            line.insert("event".to_owned(), event.into());
+            line.insert("host".to_owned(), (&*self.host).into());
+            if let Value::Object(fields) = fields {
+                line.extend(fields);
+            }
+            Value::Object(line).to_string().into_bytes()
+        });
+        if added {
             self.written.fetch_add(1, Ordering::Relaxed);
         }
     }
@@ -389,53 +349,3 @@
 fn name(ip: Option<IpAddr>) -> String {
     ip.map_or_else(|| "own".to_owned(), |ip| ip.to_string())
 }
-
-impl Pending {
-    /// Whether one more line fits the bounds; refusals and beliefs go before plain answers.
-    fn admit(&mut self, weight: Weight, second: u64) -> bool {
-        if self.second != second {
-            if self.dropped > 0 {
-                let line = format!(
-                    "{{\"event\":\"lines-dropped\",\"count\":{}}}\n",
-                    self.dropped
-                );
-                self.lines.extend_from_slice(line.as_bytes());
-            }
-            (self.second, self.notable, self.plain, self.dropped) = (second, 0, 0, 0);
-        }
-        let (count, max) = match weight {
-            Weight::Plain => (&mut self.plain, PLAIN_PER_S),
-            Weight::Notable => (&mut self.notable, NOTABLE_PER_S),
-        };
-        let fits = *count < max && self.lines.len() < PENDING_BYTES_MAX;
-        if fits {
-            *count += 1;
-        } else if weight == Weight::Notable {
-            self.dropped += 1;
-        }
-        fits
-    }
-}
-
-/// Writes what is pending, for as long as the process runs.
-fn write_lines(pending: &Mutex<Pending>) {
-    let mut lines = Vec::new();
-    loop {
-        std::thread::sleep(WRITE_PERIOD);
-        std::mem::swap(&mut lines, &mut lock(pending).lines);
-        if lines.is_empty() {
-            // Without lines nobody waits for this thread.
-            std::thread::sleep(WRITE_PERIOD);
-            continue;
-        }
-        let mut output = std::io::stdout().lock();
-        if output
-            .write_all(&lines)
-            .and_then(|()| output.flush())
-            .is_err()
-        {
-            return;
-        }
-        lines.clear();
-    }
-}
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -13,6 +13,7 @@
 pub mod executor;
 pub mod gate_cell;
 pub mod load_reports;
+mod log_writer;
 pub mod node;
 pub mod operator_log;
 pub mod outcome;
