End the doubt about a restart by a health answer; let the last host asked take late work

Ruled out: a restart (the same start announced itself afterwards); a missing header (health answers bear the remaining time while cold: 2 965 ms after a cold return, and none while warm). Change: a health answer of the known start tells its warmth; the last host that may be asked is told of no other.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -7,7 +7,9 @@
 use super::cold_rate::ColdRate;
 use super::slowness::Slowness;
 use super::waiting::{Moment, Waiting, WaitingRequests};
-pub use super::work::{GateRefusal, Pace, ServerReport, Summary, Timing, Verdict, Work, WorkId};
+pub use super::work::{
+    GateRefusal, Health, Pace, ServerReport, Summary, Timing, Verdict, Work, WorkId,
+};
 use crate::model::ids::Incarnation;
 use crate::model::load::{HostLoad, ServerState};
 use crate::model::reasons::RefusalReason;
@@ -161,13 +163,18 @@
     }
 
     /// Takes the outcome of a health check; `well` also means that it is not leaving.
-    pub fn observe_health(&mut self, instance: &str, well: bool) {
+    ///
+    /// A cold backend server says so in its health answers, so one of the known start ends any
+    /// doubt about its warmth.
+    pub fn observe_health(&mut self, health: &Health<'_>, now_us: u64) {
         self.set(Closure::Unreachable, false);
-        if self.announced.is_none() && well {
-            self.health_seen = true;
-        }
-        let known = self.announced.as_ref();
-        if known.is_some_and(|known| known.instance.as_ref() != instance) {
+        let Some(known) = &self.announced else {
+            self.health_seen |= health.well;
+            return;
+        };
+        if known.instance.as_ref() == health.instance {
+            self.warmth = Warmth::ColdUntil(now_us + health.cold_left_us);
+        } else {
             // Another start answers at the address; its own announcement is still to come.
             self.suspect_restart();
         }
--- a/src/decision/host/work.rs
+++ b/src/decision/host/work.rs
@@ -71,6 +71,17 @@
     pub cold_left_us: Option<u64>,
 }
 
+/// A health answer of the backend server.
+#[derive(Debug, Clone, Copy)]
+pub struct Health<'a> {
+    /// Identifier of the backend server that answered.
+    pub instance: &'a str,
+    /// Whether it says that it is well and not leaving.
+    pub well: bool,
+    /// How much longer it is cold, in µs.
+    pub cold_left_us: u64,
+}
+
 /// A coarse view of the gate's load.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Summary {
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -177,7 +177,13 @@
         progress.arrivals += 1;
         let host = self.host;
         let mut work = self.work.clone();
-        work.other_finish_us = placement.other_finish_us;
+        let is_last = progress.refusals + 1 >= REFUSALS_MAX;
+        work.other_finish_us = if is_last {
+            // Nothing is left to send it on to: better late than refused.
+            f64::INFINITY
+        } else {
+            placement.other_finish_us
+        };
         async move {
             let outcome = match placement.candidate.address {
                 None => executor::run(host, work).await,
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -6,6 +6,7 @@
 use super::backend_server::ANSWER_LIMITS;
 use super::context::Host;
 use super::executor;
+use crate::decision::host::gate::Health;
 use crate::model::names::ServiceName;
 use crate::model::request::Effect;
 use crate::model::units::{US_PER_MS, US_PER_S};
@@ -93,12 +94,19 @@
         return Ok(());
     };
     let facts = answers::facts(&response);
-    let well = response.head.status == 200;
+    executor::observe(host, &facts);
+    let now_us = host.now_us();
     host.gate.with(|gate| match &facts.instance {
-        Some(instance) => gate.observe_health(instance, well),
+        Some(instance) => gate.observe_health(
+            &Health {
+                instance,
+                well: response.head.status == 200,
+                cold_left_us: facts.report.cold_left_us.unwrap_or(0),
+            },
+            now_us,
+        ),
         None => gate.set_unreachable(false),
     });
-    executor::observe(host, &facts);
     host.server.give_back(lease.connection);
     Ok(())
 }
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -2,7 +2,7 @@
 
 use bronzelock::decision::host::announced::{AnnouncedState, Announcement, Novelty};
 use bronzelock::decision::host::gate::{
-    HostGate, Pace, ServerReport, Timing, Verdict, Work, WorkId,
+    Health, HostGate, Pace, ServerReport, Timing, Verdict, Work, WorkId,
 };
 use bronzelock::model::ids::Incarnation;
 use bronzelock::model::load::ServerState;
@@ -373,3 +373,32 @@
     assert!(gate.is_call_of_running(5 * S - 2 * MS));
     assert!(!gate.is_call_of_running(5 * S + 20 * MS));
 }
+
+fn health(instance: &str, cold_left_us: u64) -> Health<'_> {
+    Health {
+        instance,
+        well: true,
+        cold_left_us,
+    }
+}
+
+/// Lost answers: connections that are reset while the backend server runs on must not make it
+/// count as cold until its next announcement.
+#[test]
+fn a_health_answer_of_the_known_start_ends_the_doubt() {
+    let mut gate = warm_gate();
+    gate.suspect_restart();
+    gate.observe_health(&health("i-1", 0), S);
+    assert_eq!(gate.state(S), ServerState::Warm);
+    gate.suspect_restart();
+    gate.observe_health(&health("i-1", 2 * S), S);
+    assert_eq!(gate.state(S), ServerState::Cold);
+    assert_eq!(gate.state(3 * S), ServerState::Warm);
+}
+
+#[test]
+fn a_health_answer_of_another_start_leaves_the_doubt() {
+    let mut gate = warm_gate();
+    gate.observe_health(&health("i-2", 0), S);
+    assert_eq!(gate.state(S), ServerState::Cold);
+}
