Open a new connection to a peer whose last one has ended

Change: the client remembers that its connection has ended, and the next request opens a new one. Test: host peer_client, failed first (Lost instead of NotSent).

--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -9,6 +9,7 @@
 use tarpc::context::Context;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio_util::sync::CancellationToken;
 
 use super::peer_rpc::{PeerHostClient, WireOutcome, WireWork};
 use crate::edge::http1::client::connect;
@@ -36,7 +37,14 @@
 /// Time without an answer after which a connection is checked.
 const CHECK_AFTER: Duration = Duration::from_millis(600);
 
-type Slot = Arc<AsyncMutex<Option<PeerHostClient>>>;
+/// One connection; it ends by itself when the peer's node does.
+#[derive(Debug, Clone)]
+struct Connection {
+    client: PeerHostClient,
+    ended: CancellationToken,
+}
+
+type Slot = Arc<AsyncMutex<Option<Connection>>>;
 
 /// Why a peer gave no answer.
 #[derive(Debug)]
@@ -173,8 +181,9 @@
     async fn client(&self, address: SocketAddr) -> Result<PeerHostClient, PeerError> {
         let slot = Arc::clone(lock(&self.slots).entry(address).or_default());
         let mut open = slot.lock().await;
-        if let Some(client) = &*open {
-            return Ok(client.clone());
+        // A request on a connection that has ended would be lost without being sent.
+        if let Some(known) = open.as_ref().filter(|known| !known.ended.is_cancelled()) {
+            return Ok(known.client.clone());
         }
         let connected = connect(address, CONNECT_MAX).await;
         let stream = connected
@@ -182,12 +191,18 @@
         let framed = codec(MESSAGE_BYTES_MAX).new_framed(stream);
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
         let new_client = PeerHostClient::new(tarpc::client::Config::default(), transport);
+        let ended = CancellationToken::new();
+        let guard = ended.clone().drop_guard();
         self.tasks.spawn(async move {
+            let _ends_with_connection = guard;
             if let Err(error) = new_client.dispatch.await {
                 log::debug!("peer client: the connection to {address} ended: {error}");
             }
         });
-        *open = Some(new_client.client.clone());
+        *open = Some(Connection {
+            client: new_client.client.clone(),
+            ended,
+        });
         Ok(new_client.client)
     }
 }
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -9,6 +9,7 @@
 mod gate;
 mod http1;
 mod log_reader;
+mod peer_client;
 mod placement;
 mod platform;
 mod routes;
--- /dev/null
+++ b/tests/host/peer_client.rs
@@ -0,0 +1,26 @@
+//! Connections between nodes when the other node ends.
+
+use std::time::Duration;
+
+use bronzelock::host::peer_client::{PeerClients, PeerError};
+use bronzelock::kernel::tasks::Tasks;
+use tokio::net::TcpListener;
+
+/// Rolling restarts: the first request after a peer has ended must not be lost on the connection
+/// of its former run. Here nobody listens any more, so it must say that nothing was sent.
+#[tokio::test]
+async fn a_connection_that_has_ended_carries_no_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let clients = PeerClients::new(Tasks::default());
+    let first = clients.known_hosts(address);
+    let (_answered, accepted) = tokio::join!(
+        tokio::time::timeout(Duration::from_millis(50), first),
+        listener.accept()
+    );
+    drop(accepted);
+    drop(listener);
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let second = clients.known_hosts(address).await;
+    assert!(matches!(second, Err(PeerError::NotSent(_))), "{second:?}");
+}
