Send no requests to hosts that were only told of

Ruled out: the connect timeout (the addresses answer nobody; 300 ms is needed across a lossy link). Change: a host is a candidate only once it has been heard. Test: host peers, failed first (1 candidate instead of 0).

--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -45,7 +45,7 @@
     pub follows_log: bool,
     load: Option<HostLoad>,
     load_at_us: u64,
-    heard_us: u64,
+    heard_us: Option<u64>,
     known_since_us: u64,
     outstanding: u32,
     sent_since_load: u32,
@@ -55,7 +55,8 @@
 impl Peer {
     /// Whether anything was heard of it lately.
     pub fn is_live(&self, now_us: u64) -> bool {
-        now_us.saturating_sub(self.heard_us) < SILENT_US
+        self.heard_us
+            .is_some_and(|heard_us| now_us.saturating_sub(heard_us) < SILENT_US)
     }
 }
 
@@ -71,7 +72,7 @@
     /// Returns whether the host or this run of its node was not known.
     pub fn introduce(&mut self, introduction: Introduction, first_hand: bool, now_us: u64) -> bool {
         let address = introduction.address;
-        let heard_us = if first_hand { now_us } else { 0 };
+        let heard_us = first_hand.then_some(now_us);
         match self.peers.get_mut(&address) {
             Some(known) if known.introduction == introduction => {
                 known.heard_us = known.heard_us.max(heard_us);
@@ -111,7 +112,7 @@
         if peer.introduction.incarnation != load.incarnation {
             return;
         }
-        peer.heard_us = now_us;
+        peer.heard_us = Some(now_us);
         let newer = peer.load.is_none_or(|known| known.sequence < load.sequence);
         if newer {
             peer.load = Some(load);
@@ -194,7 +195,7 @@
     /// Forgets hosts that have been silent for long.
     pub fn forget_silent(&mut self, now_us: u64) {
         self.peers.retain(|_address, peer| {
-            let since_us = peer.heard_us.max(peer.known_since_us);
+            let since_us = peer.heard_us.unwrap_or(peer.known_since_us);
             now_us.saturating_sub(since_us) < FORGET_US
         });
     }
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -10,6 +10,7 @@
 mod http1;
 mod log_reader;
 mod peer_client;
+mod peers;
 mod placement;
 mod platform;
 mod routes;
--- /dev/null
+++ b/tests/host/peers.rs
@@ -0,0 +1,74 @@
+//! What a node believes of other hosts.
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use bronzelock::decision::host::peers::{Introduction, Peers};
+use bronzelock::model::ids::Incarnation;
+use bronzelock::model::names::{ServiceName, ZoneName};
+
+const ADDRESS: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
+const MS: u64 = 1_000;
+
+fn introduction() -> Introduction {
+    Introduction {
+        address: ADDRESS,
+        incarnation: Incarnation(1),
+        zone: ZoneName::new("z").expect("valid name"),
+        service: ServiceName::new("herd").expect("valid name"),
+    }
+}
+
+fn candidates(peers: &Peers, now_us: u64) -> usize {
+    let known = introduction();
+    peers
+        .candidates(&known.service, &known.zone, now_us)
+        .count()
+}
+
+/// Power cut of all hosts: the log still names hosts that are gone. A node that has just started
+/// must not send requests to those that it has only been told of.
+#[test]
+fn a_host_that_was_only_told_of_gets_no_requests_until_it_is_heard() {
+    let mut peers = Peers::default();
+    assert!(peers.introduce(introduction(), false, 10 * MS));
+    assert_eq!(candidates(&peers, 20 * MS), 0);
+    peers.introduce(introduction(), true, 30 * MS);
+    assert_eq!(candidates(&peers, 40 * MS), 1);
+}
+
+#[test]
+fn a_host_that_fell_silent_gets_no_requests_and_is_still_told_of_changes() {
+    let mut peers = Peers::default();
+    peers.introduce(introduction(), true, 10 * MS);
+    assert_eq!(candidates(&peers, 6_000 * MS), 0);
+    peers.forget_silent(60_000 * MS);
+    assert_eq!(peers.addresses(&introduction().zone).count(), 1);
+    peers.forget_silent(200_000 * MS);
+    assert_eq!(peers.addresses(&introduction().zone).count(), 0);
+}
+
+#[test]
+fn three_hosts_of_a_zone_follow_the_log() {
+    let mut peers = Peers::default();
+    let own = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 9));
+    let zone = introduction().zone;
+    for last in 1..=3 {
+        let address = IpAddr::V4(Ipv4Addr::new(10, 0, 0, last));
+        assert!(peers.is_to_follow(own, &zone, 20 * MS));
+        peers.introduce(
+            Introduction {
+                address,
+                ..introduction()
+            },
+            true,
+            10 * MS,
+        );
+        peers.set_log_view(address, 5, true);
+    }
+    assert!(!peers.is_to_follow(own, &zone, 20 * MS));
+    peers.set_log_view(ADDRESS, 5, false);
+    assert!(
+        peers.is_to_follow(own, &zone, 20 * MS),
+        "one of them lost the log service"
+    );
+}
