Answer requests that have arrived before idle connections are closed

Cause: at the end of the leave notice hyper's graceful_shutdown closes idle connections. Requests that the system had received but the runtime had not yet polled were cut with them (reset, no answer). Ruled out: the caller (it had not seen a close), the answers' Connection: close (idle connections get no answer in the notice). Change: before the close the node asks the system (peek) whether bytes wait, and lets hyper serve them first; their answers end the connection. Before: 48 idle connections, the node paused over the end of its notice while each sends a request: the new test failed. After: it passes, as do the three other stop tests. Conclusion: what remains is a request on its way in the network when the close is sent, which HTTP/1.1 leaves to the caller's retry.

--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -15,9 +15,14 @@
 use crate::kernel::metrics::Event;
 use crate::kernel::stop::Stop;
 
+use super::shared_stream::SharedStream;
+
 /// Pause after a failed accept, such as when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Pause between two looks at whether arrived bytes have been read.
+const UNREAD_PAUSE: Duration = Duration::from_millis(1);
+
 /// Longest head of a request, in bytes.
 const HEAD_BYTES_MAX: usize = 64 << 10;
 
@@ -95,16 +100,28 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("{}: a connection keeps its delay: {error}", bounds.part);
     }
+    let stream = SharedStream::new(stream);
     let mut builder = hyper::server::conn::http1::Builder::new();
     let connection = builder
         .timer(TokioTimer::new())
         .header_read_timeout(Duration::from_millis(bounds.head_timeout_ms))
         .max_buf_size(HEAD_BYTES_MAX)
-        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(service));
+        .serve_connection(
+            TokioIo::new(stream.clone()),
+            TowerToHyperService::new(service),
+        );
     tokio::pin!(connection);
     tokio::select! {
         served = connection.as_mut() => return served,
-        () = stop.closed() => connection.as_mut().graceful_shutdown(),
+        () = stop.closed() => {}
+    }
+    // A close would cut requests that have arrived; their answers end the connection.
+    while stream.has_unread() {
+        tokio::select! {
+            served = connection.as_mut() => return served,
+            () = tokio::time::sleep(UNREAD_PAUSE) => {}
+        }
     }
+    connection.as_mut().graceful_shutdown();
     connection.await
 }
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -13,4 +13,5 @@
 pub mod peer_server;
 pub mod send_error;
 pub mod server_pool;
+mod shared_stream;
 pub mod wire;
--- /dev/null
+++ b/src/edge/shared_stream.rs
@@ -0,0 +1,77 @@
+//! TCP stream that a server reads and writes while its owner can still ask what waits to be read.
+
+use std::io;
+use std::mem::MaybeUninit;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// One handle of a shared stream; the connection closes with the last handle.
+#[derive(Debug, Clone)]
+pub struct SharedStream(Arc<TcpStream>);
+
+impl SharedStream {
+    /// Shares a stream.
+    pub fn new(stream: TcpStream) -> Self {
+        Self(Arc::new(stream))
+    }
+
+    /// Whether the system holds bytes that were not read yet.
+    ///
+    /// Asks the system itself: the runtime learns of arrived bytes only when it next polls.
+    pub fn has_unread(&self) -> bool {
+        let mut first = [MaybeUninit::uninit()];
+        SockRef::from(&*self.0)
+            .peek(&mut first)
+            .is_ok_and(|count| count > 0)
+    }
+}
+
+impl AsyncRead for SharedStream {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.0.poll_read_ready(context))?;
+            match self.0.try_read(buffer.initialize_unfilled()) {
+                Ok(count) => {
+                    buffer.advance(count);
+                    return Poll::Ready(Ok(()));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for SharedStream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(context))?;
+            match self.0.try_write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+    }
+}
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -1,5 +1,6 @@
 //! Graceful shutdowns under load cut no request.
 
+use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{CONNECTION, HOST};
@@ -13,6 +14,15 @@
 /// Time between two requests on one connection, in ms.
 const POLL_MS: u64 = 20;
 
+/// Idle connections that callers hold when the node leaves.
+const IDLE_CONNECTIONS: usize = 48;
+
+/// Time from the signal until the node is paused, within its leave notice, in ms.
+const PAUSED_AFTER_MS: u64 = 500;
+
+/// Time that the node is paused, beyond the end of its leave notice, in ms.
+const PAUSED_MS: u64 = 800;
+
 const THREE: [(&str, &str, &str); 3] = [
     ("herd-1", "herd", "ratchaburi"),
     ("herd-2", "herd", "saraburi"),
@@ -43,6 +53,13 @@
     }
 }
 
+fn history() -> Request<Full<Bytes>> {
+    let request = Request::get(HISTORY)
+        .header(HOST, "test")
+        .body(Full::default());
+    request.expect("a valid request")
+}
+
 cases! {
     rolling_restart_under_load_cuts_no_request => {
         let mut cluster = Cluster::start(&THREE, QUICK).await;
@@ -69,8 +86,7 @@
         let mut connection = HttpConnection::open(node.caller()).await.expect("a connection");
         node.node.signal(Signal::Terminate);
         loop {
-            let request = Request::get(HISTORY).header(HOST, "test").body(Full::default());
-            let answer = connection.send(request.expect("a valid request")).await;
+            let answer = connection.send(history()).await;
             let answer = answer.expect("no answer is cut before the caller was told");
             if answer.headers.get(CONNECTION).is_some_and(|value| value == "close") {
                 break;
@@ -79,6 +95,31 @@
         }
     }
 
+    requests_that_wait_when_a_leaving_node_closes_idle_connections_are_answered => {
+        let cluster = Cluster::start(&THREE[..1], QUICK).await;
+        let node = &cluster.pairs[0];
+        let mut connections = Vec::new();
+        for _ in 0..IDLE_CONNECTIONS {
+            let mut connection = HttpConnection::open(node.caller()).await.expect("a connection");
+            connection.send(history()).await.expect("an answer before the node leaves");
+            connections.push(connection);
+        }
+        node.node.signal(Signal::Terminate);
+        pause(PAUSED_AFTER_MS).await;
+        node.node.signal(Signal::Stop);
+        let requests = connections.into_iter().map(|mut connection| {
+            tokio::spawn(async move { connection.send(history()).await })
+        });
+        let requests: Vec<_> = requests.collect();
+        pause(PAUSED_MS).await;
+        node.node.signal(Signal::Continue);
+        let mut lost = Vec::new();
+        for request in requests {
+            lost.extend(request.await.expect("the request ended").err());
+        }
+        assert!(lost.is_empty(), "{} lost, the first: {}", lost.len(), lost[0]);
+    }
+
     sigterm_in_a_flood_cuts_no_request => {
         let pace = ServerPace { service_time_ms: 40 };
         let mut cluster = Cluster::start(&THREE[..2], pace).await;
