Drop a caller's last request when the caller closes

Cause: after a request with Connection: close, or while leaving, the connection read nothing more, so the caller's close was seen only when the answer was due; the work ran on at the backend server. Found by reading. Ruled out: kept connections (their test passed before). Change: while answers are due and no further request is wanted, input is read and discarded to its end. Conclusion: a connection with the most pipelined requests still reads nothing until one is answered.

--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -133,7 +133,8 @@
 
     /// Serves until the connection ends. Answers that are due are dropped when the caller closes.
     ///
-    /// Once `closed` resolves no further request is read.
+    /// Once `closed` resolves, or after a caller's last request, no further request is read; the
+    /// caller's close is still seen.
     async fn run(mut self, closed: impl Future<Output = ()>) {
         tokio::pin!(closed);
         let mut pending = FuturesOrdered::new();
@@ -151,7 +152,11 @@
                 limits.idle_timeout
             };
             let timed = idle && reading && pending.is_empty();
-            let room = reading && pending.len() < PIPELINED_MAX;
+            let room = if reading {
+                pending.len() < PIPELINED_MAX
+            } else {
+                !pending.is_empty()
+            };
             let answers_wanted = !pending.is_empty() && self.unwritten.len() < UNWRITTEN_BYTES_MAX;
             tokio::select! {
                 biased;
@@ -167,7 +172,7 @@
                         pending.clear();
                     }
                 }
-                received = self.reader.next(&mut self.input, limits.message), if room => {
+                received = receive(&mut self.reader, &mut self.input, reading, limits.message), if room => {
                     match received {
                         Ok(Received::Message(head, body)) => {
                             reading = head.keep_alive;
@@ -237,21 +242,37 @@
         if self.output.shutdown().await.is_err() {
             return;
         }
-        let mut discarded = [0; 1024];
-        let drain = async {
-            while self
-                .input
-                .read(&mut discarded)
-                .await
-                .is_ok_and(|count| count > 0)
-            {}
-        };
+        let drain = read_to_close(&mut self.input);
         if tokio::time::timeout(LINGER, drain).await.is_err() {
             log::debug!("listener: the caller kept sending (peer {})", self.caller);
         }
     }
 }
 
+/// The next request, or the caller's close when no further request is wanted.
+async fn receive(
+    reader: &mut MessageReader<RequestHead>,
+    input: &mut OwnedReadHalf,
+    wants_request: bool,
+    limits: MessageLimits,
+) -> Result<Received<RequestHead>, ReadError> {
+    if wants_request {
+        return reader.next(input, limits).await;
+    }
+    read_to_close(input).await;
+    Err(ReadError::Ended)
+}
+
+/// Discards what still comes in until the caller closes.
+async fn read_to_close(input: &mut OwnedReadHalf) {
+    let mut discarded = [0; 1024];
+    while input
+        .read(&mut discarded)
+        .await
+        .is_ok_and(|count| count > 0)
+    {}
+}
+
 /// Status that tells the caller what was wrong with its request; none when it went away.
 fn refusal_status(error: &ReadError) -> Option<u16> {
     match error {
--- a/tests/host/http1.rs
+++ b/tests/host/http1.rs
@@ -15,12 +15,19 @@
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{self, Sender};
 
 const LIMITS: MessageLimits = MessageLimits {
     head_bytes_max: 1_024,
     body_bytes_max: 64,
 };
 
+const SERVER_LIMITS: ServerLimits = ServerLimits {
+    message: LIMITS,
+    head_timeout: Duration::from_secs(5),
+    idle_timeout: Duration::from_secs(5),
+};
+
 async fn read(text: &str) -> Result<(RequestHead, Bytes), ReadError> {
     let mut reader = MessageReader::<RequestHead>::default();
     match reader.next(&mut text.as_bytes(), LIMITS).await? {
@@ -73,11 +80,7 @@
 
 impl Handler for Sleepy {
     fn limits(&self) -> ServerLimits {
-        ServerLimits {
-            message: LIMITS,
-            head_timeout: Duration::from_secs(5),
-            idle_timeout: Duration::from_secs(5),
-        }
+        SERVER_LIMITS
     }
 
     async fn answer(self: Arc<Self>, request: Request, _caller: SocketAddr) -> Response {
@@ -92,13 +95,13 @@
     }
 }
 
-async fn serve() -> (SocketAddr, Stop) {
+async fn serve(handler: impl Handler) -> (SocketAddr, Stop) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     let stop = Stop::default();
     let tasks = Tasks::default();
     tokio::spawn(server::serve(
-        Arc::new(Sleepy),
+        Arc::new(handler),
         listener,
         8,
         tasks,
@@ -110,7 +113,7 @@
 /// Pipelined requests: the second one runs while the first does, and is answered after it.
 #[tokio::test]
 async fn pipelined_requests_are_answered_in_their_order() {
-    let (address, _stop) = serve().await;
+    let (address, _stop) = serve(Sleepy).await;
     let mut stream = TcpStream::connect(address).await.expect("a connection");
     let text = "GET /40 HTTP/1.1\r\n\r\nGET /1 HTTP/1.1\r\nConnection: close\r\n\r\n";
     stream.write_all(text.as_bytes()).await.expect("written");
@@ -121,6 +124,67 @@
     assert!(first < second, "{answers}");
 }
 
+/// Never answers; says when a request was dropped.
+struct Stuck(Sender<()>);
+
+/// Sends when it is dropped.
+struct DropNotice(Sender<()>);
+
+impl Drop for DropNotice {
+    fn drop(&mut self) {
+        if self.0.try_send(()).is_err() {
+            eprintln!("nobody waits for the drop");
+        }
+    }
+}
+
+impl Handler for Stuck {
+    fn limits(&self) -> ServerLimits {
+        SERVER_LIMITS
+    }
+
+    async fn answer(self: Arc<Self>, _request: Request, _caller: SocketAddr) -> Response {
+        let _notice = DropNotice(self.0.clone());
+        std::future::pending().await
+    }
+
+    fn is_closing(&self) -> bool {
+        false
+    }
+}
+
+async fn check_dropped_when_the_caller_closes(requests: &str) {
+    let (sender, mut dropped) = mpsc::channel(1);
+    let (address, _stop) = serve(Stuck(sender)).await;
+    let mut stream = TcpStream::connect(address).await.expect("a connection");
+    stream
+        .write_all(requests.as_bytes())
+        .await
+        .expect("written");
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    drop(stream);
+    let notice = tokio::time::timeout(Duration::from_millis(500), dropped.recv()).await;
+    assert_eq!(notice.ok().flatten(), Some(()), "the request still runs");
+}
+
+#[tokio::test]
+async fn a_kept_connection_drops_its_request_when_the_caller_closes() {
+    check_dropped_when_the_caller_closes("GET / HTTP/1.1\r\n\r\n").await;
+}
+
+/// The last request of a connection runs while nothing further is read as a request.
+#[tokio::test]
+async fn the_last_request_of_a_connection_is_dropped_when_the_caller_closes() {
+    check_dropped_when_the_caller_closes("GET / HTTP/1.1\r\nConnection: close\r\n\r\n").await;
+}
+
+/// Callers may send more than is read after their last request.
+#[tokio::test]
+async fn bytes_behind_the_last_request_do_not_hide_the_close() {
+    let requests = "GET / HTTP/1.1\r\nConnection: close\r\n\r\nGET /2 HTTP/1.1\r\n\r\n";
+    check_dropped_when_the_caller_closes(requests).await;
+}
+
 async fn scripted_server(answer: &'static [u8]) -> TcpStream {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
