Tell hosts that ask a contact of the contact itself

Cause: a host that starts while the log service is away asks its contact for the hosts that it knows; the contact left itself out. When the outage began before the contact had read any other host, nobody learned of anybody, and a restarted node stayed without a configuration until the log came back. Ruled out by the nodes' logs: the way to the contact (its answers came, with no hosts). Change: the contact adds itself; the node that asked greets it, and so becomes known to the next.

--- a/src/host/peer_server.rs
+++ b/src/host/peer_server.rs
@@ -97,6 +97,7 @@
     async fn known_hosts(self, _context: Context) -> Vec<WireIntroduction> {
         let peers = lock(&self.host.peers);
         let known = peers.iter().map(|peer| peer.introduction.clone());
-        known.map(WireIntroduction::from).collect()
+        let own = self.host.introduction();
+        known.chain([own]).map(WireIntroduction::from).collect()
     }
 }
