Run hosts over stand-ins for the platform, calm and in a randomized soak

Stand-ins of the log service with keyed topics and of backend servers stand beside the adapter, since they speak the platform's names; a loopback proxy delays, cuts one way, resets and silences links. The soak runs five hosts as processes, draws fourteen faults from a seed and checks fifteen promises from what callers and backend servers saw; each check has a test in which it finds its break. scripts/soak.sh runs more seeds.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -7,6 +7,9 @@
 pub mod load;
 pub mod log_service;
 pub mod oracle;
+#[path = "../../platform/standins/mod.rs"]
+pub mod platform;
 pub mod precise_timer;
+pub mod proxy;
 pub mod runtime;
 pub mod signals;
--- /dev/null
+++ b/standins/src/proxy.rs
@@ -0,0 +1,212 @@
+//! Loopback proxy that harms the TCP connections that pass through it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Bytes that are passed on at once.
+const CHUNK_BYTES: usize = 16 << 10;
+
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+
+/// What happens to bytes on their way.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum LinkState {
+    /// They pass.
+    #[default]
+    Open,
+    /// Each piece is late by so many ms.
+    Late(u64),
+    /// Nothing passes; connections hang, and go on when the state ends.
+    Cut(Direction),
+}
+
+/// Which bytes a cut stops.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Direction {
+    /// Those of the side that opened the connection.
+    Forward,
+    /// Those of the side that accepted it.
+    Back,
+    /// All.
+    Both,
+}
+
+impl LinkState {
+    fn stops(self, way: Direction) -> bool {
+        matches!(self, Self::Cut(cut) if cut == way || cut == Direction::Both)
+    }
+
+    fn lateness(self) -> Duration {
+        match self {
+            Self::Late(ms) => Duration::from_millis(ms),
+            Self::Open | Self::Cut(_) => Duration::ZERO,
+        }
+    }
+}
+
+/// How the connections that are open now are harmed for good.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Harm {
+    /// They are reset.
+    Reset,
+    /// They go silent; new ones work.
+    Silence,
+}
+
+/// Running proxy in front of one address.
+#[derive(Debug)]
+pub struct Proxy {
+    link: Arc<Link>,
+    stop: CancellationToken,
+}
+
+#[derive(Debug)]
+struct Link {
+    server: SocketAddr,
+    state: watch::Sender<LinkState>,
+    /// The harm done last to the connections that were open then, and how often any was done.
+    harmed: watch::Sender<(u64, Harm)>,
+}
+
+impl Proxy {
+    /// Listens at one address and passes connections on to another.
+    ///
+    /// # Errors
+    /// The system's error when the address cannot be bound.
+    pub async fn start(listen: SocketAddr, server: SocketAddr) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let link = Arc::new(Link {
+            server,
+            state: watch::Sender::default(),
+            harmed: watch::Sender::new((0, Harm::Reset)),
+        });
+        let stop = CancellationToken::new();
+        tokio::spawn(accept_all(listener, Arc::clone(&link), stop.clone()));
+        Ok(Self { link, stop })
+    }
+
+    /// Puts a state in force for all connections.
+    pub fn set_state(&self, state: LinkState) {
+        self.link.state.send_replace(state);
+    }
+
+    /// Harms the connections that are open now.
+    pub fn harm(&self, harm: Harm) {
+        self.link.harmed.send_modify(|(count, last)| {
+            *count += 1;
+            *last = harm;
+        });
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        self.stop.cancel();
+    }
+}
+
+async fn accept_all(listener: TcpListener, link: Arc<Link>, stop: CancellationToken) {
+    let connections = TaskTracker::new();
+    loop {
+        let accepted = tokio::select! {
+            () = stop.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (link, stop) = (Arc::clone(&link), stop.clone());
+                connections.spawn(async move {
+                    tokio::select! {
+                        () = stop.cancelled() => {}
+                        () = pass_on(&link, stream) => {}
+                    }
+                });
+            }
+            Err(error) => {
+                log::warn!("proxy: accept failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    connections.close();
+    connections.wait().await;
+}
+
+async fn pass_on(link: &Link, opened: TcpStream) {
+    let mut harmed = link.harmed.subscribe();
+    wait_until_passable(&mut link.state.subscribe(), Direction::Forward).await;
+    let accepted = match TcpStream::connect(link.server).await {
+        Ok(accepted) => accepted,
+        Err(error) => {
+            log::debug!("proxy: {} does not accept: {error}", link.server);
+            return reset(&opened);
+        }
+    };
+    let (mut from_opener, mut to_opener) = opened.into_split();
+    let (mut from_acceptor, mut to_acceptor) = accepted.into_split();
+    let state = || link.state.subscribe();
+    let forward = copy(
+        &mut from_opener,
+        &mut to_acceptor,
+        state(),
+        Direction::Forward,
+    );
+    let back = copy(&mut from_acceptor, &mut to_opener, state(), Direction::Back);
+    let harm = tokio::select! {
+        ended = async { tokio::try_join!(forward, back) } => {
+            ended.err().map(|_broken| Harm::Reset)
+        }
+        changed = harmed.changed() => changed.ok().map(|()| harmed.borrow().1),
+    };
+    match harm {
+        Some(Harm::Silence) => std::future::pending().await,
+        Some(Harm::Reset) => {
+            reset(from_opener.as_ref());
+            reset(from_acceptor.as_ref());
+        }
+        None => {}
+    }
+}
+
+/// Passes one way on until its end, which is passed on, too.
+async fn copy(
+    from: &mut OwnedReadHalf,
+    to: &mut OwnedWriteHalf,
+    mut state: watch::Receiver<LinkState>,
+    way: Direction,
+) -> std::io::Result<()> {
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let count = from.read(&mut chunk).await?;
+        wait_until_passable(&mut state, way).await;
+        let lateness = state.borrow().lateness();
+        tokio::time::sleep(lateness).await;
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&chunk[..count]).await?;
+    }
+}
+
+async fn wait_until_passable(state: &mut watch::Receiver<LinkState>, way: Direction) {
+    if state.wait_for(|state| !state.stops(way)).await.is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Makes the close of a stream reset it.
+fn reset(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
+        log::debug!("proxy: a connection ends without a reset: {error}");
+    }
+}
--- /dev/null
+++ b/tests/host_processes/addresses.rs
@@ -0,0 +1,76 @@
+//! Loopback addresses of one host; those that others reach lead through proxies.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::atomic::{AtomicU8, Ordering};
+
+const CALLER_PORT: u16 = 7_201;
+const PEER_PORT: u16 = 7_202;
+const READY_PORT: u16 = 7_203;
+const ANNOUNCEMENT_PORT: u16 = 7_204;
+/// UDP port of load reports.
+pub const SHARED_PORT: u16 = 7_205;
+const SERVER_PORT: u16 = 7_206;
+const STORE_PORT: u16 = 7_207;
+
+/// Where the parts of one host listen.
+#[derive(Debug, Clone, Copy)]
+pub struct HostAddresses {
+    /// Address that other hosts know.
+    pub public: IpAddr,
+    /// Address behind the proxies.
+    inner: IpAddr,
+}
+
+impl HostAddresses {
+    /// Takes addresses that no other host uses.
+    pub fn unused() -> Self {
+        static HOSTS: AtomicU8 = AtomicU8::new(0);
+        let process = (std::process::id() % 60_000) as u16 + 256;
+        let [high, low] = process.to_be_bytes();
+        let pair = HOSTS.fetch_add(1, Ordering::Relaxed) * 2 + 1;
+        Self {
+            public: IpAddr::from([127, high, low, pair]),
+            inner: IpAddr::from([127, high, low, pair + 1]),
+        }
+    }
+
+    /// Callers' HTTP.
+    pub fn callers(self) -> SocketAddr {
+        SocketAddr::new(self.public, CALLER_PORT)
+    }
+
+    /// Requests of other nodes, as these know it.
+    pub fn peers(self) -> SocketAddr {
+        SocketAddr::new(self.public, PEER_PORT)
+    }
+
+    /// Requests of other nodes, behind the proxy.
+    pub fn inner_peers(self) -> SocketAddr {
+        SocketAddr::new(self.inner, PEER_PORT)
+    }
+
+    /// Whether callers may come.
+    pub fn ready(self) -> SocketAddr {
+        SocketAddr::new(self.public, READY_PORT)
+    }
+
+    /// Announcements of the backend server.
+    pub fn announcements(self) -> SocketAddr {
+        SocketAddr::new(self.public, ANNOUNCEMENT_PORT)
+    }
+
+    /// The backend server, as the node knows it.
+    pub fn server(self) -> SocketAddr {
+        SocketAddr::new(self.public, SERVER_PORT)
+    }
+
+    /// The backend server, behind the proxy.
+    pub fn inner_server(self) -> SocketAddr {
+        SocketAddr::new(self.inner, SERVER_PORT)
+    }
+
+    /// The log service, as the node knows it.
+    pub fn store(self) -> SocketAddr {
+        SocketAddr::new(self.public, STORE_PORT)
+    }
+}
--- /dev/null
+++ b/tests/host_processes/callers.rs
@@ -0,0 +1,239 @@
+//! Callers on one host: what they sent, and what they got.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::header::HOST;
+use hyper::{Method, Request};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use standins::http::client::{HttpConnection, WholeAnswer};
+use standins::platform::backend_server::{answer_body, signature};
+use standins::platform::ledger::Ledger;
+use standins::platform::names;
+use tokio_util::sync::CancellationToken;
+
+use crate::operator::{HOST_NAME, SERVICES};
+
+/// Time that callers wait, in ms.
+pub const WAIT_MS: u64 = 1_500;
+
+/// Time that callers wait beyond it for a late answer, in ms.
+const LATE_MS: u64 = 500;
+
+/// Longest pause between two requests of one caller, in ms.
+const PAUSE_MS_MAX: u64 = 90;
+
+/// One in so many idempotent requests is given up early.
+const GIVES_UP_ONE_IN: u32 = 25;
+
+/// Time after which such a request is given up, in ms.
+const GIVES_UP_AFTER_MS: u64 = 80;
+
+/// Time that a request takes which will be given up, in ms.
+const GIVEN_UP_WORK_MS: u64 = 1_200;
+
+/// Kinds of requests, each with a route of its own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Idempotent, to one service all the time.
+    History,
+    /// Non-idempotent.
+    Gate,
+    /// Idempotent, to a service that the operator changes.
+    Moved,
+}
+
+impl Kind {
+    /// Prefix of the paths.
+    pub fn path_prefix(self) -> &'static str {
+        match self {
+            Self::History => "/history/",
+            Self::Gate => "/gate/",
+            Self::Moved => "/moved/",
+        }
+    }
+
+    /// Whether a request may run more than once.
+    pub fn is_idempotent(self) -> bool {
+        self != Self::Gate
+    }
+
+    fn method(self) -> Method {
+        match self {
+            Self::History | Self::Moved => Method::GET,
+            Self::Gate => Method::POST,
+        }
+    }
+
+    fn body(self) -> &'static [u8] {
+        match self {
+            Self::History | Self::Moved => b"",
+            Self::Gate => b"release cow 7",
+        }
+    }
+}
+
+/// How a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It has not.
+    Open,
+    /// A whole answer with this status.
+    Answered {
+        status: u16,
+        /// The answer is the backend server's, for this request.
+        own: bool,
+    },
+    /// The connection ended without a whole answer.
+    Lost,
+    /// No answer came in time.
+    TimedOut,
+    /// The caller closed its connection early.
+    GivenUp,
+}
+
+/// All requests of all callers.
+pub type Attempts = Arc<Mutex<Vec<Attempt>>>;
+
+/// One request and its end.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub id: String,
+    /// Index of the host where it began.
+    pub host: usize,
+    pub kind: Kind,
+    pub method_and_target: String,
+    pub body_bytes: usize,
+    pub sent_ms: u64,
+    pub ended_ms: u64,
+    pub outcome: Outcome,
+}
+
+/// One caller on one host.
+#[derive(Debug)]
+pub struct Caller {
+    pub host: usize,
+    pub index: usize,
+    pub node: SocketAddr,
+    pub ledger: Ledger,
+    pub seed: u64,
+}
+
+impl Caller {
+    /// Sends requests until it is stopped.
+    pub async fn run(self, attempts: Attempts, stop: CancellationToken) {
+        let mut random = StdRng::seed_from_u64(self.seed);
+        let mut connection = None;
+        for sequence in 0_u32.. {
+            let pause = Duration::from_millis(random.random_range(5..PAUSE_MS_MAX));
+            tokio::select! {
+                () = stop.cancelled() => break,
+                () = tokio::time::sleep(pause) => {}
+            }
+            let kind = match random.random_range(0..3) {
+                0 => Kind::Gate,
+                1 => Kind::Moved,
+                _ => Kind::History,
+            };
+            let gives_up = kind.is_idempotent() && random.random_ratio(1, GIVES_UP_ONE_IN);
+            let limit_ms = if gives_up {
+                GIVES_UP_AFTER_MS
+            } else {
+                WAIT_MS + LATE_MS
+            };
+            let id = format!("{}-{}-{sequence}", self.host, self.index);
+            let mut attempt = self.begin(id, kind, gives_up);
+            let index = {
+                let mut attempts = lock(&attempts);
+                attempts.push(attempt.clone());
+                attempts.len() - 1
+            };
+            let exchange = self.exchange(&attempt, &mut connection);
+            let limit = Duration::from_millis(limit_ms);
+            attempt.outcome = match tokio::time::timeout(limit, exchange).await {
+                Ok(outcome) => outcome,
+                Err(_elapsed) if gives_up => Outcome::GivenUp,
+                Err(_elapsed) => Outcome::TimedOut,
+            };
+            if !matches!(attempt.outcome, Outcome::Answered { .. }) {
+                connection = None;
+            }
+            attempt.ended_ms = self.ledger.now_ms();
+            lock(&attempts)[index] = attempt;
+        }
+    }
+
+    fn begin(&self, id: String, kind: Kind, gives_up: bool) -> Attempt {
+        let query = if gives_up {
+            format!("work_ms={GIVEN_UP_WORK_MS}")
+        } else {
+            "cow=7".to_owned()
+        };
+        Attempt {
+            method_and_target: format!("{} {}{id}?{query}", kind.method(), kind.path_prefix()),
+            id,
+            host: self.host,
+            kind,
+            body_bytes: kind.body().len(),
+            sent_ms: self.ledger.now_ms(),
+            ended_ms: 0,
+            outcome: Outcome::Open,
+        }
+    }
+
+    async fn exchange(&self, attempt: &Attempt, kept: &mut Option<HttpConnection>) -> Outcome {
+        let mut connection = match kept.take().filter(|kept| !kept.is_closed()) {
+            Some(connection) => connection,
+            None => match HttpConnection::open(self.node).await {
+                Ok(connection) => connection,
+                Err(_refused) => return Outcome::Lost,
+            },
+        };
+        let Ok(answer) = connection.send(request(attempt)).await else {
+            return Outcome::Lost;
+        };
+        let closes = answer
+            .headers
+            .get("connection")
+            .is_some_and(|value| value == "close");
+        *kept = (!closes).then_some(connection);
+        Outcome::Answered {
+            status: answer.status.as_u16(),
+            own: is_own(&answer, &attempt.id),
+        }
+    }
+}
+
+/// Locks the list of requests.
+pub fn lock(attempts: &Attempts) -> MutexGuard<'_, Vec<Attempt>> {
+    attempts.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn request(attempt: &Attempt) -> Request<Full<Bytes>> {
+    let (method, target) = attempt
+        .method_and_target
+        .split_once(' ')
+        .expect("a method and a target");
+    Request::builder()
+        .method(method)
+        .uri(target)
+        .header(HOST, HOST_NAME)
+        .header(names::REQUEST_ID, &attempt.id)
+        .header(names::WAIT_MS, WAIT_MS.to_string())
+        .body(Full::new(Bytes::from_static(attempt.kind.body())))
+        .expect("a valid request")
+}
+
+/// Whether an answer is a backend server's whole answer to this request.
+fn is_own(answer: &WholeAnswer, id: &str) -> bool {
+    let signed = answer
+        .headers
+        .get(names::SIGNATURE)
+        .is_some_and(|value| value.as_bytes() == signature(id).as_bytes());
+    let body = |service: &&str| answer.body == answer_body(id, service);
+    signed && SERVICES.iter().any(body)
+}
--- /dev/null
+++ b/tests/host_processes/main.rs
@@ -0,0 +1,11 @@
+//! Real node processes on stand-ins for the users' platform, calm and under faults.
+
+mod addresses;
+mod callers;
+mod operator;
+mod path;
+#[path = "../support/program.rs"]
+mod program;
+mod site;
+mod soak;
+mod system;
--- /dev/null
+++ b/tests/host_processes/site.rs
@@ -0,0 +1,302 @@
+//! One host: its node process, its backend server and the links between them.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
+use std::path::PathBuf;
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::json;
+use standins::platform::announcer::{Announcer, Told};
+use standins::platform::backend_server::{BackendServer, BackendServerSettings};
+use standins::platform::ledger::Ledger;
+use standins::proxy::Proxy;
+use tokio::sync::oneshot;
+use tokio::task::JoinHandle;
+
+use crate::addresses::{HostAddresses, SHARED_PORT};
+use crate::program::{Program, Signal};
+
+/// Longest time that a leaving backend server still gets work, in ms.
+pub const DRAIN_MS: u64 = 2_000;
+
+/// Time between SIGTERM and the end of the process, in s.
+pub const GRACE_S: f64 = 6.0;
+
+/// Time between two announcements.
+const ANNOUNCE_PERIOD: Duration = Duration::from_millis(300);
+
+/// Time that a leaving backend server serves beyond the acknowledged bound.
+const SERVES_LONGER: Duration = Duration::from_millis(700);
+
+/// Time in which a leaving backend server looks for an acknowledgement.
+const ACKNOWLEDGED_WITHIN: Duration = Duration::from_secs(4);
+
+/// Time after the start of a process in which it may not yet handle signals.
+const STARTING_MAX: Duration = Duration::from_millis(500);
+
+/// Number of the signal.
+const SIGTERM: i32 = 15;
+
+/// Slots of one backend server.
+const SLOTS: u32 = 12;
+
+/// Time after its start in which a backend server is cold, in ms.
+pub const COLD_MS: u64 = 1_500;
+
+/// Name, service and availability zone of one host.
+#[derive(Debug, Clone, Copy)]
+pub struct Place {
+    pub name: &'static str,
+    pub service: &'static str,
+    pub zone: &'static str,
+}
+
+impl Place {
+    /// Identifier of the backend server that was started as the `start`-th, from 1.
+    pub fn instance(self, start: usize) -> String {
+        format!("{}.{start}", self.name)
+    }
+}
+
+/// One host.
+#[derive(Debug)]
+pub struct Site {
+    pub place: Place,
+    pub addresses: HostAddresses,
+    /// What passes to the log service.
+    pub store_link: Proxy,
+    /// What comes from other nodes.
+    pub peer_link: Proxy,
+    /// What passes to the backend server.
+    pub server_link: Proxy,
+    pub node: Program,
+    node_started: Instant,
+    server: Option<ServerLife>,
+    settings: PathBuf,
+    log: PathBuf,
+    ledger: Ledger,
+    /// Times of the starts of backend servers, in ms of the ledger.
+    pub server_starts_ms: Vec<u64>,
+}
+
+/// A backend server in its task.
+#[derive(Debug)]
+struct ServerLife {
+    end: oneshot::Sender<ServerEnd>,
+    task: JoinHandle<Option<Leave>>,
+}
+
+/// How a backend server ends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ServerEnd {
+    /// At once, without a word.
+    Crash,
+    /// It says so, serves on for a while, and ends.
+    Leave,
+}
+
+/// A leave that a node acknowledged.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Leave {
+    /// Identifier of the backend server.
+    pub instance: String,
+    /// Time of the acknowledgement, in ms of the ledger.
+    pub acknowledged_ms: u64,
+}
+
+impl Site {
+    /// Starts a node and a backend server.
+    pub async fn start(
+        place: Place,
+        contact: Option<SocketAddr>,
+        store: SocketAddr,
+        ledger: Ledger,
+    ) -> Self {
+        let addresses = HostAddresses::unused();
+        let proxy = async |listen, server| Proxy::start(listen, server).await.expect("a proxy");
+        let unique = format!("host-{}-{}", std::process::id(), addresses.public);
+        let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
+        let settings = directory.join(format!("{unique}.json"));
+        let log = directory.join(format!("{unique}.log"));
+        let text = settings_of(place, addresses, contact).to_string();
+        std::fs::write(&settings, text).expect("settings are written");
+        std::fs::write(&log, "").expect("a log file");
+        let mut site = Self {
+            place,
+            addresses,
+            store_link: proxy(addresses.store(), store).await,
+            peer_link: proxy(addresses.peers(), addresses.inner_peers()).await,
+            server_link: proxy(addresses.server(), addresses.inner_server()).await,
+            node: spawn(&settings, &log),
+            node_started: Instant::now(),
+            server: None,
+            settings,
+            log,
+            ledger,
+            server_starts_ms: Vec::new(),
+        };
+        site.start_server().await;
+        site
+    }
+
+    /// Starts the node anew after its process has ended.
+    pub async fn restart_node(&mut self) {
+        self.node.wait().await;
+        self.start_node();
+    }
+
+    /// Starts the node anew.
+    pub fn start_node(&mut self) {
+        self.node = spawn(&self.settings, &self.log);
+        self.node_started = Instant::now();
+    }
+
+    /// Shuts the node down; whether it ended as a node must.
+    ///
+    /// Before a process has installed its handlers, the system ends it at the signal.
+    pub async fn shut_node_down(&mut self) -> bool {
+        let starting = self.node_started.elapsed() < STARTING_MAX;
+        self.node.signal(Signal::Terminate);
+        let exit = self.node.wait().await;
+        exit.success() || (starting && exit.signal() == Some(SIGTERM))
+    }
+
+    /// Starts a backend server with an identifier of its own.
+    pub async fn start_server(&mut self) {
+        self.server_starts_ms.push(self.ledger.now_ms());
+        let settings = BackendServerSettings {
+            instance: self.place.instance(self.server_starts_ms.len()),
+            service: self.place.service.to_owned(),
+            listen: self.addresses.inner_server(),
+            slots: SLOTS,
+            work_ms: 20,
+            cold_ms: COLD_MS,
+        };
+        let announcer = Announcer::new(
+            self.addresses.announcements(),
+            self.addresses.server(),
+            settings.instance.clone(),
+            settings.service.clone(),
+            self.place.zone.to_owned(),
+        );
+        let server = BackendServer::start(settings, self.ledger.clone()).await;
+        let server = server.expect("the backend server starts");
+        let (end, ended) = oneshot::channel();
+        let task = tokio::spawn(live(server, announcer, ended, self.ledger.clone()));
+        self.server = Some(ServerLife { end, task });
+    }
+
+    /// Ends the backend server; tells of a leave that was acknowledged.
+    pub async fn end_server(&mut self, how: ServerEnd) -> Option<Leave> {
+        let life = self.server.take()?;
+        life.end.send(how).expect("the backend server runs");
+        life.task.await.expect("the backend server did not panic")
+    }
+
+    /// File with the log of all runs of the node.
+    pub fn log_file(&self) -> &std::path::Path {
+        &self.log
+    }
+}
+
+fn spawn(settings: &PathBuf, log: &PathBuf) -> Program {
+    let log = File::options()
+        .append(true)
+        .open(log)
+        .expect("the log file opens");
+    let errors = log.try_clone().expect("a second handle");
+    Program::start(
+        Command::new(env!("CARGO_BIN_EXE_bronzelock"))
+            .args(["host", "--settings"])
+            .arg(settings)
+            .env("RUST_LOG", "warn")
+            .stdin(Stdio::null())
+            .stdout(log)
+            .stderr(errors),
+    )
+}
+
+fn settings_of(
+    place: Place,
+    addresses: HostAddresses,
+    contact: Option<SocketAddr>,
+) -> serde_json::Value {
+    json!({
+        "host": {"name": place.name, "ip": addresses.public, "zone": place.zone},
+        "listen": {
+            "callers": addresses.callers(),
+            "peers": addresses.inner_peers(),
+            "ready": addresses.ready(),
+            "announcements": addresses.announcements(),
+            "shared_port_first": SHARED_PORT,
+        },
+        "backend_server": {
+            "address": addresses.server(),
+            "service": place.service,
+            "announce_period_ms": ANNOUNCE_PERIOD.as_millis() as u64,
+        },
+        "contacts": contact.into_iter().collect::<Vec<_>>(),
+        "store": {"address": addresses.store()},
+        "limits": {"files_max": 1_024},
+        "bounds": {
+            "drain_ms": DRAIN_MS, "grace_s": GRACE_S, "contact_ms": 3_000,
+            "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56,
+            "probes_per_s": 60, "cold_overage": 1.5, "cold_slack": 5,
+        },
+    })
+}
+
+async fn live(
+    server: BackendServer,
+    mut announcer: Announcer,
+    mut ended: oneshot::Receiver<ServerEnd>,
+    ledger: Ledger,
+) -> Option<Leave> {
+    let how = loop {
+        announcer.announce(told(&server)).await;
+        tokio::select! {
+            how = &mut ended => break how.unwrap_or(ServerEnd::Crash),
+            () = tokio::time::sleep(ANNOUNCE_PERIOD) => {}
+        }
+    };
+    let leave = match how {
+        ServerEnd::Crash => None,
+        ServerEnd::Leave => leave(&server, &mut announcer, &ledger).await,
+    };
+    server.crash().await;
+    leave
+}
+
+async fn leave(
+    server: &BackendServer,
+    announcer: &mut Announcer,
+    ledger: &Ledger,
+) -> Option<Leave> {
+    server.drain();
+    let announce = async {
+        while !announcer.announce(told(server)).await {
+            tokio::time::sleep(ANNOUNCE_PERIOD).await;
+        }
+        ledger.now_ms()
+    };
+    let acknowledged = tokio::time::timeout(ACKNOWLEDGED_WITHIN, announce).await;
+    let acknowledged_ms = acknowledged.ok()?;
+    tokio::time::sleep(Duration::from_millis(DRAIN_MS) + SERVES_LONGER).await;
+    if !announcer.deregister().await {
+        log::info!("{}: the last word was not acknowledged", announcer.instance);
+    }
+    Some(Leave {
+        instance: announcer.instance.clone(),
+        acknowledged_ms,
+    })
+}
+
+fn told(server: &BackendServer) -> Told {
+    Told {
+        slots: server.settings().slots,
+        draining: server.is_draining(),
+        cold_left_ms: server.cold_left_ms(),
+    }
+}
--- /dev/null
+++ b/tests/host_processes/soak/faults.rs
@@ -0,0 +1,142 @@
+//! Faults of a soak, drawn from a seed.
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use standins::log_service::DownMode;
+use standins::proxy::{Direction, Harm, LinkState};
+
+use crate::system::PLACES;
+
+/// Time in which faults begin, in ms.
+pub const FAULTS_MS: u64 = 14_000;
+
+/// Faults of one soak.
+const FAULTS: usize = 14;
+
+/// Shortest and longest fault, in ms.
+const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
+
+/// Length of a zone's absence, longer than the time in which it must get no more requests, in ms.
+pub const ZONE_OUT_MS: u64 = 8_000;
+
+/// Longest lateness of a link, in ms.
+const LATE_MS_MAX: u64 = 120;
+
+/// A link of a host that a proxy harms.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkName {
+    /// From other nodes.
+    Peers,
+    /// To the backend server.
+    Server,
+    /// To the log service.
+    Store,
+}
+
+/// What goes wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// The node is killed and started anew.
+    Kill,
+    /// The node is paused.
+    Pause,
+    /// The node is told to shut down, and started anew.
+    Restart,
+    /// The node is told that its settings have changed.
+    Hangup,
+    /// A link is late or cut.
+    Link(LinkName, LinkState),
+    /// Connections of a link are reset or go silent.
+    Harm(LinkName, Harm),
+    /// The log service is away.
+    StoreDown(DownMode),
+    /// Appends are carried out without an answer.
+    AppendAnswersLost,
+    /// The log service keeps the newest records alone.
+    Compaction,
+    /// The backend server crashes and another one starts.
+    ServerCrash,
+    /// The backend server leaves and another one starts.
+    ServerLeave,
+    /// A route is moved to the other service.
+    RouteMove,
+    /// The availability zone of the host is taken out.
+    ZoneOut,
+}
+
+/// A fault in its time and place.
+#[derive(Debug, Clone, Copy)]
+pub struct Event {
+    pub at_ms: u64,
+    pub for_ms: u64,
+    pub host: usize,
+    pub fault: Fault,
+}
+
+/// Draws the faults of one soak.
+pub fn draw(seed: u64) -> Vec<Event> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut events = Vec::new();
+    for _ in 0..FAULTS {
+        let fault = draw_fault(&mut random);
+        events.push(Event {
+            at_ms: random.random_range(0..FAULTS_MS),
+            for_ms: random.random_range(LENGTH_MS),
+            host: random.random_range(0..PLACES.len()),
+            fault,
+        });
+    }
+    events.sort_by_key(|event| event.at_ms);
+    events
+}
+
+fn draw_fault(random: &mut StdRng) -> Fault {
+    match random.random_range(0..16) {
+        0 => Fault::Kill,
+        1 => Fault::Pause,
+        2 | 3 => Fault::Restart,
+        4 => Fault::Hangup,
+        5 | 6 => Fault::Link(draw_link(random), draw_state(random)),
+        7 | 8 => Fault::Harm(draw_link(random), draw_harm(random)),
+        9 => Fault::StoreDown(draw_down(random)),
+        10 => Fault::AppendAnswersLost,
+        11 => Fault::Compaction,
+        12 => Fault::ServerCrash,
+        13 => Fault::ServerLeave,
+        14 => Fault::RouteMove,
+        _ => Fault::ZoneOut,
+    }
+}
+
+fn draw_link(random: &mut StdRng) -> LinkName {
+    match random.random_range(0..4) {
+        0 => LinkName::Store,
+        1 => LinkName::Server,
+        _ => LinkName::Peers,
+    }
+}
+
+fn draw_state(random: &mut StdRng) -> LinkState {
+    match random.random_range(0..4) {
+        0 => LinkState::Cut(Direction::Forward),
+        1 => LinkState::Cut(Direction::Back),
+        2 => LinkState::Cut(Direction::Both),
+        _ => LinkState::Late(random.random_range(1..LATE_MS_MAX)),
+    }
+}
+
+fn draw_harm(random: &mut StdRng) -> Harm {
+    if random.random() {
+        Harm::Reset
+    } else {
+        Harm::Silence
+    }
+}
+
+fn draw_down(random: &mut StdRng) -> DownMode {
+    if random.random() {
+        DownMode::Refuse
+    } else {
+        DownMode::Hang
+    }
+}
--- /dev/null
+++ b/tests/host_processes/soak/mod.rs
@@ -0,0 +1,78 @@
+//! Randomized faults on a running system; what callers and backend servers see is checked.
+
+mod checks;
+mod checks_find;
+mod facts;
+mod faults;
+mod run;
+
+use std::panic::AssertUnwindSafe;
+
+use futures::FutureExt;
+
+use run::soak;
+
+/// Variables that ask for further seeds: the first, and how many.
+const FIRST_SEED: &str = "BRONZELOCK_SOAK_FIRST";
+const SEEDS: &str = "BRONZELOCK_SOAK_SEEDS";
+
+async fn check(seed: u64) {
+    let report = soak(seed).await;
+    let violations = &report.violations;
+    assert!(
+        violations.is_empty(),
+        "seed {seed}: {violations:#?}\ndisturbances: {:?}\nrestarts: {:?}\nlogs: {:?}",
+        report.facts.disturbances,
+        report.facts.restarts,
+        report.logs,
+    );
+    let (served, owed) = (report.served_at_end, report.owed_at_end);
+    assert!(
+        owed > 0 && served * 2 >= owed,
+        "seed {seed}: {served} of {owed} served after the faults; logs: {:?}",
+        report.logs
+    );
+    println!(
+        "seed {seed}: {} requests, {} runs, {served} of {owed} served after the faults",
+        report.facts.attempts.len(),
+        report.facts.runs.len()
+    );
+}
+
+fn number(variable: &str) -> Option<u64> {
+    let text = std::env::var(variable).ok()?;
+    Some(text.parse().expect("a whole number"))
+}
+
+macro_rules! seeds {
+    ($($name:ident($seed:expr);)+) => {
+        $(
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                check($seed).await;
+            }
+        )+
+    };
+}
+
+seeds! {
+    short_soak_1(1);
+    short_soak_2(2);
+    // SIGTERM right after a restart, before the process handles signals; it ended by the signal.
+    terminated_while_starting(113);
+    terminated_while_starting_again(127);
+}
+
+/// Seeds that scripts/soak.sh asks for, one after the other; none without it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn seeds_asked_for() {
+    let first = number(FIRST_SEED).unwrap_or(0);
+    let mut failed = Vec::new();
+    for seed in first..first + number(SEEDS).unwrap_or(0) {
+        let checked = AssertUnwindSafe(check(seed)).catch_unwind().await;
+        if checked.is_err() {
+            failed.push(seed);
+        }
+    }
+    assert!(failed.is_empty(), "seeds that failed: {failed:?}");
+}
--- /dev/null
+++ b/tests/host_processes/soak/run.rs
@@ -0,0 +1,334 @@
+//! Plays the faults of one seed on a running system.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use futures::future::join_all;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use standins::log_service::DownMode;
+use standins::platform::names::OPERATOR_TOPIC;
+use standins::platform::store::StoreFaults;
+use standins::proxy::{LinkState, Proxy};
+
+use super::checks::{Violation, violations};
+use super::facts::{Disturbance, Facts, Move, Part, PlannedRestart, ServerStart, ZoneOut};
+use super::faults::{Event, FAULTS_MS, Fault, LinkName, ZONE_OUT_MS, draw};
+use crate::callers::{Attempt, Outcome};
+use crate::operator::Operator;
+use crate::program::Signal;
+use crate::site::{ServerEnd, Site};
+use crate::system::{Callers, PLACES, System};
+
+/// Time between two looks at what was seen.
+const LOOK_PERIOD: Duration = Duration::from_millis(500);
+
+/// Time without faults at the end.
+const QUIET: Duration = Duration::from_secs(9);
+
+/// Part of the quiet time, at its end, in which requests must be served again, in ms.
+const SERVED_AGAIN_MS: u64 = 3_000;
+
+/// Time that a crashed backend server is away.
+const SERVER_AWAY: Duration = Duration::from_millis(400);
+
+/// What a soak showed.
+#[derive(Debug)]
+pub struct Report {
+    pub facts: Facts,
+    pub violations: Vec<Violation>,
+    /// Requests sent in the last part of the quiet time, and those of them that were served.
+    pub owed_at_end: usize,
+    pub served_at_end: usize,
+    pub logs: Vec<String>,
+}
+
+/// Runs one soak.
+pub async fn soak(seed: u64) -> Report {
+    let system = System::start().await;
+    system.wait_until_ready().await;
+    let soak = Soak::new(&system).await;
+    let callers = system.start_callers(&mut StdRng::seed_from_u64(seed)).await;
+    let events = draw(seed);
+    let started_ms = system.ledger.now_ms();
+    let faults = join_all(events.iter().map(|event| soak.play(event, started_ms)));
+    let all = async {
+        let end_of_faults = tokio::time::sleep(Duration::from_millis(FAULTS_MS));
+        tokio::join!(faults, end_of_faults);
+        tokio::time::sleep(QUIET).await;
+    };
+    tokio::select! {
+        () = all => {}
+        () = soak.watch(&callers) => {}
+    }
+    let attempts = callers.finish().await;
+    soak.report(attempts).await
+}
+
+struct Soak<'a> {
+    system: &'a System,
+    facts: Mutex<Facts>,
+}
+
+impl<'a> Soak<'a> {
+    async fn new(system: &'a System) -> Self {
+        let to = system.operator.lock().await.moved_to();
+        let facts = Facts {
+            moves: vec![Move { at_ms: 0, to }],
+            ..Facts::default()
+        };
+        Self {
+            system,
+            facts: Mutex::new(facts),
+        }
+    }
+
+    fn facts(&self) -> MutexGuard<'_, Facts> {
+        self.facts.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.system.ledger.now_ms()
+    }
+
+    /// Ends at the first violation.
+    async fn watch(&self, callers: &Callers) {
+        loop {
+            tokio::time::sleep(LOOK_PERIOD).await;
+            self.restart_those_that_ended();
+            self.gather(callers.attempts());
+            if !violations(&self.facts()).is_empty() {
+                return;
+            }
+        }
+    }
+
+    /// Nodes that a fault holds are left alone.
+    fn restart_those_that_ended(&self) {
+        for (host, site) in self.system.sites.iter().enumerate() {
+            let Ok(mut site) = site.try_lock() else {
+                continue;
+            };
+            if site.node.exit().is_some() {
+                self.facts().ended_by_themselves.push(host);
+                site.start_node();
+            }
+        }
+    }
+
+    fn gather(&self, attempts: Vec<Attempt>) {
+        let runs = self.system.ledger.runs();
+        let now_ms = self.now_ms();
+        let mut facts = self.facts();
+        facts.attempts = attempts;
+        facts.runs = runs;
+        facts.now_ms = now_ms;
+    }
+
+    async fn report(&self, attempts: Vec<Attempt>) -> Report {
+        self.gather(attempts);
+        let mut logs = Vec::new();
+        for (host, site) in self.system.sites.iter().enumerate() {
+            let site = site.lock().await;
+            logs.push(site.log_file().display().to_string());
+            let starts = site.server_starts_ms.iter().enumerate();
+            let starts = starts.map(|(index, at_ms)| ServerStart {
+                instance: PLACES[host].instance(index + 1),
+                at_ms: *at_ms,
+            });
+            self.facts().server_starts.extend(starts);
+        }
+        let facts = self.facts().clone();
+        let since_ms = facts.now_ms.saturating_sub(SERVED_AGAIN_MS);
+        let at_end = facts
+            .attempts
+            .iter()
+            .filter(|attempt| attempt.sent_ms >= since_ms && attempt.outcome != Outcome::GivenUp);
+        let at_end: Vec<Outcome> = at_end.map(|attempt| attempt.outcome).collect();
+        let served = |outcome: &&Outcome| matches!(outcome, Outcome::Answered { status: 200, .. });
+        Report {
+            violations: violations(&facts),
+            owed_at_end: at_end.len(),
+            served_at_end: at_end.iter().filter(served).count(),
+            facts,
+            logs,
+        }
+    }
+
+    async fn play(&self, event: &Event, started_ms: u64) {
+        let due_ms = (started_ms + event.at_ms).saturating_sub(self.now_ms());
+        tokio::time::sleep(Duration::from_millis(due_ms)).await;
+        let length = Duration::from_millis(event.for_ms);
+        match event.fault {
+            Fault::Kill => self.kill(event.host).await,
+            Fault::Pause => self.pause(event.host, length).await,
+            Fault::Restart => self.restart(event.host).await,
+            Fault::Hangup => self.site(event.host).await.node.signal(Signal::Hangup),
+            Fault::Link(link, state) => self.degrade(event.host, link, state, length).await,
+            Fault::Harm(link, harm) => {
+                let site = self.site(event.host).await;
+                self.disturbed(part_of(link, event.host), self.now_ms());
+                proxy_of(&site, link).harm(harm);
+            }
+            Fault::StoreDown(down) => {
+                let faults = StoreFaults {
+                    down,
+                    ..StoreFaults::default()
+                };
+                self.harm_store(faults, length).await;
+            }
+            Fault::AppendAnswersLost => {
+                let faults = StoreFaults {
+                    down: DownMode::Up,
+                    loses_append_answers: true,
+                    ..StoreFaults::default()
+                };
+                self.harm_store(faults, length).await;
+            }
+            Fault::Compaction => self.system.store.compact(OPERATOR_TOPIC),
+            Fault::ServerCrash => self.replace_server(event.host, ServerEnd::Crash).await,
+            Fault::ServerLeave => self.replace_server(event.host, ServerEnd::Leave).await,
+            Fault::RouteMove => self.move_route().await,
+            Fault::ZoneOut => self.take_zone_out(PLACES[event.host].zone).await,
+        }
+    }
+
+    async fn site(&self, host: usize) -> tokio::sync::MutexGuard<'_, Site> {
+        self.system.sites[host].lock().await
+    }
+
+    /// Notes a disturbance that began at a time and ends now.
+    fn disturbed(&self, part: Part, from_ms: u64) {
+        let to_ms = self.now_ms();
+        let disturbance = Disturbance {
+            part,
+            from_ms,
+            to_ms,
+        };
+        self.facts().disturbances.push(disturbance);
+    }
+
+    /// Notes a disturbance that lasts until its index is given to [`Self::ended`].
+    fn begun(&self, part: Part) -> usize {
+        let from_ms = self.now_ms();
+        let mut facts = self.facts();
+        facts.disturbances.push(Disturbance {
+            part,
+            from_ms,
+            to_ms: u64::MAX,
+        });
+        facts.disturbances.len() - 1
+    }
+
+    fn ended(&self, index: usize) {
+        let now_ms = self.now_ms();
+        self.facts().disturbances[index].to_ms = now_ms;
+    }
+
+    async fn kill(&self, host: usize) {
+        let mut site = self.site(host).await;
+        let disturbance = self.begun(Part::Node(host));
+        site.node.signal(Signal::Kill);
+        site.restart_node().await;
+        self.ended(disturbance);
+    }
+
+    async fn pause(&self, host: usize, length: Duration) {
+        let site = self.site(host).await;
+        let disturbance = self.begun(Part::Node(host));
+        site.node.signal(Signal::Stop);
+        tokio::time::sleep(length).await;
+        site.node.signal(Signal::Continue);
+        self.ended(disturbance);
+    }
+
+    async fn restart(&self, host: usize) {
+        let mut site = self.site(host).await;
+        let from_ms = self.now_ms();
+        let index = {
+            let mut facts = self.facts();
+            facts.restarts.push(PlannedRestart {
+                host,
+                from_ms,
+                to_ms: u64::MAX,
+            });
+            facts.restarts.len() - 1
+        };
+        if !site.shut_node_down().await {
+            self.facts().ended_by_themselves.push(host);
+        }
+        let to_ms = self.now_ms();
+        self.facts().restarts[index].to_ms = to_ms;
+        site.start_node();
+        self.disturbed(Part::Node(host), to_ms);
+    }
+
+    async fn degrade(&self, host: usize, link: LinkName, state: LinkState, length: Duration) {
+        let disturbance = self.begun(part_of(link, host));
+        proxy_of(&*self.site(host).await, link).set_state(state);
+        tokio::time::sleep(length).await;
+        proxy_of(&*self.site(host).await, link).set_state(LinkState::Open);
+        self.ended(disturbance);
+    }
+
+    async fn harm_store(&self, faults: StoreFaults, length: Duration) {
+        let disturbance = self.begun(Part::Store);
+        self.system.store.set_faults(faults);
+        tokio::time::sleep(length).await;
+        self.system.store.set_faults(StoreFaults::default());
+        self.ended(disturbance);
+    }
+
+    async fn replace_server(&self, host: usize, how: ServerEnd) {
+        let mut site = self.site(host).await;
+        let disturbance = (how == ServerEnd::Crash).then(|| self.begun(Part::Server(host)));
+        let leave = site.end_server(how).await;
+        self.facts().leaves.extend(leave);
+        tokio::time::sleep(SERVER_AWAY).await;
+        site.start_server().await;
+        if let Some(disturbance) = disturbance {
+            self.ended(disturbance);
+        }
+    }
+
+    async fn move_route(&self) {
+        let mut operator = self.system.operator.lock().await;
+        operator.move_route(&self.system.store);
+        let (at_ms, to) = (self.now_ms(), operator.moved_to());
+        self.facts().moves.push(Move { at_ms, to });
+    }
+
+    async fn take_zone_out(&self, zone: &'static str) {
+        Operator::set_zone_out(&self.system.store, zone, true);
+        let from_ms = self.now_ms();
+        self.facts().zones_out.push(ZoneOut {
+            zone,
+            from_ms,
+            to_ms: u64::MAX,
+        });
+        tokio::time::sleep(Duration::from_millis(ZONE_OUT_MS)).await;
+        let to_ms = self.now_ms();
+        // A zone that is taken out twice comes back with the first return.
+        for out in &mut self.facts().zones_out {
+            if out.zone == zone {
+                out.to_ms = out.to_ms.min(to_ms);
+            }
+        }
+        Operator::set_zone_out(&self.system.store, zone, false);
+    }
+}
+
+fn part_of(link: LinkName, host: usize) -> Part {
+    match link {
+        LinkName::Server => Part::Server(host),
+        LinkName::Peers | LinkName::Store => Part::Node(host),
+    }
+}
+
+fn proxy_of(site: &Site, link: LinkName) -> &Proxy {
+    match link {
+        LinkName::Peers => &site.peer_link,
+        LinkName::Server => &site.server_link,
+        LinkName::Store => &site.store_link,
+    }
+}
--- /dev/null
+++ b/tests/host_processes/system.rs
@@ -0,0 +1,155 @@
+//! A log service, hosts and callers, run as on the users' platform.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::rngs::StdRng;
+use standins::http::client::send_once;
+use standins::platform::ledger::Ledger;
+use standins::platform::store::Store;
+use tokio::sync::Mutex;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::callers::{Attempt, Attempts, Caller, lock};
+use crate::operator::Operator;
+use crate::site::{Place, Site};
+
+/// Callers of one host.
+const CALLERS_PER_HOST: usize = 3;
+
+/// Time after which a condition counts as never met.
+const CONDITION_LIMIT: Duration = Duration::from_secs(20);
+
+/// Pause between two looks at a condition.
+const CONDITION_PAUSE: Duration = Duration::from_millis(20);
+
+/// Two services, each in two availability zones.
+pub const PLACES: [Place; 5] = [
+    place("herd-1", "herd", "ratchaburi"),
+    place("herd-2", "herd", "ratchaburi"),
+    place("herd-3", "herd", "saraburi"),
+    place("parlour-1", "parlour", "ratchaburi"),
+    place("parlour-2", "parlour", "saraburi"),
+];
+
+const fn place(name: &'static str, service: &'static str, zone: &'static str) -> Place {
+    Place {
+        name,
+        service,
+        zone,
+    }
+}
+
+/// Everything of one test.
+#[derive(Debug)]
+pub struct System {
+    pub ledger: Ledger,
+    pub store: Store,
+    pub operator: Mutex<Operator>,
+    pub sites: Vec<Mutex<Site>>,
+}
+
+impl System {
+    /// Starts all hosts at once; the configuration is there before.
+    pub async fn start() -> Self {
+        let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let store = Store::start(loopback).await.expect("the store starts");
+        let operator = Operator::default();
+        operator.write_config(&store);
+        let ledger = Ledger::default();
+        let mut sites: Vec<Mutex<Site>> = Vec::new();
+        let mut contact = None;
+        for place in PLACES {
+            let site = Site::start(place, contact, store.address(), ledger.clone()).await;
+            contact = contact.or(Some(site.addresses.announcements()));
+            sites.push(Mutex::new(site));
+        }
+        Self {
+            ledger,
+            store,
+            operator: Mutex::new(operator),
+            sites,
+        }
+    }
+
+    /// Waits until every node takes callers.
+    pub async fn wait_until_ready(&self) {
+        for site in &self.sites {
+            let address = site.lock().await.addresses.ready();
+            eventually("the node is ready", async || is_ready(address).await).await;
+        }
+    }
+
+    /// Starts callers on every host.
+    pub async fn start_callers(&self, random: &mut StdRng) -> Callers {
+        let stop = CancellationToken::new();
+        let attempts = Attempts::default();
+        let mut tasks = Vec::new();
+        for (host, site) in self.sites.iter().enumerate() {
+            let node = site.lock().await.addresses.callers();
+            for index in 0..CALLERS_PER_HOST {
+                let caller = Caller {
+                    host,
+                    index,
+                    node,
+                    ledger: self.ledger.clone(),
+                    seed: random.random(),
+                };
+                tasks.push(tokio::spawn(
+                    caller.run(Arc::clone(&attempts), stop.clone()),
+                ));
+            }
+        }
+        Callers {
+            stop,
+            tasks,
+            attempts,
+        }
+    }
+}
+
+/// Callers that run.
+#[derive(Debug)]
+pub struct Callers {
+    stop: CancellationToken,
+    tasks: Vec<JoinHandle<()>>,
+    attempts: Attempts,
+}
+
+impl Callers {
+    /// What they have sent so far.
+    pub fn attempts(&self) -> Vec<Attempt> {
+        lock(&self.attempts).clone()
+    }
+
+    /// Stops them; tells all that they sent.
+    pub async fn finish(self) -> Vec<Attempt> {
+        self.stop.cancel();
+        for task in self.tasks {
+            task.await.expect("a caller did not panic");
+        }
+        std::mem::take(&mut *lock(&self.attempts))
+    }
+}
+
+/// Whether a node takes callers.
+pub async fn is_ready(address: SocketAddr) -> bool {
+    let request = hyper::Request::get("/v1/ready")
+        .header("host", "ready")
+        .body(http_body_util::Full::default())
+        .expect("a valid request");
+    let answer = send_once(address, request).await;
+    answer.is_ok_and(|answer| answer.status == 200)
+}
+
+/// Waits until a condition holds; fails when it never does.
+pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    let until = tokio::time::Instant::now() + CONDITION_LIMIT;
+    while !holds().await {
+        assert!(tokio::time::Instant::now() < until, "never: {what}");
+        tokio::time::sleep(CONDITION_PAUSE).await;
+    }
+}
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -7,5 +7,7 @@
 mod log_outage;
 mod node_process;
 mod path;
+#[path = "../support/program.rs"]
+mod program;
 mod service_out;
 mod stop;
