Write the last lines of the log before the process ends

Cause: the thread that writes the log ended with the process; lines of the last 50 to 100 ms were lost, so 'stopped' was missing in 77 of 78 shutdowns of soak runs. Ruled out: the bounds of a second (no 'lines-dropped' line). Change: the node finishes the writer, which writes what is pending; it waits 200 ms at most when nobody reads the output. Before: the new test of a shutdown's last line failed. After: it passes. A second new test passed before and after: a node whose output is a pipe that nobody reads answers 600 refusals within 500 ms each. The soak tells how a node ended. Seed 213 failed 3 of 3 by SIGHUP sent to a process that had just started and did not handle signals yet; the soak starts such a node anew, and keeps the seed.

--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -140,6 +140,11 @@
         self.write(Weight::Notable, event, fields);
     }
 
+    /// Writes the last lines, at the end of the process.
+    pub fn finish(&self) {
+        self.writer.finish();
+    }
+
     /// A request got a whole answer.
     pub fn answered(&self, completed: &Completed<'_>) {
         let word = if completed.in_time { "in-time" } else { "late" };
--- a/src/host/log_writer.rs
+++ b/src/host/log_writer.rs
@@ -2,14 +2,22 @@
 //! waits for standard output. What is beyond the bounds is counted and told.
 
 use std::io::Write;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
 
 use crate::kernel::shards::lock;
 
 /// Pause between two writes.
 const WRITE_PERIOD: Duration = Duration::from_millis(50);
 
+/// Longest time that the end of the process waits for the last lines.
+const FINISH_MAX: Duration = Duration::from_millis(200);
+
+/// Pause between two looks whether they are written.
+const FINISH_LOOK: Duration = Duration::from_millis(2);
+
 /// Bytes that wait to be written at most; beyond them lines are dropped.
 const PENDING_BYTES_MAX: usize = 256 << 10;
 
@@ -41,21 +49,41 @@
 #[derive(Debug)]
 pub(super) struct LogWriter {
     pending: Arc<Mutex<Pending>>,
+    ending: Arc<AtomicBool>,
+    thread: Option<JoinHandle<()>>,
 }
 
 impl LogWriter {
-    /// Starts the writing thread, which ends with the process.
+    /// Starts the writing thread.
     pub(super) fn start() -> Self {
         let pending = Arc::new(Mutex::new(Pending::default()));
-        let writer = Arc::clone(&pending);
+        let ending = Arc::new(AtomicBool::new(false));
+        let (lines, ends) = (Arc::clone(&pending), Arc::clone(&ending));
         let spawned = std::thread::Builder::new()
             .name("log-writer".to_owned())
             .stack_size(64 << 10)
-            .spawn(move || write_lines(&writer));
-        if let Err(error) = spawned {
+            .spawn(move || write_lines(&lines, &ends));
+        let thread = spawned.map_err(|error| {
             log::error!("log writer: the writing thread did not start: {error}");
+        });
+        Self {
+            pending,
+            ending,
+            thread: thread.ok(),
+        }
+    }
+
+    /// Writes what is pending and ends the writing thread, unless nobody reads the output.
+    pub(super) fn finish(&self) {
+        self.ending.store(true, Ordering::Relaxed);
+        let Some(thread) = &self.thread else {
+            return;
+        };
+        thread.thread().unpark();
+        let until = Instant::now() + FINISH_MAX;
+        while !thread.is_finished() && Instant::now() < until {
+            std::thread::sleep(FINISH_LOOK);
         }
-        Self { pending }
     }
 
     /// Adds the line that `make` gives, if it fits the bounds of this second; whether it did.
@@ -97,25 +125,27 @@
     }
 }
 
-/// Writes what is pending, for as long as the process runs.
-fn write_lines(pending: &Mutex<Pending>) {
+/// Writes what is pending until the writer ends.
+fn write_lines(pending: &Mutex<Pending>, ending: &AtomicBool) {
     let mut lines = Vec::new();
     loop {
-        std::thread::sleep(WRITE_PERIOD);
+        std::thread::park_timeout(WRITE_PERIOD);
+        // Looked at first: lines that were added before the end are still written.
+        let last = ending.load(Ordering::Relaxed);
         std::mem::swap(&mut lines, &mut lock(pending).lines);
-        if lines.is_empty() {
+        if !lines.is_empty() {
+            let mut output = std::io::stdout().lock();
+            let written = output.write_all(&lines).and_then(|()| output.flush());
+            if written.is_err() {
+                return;
+            }
+            lines.clear();
+        } else if !last {
             // Without lines nobody waits for this thread.
-            std::thread::sleep(WRITE_PERIOD);
-            continue;
+            std::thread::park_timeout(WRITE_PERIOD);
         }
-        let mut output = std::io::stdout().lock();
-        if output
-            .write_all(&lines)
-            .and_then(|()| output.flush())
-            .is_err()
-        {
+        if last {
             return;
         }
-        lines.clear();
     }
 }
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -166,4 +166,5 @@
             LOOPS_END.as_millis()
         );
     }
+    host.events.finish();
 }
--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -10,7 +10,7 @@
 use hyper::{Method, Request};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
-use standins::http::client::{HttpConnection, WholeAnswer};
+use standins::http::client::{HttpConnection, WholeAnswer, send_once};
 use standins::platform::backend_server::{answer_body, signature};
 use standins::platform::ledger::Ledger;
 use standins::platform::names;
@@ -193,7 +193,12 @@
                 Err(_refused) => return Outcome::Lost,
             },
         };
-        let Ok(answer) = connection.send(request(attempt)).await else {
+        let (_method, target) = attempt
+            .method_and_target
+            .split_once(' ')
+            .expect("a method and a target");
+        let request = request(&attempt.id, attempt.kind, target);
+        let Ok(answer) = connection.send(request).await else {
             return Outcome::Lost;
         };
         let closes = answer
@@ -213,18 +218,22 @@
     attempts.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-fn request(attempt: &Attempt) -> Request<Full<Bytes>> {
-    let (method, target) = attempt
-        .method_and_target
-        .split_once(' ')
-        .expect("a method and a target");
+/// Status of the answer to one idempotent request on a connection of its own.
+pub async fn ask(node: SocketAddr, id: &str) -> Option<u16> {
+    let kind = Kind::History;
+    let target = format!("{}{id}", kind.path_prefix());
+    let answer = send_once(node, request(id, kind, &target)).await;
+    answer.ok().map(|answer| answer.status.as_u16())
+}
+
+fn request(id: &str, kind: Kind, target: &str) -> Request<Full<Bytes>> {
     Request::builder()
-        .method(method)
+        .method(kind.method())
         .uri(target)
         .header(HOST, HOST_NAME)
-        .header(names::REQUEST_ID, &attempt.id)
+        .header(names::REQUEST_ID, id)
         .header(names::WAIT_MS, WAIT_MS.to_string())
-        .body(Full::new(Bytes::from_static(attempt.kind.body())))
+        .body(Full::new(Bytes::from_static(kind.body())))
         .expect("a valid request")
 }
 
--- a/tests/host_processes/path.rs
+++ b/tests/host_processes/path.rs
@@ -1,19 +1,23 @@
 //! The whole path over stand-ins for the platform.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use standins::log_service::DownMode;
 use standins::platform::store::StoreFaults;
 
-use crate::callers::{Attempt, Kind, Outcome};
+use crate::callers::{self, Attempt, Kind, Outcome};
+use crate::operator::Operator;
 use crate::program::Signal;
 use crate::system::{PLACES, System, eventually, is_ready};
 
 /// Seed of callers.
 const SEED: u64 = 1;
 
+/// Refusals whose lines are more than a pipe takes.
+const REFUSALS: usize = 600;
+
 /// Length of a calm run.
 const CALM: Duration = Duration::from_secs(3);
 
@@ -94,3 +98,43 @@
     let wrong: Vec<_> = moved.filter(|run| run.service != wanted).collect();
     assert!(wrong.is_empty() && served(&attempts) > 0, "{wrong:?}");
 }
+
+/// Lines are written by a thread that must not end before them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_shuts_down_logs_that_it_stopped() {
+    let system = System::start().await;
+    system.wait_until_ready().await;
+    let mut site = system.sites[0].lock().await;
+    assert_eq!(site.shut_node_down().await, None);
+    let log = std::fs::read_to_string(site.log_file()).expect("the log can be read");
+    let last = log.lines().last().unwrap_or_default();
+    assert!(last.contains(r#""event":"stopped""#), "{last}");
+}
+
+/// A pipe that nobody reads is full after some hundred lines.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_log_that_nobody_reads_delays_no_caller() {
+    let system = System::start().await;
+    system.wait_until_ready().await;
+    let unread = {
+        let mut site = system.sites[0].lock().await;
+        site.node.signal(Signal::Kill);
+        site.restart_node_with_unread_log().await
+    };
+    system.wait_until_ready().await;
+    // Each refusal is logged.
+    for zone in ["ratchaburi", "saraburi"] {
+        Operator::set_zone_out(&system.store, zone, true);
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let node = system.sites[0].lock().await.addresses.callers();
+    let mut slowest = Duration::ZERO;
+    for sequence in 0..REFUSALS {
+        let started = Instant::now();
+        let status = callers::ask(node, &format!("unread-{sequence}")).await;
+        slowest = slowest.max(started.elapsed());
+        assert_eq!(status, Some(503));
+    }
+    assert!(slowest < Duration::from_millis(500), "{slowest:?}");
+    drop(unread);
+}
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -1,10 +1,11 @@
 //! One host: its node process, its backend server and the links between them.
 
 use std::fs::File;
+use std::io::PipeReader;
 use std::net::SocketAddr;
 use std::os::unix::process::ExitStatusExt;
-use std::path::PathBuf;
-use std::process::{Command, Stdio};
+use std::path::{Path, PathBuf};
+use std::process::{Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -36,7 +37,11 @@
 /// Time after the start of a process in which it may not yet handle signals.
 const STARTING_MAX: Duration = Duration::from_millis(500);
 
-/// Number of the signal.
+/// Time in which a process takes a signal.
+const SIGNAL_TAKEN: Duration = Duration::from_millis(50);
+
+/// Numbers of the signals.
+const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 
 /// Slots of one backend server.
@@ -129,7 +134,7 @@
             store_link: proxy(addresses.store(), store).await,
             peer_link: proxy(addresses.peers(), addresses.inner_peers()).await,
             server_link: proxy(addresses.server(), addresses.inner_server()).await,
-            node: spawn(&settings, &log),
+            node: spawn_logging(&settings, &log),
             node_started: Instant::now(),
             server: None,
             settings,
@@ -147,20 +152,43 @@
         self.start_node();
     }
 
+    /// Starts the node anew after its process has ended, with its log in a pipe.
+    pub async fn restart_node_with_unread_log(&mut self) -> PipeReader {
+        self.node.wait().await;
+        let (reader, writer) = std::io::pipe().expect("a pipe");
+        self.node = spawn(&self.settings, Stdio::from(writer), Stdio::null());
+        reader
+    }
+
     /// Starts the node anew.
     pub fn start_node(&mut self) {
-        self.node = spawn(&self.settings, &self.log);
+        self.node = spawn_logging(&self.settings, &self.log);
         self.node_started = Instant::now();
     }
 
-    /// Shuts the node down; whether it ended as a node must.
+    /// Shuts the node down; how it ended, if not as a node must.
     ///
     /// Before a process has installed its handlers, the system ends it at the signal.
-    pub async fn shut_node_down(&mut self) -> bool {
-        let starting = self.node_started.elapsed() < STARTING_MAX;
+    pub async fn shut_node_down(&mut self) -> Option<ExitStatus> {
+        let starting = self.is_starting();
         self.node.signal(Signal::Terminate);
         let exit = self.node.wait().await;
-        exit.success() || (starting && exit.signal() == Some(SIGTERM))
+        let ended_well = exit.success() || (starting && exit.signal() == Some(SIGTERM));
+        (!ended_well).then_some(exit)
+    }
+
+    /// Sends SIGHUP; tells how the node ended if it did not handle the signal yet.
+    pub async fn hang_up(&mut self) -> Option<ExitStatus> {
+        let starting = self.is_starting();
+        self.node.signal(Signal::Hangup);
+        tokio::time::sleep(SIGNAL_TAKEN).await;
+        self.node
+            .exit()
+            .filter(|exit| starting && exit.signal() == Some(SIGHUP))
+    }
+
+    fn is_starting(&self) -> bool {
+        self.node_started.elapsed() < STARTING_MAX
     }
 
     /// Starts a backend server with an identifier of its own.
@@ -196,24 +224,28 @@
     }
 
     /// File with the log of all runs of the node.
-    pub fn log_file(&self) -> &std::path::Path {
+    pub fn log_file(&self) -> &Path {
         &self.log
     }
 }
 
-fn spawn(settings: &PathBuf, log: &PathBuf) -> Program {
+fn spawn_logging(settings: &Path, log: &Path) -> Program {
     let log = File::options()
         .append(true)
         .open(log)
         .expect("the log file opens");
     let errors = log.try_clone().expect("a second handle");
+    spawn(settings, Stdio::from(log), Stdio::from(errors))
+}
+
+fn spawn(settings: &Path, output: Stdio, errors: Stdio) -> Program {
     Program::start(
         Command::new(env!("CARGO_BIN_EXE_bronzelock"))
             .args(["host", "--settings"])
             .arg(settings)
             .env("RUST_LOG", "warn")
             .stdin(Stdio::null())
-            .stdout(log)
+            .stdout(output)
             .stderr(errors),
     )
 }
--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -1,6 +1,7 @@
 //! What must hold in every soak, from what callers and backend servers saw.
 
 use std::collections::HashMap;
+use std::process::ExitStatus;
 
 use standins::platform::ledger::Run;
 
@@ -61,8 +62,8 @@
     LostByRestart { id: String },
     /// Callers of undisturbed hosts got no answer in time.
     Unanswered { id: String },
-    /// A node ended by itself.
-    EndedByItself { host: usize },
+    /// A node ended by itself, or otherwise than a shutdown ends.
+    EndedWrongly { host: usize, exit: ExitStatus },
 }
 
 /// Finds every broken promise.
@@ -86,8 +87,8 @@
     }
     found.extend(cold_overruns(facts));
     found.extend(work_after_close(facts, &runs));
-    let ended = facts.ended_by_themselves.iter();
-    found.extend(ended.map(|host| Violation::EndedByItself { host: *host }));
+    let ends = facts.wrong_ends.iter();
+    found.extend(ends.map(|&(host, exit)| Violation::EndedWrongly { host, exit }));
     found
 }
 
--- a/tests/host_processes/soak/checks_find.rs
+++ b/tests/host_processes/soak/checks_find.rs
@@ -1,5 +1,8 @@
 //! Each check of the soak finds the break that it is for.
 
+use std::os::unix::process::ExitStatusExt;
+use std::process::ExitStatus;
+
 use standins::platform::ledger::Run;
 
 use super::checks::{Violation, violations};
@@ -136,6 +139,6 @@
     } => [],
     no_answer_on_a_calm_system: Kind::History, Outcome::TimedOut, |_| {}
         => [Violation::Unanswered { .. }],
-    a_node_that_ended: Kind::History, SERVED, |facts| facts.ended_by_themselves.push(3)
-        => [Violation::EndedByItself { host: 3 }],
+    a_node_that_ended: Kind::History, SERVED, |facts| facts.wrong_ends.push((3, ExitStatus::from_raw(256)))
+        => [Violation::EndedWrongly { host: 3, .. }],
 }
--- a/tests/host_processes/soak/facts.rs
+++ b/tests/host_processes/soak/facts.rs
@@ -1,5 +1,7 @@
 //! What callers, backend servers and operators saw in one soak.
 
+use std::process::ExitStatus;
+
 use standins::platform::ledger::Run;
 
 use crate::callers::Attempt;
@@ -69,8 +71,8 @@
     pub disturbances: Vec<Disturbance>,
     pub restarts: Vec<PlannedRestart>,
     pub server_starts: Vec<ServerStart>,
-    /// Hosts whose node ended by itself.
-    pub ended_by_themselves: Vec<usize>,
+    /// Hosts whose node ended by itself, or otherwise than a shutdown ends, and how.
+    pub wrong_ends: Vec<(usize, ExitStatus)>,
     pub now_ms: u64,
 }
 
--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -58,6 +58,8 @@
 seeds! {
     short_soak_1(1);
     short_soak_2(2);
+    // SIGHUP right after a restart, before the process handles signals; it ended by the signal.
+    hung_up_while_starting(213);
     // SIGTERM right after a restart, before the process handles signals; it ended by the signal.
     terminated_while_starting(113);
     terminated_while_starting_again(127);
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -109,8 +109,8 @@
             let Ok(mut site) = site.try_lock() else {
                 continue;
             };
-            if site.node.exit().is_some() {
-                self.facts().ended_by_themselves.push(host);
+            if let Some(exit) = site.node.exit() {
+                self.facts().wrong_ends.push((host, exit));
                 site.start_node();
             }
         }
@@ -163,7 +163,7 @@
             Fault::Kill => self.kill(event.host).await,
             Fault::Pause => self.pause(event.host, length).await,
             Fault::Restart => self.restart(event.host).await,
-            Fault::Hangup => self.site(event.host).await.node.signal(Signal::Hangup),
+            Fault::Hangup => self.hang_up(event.host).await,
             Fault::Link(link, state) => self.degrade(event.host, link, state, length).await,
             Fault::Harm(link, harm) => {
                 let site = self.site(event.host).await;
@@ -254,8 +254,8 @@
             });
             facts.restarts.len() - 1
         };
-        if !site.shut_node_down().await {
-            self.facts().ended_by_themselves.push(host);
+        if let Some(exit) = site.shut_node_down().await {
+            self.facts().wrong_ends.push((host, exit));
         }
         let to_ms = self.now_ms();
         self.facts().restarts[index].to_ms = to_ms;
@@ -263,6 +263,15 @@
         self.disturbed(Part::Node(host), to_ms);
     }
 
+    async fn hang_up(&self, host: usize) {
+        let mut site = self.site(host).await;
+        let from_ms = self.now_ms();
+        if site.hang_up().await.is_some() {
+            site.start_node();
+            self.disturbed(Part::Node(host), from_ms);
+        }
+    }
+
     async fn degrade(&self, host: usize, link: LinkName, state: LinkState, length: Duration) {
         let disturbance = self.begun(part_of(link, host));
         proxy_of(&*self.site(host).await, link).set_state(state);
