Let a leaving node go on with the work of others until it closes

Ruled out: the backend server (it did not leave), callers of that host (they are told by 'ready'). Change: the gate closes for new work when the node closes for callers, not at the signal. Other hosts send to it until then; what is refused then has not been sent. Test: tests/host/gate.rs, a_leaving_node_works_off_its_queue_until_it_closes.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -1,6 +1,6 @@
 //! The gate of a host: whether, when and in which order requests go to the backend server.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
 use super::announced::{AnnouncedState, Announcement, Novelty};
@@ -89,7 +89,8 @@
     reports: u64,
     announced: Option<Announcement>,
     health_seen: bool,
-    closures: BTreeSet<Closure>,
+    /// Since when, or from when on, each holds, in µs.
+    closures: BTreeMap<Closure, u64>,
     warmth: Warmth,
     cold_rate_per_s: f64,
     cold_rate: ColdRate,
@@ -109,7 +110,7 @@
             reports: 0,
             announced: None,
             health_seen: false,
-            closures: BTreeSet::new(),
+            closures: BTreeMap::new(),
             warmth: Warmth::Unknown,
             cold_rate_per_s: COLD_RATE_UNKNOWN,
             cold_rate: ColdRate::default(),
@@ -195,9 +196,9 @@
         self.set(Closure::ZoneOut, zone_out);
     }
 
-    /// Takes note that the node is leaving.
-    pub fn set_leaving(&mut self) {
-        self.set(Closure::NodeLeaving, true);
+    /// Takes note that the node is leaving and takes no new work from `from_us` on.
+    pub fn set_leaving(&mut self, from_us: u64) {
+        self.closures.insert(Closure::NodeLeaving, from_us);
     }
 
     /// Sets the rate that a cold backend server bears.
@@ -402,7 +403,10 @@
 
     /// Whether the backend server takes new work.
     pub fn state(&self, now_us: u64) -> ServerState {
-        let is = |closure| self.closures.contains(&closure);
+        let is = |closure| {
+            let from_us = self.closures.get(&closure);
+            from_us.is_some_and(|from_us| *from_us <= now_us)
+        };
         let known = self.announced.is_some() || self.health_seen;
         if is(Closure::Unreachable) || !known {
             ServerState::Absent
@@ -419,7 +423,7 @@
 
     fn set(&mut self, closure: Closure, closed: bool) {
         if closed {
-            self.closures.insert(closure);
+            self.closures.insert(closure, 0);
         } else {
             self.closures.remove(&closure);
         }
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -12,7 +12,6 @@
 use super::entry::CallerHandler;
 use super::ready::ReadyHandler;
 use super::{directory, load_reports, operator_log, peer_server, probe};
-use crate::decision::host::gate::HostGate;
 use crate::edge::http1::server;
 use crate::kernel::StepError;
 use crate::kernel::node::StopSignals;
@@ -27,7 +26,8 @@
 /// Connections for questions and announcements.
 const SMALL_LISTENER_CONNECTIONS_MAX: usize = 32;
 
-/// Time after SIGTERM in which callers may still come, since they learn of it with a delay.
+/// Time after SIGTERM in which callers may still come, since they learn of it with a delay, and
+/// the backend server goes on with the work of others.
 const CALLERS_LEAVE: Duration = Duration::from_millis(2_700);
 
 /// Part of the grace time in which requests may finish.
@@ -147,8 +147,10 @@
     let started = tokio::time::Instant::now();
     let finish_by = started + Duration::from_secs_f64(host.settings.bounds.grace_s * GRACE_PART);
     host.stop.leave();
-    host.gate.with(HostGate::set_leaving);
-    tokio::time::sleep(CALLERS_LEAVE.min(finish_by - started)).await;
+    let callers_leave = CALLERS_LEAVE.min(finish_by - started);
+    let closes_us = host.now_us() + callers_leave.as_micros() as u64;
+    host.gate.with(|gate| gate.set_leaving(closes_us));
+    tokio::time::sleep(callers_leave).await;
     host.stop.close();
     while is_busy(host) && tokio::time::Instant::now() < finish_by {
         tokio::time::sleep(DRAIN_LOOK).await;
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -188,6 +188,25 @@
     assert_eq!(gate.state(S), ServerState::Warm);
 }
 
+/// Rolling restarts in a busy time: each node that leaves holds a queue, and the backend servers
+/// that are left have no room for it. The queue goes on until the node closes.
+#[test]
+fn a_leaving_node_works_off_its_queue_until_it_closes() {
+    let mut gate = warm_gate();
+    let running = fill(&mut gate, S);
+    let (waiting, _) = offer(&mut gate, work(1), S);
+    gate.set_leaving(3 * S);
+    gate.finished(running[0], None);
+    let mut decided = Vec::new();
+    gate.settle(2 * S, &mut decided);
+    assert_eq!(decided, [(waiting, Verdict::Run)]);
+    assert!(gate.clear_to_send(waiting, 10 * S, 2 * S).is_ok());
+    assert_eq!(gate.state(2 * S), ServerState::Warm);
+    assert_eq!(gate.state(3 * S), ServerState::Leaving);
+    let (_id, verdict) = offer(&mut gate, work(1), 3 * S);
+    assert_eq!(refusal(verdict), Some(RefusalReason::Leaving));
+}
+
 #[test]
 fn nothing_is_sent_into_a_zone_that_is_out() {
     let mut gate = warm_gate();
