Wake up the gate when it closes; closures in a module of their own

Test: a_gate_with_waiting_requests_wakes_up_when_its_ node_closes failed before (the wake-up was that of the deadline), passes after. gate.rs loses its closures to decision/host/closures.rs.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -1,9 +1,10 @@
 //! The gate of a host: whether, when and in which order requests go to the backend server.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use super::announced::{AnnouncedState, Announcement, Novelty};
+use super::closures::{Closure, Closures};
 use super::cold_rate::ColdRate;
 use super::slowness::Slowness;
 use super::waiting::{Moment, Waiting, WaitingRequests};
@@ -60,19 +61,6 @@
 /// Steps of the occupancy in a summary, up to the limit.
 const OCCUPIED_STEPS: usize = 2;
 
-/// Why no new work is taken.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Closure {
-    /// The backend server has said that it leaves.
-    ServerLeaving,
-    /// Operators have taken the availability zone out.
-    ZoneOut,
-    /// The node itself is leaving.
-    NodeLeaving,
-    /// No connection to the backend server can be opened.
-    Unreachable,
-}
-
 /// What is known of the backend server's warmth.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Warmth {
@@ -89,8 +77,7 @@
     reports: u64,
     announced: Option<Announcement>,
     health_seen: bool,
-    /// Since when, or from when on, each holds, in µs.
-    closures: BTreeMap<Closure, u64>,
+    closures: Closures,
     warmth: Warmth,
     cold_rate_per_s: f64,
     cold_rate: ColdRate,
@@ -110,7 +97,7 @@
             reports: 0,
             announced: None,
             health_seen: false,
-            closures: BTreeMap::new(),
+            closures: Closures::default(),
             warmth: Warmth::Unknown,
             cold_rate_per_s: COLD_RATE_UNKNOWN,
             cold_rate: ColdRate::default(),
@@ -129,17 +116,17 @@
         match novelty {
             Novelty::Outdated => return novelty,
             Novelty::NewStart => {
-                self.set(Closure::ServerLeaving, false);
+                self.closures.set(Closure::ServerLeaving, false);
                 self.slowness = Slowness::default();
             }
             Novelty::Renewed => {}
         }
         // A backend server that has said it leaves is not used again, whatever it says later.
         if announcement.state != AnnouncedState::Ready {
-            self.set(Closure::ServerLeaving, true);
+            self.closures.set(Closure::ServerLeaving, true);
         }
         self.slots = announcement.slots.max(1);
-        self.set(Closure::Unreachable, false);
+        self.closures.set(Closure::Unreachable, false);
         self.warmth = Warmth::ColdUntil(now_us + announcement.cold_left_us);
         self.announced = Some(announcement);
         novelty
@@ -168,7 +155,7 @@
     /// A cold backend server says so in its health answers, so one of the known start ends any
     /// doubt about its warmth.
     pub fn observe_health(&mut self, health: &Health<'_>, now_us: u64) {
-        self.set(Closure::Unreachable, false);
+        self.closures.set(Closure::Unreachable, false);
         let Some(known) = &self.announced else {
             self.health_seen |= health.well;
             return;
@@ -188,17 +175,17 @@
 
     /// Takes note whether connections to the backend server can be opened.
     pub fn set_unreachable(&mut self, unreachable: bool) {
-        self.set(Closure::Unreachable, unreachable);
+        self.closures.set(Closure::Unreachable, unreachable);
     }
 
     /// Takes note whether operators have taken the availability zone out.
     pub fn set_zone_out(&mut self, zone_out: bool) {
-        self.set(Closure::ZoneOut, zone_out);
+        self.closures.set(Closure::ZoneOut, zone_out);
     }
 
     /// Takes note that the node is leaving and takes no new work from `from_us` on.
     pub fn set_leaving(&mut self, from_us: u64) {
-        self.closures.insert(Closure::NodeLeaving, from_us);
+        self.closures.close_from(Closure::NodeLeaving, from_us);
     }
 
     /// Sets the rate that a cold backend server bears.
@@ -336,7 +323,11 @@
         } else {
             None
         };
-        Some(cold_us.map_or(overdue_us, |at_us| at_us.min(overdue_us)))
+        let closing_us = self.closures.next_us(now_us);
+        [Some(overdue_us), cold_us, closing_us]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Whether a dispatched request may still be sent, right before its first byte.
@@ -403,10 +394,7 @@
 
     /// Whether the backend server takes new work.
     pub fn state(&self, now_us: u64) -> ServerState {
-        let is = |closure| {
-            let from_us = self.closures.get(&closure);
-            from_us.is_some_and(|from_us| *from_us <= now_us)
-        };
+        let is = |closure| self.closures.holds(closure, now_us);
         let known = self.announced.is_some() || self.health_seen;
         if is(Closure::Unreachable) || !known {
             ServerState::Absent
@@ -421,14 +409,6 @@
         }
     }
 
-    fn set(&mut self, closure: Closure, closed: bool) {
-        if closed {
-            self.closures.insert(closure, 0);
-        } else {
-            self.closures.remove(&closure);
-        }
-    }
-
     fn closed_because(&self, now_us: u64) -> Option<RefusalReason> {
         match self.state(now_us) {
             ServerState::Absent => Some(RefusalReason::ServerAbsent),
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod announced;
 pub mod claims;
+pub mod closures;
 pub mod cold_rate;
 pub mod gate;
 pub mod keyed_state;
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -207,6 +207,20 @@
     assert_eq!(refusal(verdict), Some(RefusalReason::Leaving));
 }
 
+/// What still waits when the node closes is refused then, without another event.
+#[test]
+fn a_gate_with_waiting_requests_wakes_up_when_its_node_closes() {
+    let mut gate = warm_gate();
+    fill(&mut gate, S);
+    let (waiting, _) = offer(&mut gate, work(1), S);
+    gate.set_leaving(3 * S);
+    assert_eq!(gate.next_wakeup_us(S), Some(3 * S));
+    let mut decided = Vec::new();
+    gate.settle(3 * S, &mut decided);
+    assert_eq!(decided[0].0, waiting);
+    assert_eq!(refusal(Some(decided[0].1)), Some(RefusalReason::Leaving));
+}
+
 #[test]
 fn nothing_is_sent_into_a_zone_that_is_out() {
     let mut gate = warm_gate();
