Let a leaving backend server go on with what ends within its drain time

The setting bounds.drain_ms was read and not used. Ruled out: placement (the other hosts of the service were full). Change: the gate closes the drain time less 400 ms after the acknowledged word; until then it takes what is expected to end by then, and refuses what is not, at once. A backend server that was leaving when it was first heard gets nothing, since the node cannot know for how long it has been.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -40,6 +40,10 @@
 /// Time between a dispatch and its first byte after which the cold rate is asked again, in µs.
 const SEND_DELAY_US: u64 = 20_000;
 
+/// Time before the end of the drain time in which nothing is sent, so that first bytes that are on
+/// their way arrive in time, in µs.
+const DRAIN_MARGIN_US: u64 = 400_000;
+
 /// Difference up to which two deadlines count as the same, in µs; they travel in whole ms.
 const SAME_DEADLINE_US: u64 = 4_000;
 
@@ -74,6 +78,7 @@
 #[derive(Debug)]
 pub struct HostGate {
     incarnation: Incarnation,
+    drain_us: u64,
     reports: u64,
     announced: Option<Announcement>,
     health_seen: bool,
@@ -91,9 +96,12 @@
 
 impl HostGate {
     /// A gate that refuses everything until the backend server is known.
-    pub fn new(incarnation: Incarnation) -> Self {
+    ///
+    /// `drain_us` is how long a backend server serves on after its leave was acknowledged.
+    pub fn new(incarnation: Incarnation, drain_us: u64) -> Self {
         Self {
             incarnation,
+            drain_us,
             reports: 0,
             announced: None,
             health_seen: false,
@@ -123,7 +131,14 @@
         }
         // A backend server that has said it leaves is not used again, whatever it says later.
         if announcement.state != AnnouncedState::Ready {
-            self.closures.set(Closure::ServerLeaving, true);
+            let serves_us = if novelty == Novelty::NewStart {
+                // It may have been leaving for long, as when this node has started anew.
+                0
+            } else {
+                self.drain_us.saturating_sub(DRAIN_MARGIN_US)
+            };
+            self.closures
+                .close_from(Closure::ServerLeaving, now_us + serves_us);
         }
         self.slots = announcement.slots.max(1);
         self.closures.set(Closure::Unreachable, false);
@@ -239,6 +254,9 @@
         }
         let waiting = Waiting { id, work };
         let wait_us = self.expected_wait_us(&waiting, now_us);
+        if !self.ends_before_leave(&work, wait_us, now_us) {
+            return Some(self.refuse(RefusalReason::Leaving, now_us));
+        }
         if !self.is_reachable(&work, wait_us, now_us) {
             return Some(self.refuse(RefusalReason::DeadlineUnreachable, now_us));
         }
@@ -295,6 +313,7 @@
             return;
         }
         self.refuse_overdue(now_us, decided);
+        self.refuse_those_that_outlast_the_server(now_us, decided);
         let moment = self.moment(now_us);
         while self.has_room(now_us) {
             let Some(first) = self.waiting.take_first(moment) else {
@@ -313,18 +332,22 @@
 
     /// When waiting requests must be looked at again, in µs.
     pub fn next_wakeup_us(&self, now_us: u64) -> Option<u64> {
-        let overdue_at_us = |waiting: &Waiting| {
+        let serves_until_us = self.closures.from_us(Closure::ServerLeaving);
+        let refused_at_us = |waiting: &Waiting| {
             let needed_us = self.needed_us(&waiting.work, now_us);
-            waiting.work.timing.deadline_us.saturating_sub(needed_us)
+            let overdue_us = waiting.work.timing.deadline_us.saturating_sub(needed_us);
+            let run_us = self.run_us_with_margin(&waiting.work, now_us);
+            let leave_us = serves_until_us.map(|until_us| until_us.saturating_sub(run_us));
+            leave_us.map_or(overdue_us, |leave_us| leave_us.min(overdue_us))
         };
-        let overdue_us = self.waiting.iter().map(overdue_at_us).min()?;
+        let refused_us = self.waiting.iter().map(refused_at_us).min()?;
         let cold_us = if self.is_cold(now_us) {
             self.cold_rate.next_us()
         } else {
             None
         };
         let closing_us = self.closures.next_us(now_us);
-        [Some(overdue_us), cold_us, closing_us]
+        [Some(refused_us), cold_us, closing_us]
             .into_iter()
             .flatten()
             .min()
@@ -486,6 +509,33 @@
         decided.extend(overdue.into_iter().map(|waiting| (waiting.id, refusal)));
     }
 
+    fn run_us_with_margin(&self, work: &Work, now_us: u64) -> u64 {
+        (work.timing.usual_run_us * self.slowness(now_us) * FINISH_MARGIN) as u64
+    }
+
+    /// Whether work that begins after `wait_us` ends while a leaving backend server still serves.
+    fn ends_before_leave(&self, work: &Work, wait_us: f64, now_us: u64) -> bool {
+        let serves_until_us = self.closures.from_us(Closure::ServerLeaving);
+        let end_us = now_us + wait_us as u64 + self.run_us_with_margin(work, now_us);
+        serves_until_us.is_none_or(|until_us| end_us < until_us)
+    }
+
+    fn refuse_those_that_outlast_the_server(
+        &mut self,
+        now_us: u64,
+        decided: &mut Vec<(WorkId, Verdict)>,
+    ) {
+        let Some(until_us) = self.closures.from_us(Closure::ServerLeaving) else {
+            return;
+        };
+        let refusal = self.refuse(RefusalReason::Leaving, now_us);
+        let slow_run = self.slowness(now_us) * FINISH_MARGIN;
+        let outlasting = self.waiting.take_if(|waiting| {
+            now_us + (waiting.work.timing.usual_run_us * slow_run) as u64 >= until_us
+        });
+        decided.extend(outlasting.into_iter().map(|waiting| (waiting.id, refusal)));
+    }
+
     fn refuse(&self, reason: RefusalReason, now_us: u64) -> Verdict {
         let limit = f64::from(self.limit(now_us));
         let drain_us = self.waiting.len() as f64 * self.run_us * self.slowness(now_us) / limit;
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -23,7 +23,7 @@
 use crate::kernel::tasks::Tasks;
 use crate::model::host_config::HostConfig;
 use crate::model::ids::Incarnation;
-use crate::model::units::US_PER_S;
+use crate::model::units::{US_PER_MS, US_PER_S};
 use crate::settings::host::HostSettings;
 
 /// Identifiers of non-idempotent requests that are remembered at once.
@@ -99,7 +99,7 @@
             operator_behind: Notify::new(),
             peers: Mutex::default(),
             peer_clients: PeerClients::new(tasks.clone()),
-            gate: GateCell::new(incarnation, clock),
+            gate: GateCell::new(incarnation, settings.bounds.drain_ms * US_PER_MS, clock),
             server: BackendServer::new(settings.backend_server.address),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_HOLD_US)),
             executions: Executions::default(),
--- a/src/host/gate_cell.rs
+++ b/src/host/gate_cell.rs
@@ -74,10 +74,10 @@
 
 impl GateCell {
     /// A gate that refuses everything until the backend server is known.
-    pub fn new(incarnation: Incarnation, clock: Clock) -> Self {
+    pub fn new(incarnation: Incarnation, drain_us: u64, clock: Clock) -> Self {
         Self {
             core: Mutex::new(Core {
-                gate: HostGate::new(incarnation),
+                gate: HostGate::new(incarnation, drain_us),
                 waiting: HashMap::new(),
                 decided: Vec::new(),
                 summary: None,
