Serve latency histograms; forget routes that are gone; drop settings and facts that nobody reads

Latencies of answers, refusals, waits at the gate, runs and trips to other hosts are served at /metrics with fixed bounds; a test of the whole path finds them.

--- a/src/decision/host/split.rs
+++ b/src/decision/host/split.rs
@@ -5,7 +5,7 @@
 
 use crate::model::host_config::{Route, Target};
 
-/// Smooth weighted round robin (as in nginx): shares hold over any short run of requests.
+/// Smooth weighted round robin: shares hold over any short run of requests.
 #[derive(Debug, Default)]
 pub struct Split {
     routes: HashMap<Arc<str>, Vec<i64>>,
@@ -31,4 +31,19 @@
         credits[best] -= total;
         route.targets.get(best)
     }
+
+    /// Forgets routes that are no longer configured.
+    pub fn retain(&mut self, is_configured: impl Fn(&str) -> bool) {
+        self.routes.retain(|route, _credits| is_configured(route));
+    }
+
+    /// Number of routes that are remembered.
+    pub fn len(&self) -> usize {
+        self.routes.len()
+    }
+
+    /// Whether no route is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.routes.is_empty()
+    }
 }
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -10,6 +10,7 @@
 use super::context::Host;
 use super::events::{Detail, Step};
 use super::executor;
+use super::latency::Stage;
 use super::outcome::{Miss, Outcome};
 use super::peer_client::PeerError;
 use super::peer_rpc::WireWork;
@@ -213,6 +214,8 @@
             Ok(reply) => {
                 let load = reply.load;
                 let outcome = Outcome::from(reply);
+                let took_us = host.now_us() - now_us;
+                host.events.latencies.add(Stage::PeerTrip, took_us);
                 lock(&host.peers).observe(ip, load, host.now_us());
                 outstanding.end(kind_of(&outcome));
                 return outcome;
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -13,6 +13,7 @@
 use serde_json::{Map, Value};
 
 use super::context::Host;
+use super::latency::{Latencies, Stage};
 use super::log_writer::{LogWriter, Weight};
 use super::outcome::Miss;
 use crate::decision::host::announced::{Announcement, Novelty};
@@ -99,6 +100,8 @@
     written: AtomicU64,
     open: AtomicU64,
     counters: Mutex<BTreeMap<String, u64>>,
+    /// How long the steps of requests take.
+    pub latencies: Latencies,
 }
 
 /// A caller's request that is open.
@@ -121,6 +124,7 @@
             written: AtomicU64::new(0),
             open: AtomicU64::new(0),
             counters: Mutex::default(),
+            latencies: Latencies::default(),
         }
     }
 
@@ -147,6 +151,7 @@
 
     /// A request got a whole answer.
     pub fn answered(&self, completed: &Completed<'_>) {
+        self.latencies.add(Stage::Answered, completed.took_us);
         let word = if completed.in_time { "in-time" } else { "late" };
         self.count(&format!(
             "answers{{status=\"{}\",time=\"{word}\"}}",
@@ -175,6 +180,7 @@
 
     /// A request got no answer from a backend server.
     pub fn refused(&self, id: &str, route: Option<&str>, miss: &Miss, took_us: u64) {
+        self.latencies.add(Stage::Refused, took_us);
         let reason = miss.reason.as_str();
         let not_run = miss.is_not_run();
         self.count(&format!(
@@ -299,7 +305,7 @@
         }
     }
 
-    /// Counters and gauges in the text exposition format.
+    /// Counters, gauges and latencies in the text exposition format.
     pub fn metrics_text(&self, host: &Host) -> String {
         let load = host.gate.load();
         let mut text = String::new();
@@ -323,6 +329,7 @@
         );
         line("peers_known", lock(&host.peers).nodes() as u64 - 1);
         line("log_lines_written", self.written.load(Ordering::Relaxed));
+        text.push_str(&self.latencies.text());
         text
     }
 
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -14,6 +14,7 @@
 use super::context::Host;
 use super::events::{Detail, Step};
 use super::gate_cell::Admitted;
+use super::latency::Stage;
 use super::outcome::{Miss, Outcome, RunFacts};
 use super::probe;
 use crate::decision::host::claims::{Claim, ClaimError};
@@ -129,10 +130,9 @@
             return Outcome::missed(miss);
         }
     };
-    let mut facts = RunFacts {
-        queued_us: host.now_us() - offered_us,
-        ..RunFacts::default()
-    };
+    let waited_us = host.now_us() - offered_us;
+    host.events.latencies.add(Stage::GateWait, waited_us);
+    let mut facts = RunFacts::default();
     let result = send(host, work, &mut admitted, &mut facts).await;
     if let Err(miss) = &result {
         note_miss(host, work, Step::Dispatch, miss);
@@ -185,6 +185,7 @@
         };
         let exchanged = exchange(host, work, &mut lease, instance.as_deref(), started_us).await;
         facts.run_us = host.now_us() - started_us;
+        host.events.latencies.add(Stage::ServerRun, facts.run_us);
         match exchanged {
             Ok(response) => {
                 let answer_facts = answers::facts(&response);
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -214,6 +214,9 @@
         }),
     );
     set_cold_rate(host, &config);
+    let names = config.route_names();
+    lock(&host.run_times).retain(|route| names.contains(route));
+    lock(&host.split).retain(|route| names.contains(route));
     host.config.store(Some(Arc::new(config)));
 }
 
--- a/src/host/outcome.rs
+++ b/src/host/outcome.rs
@@ -69,8 +69,6 @@
 pub struct RunFacts {
     /// Time at the backend server, in µs; zero if it was not sent.
     pub run_us: u64,
-    /// Time in the gate's queue, in µs.
-    pub queued_us: u64,
     /// Slowness when it was sent.
     pub slowness: f64,
 }
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -137,7 +137,6 @@
 pub struct WireOutcome {
     result: Result<WireAnswer, WireMiss>,
     run_us: u64,
-    queued_us: u64,
     slowness_percent: u16,
     /// Load of the gate that replies.
     pub load: HostLoad,
@@ -149,7 +148,6 @@
         Self {
             result: outcome.result.map(WireAnswer::from).map_err(WireMiss::from),
             run_us: outcome.facts.run_us,
-            queued_us: outcome.facts.queued_us,
             slowness_percent: (outcome.facts.slowness * 100.0) as u16,
             load,
         }
@@ -162,7 +160,6 @@
             result: wire.result.map(ServerAnswer::from).map_err(Miss::from),
             facts: RunFacts {
                 run_us: wire.run_us,
-                queued_us: wire.queued_us,
                 slowness: f64::from(wire.slowness_percent) / 100.0,
             },
         }
--- a/src/model/host_config.rs
+++ b/src/model/host_config.rs
@@ -1,6 +1,6 @@
 //! Configuration of the hosts: routes, services, and what callers may send.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 
 use super::names::ServiceName;
@@ -115,6 +115,12 @@
         ends.find_map(|end| prefixes.get(&path[..end]))
     }
 
+    /// Names of all routes.
+    pub fn route_names(&self) -> HashSet<&str> {
+        let routes = self.routes.values().flat_map(HashMap::values);
+        routes.map(|route| &*route.name).collect()
+    }
+
     /// Number of routes.
     pub fn routes_len(&self) -> usize {
         self.routes.values().map(HashMap::len).sum()
--- a/src/settings/host.rs
+++ b/src/settings/host.rs
@@ -62,8 +62,6 @@
     pub address: SocketAddr,
     /// Service of this host.
     pub service: ServiceName,
-    /// Time between two of its announcements, in ms.
-    pub announce_period_ms: u64,
 }
 
 /// The platform's log service.
@@ -87,8 +85,6 @@
     pub drain_ms: u64,
     /// Time between SIGTERM and the end of the process, in s.
     pub grace_s: f64,
-    /// Time without disturbance after which a host counts as connected, in ms.
-    pub contact_ms: u64,
     /// Repeats per request, over all nodes.
     pub retry_ratio: f64,
     /// Window of the retry budget, in s.
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -8,6 +8,7 @@
 mod claims;
 mod gate;
 mod http1;
+mod latency;
 mod log_reader;
 mod peer_client;
 mod peers;
--- a/tests/host/routes.rs
+++ b/tests/host/routes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use bronzelock::decision::host::run_times::RunTimes;
 use bronzelock::decision::host::split::Split;
 use bronzelock::model::host_config::{CallerBounds, HostConfig, Route, Target};
 use bronzelock::model::names::ServiceName;
@@ -76,3 +77,20 @@
         }
     }
 }
+
+/// Configurations come and go for as long as the process runs.
+#[test]
+fn routes_that_are_no_longer_configured_are_forgotten() {
+    let (mut split, mut run_times) = (Split::default(), RunTimes::default());
+    for name in ["cows", "gone"] {
+        let route = route(name, "/", vec![target("herd", 1), target("parlour", 1)]);
+        assert!(split.next(&route, 0).is_some());
+        run_times.record(&route.name, 7_000, 1.0);
+    }
+    let config = config();
+    let names = config.route_names();
+    split.retain(|route| names.contains(route));
+    run_times.retain(|route| names.contains(route));
+    assert_eq!(split.len(), 1);
+    assert!(run_times.usual_us("cows") < run_times.usual_us("gone"));
+}
--- a/tests/host_processes/path.rs
+++ b/tests/host_processes/path.rs
@@ -10,7 +10,7 @@
 use crate::callers::{self, Attempt, Kind, Outcome};
 use crate::operator::Operator;
 use crate::program::Signal;
-use crate::system::{PLACES, System, eventually, is_ready};
+use crate::system::{PLACES, System, eventually, is_ready, metrics};
 
 /// Seed of callers.
 const SEED: u64 = 1;
@@ -58,6 +58,16 @@
         )
     });
     assert_eq!(served, owed, "{:#?}", others.collect::<Vec<_>>());
+    let ready = system.sites[0].lock().await.addresses.ready();
+    let metrics = metrics(ready).await;
+    let answered = r#"latency_ms_count{stage="answered"} "#;
+    let count = metrics.lines().find_map(|line| line.split_once(answered));
+    let count = count.map(|(_name, count)| count.parse::<usize>());
+    let own = attempts.iter().filter(|attempt| attempt.host == 0).count();
+    assert!(
+        matches!(count, Some(Ok(count)) if (1..=own).contains(&count)),
+        "{metrics}"
+    );
 }
 
 /// A node that starts while the log service is away learns all from its contact.
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -267,13 +267,12 @@
         "backend_server": {
             "address": addresses.server(),
             "service": place.service,
-            "announce_period_ms": ANNOUNCE_PERIOD.as_millis() as u64,
         },
         "contacts": contact.into_iter().collect::<Vec<_>>(),
         "store": {"address": addresses.store()},
         "limits": {"files_max": 1_024},
         "bounds": {
-            "drain_ms": DRAIN_MS, "grace_s": GRACE_S, "contact_ms": 3_000,
+            "drain_ms": DRAIN_MS, "grace_s": GRACE_S,
             "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56,
             "probes_per_s": 60, "cold_overage": 1.5, "cold_slack": 5,
         },
--- a/tests/host_processes/system.rs
+++ b/tests/host_processes/system.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use rand::Rng;
 use rand::rngs::StdRng;
 use standins::http::client::send_once;
@@ -137,12 +138,23 @@
 
 /// Whether a node takes callers.
 pub async fn is_ready(address: SocketAddr) -> bool {
-    let request = hyper::Request::get("/v1/ready")
+    get(address, "/v1/ready").await.is_some()
+}
+
+/// Counters and latencies of a node.
+pub async fn metrics(address: SocketAddr) -> String {
+    let body = get(address, "/metrics").await.unwrap_or_default();
+    String::from_utf8(body.to_vec()).expect("text")
+}
+
+/// Body of a successful answer on a node's ready address.
+async fn get(address: SocketAddr, path: &str) -> Option<Bytes> {
+    let request = hyper::Request::get(path)
         .header("host", "ready")
         .body(http_body_util::Full::default())
         .expect("a valid request");
-    let answer = send_once(address, request).await;
-    answer.is_ok_and(|answer| answer.status == 200)
+    let answer = send_once(address, request).await.ok()?;
+    (answer.status == 200).then_some(answer.body)
 }
 
 /// Waits until a condition holds; fails when it never does.
