--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -9,6 +9,7 @@
 pub mod log_reader;
 pub mod peers;
 pub mod placement;
+pub mod report_plan;
 pub mod retry_window;
 pub mod run_times;
 pub mod slowness;
--- a/src/host/directory.rs
+++ b/src/host/directory.rs
@@ -84,7 +84,7 @@
         };
         count += usize::from(learn(host, wire, &own).is_ok());
     }
-    host.gate.far_changed.notify_one();
+    host.gate.news.notify_one();
     Ok(count)
 }
 
@@ -113,7 +113,7 @@
                 host.events.count("introductions_refused");
             }
         }
-        host.gate.far_changed.notify_one();
+        host.gate.news.notify_one();
         return;
     }
 }
--- a/src/host/gate_cell.rs
+++ b/src/host/gate_cell.rs
@@ -35,6 +35,8 @@
     pub near_changed: Notify,
     /// Told when hosts of other availability zones should hear of the load.
     pub far_changed: Notify,
+    /// Told when all hosts should hear at once of something other than the load.
+    pub news: Notify,
 }
 
 /// A request that may be sent. Dropping it tells the gate that the request has ended.
@@ -86,6 +88,7 @@
             wakeup_changed: Notify::new(),
             near_changed: Notify::new(),
             far_changed: Notify::new(),
+            news: Notify::new(),
         }
     }
 
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -12,20 +12,14 @@
 
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
-use tokio::time::Instant;
 
 use super::context::Host;
 use super::peer_rpc::WireIntroduction;
 use crate::decision::host::peers::Introduction;
+use crate::decision::host::report_plan::{Cause, Due, ReportPlan};
 use crate::kernel::shards::lock;
 use crate::model::load::HostLoad;
 
-/// Time between two reports without a change, to hosts of the same availability zone.
-const NEAR_PERIOD: Duration = Duration::from_millis(250);
-
-/// Time between two reports without a change, to hosts of other availability zones.
-const FAR_PERIOD: Duration = Duration::from_millis(1_500);
-
 /// Shortest time between two reports.
 const PAUSE: Duration = Duration::from_millis(25);
 
@@ -74,27 +68,19 @@
 impl Reports {
     async fn send(&self) {
         let host = &self.host;
-        let (mut near_due, mut far_due) = (Instant::now(), Instant::now());
+        let mut plan = ReportPlan::default();
         let mut greeted = false;
         loop {
-            let (near_changed, far_changed) = tokio::select! {
+            let next = host.clock.instant_at(plan.next_us());
+            let cause = tokio::select! {
                 () = host.stop.stopped() => return,
-                () = host.gate.far_changed.notified() => (true, true),
-                () = host.gate.near_changed.notified() => (true, false),
-                () = tokio::time::sleep_until(near_due.min(far_due)) => (false, false),
+                () = host.gate.news.notified() => Cause::Urgent,
+                () = host.gate.far_changed.notified() => Cause::FarChange,
+                () = host.gate.near_changed.notified() => Cause::NearChange,
+                () = tokio::time::sleep_until(next.into()) => Cause::Time,
             };
-            let now = Instant::now();
-            let (near, far) = (
-                near_changed || now >= near_due,
-                far_changed || now >= far_due,
-            );
-            if near {
-                near_due = now + NEAR_PERIOD;
-            }
-            if far {
-                far_due = now + FAR_PERIOD;
-            }
-            let targets = self.targets(near, far);
+            let due = plan.due(cause, self.far_hosts(), host.now_us());
+            let targets = self.targets(due);
             let message = if greeted {
                 Message::Load
             } else {
@@ -110,10 +96,21 @@
         }
     }
 
-    fn targets(&self, near: bool, far: bool) -> Vec<IpAddr> {
+    /// Number of hosts in other availability zones.
+    fn far_hosts(&self) -> usize {
+        let peers = lock(&self.host.peers);
+        let addresses = peers.addresses(&self.host.settings.host.zone);
+        addresses.filter(|(_ip, same_zone)| !same_zone).count()
+    }
+
+    fn targets(&self, due: Due) -> Vec<IpAddr> {
         let peers = lock(&self.host.peers);
         let addresses = peers.addresses(&self.host.settings.host.zone);
-        let wanted = addresses.filter(|(_ip, same_zone)| if *same_zone { near } else { far });
+        let wanted = addresses.filter(
+            |(_ip, same_zone)| {
+                if *same_zone { due.near } else { due.far }
+            },
+        );
         wanted.map(|(ip, _same_zone)| ip).collect()
     }
 
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -188,7 +188,7 @@
     );
     drop(state);
     host.gate.with(|gate| gate.set_zone_out(zone_out));
-    host.gate.far_changed.notify_one();
+    host.gate.news.notify_one();
 }
 
 /// Brings a configuration into force unless a newer one is.
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -14,4 +14,5 @@
 mod peers;
 mod placement;
 mod platform;
+mod report_plan;
 mod routes;
