Log the loss of the backend server once, and its return

Change: the gate says whether reach has changed; one line for the loss, one for the return, each failure counted. A health check without an answer is logged for debugging. Test: tests/host/gate.rs, only_a_change_of_reach_is_news (did not compile before: there was no such word).

--- a/src/decision/host/closures.rs
+++ b/src/decision/host/closures.rs
@@ -22,12 +22,12 @@
 }
 
 impl Closures {
-    /// Closes at once, or opens again.
-    pub fn set(&mut self, closure: Closure, closed: bool) {
+    /// Closes at once, or opens again; whether that is a change.
+    pub fn set(&mut self, closure: Closure, closed: bool) -> bool {
         if closed {
-            self.from_us.insert(closure, 0);
+            self.from_us.insert(closure, 0).is_none()
         } else {
-            self.from_us.remove(&closure);
+            self.from_us.remove(&closure).is_some()
         }
     }
 
--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -170,7 +170,6 @@
     /// A cold backend server says so in its health answers, so one of the known start ends any
     /// doubt about its warmth.
     pub fn observe_health(&mut self, health: &Health<'_>, now_us: u64) {
-        self.closures.set(Closure::Unreachable, false);
         let Some(known) = &self.announced else {
             self.health_seen |= health.well;
             return;
@@ -188,9 +187,9 @@
         self.warmth = Warmth::Unknown;
     }
 
-    /// Takes note whether connections to the backend server can be opened.
-    pub fn set_unreachable(&mut self, unreachable: bool) {
-        self.closures.set(Closure::Unreachable, unreachable);
+    /// Takes note whether connections to the backend server can be opened; whether that is news.
+    pub fn set_unreachable(&mut self, unreachable: bool) -> bool {
+        self.closures.set(Closure::Unreachable, unreachable)
     }
 
     /// Takes note whether operators have taken the availability zone out.
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -118,6 +118,19 @@
         self.clock.now_us()
     }
 
+    /// Takes note that no connection to the backend server can be opened; logs the first time.
+    pub fn note_server_unreachable(&self, error: &std::io::Error) {
+        let news = self.gate.with(|gate| gate.set_unreachable(true));
+        self.events.server_unreachable(error, news);
+    }
+
+    /// Takes note that the backend server answers; logs its return.
+    pub fn note_server_reachable(&self) {
+        if self.gate.with(|gate| gate.set_unreachable(false)) {
+            self.events.state("server-reachable", serde_json::json!({}));
+        }
+    }
+
     /// How this node introduces itself.
     pub fn introduction(&self) -> Introduction {
         let announced = self
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -253,9 +253,12 @@
         );
     }
 
-    /// The backend server takes no connections.
-    pub fn server_unreachable(&self, error: &impl Display) {
+    /// The backend server takes no connections; one line when that is news.
+    pub fn server_unreachable(&self, error: &impl Display, news: bool) {
         self.count("server_connect_failures");
+        if !news {
+            return;
+        }
         self.write(
             Weight::Notable,
             "server-unreachable",
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -246,8 +246,7 @@
 
 fn lease(host: &Host, leased: std::io::Result<Lease>) -> Result<Lease, Miss> {
     leased.map_err(|error| {
-        host.events.server_unreachable(&error);
-        host.gate.with(|gate| gate.set_unreachable(true));
+        host.note_server_unreachable(&error);
         Miss::not_sent(RefusalReason::ServerAbsent)
     })
 }
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -76,8 +76,7 @@
     };
     let asked = tokio::time::timeout(TIMEOUT, ask(host, &path)).await;
     if let Ok(Err(error)) = &asked {
-        host.events.server_unreachable(error);
-        host.gate.with(|gate| gate.set_unreachable(true));
+        host.note_server_unreachable(error);
     }
 }
 
@@ -90,23 +89,25 @@
         .exchange(&request, false, ANSWER_LIMITS, |response| {
             answers::facts(response).request_id.is_none()
         });
-    let Ok(response) = exchange.await else {
-        return Ok(());
+    let response = match exchange.await {
+        Ok(response) => response,
+        Err(error) => {
+            log::debug!("probe: a health check got no answer: {}", error.cause);
+            return Ok(());
+        }
     };
+    host.note_server_reachable();
     let facts = answers::facts(&response);
     executor::observe(host, &facts);
     let now_us = host.now_us();
-    host.gate.with(|gate| match &facts.instance {
-        Some(instance) => gate.observe_health(
-            &Health {
-                instance,
-                well: response.head.status == 200,
-                cold_left_us: facts.report.cold_left_us.unwrap_or(0),
-            },
-            now_us,
-        ),
-        None => gate.set_unreachable(false),
-    });
+    if let Some(instance) = &facts.instance {
+        let health = Health {
+            instance,
+            well: response.head.status == 200,
+            cold_left_us: facts.report.cold_left_us.unwrap_or(0),
+        };
+        host.gate.with(|gate| gate.observe_health(&health, now_us));
+    }
     host.server.give_back(lease.connection);
     Ok(())
 }
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -278,6 +278,15 @@
     assert_eq!(refusal(Some(decided[0].1)), Some(RefusalReason::Leaving));
 }
 
+/// A lost backend server is asked again many times a second; one line each is logged for its loss
+/// and its return.
+#[test]
+fn only_a_change_of_reach_is_news() {
+    let mut gate = warm_gate();
+    let told = [true, true, false, false].map(|unreachable| gate.set_unreachable(unreachable));
+    assert_eq!(told, [true, false, true, false]);
+}
+
 #[test]
 fn nothing_is_sent_into_a_zone_that_is_out() {
     let mut gate = warm_gate();
