Let the first hosts of each zone read the log around an outage, and tell the others

Change: only the first three live hosts of a zone keep the short pauses and the nine reads; the others read at four times the pauses and once after the outage, and ask those that have seen more, as always. Tests: tests/host/log_reader.rs counts the reads around an outage of 8 s; tests/host/peers.rs.

--- a/src/decision/host/log_reader.rs
+++ b/src/decision/host/log_reader.rs
@@ -13,6 +13,18 @@
 /// Pauses between the reads that follow a disturbance, in ms.
 const CHECK_PAUSES_MS: [u64; 9] = [100, 200, 300, 500, 700, 1_000, 1_000, 1_500, 2_000];
 
+/// Factor on the pauses after failed reads of a node that others tell of news.
+const RELYING_FACTOR: u64 = 4;
+
+/// Who finds out after a disturbance what the log holds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReadRole {
+    /// This node: it is among the first of its availability zone.
+    First,
+    /// Others, which pass on what they read; this node reads seldom.
+    Relying,
+}
+
 /// The next read.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NextRead {
@@ -60,14 +72,18 @@
     }
 
     /// The read after one that ended so.
-    pub fn next(&mut self, end: ReadEnd) -> NextRead {
+    pub fn next(&mut self, end: ReadEnd, role: ReadRole) -> NextRead {
         match end {
             ReadEnd::Failed => {
                 let place = self.failures.min(FAILURE_PAUSES_MS.len() - 1);
                 self.failures += 1;
                 self.checks = Some(0);
+                let factor = match role {
+                    ReadRole::First => 1,
+                    ReadRole::Relying => RELYING_FACTOR,
+                };
                 return NextRead::Newest {
-                    pause_ms: FAILURE_PAUSES_MS[place],
+                    pause_ms: FAILURE_PAUSES_MS[place] * factor,
                 };
             }
             ReadEnd::Deleted => {
@@ -82,7 +98,7 @@
             ReadEnd::Newest | ReadEnd::Records | ReadEnd::Nothing => self.failures = 0,
         }
         match self.checks {
-            Some(place) if place < CHECK_PAUSES_MS.len() => {
+            Some(place) if place < CHECK_PAUSES_MS.len() && role == ReadRole::First => {
                 self.checks = Some(place + 1);
                 NextRead::Newest {
                     pause_ms: CHECK_PAUSES_MS[place],
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -139,6 +139,13 @@
         following.count() < FOLLOWERS_PER_ZONE
     }
 
+    /// Whether the host at `own` is among the first live hosts of its availability zone.
+    pub fn is_among_first(&self, own: IpAddr, zone: &ZoneName, now_us: u64) -> bool {
+        let before = self.peers.range(..own).map(|(_address, peer)| peer);
+        let live = before.filter(|peer| peer.introduction.zone == *zone && peer.is_live(now_us));
+        live.count() < FOLLOWERS_PER_ZONE
+    }
+
     /// Counts a request as outstanding at a host.
     pub fn sent(&mut self, address: IpAddr) {
         if let Some(peer) = self.peers.get_mut(&address) {
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -7,7 +7,7 @@
 
 use super::context::Host;
 use crate::decision::host::keyed_state::KeyedRecord;
-use crate::decision::host::log_reader::{LogReader, NextRead, ReadEnd};
+use crate::decision::host::log_reader::{LogReader, NextRead, ReadEnd, ReadRole};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::model::host_config::HostConfig;
@@ -63,7 +63,7 @@
                 ReadEnd::Failed
             }
         };
-        next = reader.next(end);
+        next = reader.next(end, read_role(host));
     }
 }
 
@@ -121,6 +121,15 @@
     false
 }
 
+fn read_role(host: &Host) -> ReadRole {
+    let own = &host.settings.host;
+    if lock(&host.peers).is_among_first(own.ip, &own.zone, host.now_us()) {
+        ReadRole::First
+    } else {
+        ReadRole::Relying
+    }
+}
+
 fn is_to_follow(host: &Host) -> bool {
     let own = &host.settings.host;
     lock(&host.peers).is_to_follow(own.ip, &own.zone, host.now_us())
--- a/tests/host/log_reader.rs
+++ b/tests/host/log_reader.rs
@@ -1,7 +1,7 @@
 //! What is read next of a log that is late, stale or forgetful.
 
 use bronzelock::decision::host::keyed_state::{KeyedRecord, KeyedState};
-use bronzelock::decision::host::log_reader::{LogReader, NextRead, ReadEnd};
+use bronzelock::decision::host::log_reader::{LogReader, NextRead, ReadEnd, ReadRole};
 use bytes::Bytes;
 
 fn pause_ms(next: NextRead) -> u64 {
@@ -18,14 +18,14 @@
     let mut reader = LogReader::default();
     assert!(pause_ms(reader.first()) == 0);
     assert!(matches!(
-        reader.next(ReadEnd::Newest),
+        reader.next(ReadEnd::Newest, ReadRole::First),
         NextRead::Follow { .. }
     ));
-    let mut read_at_ms = pause_ms(reader.next(ReadEnd::Failed));
+    let mut read_at_ms = pause_ms(reader.next(ReadEnd::Failed, ReadRole::First));
     let mut reads_in_two_s = 0;
     while read_at_ms < 2_000 {
         reads_in_two_s += 1;
-        read_at_ms += pause_ms(reader.next(ReadEnd::Newest));
+        read_at_ms += pause_ms(reader.next(ReadEnd::Newest, ReadRole::First));
     }
     assert!(reads_in_two_s >= 5, "{reads_in_two_s} reads");
 }
@@ -33,8 +33,8 @@
 #[test]
 fn checks_end_when_nothing_more_is_disturbed() {
     let mut reader = LogReader::default();
-    reader.next(ReadEnd::Deleted);
-    let ends = (0..20).map(|_| reader.next(ReadEnd::Newest));
+    reader.next(ReadEnd::Deleted, ReadRole::First);
+    let ends = (0..20).map(|_| reader.next(ReadEnd::Newest, ReadRole::First));
     assert!(
         ends.into_iter()
             .any(|next| matches!(next, NextRead::Follow { .. }))
@@ -45,12 +45,50 @@
 fn failures_are_retried_at_growing_pauses() {
     let mut reader = LogReader::default();
     let pauses: Vec<u64> = (0..6)
-        .map(|_| pause_ms(reader.next(ReadEnd::Failed)))
+        .map(|_| pause_ms(reader.next(ReadEnd::Failed, ReadRole::First)))
         .collect();
     assert!(pauses.is_sorted(), "{pauses:?}");
     assert!(pauses[5] <= 1_000, "{pauses:?}");
 }
 
+/// Reads of one node in an outage of 8 s and in the 10 s after it.
+fn reads_around_an_outage(role: ReadRole) -> usize {
+    let mut reader = LogReader::default();
+    let mut reads = 0;
+    let mut at_ms = 0;
+    while at_ms < 18_000 {
+        let end = if at_ms < 8_000 {
+            ReadEnd::Failed
+        } else {
+            ReadEnd::Newest
+        };
+        reads += 1;
+        at_ms += match reader.next(end, role) {
+            NextRead::Newest { pause_ms } => pause_ms,
+            NextRead::Follow { wait_ms } => wait_ms,
+        };
+    }
+    reads
+}
+
+/// adcs-mesh-grown trouble-3: in an outage of the log 104 nodes read it every 0.8 s, and each of
+/// them nine times after it.
+#[test]
+fn nodes_that_others_tell_of_news_read_seldom_around_an_outage() {
+    let first = reads_around_an_outage(ReadRole::First);
+    let relying = reads_around_an_outage(ReadRole::Relying);
+    assert!(relying <= 6, "{relying} reads");
+    assert!(first >= 15, "{first} reads");
+}
+
+/// Only a failing log makes a node wait; it must notice the return within some seconds.
+#[test]
+fn a_relying_node_reads_again_within_a_few_seconds() {
+    let mut reader = LogReader::default();
+    let pauses = (0..9).map(|_| pause_ms(reader.next(ReadEnd::Failed, ReadRole::Relying)));
+    assert!(pauses.max() <= Some(3_500));
+}
+
 fn record(key: &str, value: Option<&'static str>, offset: u64) -> KeyedRecord {
     KeyedRecord {
         key: key.into(),
--- a/tests/host/peers.rs
+++ b/tests/host/peers.rs
@@ -71,4 +71,12 @@
         peers.is_to_follow(own, &zone, 20 * MS),
         "one of them lost the log service"
     );
+    assert!(
+        !peers.is_among_first(own, &zone, 20 * MS),
+        "three live hosts come before it"
+    );
+    assert!(
+        peers.is_among_first(own, &zone, 6_000 * MS),
+        "all of them fell silent"
+    );
 }
