--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -8,7 +8,7 @@
 use super::placement::Candidate;
 use crate::decision::routing::{Health, ReturnKind};
 use crate::model::ids::Incarnation;
-use crate::model::load::{HostLoad, ServerState};
+use crate::model::load::HostLoad;
 use crate::model::names::{ServiceName, ZoneName};
 use crate::model::units::US_PER_S;
 
@@ -210,10 +210,7 @@
 
 impl Peer {
     fn takes_work(&self) -> bool {
-        self.load.is_none_or(|load| match load.state {
-            ServerState::Cold | ServerState::Warm => true,
-            ServerState::Leaving | ServerState::Out | ServerState::Absent => false,
-        })
+        self.load.is_none_or(|load| load.state.takes_work())
     }
 
     fn candidate(&self, own_zone: &ZoneName, now_us: u64) -> Candidate {
--- a/src/decision/host/work.rs
+++ b/src/decision/host/work.rs
@@ -1,5 +1,6 @@
 //! What is asked of a gate and what it says.
 
+pub use crate::model::host_request::{ServerReport, Timing};
 use crate::model::load::ServerState;
 use crate::model::reasons::RefusalReason;
 
@@ -18,19 +19,6 @@
     pub timing: Timing,
 }
 
-/// What is expected of a request.
-#[derive(Debug, Clone, Copy)]
-pub struct Timing {
-    /// Its usual run time, in µs.
-    pub usual_run_us: f64,
-    /// When its answer should be there, in µs.
-    pub objective_at_us: u64,
-    /// When its answer must be there, in µs.
-    pub deadline_us: u64,
-    /// Time in which another host is expected to answer, in µs; infinite if there is none.
-    pub other_finish_us: f64,
-}
-
 /// A refusal; the request was not sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GateRefusal {
@@ -60,17 +48,6 @@
     Elsewhere,
 }
 
-/// What an answer of the backend server told of it.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct ServerReport {
-    /// Requests that it runs at once.
-    pub slots: Option<u32>,
-    /// How long work takes now, in percent of its usual time.
-    pub slowness_percent: Option<u32>,
-    /// How much longer it is cold, in µs.
-    pub cold_left_us: Option<u64>,
-}
-
 /// A health answer of the backend server.
 #[derive(Debug, Clone, Copy)]
 pub struct Health<'a> {
--- a/src/edge/http1/head.rs
+++ b/src/edge/http1/head.rs
@@ -167,13 +167,8 @@
 
 fn keeps_alive(version: Option<u8>, headers: &[Header]) -> bool {
     let says = |word: &str| {
-        let values = headers
-            .iter()
-            .filter(|header| header.is_named("connection"));
-        values
-            .filter_map(|header| std::str::from_utf8(&header.value).ok())
-            .flat_map(|value| value.split(','))
-            .any(|option| option.trim().eq_ignore_ascii_case(word))
+        let mut options = connection_options(headers);
+        options.any(|option| option.eq_ignore_ascii_case(word))
     };
     match version {
         Some(1) => !says("close"),
@@ -181,15 +176,18 @@
     }
 }
 
-/// Headers that are passed on: all but those of this connection.
-pub fn forwarded(headers: &[Header]) -> Vec<Header> {
-    let named: Vec<&str> = headers
+/// Options of the Connection header (RFC 9110, section 7.6.1).
+fn connection_options(headers: &[Header]) -> impl Iterator<Item = &str> {
+    let values = headers
         .iter()
         .filter(|header| header.is_named("connection"))
-        .filter_map(|header| std::str::from_utf8(&header.value).ok())
-        .flat_map(|value| value.split(','))
-        .map(str::trim)
-        .collect();
+        .filter_map(|header| std::str::from_utf8(&header.value).ok());
+    values.flat_map(|value| value.split(',')).map(str::trim)
+}
+
+/// Headers that are passed on: all but those of this connection.
+pub fn forwarded(headers: &[Header]) -> Vec<Header> {
+    let named: Vec<&str> = connection_options(headers).collect();
     let concerns_connection = |header: &&Header| {
         CONNECTION_HEADERS.iter().any(|name| header.is_named(name))
             || header.is_named("expect")
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -82,7 +82,7 @@
                 Ok(answer) => return Ok(answer),
                 Err(miss) => self.after_miss(miss, &mut progress),
             };
-            if !retry || self.host.now_us() >= self.work.deadline_us {
+            if !retry || self.host.now_us() >= self.work.timing.deadline_us {
                 continue;
             }
             if let Some(next) = self.place(&progress) {
@@ -144,8 +144,8 @@
         let others = peers.candidates(self.service, &host.settings.host.zone, now_us);
         let all = own.into_iter().chain(others);
         let wanted = Wanted {
-            usual_run_us: self.work.usual_run_us,
-            objective_left_us: self.work.objective_at_us.saturating_sub(now_us) as f64,
+            usual_run_us: self.work.timing.usual_run_us,
+            objective_left_us: self.work.timing.objective_at_us.saturating_sub(now_us) as f64,
         };
         placement::choose(all, &progress.tried, wanted, rand::random())
     }
@@ -154,11 +154,7 @@
         let host = self.host;
         let load = host.gate.load();
         let serves = host.introduction().service == *self.service;
-        let open = matches!(
-            load.state,
-            crate::model::load::ServerState::Cold | crate::model::load::ServerState::Warm
-        );
-        (serves && open).then_some(Candidate {
+        (serves && load.state.takes_work()).then_some(Candidate {
             address: None,
             same_zone: true,
             load: Some(load),
@@ -179,7 +175,7 @@
         let host = self.host;
         let mut work = self.work.clone();
         let is_last = progress.refusals + 1 >= REFUSALS_MAX;
-        work.other_finish_us = if is_last {
+        work.timing.other_finish_us = if is_last {
             // Nothing is left to send it on to: better late than refused.
             f64::INFINITY
         } else {
@@ -208,7 +204,7 @@
             .get(ip)
             .map(|peer| peer.introduction.incarnation);
         let now_us = host.now_us();
-        let left = Duration::from_micros(self.work.deadline_us.saturating_sub(now_us));
+        let left = Duration::from_micros(self.work.timing.deadline_us.saturating_sub(now_us));
         let wire = WireWork::new(work, now_us);
         let miss = match host.peer_clients.run(address, wire, left).await {
             Ok(reply) => {
@@ -250,8 +246,8 @@
         let address = host.peer_address(ip);
         let give_up_us = host.now_us() + SETTLE_MAX.as_micros() as u64;
         let incarnation = incarnation.unwrap_or_default();
-        while host.now_us() < give_up_us.min(self.work.deadline_us) {
-            let left_us = self.work.deadline_us.saturating_sub(host.now_us());
+        while host.now_us() < give_up_us.min(self.work.timing.deadline_us) {
+            let left_us = self.work.timing.deadline_us.saturating_sub(host.now_us());
             let asked = host.peer_clients.settle(
                 address,
                 &self.work.id,
--- a/src/host/entry.rs
+++ b/src/host/entry.rs
@@ -13,7 +13,7 @@
 use crate::kernel::shards::lock;
 use crate::model::header::Header;
 use crate::model::host_config::{CallerBounds, HostConfig, Route};
-use crate::model::host_request::{CallerRequest, HostWork, ServerAnswer};
+use crate::model::host_request::{CallerRequest, HostWork, ServerAnswer, Timing};
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 use crate::model::units::US_PER_MS;
@@ -91,7 +91,7 @@
     let work = work(host, request, &route, arrived_us);
     let (result, deadline_us) = (
         run(host, &route, &service, work.clone()).await,
-        work.deadline_us,
+        work.timing.deadline_us,
     );
     match result {
         Ok(answer) => response(host, &id, &route, &config, answer, arrived_us, deadline_us),
@@ -120,10 +120,12 @@
         invested: host
             .gate
             .with(|gate| gate.is_call_of_running(caller_deadline_us)),
-        deadline_us: arrived_us + wait_us.min(route.timeout_us),
-        objective_at_us: arrived_us + route.objective_us,
-        other_finish_us: f64::INFINITY,
-        usual_run_us: lock(&host.run_times).usual_us(&route.name),
+        timing: Timing {
+            usual_run_us: lock(&host.run_times).usual_us(&route.name),
+            objective_at_us: arrived_us + route.objective_us,
+            deadline_us: arrived_us + wait_us.min(route.timeout_us),
+            other_finish_us: f64::INFINITY,
+        },
         method: request.method,
         target: request.target,
         headers,
@@ -138,7 +140,7 @@
     work: HostWork,
 ) -> Result<ServerAnswer, Miss> {
     lock(&host.retries).note_request(service, host.now_us());
-    let deadline = host.clock.instant_at(work.deadline_us);
+    let deadline = host.clock.instant_at(work.timing.deadline_us);
     let attempts = Attempts {
         host,
         route,
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -18,7 +18,7 @@
 use super::outcome::{Miss, Outcome, RunFacts};
 use super::probe;
 use crate::decision::host::claims::{Claim, ClaimError};
-use crate::decision::host::gate::{HostGate, Pace, Timing, Work};
+use crate::decision::host::gate::{HostGate, Pace, Work};
 use crate::edge::http1::Response;
 use crate::edge::http1::client::ExchangeError;
 use crate::kernel::shards::lock;
@@ -117,7 +117,7 @@
     let admitted = host.gate.admit(Work {
         rank: work.rank,
         invested: work.invested,
-        timing: timing(work),
+        timing: work.timing,
     });
     let admitted = tokio::select! {
         admitted = admitted => admitted,
@@ -154,7 +154,7 @@
             in_flight: Some(load.in_flight),
             limit: Some(load.limit),
             slowness_percent: Some(load.slowness_percent),
-            left_ms: Some(work.deadline_us.saturating_sub(host.now_us()) / 1_000),
+            left_ms: Some(work.timing.deadline_us.saturating_sub(host.now_us()) / 1_000),
             state: Some(load.state),
             ..Detail::default()
         },
@@ -174,7 +174,7 @@
         let started_us = host.now_us();
         let cleared = host.gate.with(|gate| {
             facts.slowness = gate.slowness(started_us);
-            gate.clear_to_send(admitted.id, work.deadline_us, started_us)
+            gate.clear_to_send(admitted.id, work.timing.deadline_us, started_us)
         });
         let instance = match cleared {
             Ok(instance) => instance,
@@ -218,24 +218,14 @@
     }
 }
 
-fn timing(work: &HostWork) -> Timing {
-    Timing {
-        usual_run_us: work.usual_run_us,
-        objective_at_us: work.objective_at_us,
-        deadline_us: work.deadline_us,
-        other_finish_us: work.other_finish_us,
-    }
-}
-
 /// Holds an admitted request while its backend server is slow, if that pays.
 async fn await_pace(host: &Arc<Host>, work: &HostWork) -> Result<(), Miss> {
-    let timing = timing(work);
     loop {
         if host.gate.with(|gate| gate.slowness_age_us(host.now_us())) > SLOWNESS_AGE_MAX_US {
             probe::refresh(host).await;
         }
         let now_us = host.now_us();
-        let pace = host.gate.with(|gate| gate.pace(&timing, now_us));
+        let pace = host.gate.with(|gate| gate.pace(&work.timing, now_us));
         match pace {
             Pace::Now => return Ok(()),
             Pace::Elsewhere => return Err(Miss::not_sent(RefusalReason::ServerSlow)),
@@ -263,7 +253,7 @@
     instance: Option<&str>,
     now_us: u64,
 ) -> Result<Response, Lost> {
-    let left_us = work.deadline_us.saturating_sub(now_us);
+    let left_us = work.timing.deadline_us.saturating_sub(now_us);
     let request = requests::encode(work, instance, left_us);
     let belongs = |response: &Response| {
         let facts = answers::facts(response);
@@ -276,7 +266,7 @@
     let exchange = lease
         .connection
         .exchange(&request, head_only, ANSWER_LIMITS, belongs);
-    let deadline = host.clock.instant_at(work.deadline_us);
+    let deadline = host.clock.instant_at(work.timing.deadline_us);
     match tokio::time::timeout_at(deadline.into(), exchange).await {
         Ok(Ok(response)) => Ok(response),
         Ok(Err(error)) => Err(Lost::Exchange(error)),
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -10,7 +10,7 @@
 use crate::decision::host::keyed_state::KeyedRecord;
 use crate::decision::host::peers::Introduction;
 use crate::model::header::Header;
-use crate::model::host_request::{HostWork, ServerAnswer};
+use crate::model::host_request::{HostWork, ServerAnswer, Timing};
 use crate::model::ids::Incarnation;
 use crate::model::load::HostLoad;
 use crate::model::names::{NameError, ServiceName, ZoneName};
@@ -85,10 +85,10 @@
             effect: work.effect,
             rank: work.rank,
             invested: work.invested,
-            left_us: work.deadline_us.saturating_sub(now_us),
-            usual_run_us: work.usual_run_us as u32,
-            objective_left_us: work.objective_at_us.saturating_sub(now_us),
-            other_finish_us: work.other_finish_us as u32,
+            left_us: work.timing.deadline_us.saturating_sub(now_us),
+            usual_run_us: work.timing.usual_run_us as u32,
+            objective_left_us: work.timing.objective_at_us.saturating_sub(now_us),
+            other_finish_us: work.timing.other_finish_us as u32,
             method: work.method.clone(),
             target: work.target.clone(),
             headers: to_wire(work.headers.clone()),
@@ -103,10 +103,12 @@
             effect: self.effect,
             rank: self.rank,
             invested: self.invested,
-            deadline_us: now_us.saturating_add(self.left_us),
-            usual_run_us: f64::from(self.usual_run_us),
-            objective_at_us: now_us.saturating_add(self.objective_left_us),
-            other_finish_us: f64::from(self.other_finish_us),
+            timing: Timing {
+                usual_run_us: f64::from(self.usual_run_us),
+                objective_at_us: now_us.saturating_add(self.objective_left_us),
+                deadline_us: now_us.saturating_add(self.left_us),
+                other_finish_us: f64::from(self.other_finish_us),
+            },
             method: self.method,
             target: self.target,
             headers: from_wire(self.headers),
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -6,7 +6,6 @@
 
 use super::header::Header;
 use super::request::Effect;
-use crate::decision::host::gate::ServerReport;
 
 /// Statuses from here on say that the backend server failed a request.
 pub const SERVER_ERROR_MIN: u16 = 500;
@@ -30,6 +29,19 @@
     pub body: Bytes,
 }
 
+/// What is expected of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Timing {
+    /// Its usual run time, in µs.
+    pub usual_run_us: f64,
+    /// When its answer should be there, in µs of this node's clock.
+    pub objective_at_us: u64,
+    /// When its answer must be there, in µs of this node's clock.
+    pub deadline_us: u64,
+    /// Time in which another host is expected to answer, in µs; infinite if there is none.
+    pub other_finish_us: f64,
+}
+
 /// A request on its way to one backend server.
 #[derive(Debug, Clone)]
 pub struct HostWork {
@@ -41,14 +53,8 @@
     pub rank: u8,
     /// Whether a backend server made it while it worked on another request.
     pub invested: bool,
-    /// When the answer must be there, in µs of this node's clock.
-    pub deadline_us: u64,
-    /// Its usual run time, in µs.
-    pub usual_run_us: f64,
-    /// When the answer should be there, in µs of this node's clock.
-    pub objective_at_us: u64,
-    /// Time in which another host is expected to answer, in µs; infinite if there is none.
-    pub other_finish_us: f64,
+    /// What is expected of it.
+    pub timing: Timing,
     /// Method.
     pub method: String,
     /// Path and query.
@@ -77,6 +83,17 @@
     }
 }
 
+/// What an answer of the backend server told of it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ServerReport {
+    /// Requests that it runs at once.
+    pub slots: Option<u32>,
+    /// How long work takes now, in percent of its usual time.
+    pub slowness_percent: Option<u32>,
+    /// How much longer it is cold, in µs.
+    pub cold_left_us: Option<u64>,
+}
+
 /// What the headers of a backend server's answer tell of it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AnswerFacts {
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -20,6 +20,16 @@
     Absent,
 }
 
+impl ServerState {
+    /// Whether new work is taken.
+    pub fn takes_work(self) -> bool {
+        match self {
+            Self::Cold | Self::Warm => true,
+            Self::Leaving | Self::Out | Self::Absent => false,
+        }
+    }
+}
+
 /// A gate's load at one moment. Newer reports of one incarnation have a higher sequence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
