Soak: backend servers that are slow, mute, failing, cut or confuse answers; a failure prints its faults and trail

Four times in each soak a backend server with good health treats requests badly. Drawn apart, so that the other faults of a seed stay as they were. A failed seed prints its planned faults and what 'bronzelock explain' says of the first request with a broken promise.

--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -6,11 +6,12 @@
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus, Stdio};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde_json::json;
 use standins::platform::announcer::{Announcer, Told};
-use standins::platform::backend_server::{BackendServer, BackendServerSettings};
+use standins::platform::backend_server::{BackendServer, BackendServerSettings, SharedMood};
 use standins::platform::ledger::Ledger;
 use standins::proxy::Proxy;
 use tokio::sync::oneshot;
@@ -77,6 +78,8 @@
     /// What passes to the backend server.
     pub server_link: Proxy,
     pub node: Program,
+    /// How the backend server treats requests.
+    pub mood: SharedMood,
     node_started: Instant,
     server: Option<ServerLife>,
     settings: PathBuf,
@@ -135,6 +138,7 @@
             peer_link: proxy(addresses.peers(), addresses.inner_peers()).await,
             server_link: proxy(addresses.server(), addresses.inner_server()).await,
             node: spawn_logging(&settings, &log),
+            mood: SharedMood::default(),
             node_started: Instant::now(),
             server: None,
             settings,
@@ -209,7 +213,8 @@
             settings.service.clone(),
             self.place.zone.to_owned(),
         );
-        let server = BackendServer::start(settings, self.ledger.clone()).await;
+        let server =
+            BackendServer::start(settings, self.ledger.clone(), Arc::clone(&self.mood)).await;
         let server = server.expect("the backend server starts");
         let (end, ended) = oneshot::channel();
         let task = tokio::spawn(live(server, announcer, ended, self.ledger.clone()));
--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -66,6 +66,28 @@
     EndedWrongly { host: usize, exit: ExitStatus },
 }
 
+impl Violation {
+    /// The request that it is about, where it is one.
+    pub fn request_id(&self) -> Option<&str> {
+        match self {
+            Self::RanTwice { id }
+            | Self::RefusedYetRan { id, .. }
+            | Self::ForeignAnswer { id }
+            | Self::LostByRestart { id }
+            | Self::Unanswered { id } => Some(id),
+            Self::NeverSent { run }
+            | Self::WrongService { run }
+            | Self::StaleRoute { run }
+            | Self::AfterLeave { run }
+            | Self::AfterZoneOut { run }
+            | Self::TooMuchTime { run } => Some(&run.request_id),
+            Self::ColdOverrun { .. } | Self::WorkAfterClose { .. } | Self::EndedWrongly { .. } => {
+                None
+            }
+        }
+    }
+}
+
 /// Finds every broken promise.
 pub fn violations(facts: &Facts) -> Vec<Violation> {
     let runs = runs_by_id(facts);
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -3,6 +3,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use standins::log_service::DownMode;
+use standins::platform::backend_server::Mood;
 use standins::proxy::{Direction, Harm, LinkState};
 
 use crate::system::PLACES;
@@ -13,6 +14,9 @@
 /// Faults of one soak.
 const FAULTS: usize = 14;
 
+/// Times in one soak in which a backend server treats requests badly.
+const MOODS: usize = 4;
+
 /// Shortest and longest fault, in ms.
 const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
 
@@ -58,6 +62,8 @@
     ServerCrash,
     /// The backend server leaves and another one starts.
     ServerLeave,
+    /// The backend server treats requests badly while its health is good.
+    ServerMood(Mood),
     /// A route is moved to the other service.
     RouteMove,
     /// The availability zone of the host is taken out.
@@ -86,10 +92,33 @@
             fault,
         });
     }
+    events.extend(draw_moods(seed));
     events.sort_by_key(|event| event.at_ms);
     events
 }
 
+/// Drawn apart, so that the other faults of a seed stay the same.
+fn draw_moods(seed: u64) -> impl Iterator<Item = Event> {
+    let mut random = StdRng::seed_from_u64(!seed);
+    (0..MOODS).map(move |_| Event {
+        fault: Fault::ServerMood(draw_mood(&mut random)),
+        at_ms: random.random_range(0..FAULTS_MS),
+        for_ms: random.random_range(LENGTH_MS),
+        host: random.random_range(0..PLACES.len()),
+    })
+}
+
+fn draw_mood(random: &mut StdRng) -> Mood {
+    match random.random_range(0..6) {
+        0 => Mood::Slow(random.random_range(2..9)),
+        1 => Mood::Mute,
+        2 => Mood::Failing,
+        3 => Mood::CutBefore,
+        4 => Mood::CutDuring,
+        _ => Mood::ForeignId,
+    }
+}
+
 fn draw_fault(random: &mut StdRng) -> Fault {
     match random.random_range(0..16) {
         0 => Fault::Kill,
--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -7,9 +7,11 @@
 mod run;
 
 use std::panic::AssertUnwindSafe;
+use std::process::Command;
 
 use futures::FutureExt;
 
+use checks::Violation;
 use run::soak;
 
 /// Variables that ask for further seeds: the first, and how many.
@@ -21,9 +23,11 @@
     let violations = &report.violations;
     assert!(
         violations.is_empty(),
-        "seed {seed}: {violations:#?}\ndisturbances: {:?}\nrestarts: {:?}\nlogs: {:?}",
+        "seed {seed}: {violations:#?}\nfaults: {:#?}\ndisturbances: {:?}\nrestarts: {:?}\n{}logs: {:?}",
+        report.events,
         report.facts.disturbances,
         report.facts.restarts,
+        trail(violations, &report.logs),
         report.logs,
     );
     let (served, owed) = (report.served_at_end, report.owed_at_end);
@@ -39,6 +43,19 @@
     );
 }
 
+/// What the nodes' logs say of the first request with a broken promise.
+fn trail(violations: &[Violation], logs: &[String]) -> String {
+    let Some(id) = violations.iter().find_map(Violation::request_id) else {
+        return String::new();
+    };
+    let explained = Command::new(env!("CARGO_BIN_EXE_bronzelock"))
+        .args(["explain", "--id", id])
+        .args(logs)
+        .output()
+        .expect("the binary runs");
+    String::from_utf8_lossy(&explained.stdout).into_owned()
+}
+
 fn number(variable: &str) -> Option<u64> {
     let text = std::env::var(variable).ok()?;
     Some(text.parse().expect("a whole number"))
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -1,12 +1,13 @@
 //! Plays the faults of one seed on a running system.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use futures::future::join_all;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use standins::log_service::DownMode;
+use standins::platform::backend_server::Mood;
 use standins::platform::names::OPERATOR_TOPIC;
 use standins::platform::store::StoreFaults;
 use standins::proxy::{LinkState, Proxy};
@@ -36,6 +37,8 @@
 #[derive(Debug)]
 pub struct Report {
     pub facts: Facts,
+    /// The faults that were planned.
+    pub events: Vec<Event>,
     pub violations: Vec<Violation>,
     /// Requests sent in the last part of the quiet time, and those of them that were served.
     pub owed_at_end: usize,
@@ -62,7 +65,7 @@
         () = soak.watch(&callers) => {}
     }
     let attempts = callers.finish().await;
-    soak.report(attempts).await
+    soak.report(attempts, events).await
 }
 
 struct Soak<'a> {
@@ -125,7 +128,7 @@
         facts.now_ms = now_ms;
     }
 
-    async fn report(&self, attempts: Vec<Attempt>) -> Report {
+    async fn report(&self, attempts: Vec<Attempt>, events: Vec<Event>) -> Report {
         self.gather(attempts);
         let mut logs = Vec::new();
         for (host, site) in self.system.sites.iter().enumerate() {
@@ -148,6 +151,7 @@
         let served = |outcome: &&Outcome| matches!(outcome, Outcome::Answered { status: 200, .. });
         Report {
             violations: violations(&facts),
+            events,
             owed_at_end: at_end.len(),
             served_at_end: at_end.iter().filter(served).count(),
             facts,
@@ -188,6 +192,7 @@
             Fault::Compaction => self.system.store.compact(OPERATOR_TOPIC),
             Fault::ServerCrash => self.replace_server(event.host, ServerEnd::Crash).await,
             Fault::ServerLeave => self.replace_server(event.host, ServerEnd::Leave).await,
+            Fault::ServerMood(mood) => self.spoil(event.host, mood, length).await,
             Fault::RouteMove => self.move_route().await,
             Fault::ZoneOut => self.take_zone_out(PLACES[event.host].zone).await,
         }
@@ -300,6 +305,16 @@
         }
     }
 
+    async fn spoil(&self, host: usize, mood: Mood, length: Duration) {
+        let disturbance = self.begun(Part::Server(host));
+        let shared = Arc::clone(&self.site(host).await.mood);
+        let set = |mood| *shared.lock().unwrap_or_else(PoisonError::into_inner) = mood;
+        set(mood);
+        tokio::time::sleep(length).await;
+        set(Mood::Well);
+        self.ended(disturbance);
+    }
+
     async fn move_route(&self) {
         let mut operator = self.system.operator.lock().await;
         operator.move_route(&self.system.store);
