--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -10,6 +10,7 @@
 use std::process::Command;
 
 use futures::FutureExt;
+use tokio::sync::Semaphore;
 
 use checks::Violation;
 use run::soak;
@@ -18,7 +19,13 @@
 const FIRST_SEED: &str = "BRONZELOCK_SOAK_FIRST";
 const SEEDS: &str = "BRONZELOCK_SOAK_SEEDS";
 
+/// Soaks that run at once, so that they do not take each other's processors.
+const AT_ONCE: usize = 3;
+
+static PLACES_TO_RUN: Semaphore = Semaphore::const_new(AT_ONCE);
+
 async fn check(seed: u64) {
+    let _place = PLACES_TO_RUN.acquire().await.expect("never closed");
     let report = soak(seed).await;
     let violations = &report.violations;
     assert!(
@@ -77,9 +84,12 @@
     short_soak_2(2);
     // SIGHUP right after a restart, before the process handles signals; it ended by the signal.
     hung_up_while_starting(213);
+    hung_up_while_starting_again(111);
+    hung_up_while_starting_once_more(204);
     // SIGTERM right after a restart, before the process handles signals; it ended by the signal.
     terminated_while_starting(113);
     terminated_while_starting_again(127);
+    terminated_while_starting_once_more(144);
 }
 
 /// Seeds that scripts/soak.sh asks for, one after the other; none without it.
