--- a/standins/src/http/listener.rs
+++ b/standins/src/http/listener.rs
@@ -1,5 +1,6 @@
 //! Accepts connections and serves each until the listener stops.
 
+use std::future::pending;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,8 +36,10 @@
         Duration::ZERO
     }
 
-    /// Completes when the connection has to be cut at once.
-    fn connection_cut(connection: &Self::Connection) -> impl Future<Output = ()> + Send;
+    /// Completes when the connection has to be cut at once; by default never.
+    fn connection_cut(_connection: &Self::Connection) -> impl Future<Output = ()> + Send {
+        pending()
+    }
 
     /// Answers one request, or cuts its connection.
     fn answer(
--- a/standins/src/log_service/api.rs
+++ b/standins/src/log_service/api.rs
@@ -1,7 +1,6 @@
 //! HTTP interface of the log stand-in.
 
 use std::collections::HashMap;
-use std::future::pending;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -238,10 +237,6 @@
 
     fn connection_opened(&self) {}
 
-    fn connection_cut((): &()) -> impl Future<Output = ()> + Send {
-        pending()
-    }
-
     async fn answer(
         self: Arc<Self>,
         _connection: Arc<()>,
