--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -1,4 +1,4 @@
-//! Loopback proxy that harms the TCP connections that pass through it.
+//! Loopback proxy that disturbs the TCP connections that pass through it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -54,9 +54,9 @@
     }
 }
 
-/// How the connections that are open now are harmed for good.
+/// How the connections that are open now fail for good.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Harm {
+pub enum ConnectionFault {
     /// They are reset.
     Reset,
     /// They go silent; new ones work.
@@ -74,8 +74,8 @@
 struct Link {
     server: SocketAddr,
     state: watch::Sender<LinkState>,
-    /// The harm done last to the connections that were open then, and how often any was done.
-    harmed: watch::Sender<(u64, Harm)>,
+    /// How many faults were injected, and the last, which struck the connections that were open then.
+    faulted: watch::Sender<(u64, ConnectionFault)>,
 }
 
 impl Proxy {
@@ -88,7 +88,7 @@
         let link = Arc::new(Link {
             server,
             state: watch::Sender::default(),
-            harmed: watch::Sender::new((0, Harm::Reset)),
+            faulted: watch::Sender::new((0, ConnectionFault::Reset)),
         });
         let stop = CancellationToken::new();
         tokio::spawn(accept_all(listener, Arc::clone(&link), stop.clone()));
@@ -100,11 +100,11 @@
         self.link.state.send_replace(state);
     }
 
-    /// Harms the connections that are open now.
-    pub fn harm(&self, harm: Harm) {
-        self.link.harmed.send_modify(|(count, last)| {
+    /// Makes the connections that are open now fail.
+    pub fn inject(&self, fault: ConnectionFault) {
+        self.link.faulted.send_modify(|(count, last)| {
             *count += 1;
-            *last = harm;
+            *last = fault;
         });
     }
 }
@@ -143,7 +143,7 @@
 }
 
 async fn pass_on(link: &Link, opened: TcpStream) {
-    let mut harmed = link.harmed.subscribe();
+    let mut faulted = link.faulted.subscribe();
     wait_until_passable(&mut link.state.subscribe(), Direction::Forward).await;
     let accepted = match TcpStream::connect(link.server).await {
         Ok(accepted) => accepted,
@@ -162,15 +162,15 @@
         Direction::Forward,
     );
     let back = copy(&mut from_acceptor, &mut to_opener, state(), Direction::Back);
-    let harm = tokio::select! {
+    let fault = tokio::select! {
         ended = async { tokio::try_join!(forward, back) } => {
-            ended.err().map(|_broken| Harm::Reset)
+            ended.err().map(|_broken| ConnectionFault::Reset)
         }
-        changed = harmed.changed() => changed.ok().map(|()| harmed.borrow().1),
+        changed = faulted.changed() => changed.ok().map(|()| faulted.borrow().1),
     };
-    match harm {
-        Some(Harm::Silence) => std::future::pending().await,
-        Some(Harm::Reset) => {
+    match fault {
+        Some(ConnectionFault::Silence) => std::future::pending().await,
+        Some(ConnectionFault::Reset) => {
             reset(from_opener.as_ref());
             reset(from_acceptor.as_ref());
         }
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -11,7 +11,7 @@
 
 use serde_json::json;
 use standins::platform::announcer::{Announcer, Told};
-use standins::platform::backend_server::{BackendServer, BackendServerSettings, SharedMood};
+use standins::platform::backend_server::{BackendServer, BackendServerSettings, SharedBehaviour};
 use standins::platform::ledger::Ledger;
 use standins::proxy::Proxy;
 use tokio::sync::oneshot;
@@ -79,7 +79,7 @@
     pub server_link: Proxy,
     pub node: Program,
     /// How the backend server treats requests.
-    pub mood: SharedMood,
+    pub behaviour: SharedBehaviour,
     node_started: Instant,
     server: Option<ServerLife>,
     settings: PathBuf,
@@ -138,7 +138,7 @@
             peer_link: proxy(addresses.peers(), addresses.inner_peers()).await,
             server_link: proxy(addresses.server(), addresses.inner_server()).await,
             node: spawn_logging(&settings, &log),
-            mood: SharedMood::default(),
+            behaviour: SharedBehaviour::default(),
             node_started: Instant::now(),
             server: None,
             settings,
@@ -214,7 +214,7 @@
             self.place.zone.to_owned(),
         );
         let server =
-            BackendServer::start(settings, self.ledger.clone(), Arc::clone(&self.mood)).await;
+            BackendServer::start(settings, self.ledger.clone(), Arc::clone(&self.behaviour)).await;
         let server = server.expect("the backend server starts");
         let (end, ended) = oneshot::channel();
         let task = tokio::spawn(live(server, announcer, ended, self.ledger.clone()));
--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -216,7 +216,7 @@
     judged && !allowed.any(|change| change.to == run.service)
 }
 
-/// Bytes that a harmed link held back say nothing of the time at which they were sent.
+/// Bytes that a disturbed link held back say nothing of the time at which they were sent.
 fn is_after_leave(facts: &Facts, run: &Run) -> bool {
     let server = Part::Server(host_of(&run.instance));
     let mut leaves = facts
--- a/tests/host_processes/soak/facts.rs
+++ b/tests/host_processes/soak/facts.rs
@@ -22,7 +22,7 @@
     Store,
 }
 
-/// A time in which something was harmed.
+/// A time in which something was disturbed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Disturbance {
     pub part: Part,
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -3,8 +3,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use standins::log_service::DownMode;
-use standins::platform::backend_server::Mood;
-use standins::proxy::{Direction, Harm, LinkState};
+use standins::platform::backend_server::Behaviour;
+use standins::proxy::{ConnectionFault, Direction, LinkState};
 
 use crate::system::PLACES;
 
@@ -15,7 +15,7 @@
 const FAULTS: usize = 14;
 
 /// Times in one soak in which a backend server treats requests badly.
-const MOODS: usize = 4;
+const BEHAVIOUR_CHANGES: usize = 4;
 
 /// Shortest and longest fault, in ms.
 const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
@@ -26,7 +26,7 @@
 /// Longest lateness of a link, in ms.
 const LATE_MS_MAX: u64 = 120;
 
-/// A link of a host that a proxy harms.
+/// A link of a host that a proxy disturbs.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkName {
     /// From other nodes.
@@ -51,7 +51,7 @@
     /// A link is late or cut.
     Link(LinkName, LinkState),
     /// Connections of a link are reset or go silent.
-    Harm(LinkName, Harm),
+    Connections(LinkName, ConnectionFault),
     /// The log service is away.
     StoreDown(DownMode),
     /// Appends are carried out without an answer.
@@ -63,7 +63,7 @@
     /// The backend server leaves and another one starts.
     ServerLeave,
     /// The backend server treats requests badly while its health is good.
-    ServerMood(Mood),
+    ServerBehaviour(Behaviour),
     /// A route is moved to the other service.
     RouteMove,
     /// The availability zone of the host is taken out.
@@ -92,30 +92,30 @@
             fault,
         });
     }
-    events.extend(draw_moods(seed));
+    events.extend(draw_behaviours(seed));
     events.sort_by_key(|event| event.at_ms);
     events
 }
 
 /// Drawn apart, so that the other faults of a seed stay the same.
-fn draw_moods(seed: u64) -> impl Iterator<Item = Event> {
+fn draw_behaviours(seed: u64) -> impl Iterator<Item = Event> {
     let mut random = StdRng::seed_from_u64(!seed);
-    (0..MOODS).map(move |_| Event {
-        fault: Fault::ServerMood(draw_mood(&mut random)),
+    (0..BEHAVIOUR_CHANGES).map(move |_| Event {
+        fault: Fault::ServerBehaviour(draw_behaviour(&mut random)),
         at_ms: random.random_range(0..FAULTS_MS),
         for_ms: random.random_range(LENGTH_MS),
         host: random.random_range(0..PLACES.len()),
     })
 }
 
-fn draw_mood(random: &mut StdRng) -> Mood {
+fn draw_behaviour(random: &mut StdRng) -> Behaviour {
     match random.random_range(0..6) {
-        0 => Mood::Slow(random.random_range(2..9)),
-        1 => Mood::Mute,
-        2 => Mood::Failing,
-        3 => Mood::CutBefore,
-        4 => Mood::CutDuring,
-        _ => Mood::ForeignId,
+        0 => Behaviour::Slow(random.random_range(2..9)),
+        1 => Behaviour::Mute,
+        2 => Behaviour::Failing,
+        3 => Behaviour::CutBefore,
+        4 => Behaviour::CutDuring,
+        _ => Behaviour::ForeignId,
     }
 }
 
@@ -126,7 +126,7 @@
         2 | 3 => Fault::Restart,
         4 => Fault::Hangup,
         5 | 6 => Fault::Link(draw_link(random), draw_state(random)),
-        7 | 8 => Fault::Harm(draw_link(random), draw_harm(random)),
+        7 | 8 => Fault::Connections(draw_link(random), draw_connection_fault(random)),
         9 => Fault::StoreDown(draw_down(random)),
         10 => Fault::AppendAnswersLost,
         11 => Fault::Compaction,
@@ -154,11 +154,11 @@
     }
 }
 
-fn draw_harm(random: &mut StdRng) -> Harm {
+fn draw_connection_fault(random: &mut StdRng) -> ConnectionFault {
     if random.random() {
-        Harm::Reset
+        ConnectionFault::Reset
     } else {
-        Harm::Silence
+        ConnectionFault::Silence
     }
 }
 
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -7,7 +7,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use standins::log_service::DownMode;
-use standins::platform::backend_server::Mood;
+use standins::platform::backend_server::Behaviour;
 use standins::platform::names::OPERATOR_TOPIC;
 use standins::platform::store::StoreFaults;
 use standins::proxy::{LinkState, Proxy};
@@ -169,17 +169,17 @@
             Fault::Restart => self.restart(event.host).await,
             Fault::Hangup => self.hang_up(event.host).await,
             Fault::Link(link, state) => self.degrade(event.host, link, state, length).await,
-            Fault::Harm(link, harm) => {
+            Fault::Connections(link, fault) => {
                 let site = self.site(event.host).await;
                 self.disturbed(part_of(link, event.host), self.now_ms());
-                proxy_of(&site, link).harm(harm);
+                proxy_of(&site, link).inject(fault);
             }
             Fault::StoreDown(down) => {
                 let faults = StoreFaults {
                     down,
                     ..StoreFaults::default()
                 };
-                self.harm_store(faults, length).await;
+                self.degrade_store(faults, length).await;
             }
             Fault::AppendAnswersLost => {
                 let faults = StoreFaults {
@@ -187,12 +187,14 @@
                     loses_append_answers: true,
                     ..StoreFaults::default()
                 };
-                self.harm_store(faults, length).await;
+                self.degrade_store(faults, length).await;
             }
             Fault::Compaction => self.system.store.compact(OPERATOR_TOPIC),
             Fault::ServerCrash => self.replace_server(event.host, ServerEnd::Crash).await,
             Fault::ServerLeave => self.replace_server(event.host, ServerEnd::Leave).await,
-            Fault::ServerMood(mood) => self.spoil(event.host, mood, length).await,
+            Fault::ServerBehaviour(behaviour) => {
+                self.misbehave(event.host, behaviour, length).await;
+            }
             Fault::RouteMove => self.move_route().await,
             Fault::ZoneOut => self.take_zone_out(PLACES[event.host].zone).await,
         }
@@ -285,7 +287,7 @@
         self.ended(disturbance);
     }
 
-    async fn harm_store(&self, faults: StoreFaults, length: Duration) {
+    async fn degrade_store(&self, faults: StoreFaults, length: Duration) {
         let disturbance = self.begun(Part::Store);
         self.system.store.set_faults(faults);
         tokio::time::sleep(length).await;
@@ -305,13 +307,13 @@
         }
     }
 
-    async fn spoil(&self, host: usize, mood: Mood, length: Duration) {
+    async fn misbehave(&self, host: usize, behaviour: Behaviour, length: Duration) {
         let disturbance = self.begun(Part::Server(host));
-        let shared = Arc::clone(&self.site(host).await.mood);
-        let set = |mood| *shared.lock().unwrap_or_else(PoisonError::into_inner) = mood;
-        set(mood);
+        let shared = Arc::clone(&self.site(host).await.behaviour);
+        let set = |behaviour| *shared.lock().unwrap_or_else(PoisonError::into_inner) = behaviour;
+        set(behaviour);
         tokio::time::sleep(length).await;
-        set(Mood::Well);
+        set(Behaviour::Well);
         self.ended(disturbance);
     }
 
