One limit says when a request must begin, for offers, waiting requests and wake-ups

The deadline and the end of a leaving backend server were each weighed in three places (the offer, the queue, the next wake-up), with the same arithmetic. decision/host/latest_begin now gives the earlier of the two with its reason; the gate asks it in all three. What is refused and when stays as it was; where both limits have passed, the reason in the log is now the one that came first, in offers as in the queue. No test changed.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -6,6 +6,7 @@
 use super::announced::{AnnouncedState, Announcement, Novelty};
 use super::closures::{Closure, Closures};
 use super::cold_rate::ColdRate;
+use super::latest_begin::LatestBegins;
 use super::slowness::Slowness;
 use super::waiting::{Moment, Waiting, WaitingRequests};
 pub use super::work::{
@@ -25,9 +26,6 @@
 /// Requests per second that a cold backend server bears while its service is not configured.
 const COLD_RATE_UNKNOWN: f64 = 2.0;
 
-/// Part of the expected run time that must be left before the deadline.
-const RUN_PART_NEEDED: f64 = 0.7;
-
 /// Expected finishes that must fit before an objective or a deadline that is to be met.
 pub const FINISH_MARGIN: f64 = 1.5;
 
@@ -253,11 +251,9 @@
         }
         let waiting = Waiting { id, work };
         let wait_us = self.expected_wait_us(&waiting, now_us);
-        if !self.ends_before_leave(&work, wait_us, now_us) {
-            return Some(self.refuse(RefusalReason::Leaving, now_us));
-        }
-        if !self.is_reachable(&work, wait_us, now_us) {
-            return Some(self.refuse(RefusalReason::DeadlineUnreachable, now_us));
+        let latest = self.latest_begins(now_us).of(&work);
+        if now_us + wait_us as u64 >= latest.at_us {
+            return Some(self.refuse(latest.reason, now_us));
         }
         if self.waiting.is_empty() && self.has_room(now_us) {
             self.dispatch(id, &work, now_us);
@@ -311,8 +307,7 @@
             decided.extend(waiting.map(|waiting| (waiting.id, refusal)));
             return;
         }
-        self.refuse_overdue(now_us, decided);
-        self.refuse_those_that_outlast_the_server(now_us, decided);
+        self.refuse_late(now_us, decided);
         let moment = self.moment(now_us);
         while self.has_room(now_us) {
             let Some(first) = self.waiting.take_first(moment) else {
@@ -331,14 +326,8 @@
 
     /// When waiting requests must be looked at again, in µs.
     pub fn next_wakeup_us(&self, now_us: u64) -> Option<u64> {
-        let serves_until_us = self.closures.from_us(Closure::ServerLeaving);
-        let refused_at_us = |waiting: &Waiting| {
-            let needed_us = self.needed_us(&waiting.work, now_us);
-            let overdue_us = waiting.work.timing.deadline_us.saturating_sub(needed_us);
-            let run_us = self.run_us_with_margin(&waiting.work, now_us);
-            let leave_us = serves_until_us.map(|until_us| until_us.saturating_sub(run_us));
-            leave_us.map_or(overdue_us, |leave_us| leave_us.min(overdue_us))
-        };
+        let latest = self.latest_begins(now_us);
+        let refused_at_us = |waiting: &Waiting| latest.of(&waiting.work).at_us;
         let refused_us = self.waiting.iter().map(refused_at_us).min()?;
         let cold_us = if self.is_cold(now_us) {
             self.cold_rate.next_us()
@@ -489,50 +478,23 @@
         (ahead - free + 1) as f64 * self.run_us * self.slowness(now_us) / limit as f64
     }
 
-    fn needed_us(&self, work: &Work, now_us: u64) -> u64 {
-        (work.timing.usual_run_us * self.slowness(now_us) * RUN_PART_NEEDED) as u64
-    }
-
-    fn is_reachable(&self, work: &Work, wait_us: f64, now_us: u64) -> bool {
-        let end_us = now_us + wait_us as u64 + self.needed_us(work, now_us);
-        end_us < work.timing.deadline_us
-    }
-
-    fn refuse_overdue(&mut self, now_us: u64, decided: &mut Vec<(WorkId, Verdict)>) {
-        let refusal = self.refuse(RefusalReason::DeadlineUnreachable, now_us);
-        let slow_run = self.slowness(now_us) * RUN_PART_NEEDED;
-        let overdue = self.waiting.take_if(|waiting| {
-            let timing = &waiting.work.timing;
-            now_us + (timing.usual_run_us * slow_run) as u64 >= timing.deadline_us
-        });
-        decided.extend(overdue.into_iter().map(|waiting| (waiting.id, refusal)));
-    }
-
-    fn run_us_with_margin(&self, work: &Work, now_us: u64) -> u64 {
-        (work.timing.usual_run_us * self.slowness(now_us) * FINISH_MARGIN) as u64
-    }
-
-    /// Whether work that begins after `wait_us` ends while a leaving backend server still serves.
-    fn ends_before_leave(&self, work: &Work, wait_us: f64, now_us: u64) -> bool {
-        let serves_until_us = self.closures.from_us(Closure::ServerLeaving);
-        let end_us = now_us + wait_us as u64 + self.run_us_with_margin(work, now_us);
-        serves_until_us.is_none_or(|until_us| end_us < until_us)
+    fn latest_begins(&self, now_us: u64) -> LatestBegins {
+        LatestBegins {
+            slowness: self.slowness(now_us),
+            serves_until_us: self.closures.from_us(Closure::ServerLeaving),
+        }
     }
 
-    fn refuse_those_that_outlast_the_server(
-        &mut self,
-        now_us: u64,
-        decided: &mut Vec<(WorkId, Verdict)>,
-    ) {
-        let Some(until_us) = self.closures.from_us(Closure::ServerLeaving) else {
-            return;
-        };
-        let refusal = self.refuse(RefusalReason::Leaving, now_us);
-        let slow_run = self.slowness(now_us) * FINISH_MARGIN;
-        let outlasting = self.waiting.take_if(|waiting| {
-            now_us + (waiting.work.timing.usual_run_us * slow_run) as u64 >= until_us
-        });
-        decided.extend(outlasting.into_iter().map(|waiting| (waiting.id, refusal)));
+    /// Refuses what waits and can no longer begin in time.
+    fn refuse_late(&mut self, now_us: u64, decided: &mut Vec<(WorkId, Verdict)>) {
+        let latest = self.latest_begins(now_us);
+        let late = self
+            .waiting
+            .take_if(|waiting| now_us >= latest.of(&waiting.work).at_us);
+        for waiting in late {
+            let reason = latest.of(&waiting.work).reason;
+            decided.push((waiting.id, self.refuse(reason, now_us)));
+        }
     }
 
     fn refuse(&self, reason: RefusalReason, now_us: u64) -> Verdict {
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -6,6 +6,7 @@
 pub mod cold_rate;
 pub mod gate;
 pub mod keyed_state;
+pub mod latest_begin;
 pub mod log_reader;
 pub mod peers;
 pub mod placement;
