Call what stood already, and copy requests less

Found on reading the change since: - binding a listener with reuse stood in plugins/caller and again in host/node: edge/listen serves both; three spawns of an HTTP listener are one function; - whether a state takes work was matched in three more places: ServerState::takes_work; - the random half of pauses and of Retry-After: host/jitter; live hosts before this one: peers; - 'connections do not end' stood in three handlers: the trait's default; - the path of health checks was looked up by both callers of ask(); - a request was copied whole to read its deadline afterwards, and again for each hop between nodes; the headers of an answer were decoded twice to read its identifier; hosts were listed twice for each report; - two test programs each had the wait for a condition and the choice of loopback addresses. Behaviour, bounds and assertions are unchanged; the stubs of a trait method went from two test handlers.

--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -132,18 +132,24 @@
     /// Whether the host at `own` is to follow the operators' log: the first few live hosts of each
     /// availability zone that can do, and pass on what they read.
     pub fn is_to_follow(&self, own: IpAddr, zone: &ZoneName, now_us: u64) -> bool {
-        let before = self.peers.range(..own).map(|(_address, peer)| peer);
-        let following = before.filter(|peer| {
-            peer.introduction.zone == *zone && peer.follows_log && peer.is_live(now_us)
-        });
-        following.count() < FOLLOWERS_PER_ZONE
+        let before = self.live_before(own, zone, now_us);
+        before.filter(|peer| peer.follows_log).count() < FOLLOWERS_PER_ZONE
     }
 
     /// Whether the host at `own` is among the first live hosts of its availability zone.
     pub fn is_among_first(&self, own: IpAddr, zone: &ZoneName, now_us: u64) -> bool {
+        self.live_before(own, zone, now_us).count() < FOLLOWERS_PER_ZONE
+    }
+
+    /// Live hosts of an availability zone whose addresses come before `own`.
+    fn live_before<'a>(
+        &'a self,
+        own: IpAddr,
+        zone: &'a ZoneName,
+        now_us: u64,
+    ) -> impl Iterator<Item = &'a Peer> {
         let before = self.peers.range(..own).map(|(_address, peer)| peer);
-        let live = before.filter(|peer| peer.introduction.zone == *zone && peer.is_live(now_us));
-        live.count() < FOLLOWERS_PER_ZONE
+        before.filter(move |peer| peer.introduction.zone == *zone && peer.is_live(now_us))
     }
 
     /// Counts a request as outstanding at a host.
--- a/src/decision/host/run_times.rs
+++ b/src/decision/host/run_times.rs
@@ -15,10 +15,15 @@
     routes: HashMap<Arc<str>, f64>,
 }
 
+/// Time that a run of `run_us` usually takes, in µs, given how slow the backend server was.
+pub fn usual_us(run_us: u64, slowness: f64) -> f64 {
+    run_us as f64 / slowness.max(1.0)
+}
+
 impl RunTimes {
     /// Records a run of `run_us` on a backend server that was `slowness` times slower than usual.
     pub fn record(&mut self, route: &Arc<str>, run_us: u64, slowness: f64) {
-        let usual_us = run_us as f64 / slowness.max(1.0);
+        let usual_us = usual_us(run_us, slowness);
         match self.routes.get_mut(route) {
             Some(average_us) => *average_us += (usual_us - *average_us) * WEIGHT,
             None => {
--- a/src/decision/routing/table.rs
+++ b/src/decision/routing/table.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use crate::model::ids::Incarnation;
-use crate::model::load::{LoadReport, ServerState};
+use crate::model::load::LoadReport;
 use crate::model::names::ServerName;
 
 use super::health::Health;
@@ -59,10 +59,8 @@
         if self.taken_out {
             return false;
         }
-        match self.report.as_ref().map(|held| held.report.state) {
-            None | Some(ServerState::Cold | ServerState::Warm) => true,
-            Some(ServerState::Leaving | ServerState::Out | ServerState::Absent) => false,
-        }
+        let held = self.report.as_ref();
+        held.is_none_or(|held| held.report.state.takes_work())
     }
 
     /// Keeps a report unless a newer one is held; says whether it was kept.
--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -57,8 +57,10 @@
         caller: SocketAddr,
     ) -> impl Future<Output = Response> + Send;
 
-    /// Whether connections are to end after the answers that are due.
-    fn is_closing(&self) -> bool;
+    /// Whether connections are to end after the answers that are due; by default not.
+    fn is_closing(&self) -> bool {
+        false
+    }
 }
 
 /// Accepts connections until `stop` closes the listeners.
@@ -140,18 +142,18 @@
         let mut pending = FuturesOrdered::new();
         let mut reading = true;
         loop {
-            if !reading && pending.is_empty() && self.unwritten.is_empty() {
+            let idle = pending.is_empty() && self.unwritten.is_empty();
+            if idle && !reading {
                 return self.linger().await;
             }
             let limits = self.handler.limits();
-            let idle = pending.is_empty() && self.unwritten.is_empty();
             let within = self.reader.is_within_message();
             let wait = if within {
                 limits.head_timeout
             } else {
                 limits.idle_timeout
             };
-            let timed = idle && reading && pending.is_empty();
+            let timed = idle && reading;
             let room = if reading {
                 pending.len() < PIPELINED_MAX
             } else {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -7,6 +7,7 @@
 pub mod http1;
 pub mod http_exchange;
 pub mod http_server;
+pub mod listen;
 pub mod log_client;
 pub mod peer_client;
 pub mod peer_rpc;
--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -43,10 +43,6 @@
         }
         Response::own(200, Vec::new(), "{}")
     }
-
-    fn is_closing(&self) -> bool {
-        false
-    }
 }
 
 fn announce(host: &Host, announcement: Announcement) {
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -153,7 +153,7 @@
     fn own_candidate(&self) -> Option<Candidate> {
         let host = self.host;
         let load = host.gate.load();
-        let serves = host.introduction().service == *self.service;
+        let serves = host.service() == *self.service;
         (serves && load.state.takes_work()).then_some(Candidate {
             address: None,
             same_zone: true,
@@ -184,7 +184,7 @@
         async move {
             let outcome = match placement.candidate.address {
                 None => executor::run(host, work).await,
-                Some(ip) => self.forward(ip, &work).await,
+                Some(ip) => self.forward(ip, work).await,
             };
             if outcome.facts.run_us > 0
                 && outcome.result.as_ref().is_ok_and(|a| !a.is_server_error())
@@ -196,7 +196,7 @@
         }
     }
 
-    async fn forward(&self, ip: IpAddr, work: &HostWork) -> Outcome {
+    async fn forward(&self, ip: IpAddr, work: HostWork) -> Outcome {
         let host = self.host;
         let address = host.peer_address(ip);
         let outstanding = Outstanding::new(host, ip);
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -23,6 +23,7 @@
 use crate::kernel::tasks::Tasks;
 use crate::model::host_config::HostConfig;
 use crate::model::ids::Incarnation;
+use crate::model::names::ServiceName;
 use crate::model::units::{US_PER_MS, US_PER_S};
 use crate::settings::host::HostSettings;
 
@@ -131,16 +132,21 @@
         }
     }
 
-    /// How this node introduces itself.
-    pub fn introduction(&self) -> Introduction {
+    /// Service of the backend server: what it announced, or what the settings say until then.
+    pub fn service(&self) -> ServiceName {
         let announced = self
             .gate
-            .with(|gate| gate.announced().map(|a| a.service.clone()));
+            .with(|gate| gate.announced().map(|known| known.service.clone()));
+        announced.unwrap_or_else(|| self.settings.backend_server.service.clone())
+    }
+
+    /// How this node introduces itself.
+    pub fn introduction(&self) -> Introduction {
         Introduction {
             address: self.settings.host.ip,
             incarnation: self.incarnation,
             zone: self.settings.host.zone.clone(),
-            service: announced.unwrap_or_else(|| self.settings.backend_server.service.clone()),
+            service: self.service(),
         }
     }
 
--- a/src/host/directory.rs
+++ b/src/host/directory.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::context::Host;
+use super::jitter::up_to_half_more;
 use super::peer_rpc::WireIntroduction;
 use crate::decision::host::peers::Introduction;
 use crate::kernel::StepError;
@@ -50,14 +51,10 @@
             }
         }
         let pause_ms = RETRY_PAUSES_MS[attempt.min(RETRY_PAUSES_MS.len() - 1)];
-        tokio::time::sleep(jittered(pause_ms)).await;
+        tokio::time::sleep(Duration::from_millis(up_to_half_more(pause_ms))).await;
     }
 }
 
-fn jittered(pause_ms: u64) -> Duration {
-    Duration::from_millis(pause_ms + rand::random::<u64>() % (pause_ms / 2).max(1))
-}
-
 async fn write_and_read(
     host: &Arc<Host>,
     store: &mut StoreClient,
--- a/src/host/entry.rs
+++ b/src/host/entry.rs
@@ -7,6 +7,7 @@
 use super::attempts::Attempts;
 use super::context::Host;
 use super::events::Completed;
+use super::jitter::up_to_half_more;
 use super::outcome::Miss;
 use crate::edge::http1::server::{Handler, ServerLimits};
 use crate::edge::http1::{MessageLimits, Request, Response};
@@ -89,11 +90,8 @@
         );
     };
     let work = work(host, request, &route, arrived_us);
-    let (result, deadline_us) = (
-        run(host, &route, &service, work.clone()).await,
-        work.timing.deadline_us,
-    );
-    match result {
+    let deadline_us = work.timing.deadline_us;
+    match run(host, &route, &service, work).await {
         Ok(answer) => response(host, &id, &route, &config, answer, arrived_us, deadline_us),
         Err(miss) => refusal(host, &id, Some(&route), &miss, arrived_us),
     }
@@ -198,7 +196,8 @@
     };
     if status == 503 {
         let base_us = miss.retry_after_us.unwrap_or(RETRY_AFTER_DEFAULT_US);
-        headers.push(answers::retry_after(spread(base_us)));
+        // Refused requests must not return together.
+        headers.push(answers::retry_after(up_to_half_more(base_us)));
     }
     let problem = serde_json::json!({
         "title": miss.reason.as_str(),
@@ -209,11 +208,6 @@
     Response::own(status, headers, problem.to_string())
 }
 
-/// Spreads returns over half of the time again, so that refused requests do not return together.
-fn spread(base_us: u64) -> u64 {
-    base_us + rand::random::<u64>() % (base_us / 2).max(1)
-}
-
 fn json() -> Header {
     Header::new("Content-Type", "application/problem+json")
 }
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -19,6 +19,7 @@
 use super::probe;
 use crate::decision::host::claims::{Claim, ClaimError};
 use crate::decision::host::gate::{HostGate, Pace, Work};
+use crate::decision::host::run_times::usual_us;
 use crate::edge::http1::Response;
 use crate::edge::http1::client::ExchangeError;
 use crate::kernel::shards::lock;
@@ -193,7 +194,7 @@
                 host.server.give_back(lease.connection);
                 let checked = check(host, &answer_facts, response)?;
                 if checked.head.status < SERVER_ERROR_MIN {
-                    admitted.usual_run_us = Some(facts.run_us as f64 / facts.slowness.max(1.0));
+                    admitted.usual_run_us = Some(usual_us(facts.run_us, facts.slowness));
                 }
                 return Ok(checked);
             }
@@ -255,13 +256,8 @@
 ) -> Result<Response, Lost> {
     let left_us = work.timing.deadline_us.saturating_sub(now_us);
     let request = requests::encode(work, instance, left_us);
-    let belongs = |response: &Response| {
-        let facts = answers::facts(response);
-        match &facts.request_id {
-            Some(id) => id.as_str() == work.id.as_ref(),
-            None => true,
-        }
-    };
+    let belongs =
+        |response: &Response| answers::request_id_of(response).is_none_or(|id| id == &*work.id);
     let head_only = work.method == "HEAD";
     let exchange = lease
         .connection
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -16,7 +16,7 @@
 use super::context::Host;
 use super::peer_rpc::WireIntroduction;
 use crate::decision::host::peers::Introduction;
-use crate::decision::host::report_plan::{Cause, Due, ReportPlan};
+use crate::decision::host::report_plan::{Cause, ReportPlan};
 use crate::kernel::shards::lock;
 use crate::model::load::HostLoad;
 
@@ -79,8 +79,12 @@
                 () = host.gate.near_changed.notified() => Cause::NearChange,
                 () = tokio::time::sleep_until(next.into()) => Cause::Time,
             };
-            let due = plan.due(cause, self.far_hosts(), host.now_us());
-            let targets = self.targets(due);
+            let hosts = self.hosts();
+            let far_hosts = hosts.iter().filter(|(_ip, same_zone)| !same_zone).count();
+            let due = plan.due(cause, far_hosts, host.now_us());
+            let wanted = |same_zone: bool| if same_zone { due.near } else { due.far };
+            let targets = hosts.iter().filter(|(_ip, same_zone)| wanted(*same_zone));
+            let targets: Vec<IpAddr> = targets.map(|(ip, _same_zone)| *ip).collect();
             let message = if greeted {
                 Message::Load
             } else {
@@ -96,22 +100,10 @@
         }
     }
 
-    /// Number of hosts in other availability zones.
-    fn far_hosts(&self) -> usize {
+    /// Addresses of all known hosts and whether each stands in this node's availability zone.
+    fn hosts(&self) -> Vec<(IpAddr, bool)> {
         let peers = lock(&self.host.peers);
-        let addresses = peers.addresses(&self.host.settings.host.zone);
-        addresses.filter(|(_ip, same_zone)| !same_zone).count()
-    }
-
-    fn targets(&self, due: Due) -> Vec<IpAddr> {
-        let peers = lock(&self.host.peers);
-        let addresses = peers.addresses(&self.host.settings.host.zone);
-        let wanted = addresses.filter(
-            |(_ip, same_zone)| {
-                if *same_zone { due.near } else { due.far }
-            },
-        );
-        wanted.map(|(ip, _same_zone)| ip).collect()
+        peers.addresses(&self.host.settings.host.zone).collect()
     }
 
     fn hello(&self, reply_wanted: bool) -> Message {
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod executor;
 pub mod gate_cell;
+mod jitter;
 pub mod latency;
 pub mod load_reports;
 mod log_writer;
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpSocket, UdpSocket};
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 
 use super::announcements::AnnouncementHandler;
@@ -12,17 +12,18 @@
 use super::entry::CallerHandler;
 use super::ready::ReadyHandler;
 use super::{directory, load_reports, operator_log, peer_server, probe};
-use crate::edge::http1::server;
+use crate::edge::http1::server::{self, Handler};
+use crate::edge::listen::{BACKLOG, bind};
 use crate::kernel::StepError;
 use crate::kernel::node::StopSignals;
 use crate::settings::host::HostSettings;
 
-/// Connections that wait to be accepted.
-const BACKLOG: u32 = 1_024;
-
 /// Files and sockets kept back for everything but callers.
 const FILES_RESERVED: u64 = 400;
 
+/// Callers' connections at least, however few files there are.
+const CALLER_CONNECTIONS_MIN: usize = 64;
+
 /// Connections for questions and announcements.
 const SMALL_LISTENER_CONNECTIONS_MAX: usize = 32;
 
@@ -74,12 +75,12 @@
 
 /// Binds all addresses and starts all parts.
 async fn start(host: &Arc<Host>) -> Result<(), StepError> {
-    let listen = &host.settings.listen;
-    let callers = bind(listen.callers)?;
-    let peers = bind(listen.peers)?;
-    let ready = bind(listen.ready)?;
-    let announcements = bind(listen.announcements)?;
-    let udp = SocketAddr::new(host.settings.host.ip, listen.shared_port_first);
+    let addresses = &host.settings.listen;
+    let callers = listen(addresses.callers)?;
+    let peers = listen(addresses.peers)?;
+    let ready = listen(addresses.ready)?;
+    let announcements = listen(addresses.announcements)?;
+    let udp = SocketAddr::new(host.settings.host.ip, addresses.shared_port_first);
     let reports = UdpSocket::bind(udp).await;
     let reports = reports.map_err(|cause| StepError::with_peer("bind", udp, cause))?;
 
@@ -91,30 +92,11 @@
         / 2;
     let tasks = &host.tasks;
     let small = SMALL_LISTENER_CONNECTIONS_MAX;
-    let handler = Arc::new(CallerHandler(Arc::clone(host)));
-    tasks.spawn(server::serve(
-        handler,
-        callers,
-        connections_max.max(64),
-        tasks.clone(),
-        host.stop.clone(),
-    ));
-    let handler = Arc::new(ReadyHandler(Arc::clone(host)));
-    tasks.spawn(server::serve(
-        handler,
-        ready,
-        small,
-        tasks.clone(),
-        host.stop.clone(),
-    ));
-    let handler = Arc::new(AnnouncementHandler(Arc::clone(host)));
-    tasks.spawn(server::serve(
-        handler,
-        announcements,
-        small,
-        tasks.clone(),
-        host.stop.clone(),
-    ));
+    let callers_max = connections_max.max(CALLER_CONNECTIONS_MIN);
+    serve(host, CallerHandler(Arc::clone(host)), callers, callers_max);
+    serve(host, ReadyHandler(Arc::clone(host)), ready, small);
+    let handler = AnnouncementHandler(Arc::clone(host));
+    serve(host, handler, announcements, small);
     tasks.spawn(peer_server::serve(Arc::clone(host), peers));
     tasks.spawn(load_reports::run(Arc::clone(host), reports));
     tasks.spawn(directory::join(Arc::clone(host)));
@@ -125,16 +107,20 @@
     Ok(())
 }
 
-fn bind(address: SocketAddr) -> Result<TcpListener, StepError> {
-    let error = |cause: std::io::Error| StepError::with_peer("bind", address, cause);
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4(),
-        SocketAddr::V6(_) => TcpSocket::new_v6(),
-    };
-    let socket = socket.map_err(error)?;
-    socket.set_reuseaddr(true).map_err(error)?;
-    socket.bind(address).map_err(error)?;
-    socket.listen(BACKLOG).map_err(error)
+/// Serves HTTP on a listener until the node stops.
+fn serve(host: &Host, handler: impl Handler, listener: TcpListener, connections_max: usize) {
+    host.tasks.spawn(server::serve(
+        Arc::new(handler),
+        listener,
+        connections_max,
+        host.tasks.clone(),
+        host.stop.clone(),
+    ));
+}
+
+fn listen(address: SocketAddr) -> Result<TcpListener, StepError> {
+    let listener = bind(address).and_then(|socket| socket.listen(BACKLOG));
+    listener.map_err(|cause| StepError::with_peer("bind", address, cause))
 }
 
 /// Whether a caller or another node waits for an answer.
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -231,7 +231,7 @@
 
 /// Tells the gate what a cold backend server of its service bears.
 fn set_cold_rate(host: &Host, config: &HostConfig) {
-    let service = host.introduction().service;
+    let service = host.service();
     if let Some(bounds) = config.services.get(&service) {
         let rate = bounds.cold_requests_per_s;
         host.gate.with(|gate| gate.set_cold_rate(rate));
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -79,7 +79,7 @@
 
 impl WireWork {
     /// Makes the wire form at `now_us` of the sender's clock.
-    pub fn new(work: &HostWork, now_us: u64) -> Self {
+    pub fn new(work: HostWork, now_us: u64) -> Self {
         Self {
             id: work.id.as_ref().to_owned(),
             effect: work.effect,
@@ -89,10 +89,10 @@
             usual_run_us: work.timing.usual_run_us as u32,
             objective_left_us: work.timing.objective_at_us.saturating_sub(now_us),
             other_finish_us: work.timing.other_finish_us as u32,
-            method: work.method.clone(),
-            target: work.target.clone(),
-            headers: to_wire(work.headers.clone()),
-            body: work.body.clone(),
+            method: work.method,
+            target: work.target,
+            headers: to_wire(work.headers),
+            body: work.body,
         }
     }
 
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -7,7 +7,6 @@
 use super::context::Host;
 use super::executor;
 use crate::decision::host::gate::Health;
-use crate::model::names::ServiceName;
 use crate::model::request::Effect;
 use crate::model::units::{US_PER_MS, US_PER_S};
 use crate::platform::{answers, requests};
@@ -54,40 +53,37 @@
 }
 
 /// Path of the health endpoint of the service beside this node.
-fn health_path(host: &Host, service: &ServiceName) -> Option<Arc<str>> {
+fn health_path(host: &Host) -> Option<Arc<str>> {
     let config = host.config.load();
-    let bounds = config.as_ref()?.services.get(service)?;
+    let bounds = config.as_ref()?.services.get(&host.service())?;
     Some(Arc::clone(&bounds.health_path))
 }
 
 /// Asks for the load right before work is sent, and waits only briefly for the answer.
 pub async fn refresh(host: &Arc<Host>) {
-    let service = host.introduction().service;
-    if let Some(path) = health_path(host, &service) {
-        // Whether it came in time shows in the age of the figures.
-        let _asked = tokio::time::timeout(REFRESH_TIMEOUT, ask(host, &path)).await;
-    }
+    // Whether it came in time shows in the age of the figures.
+    let _asked = tokio::time::timeout(REFRESH_TIMEOUT, ask(host)).await;
 }
 
 async fn probe(host: &Arc<Host>) {
-    let service = host.introduction().service;
-    let Some(path) = health_path(host, &service) else {
-        return;
-    };
-    let asked = tokio::time::timeout(TIMEOUT, ask(host, &path)).await;
+    let asked = tokio::time::timeout(TIMEOUT, ask(host)).await;
     if let Ok(Err(error)) = &asked {
         host.note_server_unreachable(error);
     }
 }
 
-async fn ask(host: &Arc<Host>, path: &str) -> std::io::Result<()> {
+/// Asks once, if the configuration names the service.
+async fn ask(host: &Host) -> std::io::Result<()> {
+    let Some(path) = health_path(host) else {
+        return Ok(());
+    };
     let mut lease = host.server.lease(Effect::Idempotent).await?;
-    let request = requests::encode_health_check(path, host.server.address());
+    let request = requests::encode_health_check(&path, host.server.address());
     // An answer that names a request belongs to an earlier one.
     let exchange = lease
         .connection
         .exchange(&request, false, ANSWER_LIMITS, |response| {
-            answers::facts(response).request_id.is_none()
+            answers::request_id_of(response).is_none()
         });
     let response = match exchange.await {
         Ok(response) => response,
--- a/src/host/ready.rs
+++ b/src/host/ready.rs
@@ -40,10 +40,6 @@
             _ => Response::own(404, Vec::new(), ""),
         }
     }
-
-    fn is_closing(&self) -> bool {
-        false
-    }
 }
 
 /// Callers may come once a configuration is known, until the node leaves.
--- a/src/operators/room.rs
+++ b/src/operators/room.rs
@@ -7,7 +7,6 @@
 use super::status::{ClusterStatus, NodeStatus};
 use crate::agreement::change::ChangeAction;
 use crate::model::config::{Config, ServiceConfig};
-use crate::model::load::ServerState;
 use crate::model::names::{ServerName, ServiceName, ZoneName};
 
 /// A service that would have too little room.
@@ -126,9 +125,5 @@
 }
 
 fn takes_work(node: &NodeStatus, out: &Out) -> bool {
-    let able = match node.state {
-        ServerState::Cold | ServerState::Warm => true,
-        ServerState::Leaving | ServerState::Out | ServerState::Absent => false,
-    };
-    able && !out.zones.contains(&node.zone) && !out.servers.contains(&node.node)
+    node.state.takes_work() && !out.zones.contains(&node.zone) && !out.servers.contains(&node.node)
 }
--- a/src/plugins/caller.rs
+++ b/src/plugins/caller.rs
@@ -5,7 +5,6 @@
 //! callers' connections are refused and they go on to another node.
 
 use std::convert::Infallible;
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use tokio::net::{TcpListener, TcpSocket};
@@ -14,6 +13,7 @@
 use warp::path::FullPath;
 
 use crate::edge::http_server::{self, HttpBounds};
+use crate::edge::listen::{BACKLOG, bind};
 use crate::kernel::Kernel;
 use crate::kernel::error::StepError;
 use crate::kernel::plugin::{Plugin, Stage, Started};
@@ -21,9 +21,6 @@
 use crate::request::classify::HttpRequest;
 use crate::request::entry;
 
-/// Connections that wait to be accepted at most.
-const BACKLOG: u32 = 1_024;
-
 /// Time between two looks at what the node knows, in ms.
 const READY_PERIOD_MS: u64 = 20;
 
@@ -42,16 +39,6 @@
     })
 }
 
-fn bind(address: SocketAddr) -> std::io::Result<TcpSocket> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    Ok(socket)
-}
-
 async fn serve(kernel: Arc<Kernel>, socket: TcpSocket) {
     wait_until_ready(&kernel).await;
     let listener = match socket.listen(BACKLOG) {
--- a/src/request/attempt.rs
+++ b/src/request/attempt.rs
@@ -8,7 +8,6 @@
 use crate::decision::routing::ReturnKind;
 use crate::kernel::Kernel;
 use crate::kernel::shards::lock;
-use crate::model::load::ServerState;
 use crate::model::names::ServerName;
 use crate::model::reasons::{RefusalReason, RetryReason, RunState};
 
@@ -116,8 +115,7 @@
         return false;
     }
     let load = kernel.state.gate.load();
-    let open = matches!(load.state, ServerState::Cold | ServerState::Warm);
-    open && load.queued == 0 && load.in_flight < load.limit
+    load.state.takes_work() && load.queued == 0 && load.in_flight < load.limit
 }
 
 async fn run_on(kernel: &Arc<Kernel>, server: &ServerName, call: &Call) -> CallResult {
--- a/tests/host/http1.rs
+++ b/tests/host/http1.rs
@@ -89,10 +89,6 @@
         tokio::time::sleep(Duration::from_millis(ms)).await;
         Response::own(200, Vec::new(), path)
     }
-
-    fn is_closing(&self) -> bool {
-        false
-    }
 }
 
 async fn serve(handler: impl Handler) -> (SocketAddr, Stop) {
@@ -147,10 +143,6 @@
         let _notice = DropNotice(self.0.clone());
         std::future::pending().await
     }
-
-    fn is_closing(&self) -> bool {
-        false
-    }
 }
 
 async fn check_dropped_when_the_caller_closes(requests: &str) {
--- a/tests/host_processes/addresses.rs
+++ b/tests/host_processes/addresses.rs
@@ -1,7 +1,8 @@
 //! Loopback addresses of one host; those that others reach lead through proxies.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::atomic::{AtomicU8, Ordering};
+
+use crate::loopback::unused_address;
 
 const CALLER_PORT: u16 = 7_201;
 const PEER_PORT: u16 = 7_202;
@@ -24,13 +25,9 @@
 impl HostAddresses {
     /// Takes addresses that no other host uses.
     pub fn unused() -> Self {
-        static HOSTS: AtomicU8 = AtomicU8::new(0);
-        let process = (std::process::id() % 60_000) as u16 + 256;
-        let [high, low] = process.to_be_bytes();
-        let pair = HOSTS.fetch_add(1, Ordering::Relaxed) * 2 + 1;
         Self {
-            public: IpAddr::from([127, high, low, pair]),
-            inner: IpAddr::from([127, high, low, pair + 1]),
+            public: unused_address(),
+            inner: unused_address(),
         }
     }
 
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -2,6 +2,10 @@
 
 mod addresses;
 mod callers;
+#[path = "../support/eventually.rs"]
+mod eventually;
+#[path = "../support/loopback.rs"]
+mod loopback;
 mod operator;
 mod path;
 #[path = "../support/program.rs"]
--- a/tests/host_processes/system.rs
+++ b/tests/host_processes/system.rs
@@ -15,6 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::callers::{Attempt, Attempts, Caller, lock};
+use crate::eventually::eventually_within;
 use crate::operator::Operator;
 use crate::site::{Place, Site};
 
@@ -24,9 +25,6 @@
 /// Time after which a condition counts as never met.
 const CONDITION_LIMIT: Duration = Duration::from_secs(20);
 
-/// Pause between two looks at a condition.
-const CONDITION_PAUSE: Duration = Duration::from_millis(20);
-
 /// Two services, each in two availability zones.
 pub const PLACES: [Place; 5] = [
     place("herd-1", "herd", "ratchaburi"),
@@ -158,10 +156,6 @@
 }
 
 /// Waits until a condition holds; fails when it never does.
-pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    let until = tokio::time::Instant::now() + CONDITION_LIMIT;
-    while !holds().await {
-        assert!(tokio::time::Instant::now() < until, "never: {what}");
-        tokio::time::sleep(CONDITION_PAUSE).await;
-    }
+pub async fn eventually(what: &str, holds: impl AsyncFnMut() -> bool) {
+    eventually_within(CONDITION_LIMIT, what, holds).await;
 }
--- a/tests/processes/cluster.rs
+++ b/tests/processes/cluster.rs
@@ -11,13 +11,12 @@
 use standins::log_service::{DownMode, Faults, LogService};
 use standins::oracle;
 
+use crate::eventually::eventually_within;
 use crate::http::{BRANCH, HISTORY, get, post_without_ticket};
 use crate::node_process::{NodeAddresses, NodeProcess};
 
-/// Time after which a condition counts as never met, in ms.
-const CONDITION_LIMIT_MS: u64 = 40_000;
-/// Time between two looks at a condition, in ms.
-const CONDITION_POLL_MS: u64 = 20;
+/// Time after which a condition counts as never met.
+const CONDITION_LIMIT: Duration = Duration::from_secs(40);
 /// Time after which a zone taken out or a leaving backend server gets no new work, in ms.
 pub const NO_NEW_WORK_MS: u64 = 6_000;
 /// Requests at once that backend servers bear while cold.
@@ -237,14 +236,8 @@
 }
 
 /// Waits until a condition holds; fails when it never does.
-pub async fn eventually(what: &str, mut holds: impl AsyncFnMut() -> bool) {
-    for _ in 0..CONDITION_LIMIT_MS / CONDITION_POLL_MS {
-        if holds().await {
-            return;
-        }
-        pause(CONDITION_POLL_MS).await;
-    }
-    panic!("never: {what}");
+pub async fn eventually(what: &str, holds: impl AsyncFnMut() -> bool) {
+    eventually_within(CONDITION_LIMIT, what, holds).await;
 }
 
 /// Waits.
--- a/tests/processes/main.rs
+++ b/tests/processes/main.rs
@@ -3,8 +3,12 @@
 mod answers;
 mod cluster;
 mod crash;
+#[path = "../support/eventually.rs"]
+mod eventually;
 mod http;
 mod log_outage;
+#[path = "../support/loopback.rs"]
+mod loopback;
 mod node_process;
 mod path;
 #[path = "../support/program.rs"]
--- a/tests/processes/node_process.rs
+++ b/tests/processes/node_process.rs
@@ -3,10 +3,10 @@
 use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU8, Ordering};
 
 use serde_json::{Value, json};
 
+use crate::loopback::unused_address;
 use crate::program::Program;
 pub use crate::program::Signal;
 
@@ -26,11 +26,9 @@
 impl NodeAddresses {
     /// Takes a loopback address that no other node uses.
     pub fn unused() -> Self {
-        static NODES: AtomicU8 = AtomicU8::new(1);
-        let process = (std::process::id() % 60_000) as u16 + 256;
-        let [high, low] = process.to_be_bytes();
-        let own = IpAddr::from([127, high, low, NODES.fetch_add(1, Ordering::Relaxed)]);
-        Self { own }
+        Self {
+            own: unused_address(),
+        }
     }
 
     /// Callers' HTTP.
