Serve the connections that are pending when a leaving node closes its listener

Cause: the listener was dropped with connections in its queue that the runtime had not seen yet, and dropping it resets them; a connection whose first request had not arrived yet was shut down at once; and the node could end before the accept loop had handed its last connections on.

Change: after the close both HTTP servers take what is queued from the socket itself; a new connection gets 200 ms for its first request; the accept loop is joined like a request; the host's node waits one poll before it looks for running requests.

--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -13,12 +13,13 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::Semaphore;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
 use super::body::BodyError;
 use super::head::{HeadError, write_response};
 use super::reader::{MessageLimits, MessageReader, ReadError, Received};
 use super::{Request, RequestHead, Response, ResponseHead};
+use crate::edge::listen::accept_pending;
 use crate::kernel::stop::Stop;
 use crate::kernel::tasks::Tasks;
 use crate::model::header::Header;
@@ -75,33 +76,46 @@
     stop: Stop,
 ) {
     let permits = Arc::new(Semaphore::new(connections_max));
+    let spawn_connection = |stream, caller, permit: OwnedSemaphorePermit| {
+        let connection = Connection::new(Arc::clone(&handler), stream, caller);
+        let stopped = stop.clone();
+        let closed = stop.clone();
+        tasks.spawn(async move {
+            tokio::select! {
+                () = connection.run(closed.closed()) => {}
+                () = stopped.stopped() => {}
+            }
+            drop(permit);
+        });
+    };
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
             return;
         };
         let accepted = tokio::select! {
-            () = stop.closed() => return,
+            () = stop.closed() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, caller)) => {
-                let connection = Connection::new(Arc::clone(&handler), stream, caller);
-                let stopped = stop.clone();
-                let closed = stop.clone();
-                tasks.spawn(async move {
-                    tokio::select! {
-                        () = connection.run(closed.closed()) => {}
-                        () = stopped.stopped() => {}
-                    }
-                    drop(permit);
-                });
-            }
+            Ok((stream, caller)) => spawn_connection(stream, caller, permit),
             Err(error) => {
                 log::warn!("listener: accept failed: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    match accept_pending(listener) {
+        Ok(pending) => {
+            for (stream, caller) in pending {
+                let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
+                    log::warn!("listener: connection limit reached at the close (peer {caller})");
+                    continue;
+                };
+                spawn_connection(stream, caller, permit);
+            }
+        }
+        Err(error) => log::warn!("listener: pending connections are lost at the close: {error}"),
+    }
 }
 
 /// A response with what is needed to write it to its connection.
--- a/src/edge/http_server.rs
+++ b/src/edge/http_server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyper::body::Incoming;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -15,11 +15,15 @@
 use crate::kernel::metrics::Event;
 use crate::kernel::stop::Stop;
 
+use super::listen::accept_pending;
 use super::shared_stream::SharedStream;
 
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Age up to which a connection's first request is awaited after the listener has closed.
+const FIRST_REQUEST_WAIT_MAX: Duration = Duration::from_millis(200);
+
 /// Interval at which a closing connection is polled for unread bytes.
 const UNREAD_POLL_INTERVAL: Duration = Duration::from_millis(1);
 
@@ -44,29 +48,17 @@
     F::Extract: warp::Reply + Send,
     F::Future: Send,
 {
+    // Keeps the node from ending before the pending connections are served.
+    let _joined = kernel.work.hold();
     let permits = Arc::new(Semaphore::new(limits.connections_max));
-    loop {
-        // `biased` also serves connections that the system accepted before the close.
-        let accepted = tokio::select! {
-            biased;
-            accepted = listener.accept() => accepted,
-            () = kernel.stop.closed() => return,
-        };
-        let stream = match accepted {
-            Ok((stream, _address)) => stream,
-            Err(error) => {
-                log::warn!("{}: accept failed: {error}", limits.log_prefix);
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
+    let spawn_connection = |stream| {
         let Ok(permit) = Arc::clone(&permits).try_acquire_owned() else {
             kernel.metrics.count(Event::CallerBroken);
             log::warn!(
                 "{}: connection limit reached, dropping a connection",
                 limits.log_prefix
             );
-            continue;
+            return;
         };
         let connection_kernel = Arc::clone(&kernel);
         let service = warp::service(routes.clone());
@@ -81,6 +73,30 @@
             }
             drop(permit);
         });
+    };
+    loop {
+        let accepted = tokio::select! {
+            biased;
+            accepted = listener.accept() => accepted,
+            () = kernel.stop.closed() => break,
+        };
+        match accepted {
+            Ok((stream, _address)) => spawn_connection(stream),
+            Err(error) => {
+                log::warn!("{}: accept failed: {error}", limits.log_prefix);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    match accept_pending(listener) {
+        Ok(pending) => {
+            let streams = pending.into_iter().map(|(stream, _peer)| stream);
+            streams.for_each(spawn_connection);
+        }
+        Err(error) => log::warn!(
+            "{}: pending connections are lost at the close: {error}",
+            limits.log_prefix
+        ),
     }
 }
 
@@ -107,6 +123,7 @@
         log::debug!("{}: failed to set TCP_NODELAY: {error}", limits.log_prefix);
     }
     let stream = SharedStream::new(stream);
+    let opened_at = Instant::now();
     let mut builder = hyper::server::conn::http1::Builder::new();
     let connection = builder
         .timer(TokioTimer::new())
@@ -121,9 +138,11 @@
         served = connection.as_mut() => return served,
         () = stop.closed() => {}
     }
-    // Shutting down now would drop requests that have arrived but were not read yet. Once read,
-    // they are answered, and the shutdown closes the connection after the last response.
-    while stream.has_unread() {
+    // Shutting down now would drop requests that have arrived but were not read yet, and the first
+    // request of a caller that has just connected. Once read, they are answered, and the shutdown
+    // closes the connection after the last response.
+    let awaits_first = || !stream.has_been_read() && opened_at.elapsed() < FIRST_REQUEST_WAIT_MAX;
+    while stream.has_unread() || awaits_first() {
         tokio::select! {
             served = connection.as_mut() => return served,
             () = tokio::time::sleep(UNREAD_POLL_INTERVAL) => {}
--- a/src/edge/shared_stream.rs
+++ b/src/edge/shared_stream.rs
@@ -5,6 +5,7 @@
 use std::net::Shutdown;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
@@ -13,12 +14,26 @@
 
 /// Handle to a shared TCP stream, which is closed when the last handle is dropped.
 #[derive(Debug, Clone)]
-pub struct SharedStream(Arc<TcpStream>);
+pub struct SharedStream(Arc<Shared>);
+
+#[derive(Debug)]
+struct Shared {
+    stream: TcpStream,
+    has_been_read: AtomicBool,
+}
 
 impl SharedStream {
     /// Wraps a stream.
     pub fn new(stream: TcpStream) -> Self {
-        Self(Arc::new(stream))
+        Self(Arc::new(Shared {
+            stream,
+            has_been_read: AtomicBool::new(false),
+        }))
+    }
+
+    /// Whether any byte has been read.
+    pub fn has_been_read(&self) -> bool {
+        self.0.has_been_read.load(Ordering::Relaxed)
     }
 
     /// Whether the socket's receive buffer holds unread bytes.
@@ -26,7 +41,7 @@
     /// Peeks at the socket directly, because tokio learns of new data only at its next I/O poll.
     pub fn has_unread(&self) -> bool {
         let mut first = [MaybeUninit::uninit()];
-        SockRef::from(&*self.0)
+        SockRef::from(&self.0.stream)
             .peek(&mut first)
             .is_ok_and(|count| count > 0)
     }
@@ -39,10 +54,11 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         loop {
-            ready!(self.0.poll_read_ready(context))?;
-            match self.0.try_read(buffer.initialize_unfilled()) {
+            ready!(self.0.stream.poll_read_ready(context))?;
+            match self.0.stream.try_read(buffer.initialize_unfilled()) {
                 Ok(count) => {
                     buffer.advance(count);
+                    self.0.has_been_read.fetch_or(count > 0, Ordering::Relaxed);
                     return Poll::Ready(Ok(()));
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
@@ -59,8 +75,8 @@
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
         loop {
-            ready!(self.0.poll_write_ready(context))?;
-            match self.0.try_write(bytes) {
+            ready!(self.0.stream.poll_write_ready(context))?;
+            match self.0.stream.try_write(bytes) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 written => return Poll::Ready(written),
             }
@@ -72,6 +88,6 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Poll::Ready(SockRef::from(&*self.0).shutdown(Shutdown::Write))
+        Poll::Ready(SockRef::from(&self.0.stream).shutdown(Shutdown::Write))
     }
 }
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -142,6 +142,8 @@
     host.gate.with(|gate| gate.set_leaving(closes_us));
     tokio::time::sleep(leave_period).await;
     host.stop.close();
+    // The first pause is for the requests on connections that were accepted at the close.
+    tokio::time::sleep(DRAIN_POLL_PERIOD).await;
     while is_busy(host) && tokio::time::Instant::now() < finish_by {
         tokio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
--- a/src/kernel/tasks.rs
+++ b/src/kernel/tasks.rs
@@ -2,6 +2,7 @@
 
 use tokio::task::AbortHandle;
 use tokio_util::task::TaskTracker;
+use tokio_util::task::task_tracker::TaskTrackerToken;
 
 /// Set of spawned tasks that the node joins before it ends.
 #[derive(Debug, Clone, Default)]
@@ -20,6 +21,11 @@
         self.tracker.spawn(task).abort_handle()
     }
 
+    /// Returns a guard that [`Self::join`] waits for as for a task.
+    pub fn hold(&self) -> TaskTrackerToken {
+        self.tracker.token()
+    }
+
     /// Waits until all tasks have ended.
     pub async fn join(&self) {
         self.tracker.close();
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -4,10 +4,11 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::header::{CONNECTION, HOST};
-use standins::http::client::HttpConnection;
+use standins::http::client::{ClientError, HttpConnection, WholeAnswer};
 use standins::load::LoadReport;
+use tokio::task::JoinHandle;
 
-use crate::cluster::{Cluster, QUICK, ServerPace, cases, pause};
+use crate::cluster::{Cluster, Pair, QUICK, ServerPace, cases, pause};
 use crate::http::HISTORY;
 use crate::node_process::Signal;
 
@@ -17,6 +18,12 @@
 /// Idle connections that callers hold when the node leaves.
 const IDLE_CONNECTIONS: usize = 48;
 
+/// Connections that callers open while the node closes.
+const NEW_CONNECTIONS: usize = 16;
+
+/// Time from the node's close until callers send on connections opened before, in ms.
+const FIRST_REQUEST_AFTER_MS: u64 = 20;
+
 /// Time from the signal until the node is paused, within its leave notice, in ms.
 const PAUSED_AFTER_MS: u64 = 500;
 
@@ -60,6 +67,28 @@
     request.expect("a valid request")
 }
 
+/// Makes the node leave, and pauses its process before the notice has passed.
+///
+/// Its listener closes once the process continues after [`PAUSED_MS`].
+async fn pause_past_leave_notice(node: &Pair) {
+    node.node.signal(Signal::Terminate);
+    pause(PAUSED_AFTER_MS).await;
+    node.node.signal(Signal::Stop);
+}
+
+async fn assert_all_answered(requests: Vec<JoinHandle<Result<WholeAnswer, ClientError>>>) {
+    let mut lost = Vec::new();
+    for request in requests {
+        lost.extend(request.await.expect("the request ended").err());
+    }
+    assert!(
+        lost.is_empty(),
+        "{} lost, the first: {}",
+        lost.len(),
+        lost[0]
+    );
+}
+
 cases! {
     rolling_restart_under_load_cuts_no_request => {
         let mut cluster = Cluster::start(&THREE, QUICK).await;
@@ -104,20 +133,45 @@
             connection.send(history()).await.expect("an answer before the node leaves");
             connections.push(connection);
         }
-        node.node.signal(Signal::Terminate);
-        pause(PAUSED_AFTER_MS).await;
-        node.node.signal(Signal::Stop);
+        pause_past_leave_notice(node).await;
         let requests = connections.into_iter().map(|mut connection| {
             tokio::spawn(async move { connection.send(history()).await })
         });
-        let requests: Vec<_> = requests.collect();
+        let requests = requests.collect();
+        pause(PAUSED_MS).await;
+        node.node.signal(Signal::Continue);
+        assert_all_answered(requests).await;
+    }
+
+    connections_opened_while_a_leaving_node_closes_are_answered => {
+        let cluster = Cluster::start(&THREE[..1], QUICK).await;
+        let node = &cluster.pairs[0];
+        pause_past_leave_notice(node).await;
+        let mut requests = Vec::new();
+        for _ in 0..NEW_CONNECTIONS {
+            let mut connection = HttpConnection::open(node.caller()).await.expect("a connection");
+            requests.push(tokio::spawn(async move { connection.send(history()).await }));
+        }
         pause(PAUSED_MS).await;
         node.node.signal(Signal::Continue);
-        let mut lost = Vec::new();
-        for request in requests {
-            lost.extend(request.await.expect("the request ended").err());
+        assert_all_answered(requests).await;
+    }
+
+    first_request_right_after_a_leaving_node_closes_is_answered => {
+        let cluster = Cluster::start(&THREE[..1], QUICK).await;
+        let node = &cluster.pairs[0];
+        pause_past_leave_notice(node).await;
+        let mut connections = Vec::new();
+        for _ in 0..NEW_CONNECTIONS {
+            connections.push(HttpConnection::open(node.caller()).await.expect("a connection"));
         }
-        assert!(lost.is_empty(), "{} lost, the first: {}", lost.len(), lost[0]);
+        pause(PAUSED_MS).await;
+        node.node.signal(Signal::Continue);
+        pause(FIRST_REQUEST_AFTER_MS).await;
+        let requests = connections.into_iter().map(|mut connection| {
+            tokio::spawn(async move { connection.send(history()).await })
+        });
+        assert_all_answered(requests.collect()).await;
     }
 
     sigterm_in_a_flood_cuts_no_request => {
