Count the calls of retried work against the budget of the called service

Ruled out: a smaller fixed reserve (proves nothing for deeper calls).

Change: the node beside a backend server knows by the deadline which work made a call. It charges calls of retries to its own share of the called service's budget, marks them as retries for the next node, and starts a retry only if the most calls seen of a run fit beside those of the other retries. A retry counts 1 s beyond the window, for the time until it arrives. 0.3 of a budget is left to urgent and non-idempotent requests. The reserve for nested calls (0.3) falls to 0.2, for load that shifts. Test: retry_budget_rule plays random call graphs, loads and restarts against the exact count; without the charge it found 770 where 450 are allowed, and other windows.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -46,24 +46,12 @@
 /// First bytes that are already on their way then still arrive in time.
 const DRAIN_MARGIN_US: u64 = 400_000;
 
-/// Difference below which two deadlines count as equal, in µs.
-///
-/// Deadlines are sent between nodes in whole ms.
-const DEADLINE_TOLERANCE_US: u64 = 4_000;
-
 /// Minimum retry delay given with a refusal, in µs.
 const RETRY_AFTER_MIN_US: u64 = 50_000;
 
 /// Maximum retry delay given with a refusal, in µs.
 const RETRY_AFTER_MAX_US: u64 = 2_000_000;
 
-/// Dispatched request that has not ended.
-#[derive(Debug, Clone, Copy)]
-struct Running {
-    deadline_us: u64,
-    dispatched_us: u64,
-}
-
 /// Ratio between adjacent slowness steps of a load summary.
 const SLOWNESS_STEP_RATIO: f64 = 1.5;
 
@@ -94,7 +82,8 @@
     slots: u32,
     slowness: Slowness,
     average_run_us: f64,
-    running: HashMap<WorkId, Running>,
+    /// Dispatched requests that have not ended, with the time of dispatch in µs.
+    running: HashMap<WorkId, u64>,
     waiting: WaitQueue,
     next_id: u64,
 }
@@ -269,7 +258,7 @@
             return Some(self.refuse(limit.reason, now_us));
         }
         if self.waiting.is_empty() && self.has_capacity(now_us) {
-            self.dispatch(id, &work, now_us);
+            self.dispatch(id, now_us);
             return Some(Verdict::Run);
         }
         if self.is_sooner_elsewhere(&work, wait_us, now_us) {
@@ -302,14 +291,6 @@
         }
     }
 
-    /// Whether a request with this deadline is a nested call, made by running work.
-    ///
-    /// A nested call has the same deadline as the work that made it.
-    pub fn is_nested_call(&self, deadline_us: u64) -> bool {
-        let mut running = self.running.values();
-        running.any(|work| work.deadline_us.abs_diff(deadline_us) < DEADLINE_TOLERANCE_US)
-    }
-
     /// Decides on waiting requests; must be called after every event and at every wake-up.
     pub fn decide_waiting(&mut self, now_us: u64, decided: &mut Vec<(WorkId, Verdict)>) {
         if self.waiting.is_empty() {
@@ -327,7 +308,7 @@
             let Some(first) = self.waiting.take_first(order) else {
                 return;
             };
-            self.dispatch(first.id, &first.work, now_us);
+            self.dispatch(first.id, now_us);
             decided.push((first.id, Verdict::Run));
         }
         while self.waiting.len() > self.slots as usize * QUEUED_PER_SLOT {
@@ -373,8 +354,7 @@
         if deadline_us <= now_us {
             return Err(RefusalReason::DeadlineLapsed);
         }
-        let running = self.running.get(&id);
-        let dispatched_us = running.map_or(0, |running| running.dispatched_us);
+        let dispatched_us = self.running.get(&id).copied().unwrap_or(0);
         if now_us.saturating_sub(dispatched_us) > COLD_RECHECK_DELAY_US && self.is_cold(now_us) {
             if !self.cold_rate_limiter.allows(self.cold_rate_per_s, now_us) {
                 return Err(RefusalReason::ColdStart);
@@ -469,13 +449,9 @@
                 || self.cold_rate_limiter.allows(self.cold_rate_per_s, now_us))
     }
 
-    fn dispatch(&mut self, id: WorkId, work: &Work, now_us: u64) {
+    fn dispatch(&mut self, id: WorkId, now_us: u64) {
         self.cold_rate_limiter.record(now_us);
-        let running = Running {
-            deadline_us: work.timing.deadline_us,
-            dispatched_us: now_us,
-        };
-        self.running.insert(id, running);
+        self.running.insert(id, now_us);
     }
 
     fn queue_order(&self, now_us: u64) -> QueueOrder {
--- a/src/decision/host/shared_retry_budget.rs
+++ b/src/decision/host/shared_retry_budget.rs
@@ -12,10 +12,18 @@
 /// Number of buckets per window.
 const BUCKETS: u64 = 50;
 
+/// Number of buckets beyond a window for which a retry counts.
+///
+/// A retry reaches its backend server some time after it was granted.
+const ARRIVAL_DELAY_BUCKETS: u64 = 5;
+
 /// Fraction of the budget that this node uses.
 ///
-/// The rest is left for the nested calls of retried requests, which count as retries as well.
-const BUDGET_FRACTION_USED: f64 = 0.7;
+/// Nodes take their shares at different times, and load shifts between them meanwhile.
+const BUDGET_FRACTION_USED: f64 = 0.8;
+
+/// Fraction of the budget that only retries of high priority may use.
+const HIGH_PRIORITY_FRACTION: f64 = 0.3;
 
 /// Retry budget of a service over all nodes.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -42,6 +50,15 @@
     services: HashMap<ServiceName, Counts>,
 }
 
+/// Who gets the retries of a budget that does not last for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryPriority {
+    /// May use the whole budget.
+    High,
+    /// Leaves a part of the budget to retries of high priority.
+    Low,
+}
+
 impl SharedRetryBudget {
     /// Creates an empty window that starts now.
     pub fn new(limits: RetryBudgetLimits, now_us: u64) -> Self {
@@ -58,21 +75,42 @@
         self.counts(service).add(bucket, 1, 0);
     }
 
+    /// Counts a retry that happens whatever the budget says, such as a nested call of a retry.
+    pub fn record_retry(&mut self, service: &ServiceName, now_us: u64) {
+        let bucket = self.bucket(now_us);
+        self.counts(service).add(bucket, 0, 1);
+    }
+
     /// Takes one retry for a service; returns false if the budget is spent.
     ///
     /// The slack is shared by `nodes`.
-    pub fn take_retry(&mut self, service: &ServiceName, nodes: usize, now_us: u64) -> bool {
-        let remaining = self.remaining(service, nodes, now_us);
-        if remaining < 1.0 {
+    pub fn take_retry(
+        &mut self,
+        service: &ServiceName,
+        priority: RetryPriority,
+        nodes: usize,
+        now_us: u64,
+    ) -> bool {
+        let kept_back = match priority {
+            RetryPriority::High => 0.0,
+            RetryPriority::Low => self.allowed(service, nodes, now_us) * HIGH_PRIORITY_FRACTION,
+        };
+        if self.remaining(service, nodes, now_us) - kept_back < 1.0 {
             return false;
         }
-        let bucket = self.bucket(now_us);
-        self.counts(service).add(bucket, 0, 1);
+        self.record_retry(service, now_us);
         true
     }
 
     /// Remaining retries for a service now.
     pub fn remaining(&mut self, service: &ServiceName, nodes: usize, now_us: u64) -> f64 {
+        let bucket = self.bucket(now_us);
+        let allowed = self.allowed(service, nodes, now_us);
+        allowed - self.counts(service).retries(bucket)
+    }
+
+    /// Retries that this node may make for a service in a window that ends now.
+    fn allowed(&mut self, service: &ServiceName, nodes: usize, now_us: u64) -> f64 {
         let limits = self.limits;
         let bucket = self.bucket(now_us);
         let in_first_window = now_us.saturating_sub(self.started_us) < limits.window_us;
@@ -81,8 +119,8 @@
         } else {
             limits.slack / nodes.max(1) as f64
         };
-        let (requests, retries) = self.counts(service).sums(bucket);
-        (limits.ratio * requests + slack) * BUDGET_FRACTION_USED - retries
+        let requests = self.counts(service).requests(bucket);
+        (limits.ratio * requests + slack) * BUDGET_FRACTION_USED
     }
 
     fn bucket(&self, now_us: u64) -> u64 {
@@ -103,20 +141,25 @@
             }
             _ => self.buckets.push((bucket, requests, retries)),
         }
+        self.buckets
+            .retain(|(at, _, _)| at + BUCKETS + ARRIVAL_DELAY_BUCKETS >= bucket);
     }
 
-    /// Requests and retries of the window that ends with `bucket`.
-    ///
-    /// Retries count for one bucket longer than requests, so that no sliding window exceeds the
-    /// budget.
-    fn sums(&mut self, bucket: u64) -> (f64, f64) {
-        self.buckets.retain(|(at, _, _)| at + BUCKETS >= bucket);
+    /// Requests of the window that ends with `bucket`.
+    fn requests(&self, bucket: u64) -> f64 {
         let counted = self
             .buckets
             .iter()
             .filter(|(at, _, _)| at + BUCKETS > bucket);
-        let requests: u32 = counted.map(|(_, requests, _)| requests).sum();
-        let retries: u32 = self.buckets.iter().map(|(_, _, retries)| retries).sum();
-        (f64::from(requests), f64::from(retries))
+        counted.map(|(_, requests, _)| f64::from(*requests)).sum()
+    }
+
+    /// Retries that may have arrived in the window that ends with `bucket`.
+    fn retries(&self, bucket: u64) -> f64 {
+        let counted = self
+            .buckets
+            .iter()
+            .filter(|(at, _, _)| at + BUCKETS + ARRIVAL_DELAY_BUCKETS >= bucket);
+        counted.map(|(_, _, retries)| f64::from(*retries)).sum()
     }
 }
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -16,6 +16,7 @@
 use super::outcome::{Outcome, RequestFailure};
 use super::peer_client::PeerError;
 use super::peer_rpc::WireWork;
+use super::retries;
 use crate::decision::host::placement::{self, Candidate, Placement, RequestTiming};
 use crate::decision::routing::AttemptOutcome;
 use crate::kernel::shards::lock;
@@ -137,8 +138,7 @@
         if progress.arrivals >= self.route.servers_max {
             return false;
         }
-        let nodes = lock(&self.host.peers).node_count();
-        lock(&self.host.retry_budget).take_retry(self.service, nodes, self.host.now_us())
+        retries::take_retry(self.host, self.service, &self.work)
     }
 
     /// Chooses the host for the next attempt, or none if no host is suitable.
@@ -179,9 +179,10 @@
         progress: &mut Progress,
     ) -> impl Future<Output = (Placement, Outcome)> + use<'t> {
         progress.tried_hosts.push(placement.candidate.address);
-        progress.arrivals += 1;
         let host = self.host;
         let mut work = self.work.clone();
+        work.is_retry |= progress.arrivals > 0;
+        progress.arrivals += 1;
         let is_last = progress.refusals + 1 >= REFUSING_HOSTS_MAX;
         work.timing.other_finish_us = if is_last {
             // This is the last host allowed, and a late answer is better than a refusal.
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -9,6 +9,7 @@
 use super::events::Completed;
 use super::jitter::with_jitter;
 use super::outcome::RequestFailure;
+use super::retries;
 use crate::edge::http1::server::{Handler, ServerLimits};
 use crate::edge::http1::{MessageLimits, Request, Response};
 use crate::kernel::shards::lock;
@@ -93,7 +94,7 @@
             arrived_us,
         );
     };
-    let work = host_work(host, request, &route, arrived_us);
+    let work = host_work(host, request, &route, &service, arrived_us);
     let deadline_us = work.timing.deadline_us;
     match run(host, &route, &service, work).await {
         Ok(answer) => response(host, &id, &route, &config, answer, arrived_us, deadline_us),
@@ -110,9 +111,16 @@
 }
 
 /// Builds the request that is sent to hosts.
-fn host_work(host: &Host, request: CallerRequest, route: &Route, arrived_us: u64) -> HostWork {
+fn host_work(
+    host: &Host,
+    request: CallerRequest,
+    route: &Route,
+    service: &ServiceName,
+    arrived_us: u64,
+) -> HostWork {
     let wait_us = request.wait_ms.unwrap_or(WAIT_MS_DEFAULT) * US_PER_MS;
     let caller_deadline_us = arrived_us + wait_us;
+    let origin = retries::record_request(host, service, caller_deadline_us);
     let mut headers = request.headers;
     headers.push(requests::caller_service_header(
         &host.settings.backend_server.service,
@@ -121,9 +129,8 @@
         id: request.id,
         effect: route.effect,
         rank: route.rank,
-        nested_call: host
-            .gate
-            .with(|gate| gate.is_nested_call(caller_deadline_us)),
+        nested_call: origin.nested,
+        is_retry: origin.of_retry,
         timing: Timing {
             usual_run_us: lock(&host.run_times).usual_us(&route.name),
             objective_at_us: arrived_us + route.objective_us,
@@ -144,7 +151,6 @@
     service: &ServiceName,
     work: HostWork,
 ) -> Result<ServerAnswer, RequestFailure> {
-    lock(&host.retry_budget).record_request(service, host.now_us());
     let deadline = host.clock.instant_at(work.timing.deadline_us);
     let attempts = Attempts {
         host,
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -14,6 +14,7 @@
 use super::shared_gate::SharedGate;
 use crate::decision::host::claims::Claims;
 use crate::decision::host::keyed_state::KeyedState;
+use crate::decision::host::nested_calls::NestedCalls;
 use crate::decision::host::peers::{Introduction, Peers};
 use crate::decision::host::run_times::RunTimes;
 use crate::decision::host::shared_retry_budget::{RetryBudgetLimits, SharedRetryBudget};
@@ -72,6 +73,8 @@
     pub executions: Executions,
     /// This node's share of the retry budget.
     pub retry_budget: Mutex<SharedRetryBudget>,
+    /// Nested calls of the work at the backend server.
+    pub nested_calls: Mutex<NestedCalls>,
     /// Usual run time of each route.
     pub run_times: Mutex<RunTimes>,
     /// Choice of the target service on routes with a traffic split.
@@ -105,6 +108,7 @@
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_RETENTION_US)),
             executions: Executions::default(),
             retry_budget: Mutex::new(SharedRetryBudget::new(budget_limits, clock.now_us())),
+            nested_calls: Mutex::default(),
             run_times: Mutex::default(),
             traffic_split: Mutex::default(),
             request_tasks: Tasks::default(),
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -20,6 +20,7 @@
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
 use crate::model::load::ServerState;
+use crate::model::names::ServiceName;
 use crate::model::units::US_PER_S;
 
 /// Processing step of a request.
@@ -247,6 +248,16 @@
         );
     }
 
+    /// Logs and counts a retry for which the budget of the service is spent.
+    pub fn retry_denied(&self, id: &str, service: &ServiceName) {
+        self.count("retries_denied");
+        self.write(
+            LinePriority::Notable,
+            "retry-denied",
+            serde_json::json!({ "id": id, "service": service.as_str() }),
+        );
+    }
+
     /// Logs and counts a failed connection to another node.
     pub fn peer_lost(&self, id: &str, peer: IpAddr, error: &impl Display) {
         self.count("peer_connections_lost");
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -16,6 +16,7 @@
 use super::latency::Stage;
 use super::outcome::{Outcome, RequestFailure, RunMeasurement};
 use super::probe;
+use super::retries::TrackedRun;
 use super::shared_gate::Admitted;
 use crate::decision::host::claims::{ClaimError, ClaimState};
 use crate::decision::host::gate::{HostGate, SlowPhaseAction, Work};
@@ -123,6 +124,13 @@
 
 /// Runs one request; `caller_gone` removes it from the queue but never interrupts a sent request.
 async fn execute(host: &Arc<Host>, work: &HostWork, caller_gone: &CancellationToken) -> Outcome {
+    let tracked = match TrackedRun::begin(host, work) {
+        Ok(tracked) => tracked,
+        Err(failure) => {
+            log_failure(host, work, Step::Admit, &failure);
+            return Outcome::failed(failure);
+        }
+    };
     let queued_since_us = host.now_us();
     let admitted = host.gate.admit(Work {
         rank: work.rank,
@@ -143,7 +151,7 @@
     let waited_us = host.now_us() - queued_since_us;
     host.events.latencies.add(Stage::GateWait, waited_us);
     let mut measurement = RunMeasurement::default();
-    let result = send(host, work, &mut admitted, &mut measurement).await;
+    let result = send(host, work, &tracked, &mut admitted, &mut measurement).await;
     if let Err(failure) = &result {
         log_failure(host, work, Step::Dispatch, failure);
     }
@@ -179,6 +187,7 @@
 async fn send(
     host: &Arc<Host>,
     work: &HostWork,
+    tracked: &TrackedRun<'_>,
     admitted: &mut Admitted<'_>,
     measurement: &mut RunMeasurement,
 ) -> Result<Response, RequestFailure> {
@@ -198,6 +207,7 @@
                 return Err(RequestFailure::not_sent(reason));
             }
         };
+        tracked.sent();
         let exchanged = exchange(host, work, &mut pooled, instance.as_deref(), started_us).await;
         measurement.run_us = host.now_us() - started_us;
         host.events
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -24,4 +24,5 @@
 pub mod peer_server;
 pub mod probe;
 pub mod ready;
+pub mod retries;
 pub mod shared_gate;
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -70,6 +70,7 @@
     effect: Effect,
     rank: u8,
     invested: bool,
+    is_retry: bool,
     left_us: u64,
     usual_run_us: u32,
     objective_left_us: u64,
@@ -88,6 +89,7 @@
             effect: work.effect,
             rank: work.rank,
             invested: work.nested_call,
+            is_retry: work.is_retry,
             left_us: work.timing.deadline_us.saturating_sub(now_us),
             usual_run_us: work.timing.usual_run_us as u32,
             objective_left_us: work.timing.objective_at_us.saturating_sub(now_us),
@@ -106,6 +108,7 @@
             effect: self.effect,
             rank: self.rank,
             nested_call: self.invested,
+            is_retry: self.is_retry,
             timing: Timing {
                 usual_run_us: f64::from(self.usual_run_us),
                 objective_at_us: now_us.saturating_add(self.objective_left_us),
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -53,6 +53,8 @@
     pub rank: u8,
     /// Whether a backend server sent it while handling another request.
     pub nested_call: bool,
+    /// Whether it may have reached a backend server before, or a retry made it as a nested call.
+    pub is_retry: bool,
     /// Expected run time and time limits.
     pub timing: Timing,
     /// HTTP method.
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -483,15 +483,6 @@
     assert_eq!(verdict, None);
 }
 
-#[test]
-fn nested_calls_are_recognised_by_their_deadline() {
-    let mut gate = warm_gate();
-    let (_id, verdict) = offer(&mut gate, work_due_at(1, 5 * S), S);
-    assert_eq!(verdict, Some(Verdict::Run));
-    assert!(gate.is_nested_call(5 * S - 2 * MS));
-    assert!(!gate.is_nested_call(5 * S + 20 * MS));
-}
-
 fn health_check(instance: &str, cold_left_us: u64) -> HealthCheckResult<'_> {
     HealthCheckResult {
         instance,
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -9,10 +9,13 @@
 mod http1;
 mod latency;
 mod log_reader;
+mod nested_calls;
 mod peer_client;
 mod peers;
 mod placement;
 mod platform;
+
 mod report_schedule;
+mod retry_budget_rule;
 mod routes;
 mod shared_retry_budget;
--- a/tests/host/shared_retry_budget.rs
+++ b/tests/host/shared_retry_budget.rs
@@ -1,6 +1,8 @@
 //! The retry budget shared by all nodes.
 
-use bronzelock::decision::host::shared_retry_budget::{RetryBudgetLimits, SharedRetryBudget};
+use bronzelock::decision::host::shared_retry_budget::{
+    RetryBudgetLimits, RetryPriority, SharedRetryBudget,
+};
 use bronzelock::model::names::ServiceName;
 
 const LIMITS: RetryBudgetLimits = RetryBudgetLimits {
@@ -32,7 +34,7 @@
             budget.record_request(&service(), now_us);
             trace.0.push(now_us);
         }
-        while budget.take_retry(&service(), NODES, now_us) {
+        while budget.take_retry(&service(), RetryPriority::High, NODES, now_us) {
             trace.1.push(now_us);
         }
     }
@@ -72,6 +74,23 @@
 #[test]
 fn a_node_that_has_just_started_uses_no_slack() {
     let mut budget = SharedRetryBudget::new(LIMITS, 5_000_000);
-    assert!(!budget.take_retry(&service(), NODES, 6_000_000));
-    assert!(budget.take_retry(&service(), NODES, 15_000_001));
+    assert!(!budget.take_retry(&service(), RetryPriority::High, NODES, 6_000_000));
+    assert!(budget.take_retry(&service(), RetryPriority::High, NODES, 15_000_001));
+}
+
+#[test]
+fn retries_of_high_priority_get_the_last_part_of_the_budget() {
+    let mut budget = SharedRetryBudget::new(LIMITS, 0);
+    let take_all = |budget: &mut SharedRetryBudget, priority| {
+        let taken = || {
+            budget
+                .take_retry(&service(), priority, 1, 20_000_000)
+                .then_some(())
+        };
+        std::iter::from_fn(taken).count()
+    };
+    let low = take_all(&mut budget, RetryPriority::Low);
+    let high = take_all(&mut budget, RetryPriority::High);
+    assert!(low > 0 && high > 0, "{low} of low, {high} of high priority");
+    assert!(!budget.take_retry(&service(), RetryPriority::Low, 1, 20_000_000));
 }
