Send a cold backend server what it bears, spread over the second

Its wait was not in the expected wait, so requests queued that could not start in time. Requests that were held for a slow phase were counted twice and 22 of them refused as cold-start. Ruled out: places (free throughout).

Change: a token bucket. Tokens come at rate x overage / 1.1, the burst is the slack less one; a token is taken at dispatch and keeps its place until the first byte. It starts empty with the node, since an earlier run may have sent. The expected wait and Retry-After count the wait for tokens; load reports give the concurrency that the rate sustains. bounds.cold_overage and cold_slack become checked settings. Tests: two tests of the old limiter (at most the stated rate in any second; a second check for a late first byte) are replaced by property tests against the exact bound, with held, cut and late requests and a restart of the node in the sum.

--- a/src/decision/host/cold_rate_limiter.rs
+++ b/src/decision/host/cold_rate_limiter.rs
@@ -1,45 +1,120 @@
 //! Rate limit of requests to a backend server in its cold start.
-
-use std::collections::VecDeque;
+//!
+//! A token bucket: a request needs a token, tokens come at a steady rate, and the bucket holds a
+//! limited burst. A token is taken when a request is dispatched and used when its first byte is
+//! sent. Until then it keeps its place in the bucket, so requests that are held up and then sent
+//! together exceed the burst as little as others.
 
 use crate::model::units::US_PER_S;
 
-/// Window in which requests are counted, in µs.
-///
-/// Slightly longer than a second: requests sent further apart may still arrive within one second.
-const WINDOW_US: u64 = US_PER_S + US_PER_S / 10;
+/// Factor on the rate, for requests sent further than a second apart that arrive within one.
+const ARRIVAL_JITTER_FACTOR: f64 = 1.0 / 1.1;
+
+/// Rate for a backend server whose service is not configured, per second.
+const DEFAULT_RATE_PER_S: f64 = 2.0;
 
-/// Sliding-window limiter over the send times of requests, in µs.
-#[derive(Debug, Clone, Default)]
+/// Allowance above the rate that a cold backend server states.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdAllowance {
+    /// Factor on the stated rate.
+    pub overage: f64,
+    /// Additional requests in any second.
+    pub slack: f64,
+}
+
+/// Token bucket of one backend server.
+#[derive(Debug, Clone)]
 pub struct ColdRateLimiter {
-    sent_us: VecDeque<u64>,
+    allowance: ColdAllowance,
+    rate_per_s: f64,
+    tokens: f64,
+    /// Tokens that were taken but not used yet.
+    reserved: u32,
+    refilled_us: u64,
 }
 
 impl ColdRateLimiter {
-    /// Counts a request that is sent now.
-    pub fn record(&mut self, now_us: u64) {
-        self.evict_expired(now_us);
-        self.sent_us.push_back(now_us);
+    /// Creates an empty bucket at time zero, the start of the node.
+    ///
+    /// A previous run of the node may have sent requests right before.
+    pub fn new(allowance: ColdAllowance) -> Self {
+        let mut limiter = Self {
+            allowance,
+            rate_per_s: 0.0,
+            tokens: 0.0,
+            reserved: 0,
+            refilled_us: 0,
+        };
+        limiter.set_rate(DEFAULT_RATE_PER_S, 0);
+        limiter
+    }
+
+    /// Sets the rate that the backend server states, per second.
+    pub fn set_rate(&mut self, stated_per_s: f64, now_us: u64) {
+        self.refill(now_us);
+        self.rate_per_s = stated_per_s.max(1.0) * self.allowance.overage * ARRIVAL_JITTER_FACTOR;
+    }
+
+    /// Whether another request may be dispatched now.
+    pub fn allows(&mut self, now_us: u64) -> bool {
+        self.refill(now_us);
+        self.tokens >= 1.0
+    }
+
+    /// Takes a token for a request that is dispatched now.
+    ///
+    /// Requests to a warm backend server take one whether or not there is one, since it may have
+    /// turned cold unnoticed. They leave a deficit of at most one second.
+    pub fn reserve(&mut self, now_us: u64) {
+        self.refill(now_us);
+        self.tokens = (self.tokens - 1.0).max(-self.rate_per_s);
+        self.reserved += 1;
+    }
+
+    /// Uses the token of a request whose first byte is sent now.
+    pub fn record_sent(&mut self, now_us: u64) {
+        self.refill(now_us);
+        self.reserved = self.reserved.saturating_sub(1);
+    }
+
+    /// Returns the token of a request that was not sent.
+    pub fn cancel(&mut self, now_us: u64) {
+        self.refill(now_us);
+        self.reserved = self.reserved.saturating_sub(1);
+        self.tokens = (self.tokens + 1.0).min(self.tokens_max());
+    }
+
+    /// Whether more tokens were taken than there were.
+    pub fn has_deficit(&mut self, now_us: u64) -> bool {
+        self.refill(now_us);
+        self.tokens < 0.0
+    }
+
+    /// Time until `count` further requests may have been dispatched, in µs.
+    pub fn wait_us(&self, count: usize, now_us: u64) -> f64 {
+        let missing = count as f64 - self.tokens_at(now_us);
+        missing.max(0.0) / self.rate_per_s * US_PER_S as f64
+    }
+
+    /// Concurrency at which requests that take `run_us` use up the rate.
+    pub fn sustained_concurrency(&self, run_us: f64) -> f64 {
+        self.rate_per_s * run_us / US_PER_S as f64
     }
 
-    /// Whether another request may be sent now; allows at least one per window.
-    pub fn allows(&mut self, rate_per_s: f64, now_us: u64) -> bool {
-        self.evict_expired(now_us);
-        (self.sent_us.len() as f64) < rate_per_s.max(1.0).floor()
+    fn refill(&mut self, now_us: u64) {
+        self.tokens = self.tokens_at(now_us);
+        self.refilled_us = self.refilled_us.max(now_us);
     }
 
-    /// When the limiter next allows a request, in µs, if it allows none now.
-    pub fn next_allowed_us(&self) -> Option<u64> {
-        self.sent_us.front().map(|at_us| at_us + WINDOW_US)
+    fn tokens_at(&self, now_us: u64) -> f64 {
+        let passed_us = now_us.saturating_sub(self.refilled_us);
+        let refilled = self.tokens + self.rate_per_s * passed_us as f64 / US_PER_S as f64;
+        refilled.min(self.tokens_max())
     }
 
-    fn evict_expired(&mut self, now_us: u64) {
-        while self
-            .sent_us
-            .front()
-            .is_some_and(|at_us| at_us + WINDOW_US <= now_us)
-        {
-            self.sent_us.pop_front();
-        }
+    /// Most tokens that the bucket holds beside the reserved ones.
+    fn tokens_max(&self) -> f64 {
+        let burst = (self.allowance.slack - 1.0).max(1.0);
+        burst - f64::from(self.reserved)
     }
 }
--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -7,7 +7,8 @@
 
 use super::announcement::{AnnouncedState, Announcement, Freshness};
 use super::close_reasons::{CloseReason, CloseTimes};
-use super::cold_rate_limiter::ColdRateLimiter;
+use super::cold_rate_limiter::ColdAllowance;
+use super::cold_start::ColdStart;
 use super::slowness::Slowness;
 use super::start_limit::StartLimits;
 use super::wait_queue::{QueueOrder, WaitQueue, WaitingRequest};
@@ -26,9 +27,6 @@
 /// Maximum number of waiting requests per slot.
 const QUEUED_PER_SLOT: usize = 2;
 
-/// Request rate for a cold backend server whose service is not configured, per second.
-const DEFAULT_COLD_RATE_PER_S: f64 = 2.0;
-
 /// Multiple of the expected finish time that must fit before an objective or deadline.
 pub const FINISH_SAFETY_FACTOR: f64 = 1.5;
 
@@ -38,9 +36,6 @@
 /// Average run time assumed before the first request, in µs.
 const INITIAL_RUN_US: f64 = 50_000.0;
 
-/// Delay from dispatch to first byte that requires another cold rate check, in µs.
-const COLD_RECHECK_DELAY_US: u64 = 20_000;
-
 /// Final part of the drain time in which nothing is sent, in µs.
 ///
 /// First bytes that are already on their way then still arrive in time.
@@ -58,13 +53,11 @@
 /// Number of occupancy steps up to the limit in a load summary.
 const OCCUPANCY_STEPS: usize = 2;
 
-/// What is known about the cold start of the backend server.
+/// What a dispatched request that has not ended has come to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum WarmUp {
-    /// It may have restarted, or nothing is known about it yet.
-    Unknown,
-    /// Cold until this time, in µs.
-    ColdUntil(u64),
+enum Running {
+    Dispatched,
+    Sent,
 }
 
 /// Admission control for one backend server, as a state machine without a clock.
@@ -76,14 +69,11 @@
     last_announcement: Option<Announcement>,
     healthy_seen: bool,
     close_times: CloseTimes,
-    warm_up: WarmUp,
-    cold_rate_per_s: f64,
-    cold_rate_limiter: ColdRateLimiter,
+    cold_start: ColdStart,
     slots: u32,
     slowness: Slowness,
     average_run_us: f64,
-    /// Dispatched requests that have not ended, with the time of dispatch in µs.
-    running: HashMap<WorkId, u64>,
+    running: HashMap<WorkId, Running>,
     waiting: WaitQueue,
     next_id: u64,
 }
@@ -92,8 +82,8 @@
     /// Creates a gate that refuses all requests until the backend server is known.
     ///
     /// `drain_us` is how long a backend server keeps serving after its announcement that it is
-    /// leaving was acknowledged.
-    pub fn new(incarnation: Incarnation, drain_us: u64) -> Self {
+    /// leaving was acknowledged, and `allowance` is what it bears above its cold rate.
+    pub fn new(incarnation: Incarnation, drain_us: u64, allowance: ColdAllowance) -> Self {
         Self {
             incarnation,
             drain_us,
@@ -101,9 +91,7 @@
             last_announcement: None,
             healthy_seen: false,
             close_times: CloseTimes::default(),
-            warm_up: WarmUp::Unknown,
-            cold_rate_per_s: DEFAULT_COLD_RATE_PER_S,
-            cold_rate_limiter: ColdRateLimiter::default(),
+            cold_start: ColdStart::new(allowance),
             slots: 1,
             slowness: Slowness::default(),
             average_run_us: INITIAL_RUN_US,
@@ -138,7 +126,8 @@
         }
         self.slots = announcement.slots.max(1);
         self.close_times.set(CloseReason::Unreachable, false);
-        self.warm_up = WarmUp::ColdUntil(now_us + announcement.cold_left_us);
+        self.cold_start
+            .set_cold_until(now_us + announcement.cold_left_us);
         self.last_announcement = Some(announcement);
         freshness
     }
@@ -157,7 +146,7 @@
             self.slowness.record(percent, now_us);
         }
         if let Some(left_us) = report.cold_left_us {
-            self.warm_up = WarmUp::ColdUntil(now_us + left_us);
+            self.cold_start.set_cold_until(now_us + left_us);
         }
     }
 
@@ -173,7 +162,7 @@
             return;
         };
         if known.instance.as_ref() == result.instance {
-            self.warm_up = WarmUp::ColdUntil(now_us + result.cold_left_us);
+            self.cold_start.set_cold_until(now_us + result.cold_left_us);
         } else {
             // Another process answers at the address; its announcement has not arrived yet.
             self.suspect_restart();
@@ -182,7 +171,7 @@
 
     /// Records that the backend server may have restarted.
     pub fn suspect_restart(&mut self) {
-        self.warm_up = WarmUp::Unknown;
+        self.cold_start.suspect_restart();
     }
 
     /// Records whether connections to the backend server fail; returns whether that changed.
@@ -200,9 +189,9 @@
         self.close_times.close_at(CloseReason::NodeLeaving, from_us);
     }
 
-    /// Sets the maximum request rate for a cold backend server.
-    pub fn set_cold_rate(&mut self, requests_per_s: f64) {
-        self.cold_rate_per_s = requests_per_s;
+    /// Sets the request rate that the backend server states for its cold start.
+    pub fn set_cold_rate(&mut self, requests_per_s: f64, now_us: u64) {
+        self.cold_start.set_rate(requests_per_s, now_us);
     }
 
     /// Current slowness: run time of work relative to its usual run time.
@@ -282,9 +271,11 @@
     }
 
     /// Records the end of a dispatched request and its usual run time, in µs.
-    pub fn finished(&mut self, id: WorkId, usual_run_us: Option<f64>) {
-        if self.running.remove(&id).is_none() {
-            return;
+    pub fn finished(&mut self, id: WorkId, usual_run_us: Option<f64>, now_us: u64) {
+        match self.running.remove(&id) {
+            None => return,
+            Some(Running::Dispatched) => self.cold_start.cancelled(now_us),
+            Some(Running::Sent) => {}
         }
         if let Some(usual_us) = usual_run_us {
             self.average_run_us += (usual_us - self.average_run_us) * RUN_TIME_WEIGHT;
@@ -324,11 +315,8 @@
         let limits = self.start_limits(now_us);
         let refused_at_us = |waiting: &WaitingRequest| limits.of(&waiting.work).at_us;
         let next_refusal_us = self.waiting.iter().map(refused_at_us).min()?;
-        let next_cold_dispatch_us = if self.is_cold(now_us) {
-            self.cold_rate_limiter.next_allowed_us()
-        } else {
-            None
-        };
+        let cold_wait_us = self.cold_start.wait_us(0, now_us).ceil() as u64;
+        let next_cold_dispatch_us = (cold_wait_us > 0).then_some(now_us + cold_wait_us);
         let next_close_us = self.close_times.next_close_us(now_us);
         [Some(next_refusal_us), next_cold_dispatch_us, next_close_us]
             .into_iter()
@@ -354,13 +342,17 @@
         if deadline_us <= now_us {
             return Err(RefusalReason::DeadlineLapsed);
         }
-        let dispatched_us = self.running.get(&id).copied().unwrap_or(0);
-        if now_us.saturating_sub(dispatched_us) > COLD_RECHECK_DELAY_US && self.is_cold(now_us) {
-            if !self.cold_rate_limiter.allows(self.cold_rate_per_s, now_us) {
+        let is_sent_again = self.running.get(&id) == Some(&Running::Sent);
+        if is_sent_again {
+            if !self.cold_start.allows(now_us) {
                 return Err(RefusalReason::ColdStart);
             }
-            self.cold_rate_limiter.record(now_us);
+            self.cold_start.dispatched(now_us);
+        }
+        if !self.cold_start.record_sent(now_us) {
+            return Err(RefusalReason::ColdStart);
         }
+        self.running.insert(id, Running::Sent);
         Ok(self
             .last_announcement
             .as_ref()
@@ -369,7 +361,7 @@
 
     /// Load summary; a change of it should reach other hosts soon.
     pub fn summary(&self, now_us: u64) -> LoadSummary {
-        let limit = self.limit(now_us) as usize;
+        let limit = self.sustained_limit(now_us) as usize;
         let occupied = self.running.len() + self.waiting.len();
         LoadSummary {
             state: self.state(now_us),
@@ -387,7 +379,7 @@
             sequence: self.report_sequence,
             in_flight: self.running.len() as u16,
             queued: self.waiting.len() as u16,
-            limit: self.limit(now_us) as u16,
+            limit: self.sustained_limit(now_us) as u16,
             slowness_percent: (self.slowness(now_us) * 100.0) as u16,
             slow_left_ms: (self.slowness.phase_left_us(now_us).unwrap_or(0.0) / US_PER_MS as f64)
                 as u16,
@@ -426,32 +418,30 @@
 
     /// Whether the backend server is cold or may be.
     pub fn is_cold(&self, now_us: u64) -> bool {
-        match self.warm_up {
-            WarmUp::Unknown => true,
-            WarmUp::ColdUntil(until_us) => now_us < until_us,
-        }
+        self.cold_start.is_cold(now_us)
     }
 
-    fn limit(&self, now_us: u64) -> u32 {
+    /// Maximum number of requests in flight.
+    fn limit(&self) -> u32 {
         let usable = (f64::from(self.slots) * SLOT_FRACTION_USED).floor() as u32;
-        let limit = if self.is_cold(now_us) {
-            usable.min(self.cold_rate_per_s as u32)
-        } else {
-            usable
-        };
-        limit.max(1)
+        usable.max(1)
+    }
+
+    /// Number of requests in flight that can be sustained now, for the load reports.
+    fn sustained_limit(&self, now_us: u64) -> u32 {
+        let run_us = self.average_run_us * self.slowness(now_us);
+        let by_rate = self.cold_start.sustained_concurrency(run_us, now_us);
+        f64::from(self.limit()).min(by_rate).max(1.0) as u32
     }
 
     fn has_capacity(&mut self, now_us: u64) -> bool {
-        let below_limit = self.running.len() < self.limit(now_us) as usize;
-        below_limit
-            && (!self.is_cold(now_us)
-                || self.cold_rate_limiter.allows(self.cold_rate_per_s, now_us))
+        let below_limit = self.running.len() < self.limit() as usize;
+        below_limit && self.cold_start.allows(now_us)
     }
 
     fn dispatch(&mut self, id: WorkId, now_us: u64) {
-        self.cold_rate_limiter.record(now_us);
-        self.running.insert(id, now_us);
+        self.cold_start.dispatched(now_us);
+        self.running.insert(id, Running::Dispatched);
     }
 
     fn queue_order(&self, now_us: u64) -> QueueOrder {
@@ -462,13 +452,18 @@
     }
 
     fn expected_wait_us(&self, waiting: &WaitingRequest, now_us: u64) -> f64 {
-        let limit = self.limit(now_us) as usize;
         let ahead = self.waiting.ahead_of(waiting, self.queue_order(now_us));
+        self.wait_behind_us(ahead, now_us)
+    }
+
+    /// Time until a request that `ahead` others precede is dispatched, in µs.
+    fn wait_behind_us(&self, ahead: usize, now_us: u64) -> f64 {
+        let limit = self.limit() as usize;
         let free = limit.saturating_sub(self.running.len());
-        if ahead < free {
-            return 0.0;
-        }
-        (ahead - free + 1) as f64 * self.average_run_us * self.slowness(now_us) / limit as f64
+        let runs_before = (ahead + 1).saturating_sub(free);
+        let run_us = self.average_run_us * self.slowness(now_us);
+        let slot_wait_us = runs_before as f64 * run_us / limit as f64;
+        slot_wait_us.max(self.cold_start.wait_us(ahead, now_us))
     }
 
     fn start_limits(&self, now_us: u64) -> StartLimits {
@@ -491,9 +486,7 @@
     }
 
     fn refuse(&self, reason: RefusalReason, now_us: u64) -> Verdict {
-        let limit = f64::from(self.limit(now_us));
-        let queue_us =
-            self.waiting.len() as f64 * self.average_run_us * self.slowness(now_us) / limit;
+        let queue_us = self.wait_behind_us(self.waiting.len(), now_us);
         let retry_after_us = (queue_us as u64).clamp(RETRY_AFTER_MIN_US, RETRY_AFTER_MAX_US);
         Verdict::Refuse(GateRefusal {
             reason,
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod close_reasons;
 pub mod cold_rate_limiter;
+pub mod cold_start;
 pub mod gate;
 pub mod keyed_state;
 pub mod log_reader;
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -13,6 +13,7 @@
 use super::peer_client::PeerClients;
 use super::shared_gate::SharedGate;
 use crate::decision::host::claims::Claims;
+use crate::decision::host::cold_rate_limiter::ColdAllowance;
 use crate::decision::host::keyed_state::KeyedState;
 use crate::decision::host::nested_calls::NestedCalls;
 use crate::decision::host::peers::{Introduction, Peers};
@@ -92,6 +93,11 @@
             slack: settings.bounds.retry_slack,
             window_us: (settings.bounds.retry_window_s * US_PER_S as f64) as u64,
         };
+        let cold_allowance = ColdAllowance {
+            overage: settings.bounds.cold_overage,
+            slack: settings.bounds.cold_slack,
+        };
+        let drain_us = settings.bounds.drain_ms * US_PER_MS;
         let events = EventLog::start(&settings.host.name, clock);
         Self {
             incarnation,
@@ -103,7 +109,7 @@
             operator_log_behind: Notify::new(),
             peers: Mutex::default(),
             peer_clients: PeerClients::new(tasks.clone()),
-            gate: SharedGate::new(incarnation, settings.bounds.drain_ms * US_PER_MS, clock),
+            gate: SharedGate::new(incarnation, drain_us, cold_allowance, clock),
             server_connections: ConnectionPool::new(settings.backend_server.address),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_RETENTION_US)),
             executions: Executions::default(),
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -244,6 +244,7 @@
     let service = host.service();
     if let Some(bounds) = config.services.get(&service) {
         let rate = bounds.cold_requests_per_s;
-        host.gate.with(|gate| gate.set_cold_rate(rate));
+        let now_us = host.now_us();
+        host.gate.with(|gate| gate.set_cold_rate(rate, now_us));
     }
 }
--- a/src/host/shared_gate.rs
+++ b/src/host/shared_gate.rs
@@ -6,6 +6,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::outcome::RequestFailure;
+use crate::decision::host::cold_rate_limiter::ColdAllowance;
 use crate::decision::host::gate::{HostGate, LoadSummary, Verdict, Work, WorkId};
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
@@ -55,7 +56,9 @@
 impl Drop for Admitted<'_> {
     fn drop(&mut self) {
         let (id, usual_run_us) = (self.id, self.usual_run_us);
-        self.gate.with(|gate| gate.finished(id, usual_run_us));
+        let now_us = self.gate.clock.now_us();
+        self.gate
+            .with(|gate| gate.finished(id, usual_run_us, now_us));
     }
 }
 
@@ -70,19 +73,25 @@
         let id = self.id;
         lock(&self.gate.inner).waiting.remove(&id);
         // The request may have been admitted although its verdict was never received.
+        let now_us = self.gate.clock.now_us();
         self.gate.with(|gate| {
             gate.cancel(id);
-            gate.finished(id, None);
+            gate.finished(id, None, now_us);
         });
     }
 }
 
 impl SharedGate {
     /// Creates a gate that refuses all requests until the backend server is known.
-    pub fn new(incarnation: Incarnation, drain_us: u64, clock: Clock) -> Self {
+    pub fn new(
+        incarnation: Incarnation,
+        drain_us: u64,
+        allowance: ColdAllowance,
+        clock: Clock,
+    ) -> Self {
         Self {
             inner: Mutex::new(Inner {
-                gate: HostGate::new(incarnation, drain_us),
+                gate: HostGate::new(incarnation, drain_us, allowance),
                 waiting: HashMap::new(),
                 decided: Vec::new(),
                 summary: None,
@@ -205,7 +214,7 @@
                 .map(|waiting| waiting.send(verdict));
             let caller_gone = !matches!(sent, Some(Ok(())));
             if caller_gone && verdict == Verdict::Run {
-                self.gate.finished(id, None);
+                self.gate.finished(id, None, now_us);
                 self.gate.decide_waiting(now_us, &mut self.decided);
             }
         }
--- a/src/settings/host.rs
+++ b/src/settings/host.rs
@@ -95,6 +95,10 @@
     pub retry_slack: f64,
     /// Maximum rate of health checks of one backend server, per second.
     pub probes_per_s: f64,
+    /// Factor on the request rate that a cold backend server states, one or more.
+    pub cold_overage: f64,
+    /// Additional requests in any second that a cold backend server bears.
+    pub cold_slack: f64,
 }
 
 /// Reads and checks the settings of a host.
@@ -133,6 +137,11 @@
         };
         check_not_negative("bounds.retry_ratio", self.bounds.retry_ratio);
         check_not_negative("bounds.retry_slack", self.bounds.retry_slack);
+        check_not_negative("bounds.cold_slack", self.bounds.cold_slack);
+        if !(self.bounds.cold_overage.is_finite() && self.bounds.cold_overage >= 1.0) {
+            let value = self.bounds.cold_overage;
+            problems.add("bounds.cold_overage", value, "a number of one or more");
+        }
         problems.check_range(
             "limits.files_max",
             self.limits.files_max,
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -5,6 +5,7 @@
 
 mod announcement;
 mod claims;
+mod cold_start;
 mod gate;
 mod http1;
 mod latency;
