Take the slowness of a cold start for what it is: no slow phase, and counted once

Change: the placement has no factor for cold hosts; a gate knows the slowness outside slow phases, which is the lowest reported in a cold start, and holds work only above it. Load reports give the delay of held work instead of the time left of the phase.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -142,12 +142,13 @@
         if let Some(slots) = report.slots {
             self.slots = slots.max(1);
         }
-        if let Some(percent) = report.slowness_percent {
-            self.slowness.record(percent, now_us);
-        }
         if let Some(left_us) = report.cold_left_us {
             self.cold_start.set_cold_until(now_us + left_us);
         }
+        if let Some(percent) = report.slowness_percent {
+            let cold = self.is_cold(now_us);
+            self.slowness.record(percent, cold, now_us);
+        }
     }
 
     /// Applies the result of a health check.
@@ -210,9 +211,8 @@
         let now_finish_us = run_us * self.slowness(now_us);
         let left_us = timing.deadline_us.saturating_sub(now_us) as f64;
         let held_finish_us = self
-            .slowness
-            .phase_left_us(now_us)
-            .map(|phase_left_us| phase_left_us + run_us);
+            .hold_delay_us(run_us, now_us)
+            .map(|delay_us| delay_us + run_us);
         let held_finish_us =
             held_finish_us.filter(|finish_us| finish_us * FINISH_SAFETY_FACTOR < left_us);
         let best_finish_us =
@@ -229,6 +229,14 @@
         }
     }
 
+    /// Delay of work that is held until the slow phase ends, in µs; `None` if there is none.
+    ///
+    /// Work of a cold backend server takes longer after the phase as well.
+    fn hold_delay_us(&self, usual_run_us: f64, now_us: u64) -> Option<f64> {
+        let phase_left_us = self.slowness.phase_left_us(now_us)?;
+        Some(phase_left_us + usual_run_us * (self.slowness.base_factor() - 1.0))
+    }
+
     /// Allocates the identifier of a request.
     pub fn next_id(&mut self) -> WorkId {
         self.next_id += 1;
@@ -374,6 +382,9 @@
     /// Load report for other hosts; each has a higher sequence number than the one before.
     pub fn load(&mut self, now_us: u64) -> HostLoad {
         self.report_sequence += 1;
+        let hold_us = self
+            .hold_delay_us(self.average_run_us, now_us)
+            .unwrap_or(0.0);
         HostLoad {
             incarnation: self.incarnation,
             sequence: self.report_sequence,
@@ -381,8 +392,7 @@
             queued: self.waiting.len() as u16,
             limit: self.sustained_limit(now_us) as u16,
             slowness_percent: (self.slowness(now_us) * 100.0) as u16,
-            slow_left_ms: (self.slowness.phase_left_us(now_us).unwrap_or(0.0) / US_PER_MS as f64)
-                as u16,
+            hold_ms: (hold_us / US_PER_MS as f64) as u16,
             slowness_age_ms: (self.slowness.age_us(now_us) / US_PER_MS).min(u64::from(u16::MAX))
                 as u16,
             run_ms: (self.average_run_us / US_PER_MS as f64) as u16,
--- a/src/decision/host/placement.rs
+++ b/src/decision/host/placement.rs
@@ -4,7 +4,7 @@
 
 use super::gate::FINISH_SAFETY_FACTOR;
 use crate::decision::splitmix64::SplitMix64;
-use crate::model::load::{HostLoad, ServerState};
+use crate::model::load::HostLoad;
 use crate::model::units::US_PER_MS;
 
 /// Round-trip time between nodes of one availability zone, in µs.
@@ -22,9 +22,6 @@
 /// Slowness expected of a host without a recent report.
 const DEFAULT_SLOWNESS: f64 = 1.6;
 
-/// Factor on the run time at a cold backend server.
-const COLD_SLOWNESS: f64 = 2.0;
-
 /// Fraction of the run time added for a fully occupied host, besides queueing.
 const OCCUPANCY_PENALTY: f64 = 0.1;
 
@@ -90,9 +87,9 @@
     /// Time until an answer is expected, in µs.
     pub fn finish_us(&self, usual_run_us: f64) -> f64 {
         let slowness = self.slowness();
-        let slow_run_us = usual_run_us * slowness * self.cold_factor();
+        let slow_run_us = usual_run_us * slowness;
         let run_us = self.hold_us().map_or(slow_run_us, |hold_us| {
-            slow_run_us.min(hold_us + usual_run_us * self.cold_factor())
+            slow_run_us.min(hold_us + usual_run_us)
         });
         let hop_us = match (self.address, self.same_zone) {
             (None, _) => 0.0,
@@ -102,17 +99,10 @@
         run_us + self.queue_wait_us(slowness) + hop_us
     }
 
-    /// Time for which a slow phase would hold the request, in µs.
+    /// Delay of the request if the host holds it until a slow phase ends, in µs.
     fn hold_us(&self) -> Option<f64> {
-        let slow_left_ms = self.load?.slow_left_ms;
-        (slow_left_ms > 0).then_some(f64::from(slow_left_ms) * US_PER_MS as f64)
-    }
-
-    fn cold_factor(&self) -> f64 {
-        match self.load.map(|load| load.state) {
-            Some(ServerState::Cold) => COLD_SLOWNESS,
-            _ => 1.0,
-        }
+        let hold_ms = self.load?.hold_ms;
+        (hold_ms > 0).then_some(f64::from(hold_ms) * US_PER_MS as f64)
     }
 
     fn queue_wait_us(&self, slowness: f64) -> f64 {
--- a/src/decision/host/slowness.rs
+++ b/src/decision/host/slowness.rs
@@ -24,6 +24,9 @@
 #[derive(Debug, Clone)]
 pub struct Slowness {
     factor: f64,
+    /// Factor outside slow phases: one, or more while the backend server is cold.
+    base_factor: f64,
+    was_cold: bool,
     reported_us: Option<u64>,
     phase_started_us: u64,
     average_phase_us: f64,
@@ -33,6 +36,8 @@
     fn default() -> Self {
         Self {
             factor: 1.0,
+            base_factor: 1.0,
+            was_cold: false,
             reported_us: None,
             phase_started_us: 0,
             average_phase_us: INITIAL_PHASE_US,
@@ -41,14 +46,20 @@
 }
 
 impl Slowness {
-    /// Records a reported slowness, in percent of the usual run time.
-    pub fn record(&mut self, percent: u32, now_us: u64) {
+    /// Records a slowness, in percent of the usual run time, and whether the server was cold.
+    pub fn record(&mut self, percent: u32, cold: bool, now_us: u64) {
         let factor = f64::from(percent.max(1)) / 100.0;
+        self.base_factor = match (cold, self.was_cold) {
+            (false, _) => 1.0,
+            (true, false) => factor,
+            (true, true) => factor.min(self.base_factor),
+        };
+        self.was_cold = cold;
         let changed =
             factor > self.factor * PHASE_CHANGE_RATIO || factor * PHASE_CHANGE_RATIO < self.factor;
         if changed {
             let lasted_us = (now_us.saturating_sub(self.phase_started_us) as f64).min(PHASE_MAX_US);
-            if self.factor > PHASE_CHANGE_RATIO {
+            if self.factor > self.base_factor * PHASE_CHANGE_RATIO {
                 self.average_phase_us += (lasted_us - self.average_phase_us) * PHASE_WEIGHT;
             }
             self.phase_started_us = now_us;
@@ -66,6 +77,11 @@
         }
     }
 
+    /// Run time outside slow phases, relative to the usual run time.
+    pub fn base_factor(&self) -> f64 {
+        self.base_factor
+    }
+
     /// Age of the last report, in µs; `u64::MAX` if there is none.
     pub fn age_us(&self, now_us: u64) -> u64 {
         let age_us = self
@@ -80,7 +96,7 @@
     pub fn phase_left_us(&self, now_us: u64) -> Option<f64> {
         let lasted_us = now_us.saturating_sub(self.phase_started_us) as f64;
         let transient = lasted_us < self.average_phase_us * LASTING_AFTER_PHASES;
-        let slow = self.factor(now_us) > PHASE_CHANGE_RATIO;
+        let slow = self.factor(now_us) > self.base_factor * PHASE_CHANGE_RATIO;
         (slow && transient).then_some(self.average_phase_us * PHASE_FRACTION_LEFT)
     }
 }
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -68,8 +68,8 @@
     pub slowness_percent: u16,
     /// Age of `slowness_percent`, in ms.
     pub slowness_age_ms: u16,
-    /// Expected remaining time of a temporary slowdown, in ms; zero if there is none.
-    pub slow_left_ms: u16,
+    /// Delay of work that is held until a temporary slowdown ends, in ms; zero if there is none.
+    pub hold_ms: u16,
     /// Smoothed usual run time of a request, in ms.
     pub run_ms: u16,
     /// State of the backend server.
--- a/tests/host/cold_start.rs
+++ b/tests/host/cold_start.rs
@@ -4,7 +4,9 @@
 
 use bronzelock::decision::host::announcement::{AnnouncedState, Announcement};
 use bronzelock::decision::host::cold_rate_limiter::ColdAllowance;
-use bronzelock::decision::host::gate::{HostGate, Timing, Verdict, Work, WorkId};
+use bronzelock::decision::host::gate::{
+    HostGate, ServerReport, SlowPhaseAction, Timing, Verdict, Work, WorkId,
+};
 use bronzelock::model::ids::Incarnation;
 use bronzelock::model::names::ServiceName;
 use bronzelock::model::reasons::RefusalReason;
@@ -23,6 +25,14 @@
     other_finish_us: f64::INFINITY,
 };
 
+/// Kind of request whose run is long against the phases of a backend server.
+const LONG: Timing = Timing {
+    usual_run_us: 300.0 * MS as f64,
+    objective_at_us: 1_500 * MS,
+    deadline_us: 4 * S,
+    other_finish_us: f64::INFINITY,
+};
+
 #[derive(Debug, Clone, Copy)]
 struct Rate {
     stated_per_s: f64,
@@ -255,3 +265,21 @@
         assert!(gate.clear_to_send(id, u64::MAX, S + 300 * MS).is_ok());
     }
 }
+
+/// Pattern: a cold backend server is slow all the time, and sometimes slower still.
+#[test]
+fn the_slowness_of_a_cold_start_is_not_waited_out_but_a_slow_phase_is() {
+    let mut gate = ELEVEN.cold_gate(S, 60 * S);
+    let timing = work(LONG, S).timing;
+    let mut report = |percent, now_us| {
+        let report = ServerReport {
+            slowness_percent: Some(percent),
+            ..ServerReport::default()
+        };
+        gate.observe_report(report, now_us);
+        gate.slow_phase_action(&timing, now_us + MS)
+    };
+    assert_eq!(report(200, S), SlowPhaseAction::Send);
+    assert_eq!(report(800, S + 300 * MS), SlowPhaseAction::Hold);
+    assert_eq!(report(200, S + 600 * MS), SlowPhaseAction::Send);
+}
--- a/tests/host/placement.rs
+++ b/tests/host/placement.rs
@@ -28,7 +28,7 @@
             limit: 9,
             slowness_percent: 100,
             slowness_age_ms: 0,
-            slow_left_ms: 0,
+            hold_ms: 0,
             run_ms: 200,
             state: ServerState::Warm,
         }),
