Call the log service less at a start and while nothing changes; log where a late run's time went

Each start wrote the host's record again, each node read the operators' log every 20 s though load reports tell it when others have seen more, and each node followed the log until it knew the hosts before it.

Change: a pure module orders the calls of a registration; a node that starts again reads first, which also takes its 400 ms pause away, and writes only if its record is missing or differs. Nodes that do not follow the log read it every 120 s. No node follows before 1.2 s after its start. settings: host.first_start. New event ran-late: waited, run, usual run, slowness, rank, state.

--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -34,6 +34,17 @@
     pub service: ServiceName,
 }
 
+impl Introduction {
+    /// Whether both are of the same host, zone and service, whatever the run of the node.
+    pub fn is_of_same_host(&self, other: &Self) -> bool {
+        let this_run = Self {
+            incarnation: other.incarnation,
+            ..self.clone()
+        };
+        this_run == *other
+    }
+}
+
 /// A host known to this node.
 #[derive(Debug)]
 pub struct Peer {
--- a/src/host/directory.rs
+++ b/src/host/directory.rs
@@ -8,17 +8,12 @@
 use super::jitter::with_jitter;
 use super::peer_rpc::WireIntroduction;
 use crate::decision::host::peers::Introduction;
+use crate::decision::host::registration::{NextCall, Registration};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
-use crate::model::names::NameError;
 use crate::platform::names::HOSTS_TOPIC;
 use crate::platform::store::StoreClient;
 
-/// Delay between writing the own record and reading the others.
-///
-/// Hosts start together, so the others may still be writing theirs.
-const READ_DELAY: Duration = Duration::from_millis(400);
-
 /// Pauses between attempts, in ms; the last one repeats.
 const RETRY_PAUSES_MS: [u64; 4] = [200, 400, 800, 1_500];
 
@@ -32,16 +27,10 @@
 
 async fn join_with_retries(host: &Arc<Host>) {
     let mut store = StoreClient::new(host.settings.store.address);
-    let mut registered = false;
+    let mut registration = Registration::new(host.settings.host.first_start);
     for attempt in 0_usize.. {
-        match register_and_read_hosts(host, &mut store, &mut registered).await {
-            Ok(count) => {
-                host.events.state_changed(
-                    "hosts-read",
-                    serde_json::json!({"count": count, "attempt": attempt}),
-                );
-                return;
-            }
+        match register_and_read_hosts(host, &mut store, &mut registration, attempt).await {
+            Ok(()) => return,
             Err(error) => {
                 host.events.state_changed(
                     "store-lost",
@@ -57,44 +46,73 @@
     }
 }
 
-/// Writes the own record once and reads all others; returns how many were read.
+/// Makes the calls of the registration that are left.
 async fn register_and_read_hosts(
     host: &Arc<Host>,
     store: &mut StoreClient,
-    registered: &mut bool,
-) -> Result<usize, StepError> {
-    let own = host.introduction();
-    if !*registered {
-        let wire = WireIntroduction::from(own.clone());
-        let value = postcard::to_stdvec(&wire)
-            .map_err(|error| StepError::local("encode the introduction", error))?;
-        store
-            .append(HOSTS_TOPIC, &own.address.to_string(), &value)
-            .await?;
-        *registered = true;
-        tokio::time::sleep(READ_DELAY).await;
+    registration: &mut Registration,
+    attempt: usize,
+) -> Result<(), StepError> {
+    loop {
+        match registration.next() {
+            NextCall::Append => {
+                append_own_record(host, store).await?;
+                registration.appended();
+            }
+            NextCall::Read { pause_ms } => {
+                tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+                let own_is_current = read_hosts(host, store, attempt).await?;
+                registration.read(own_is_current);
+            }
+            NextCall::Done => return Ok(()),
+        }
     }
+}
+
+async fn append_own_record(host: &Host, store: &mut StoreClient) -> Result<(), StepError> {
+    let own = host.introduction();
+    let key = own.address.to_string();
+    let value = postcard::to_stdvec(&WireIntroduction::from(own))
+        .map_err(|error| StepError::local("encode the introduction", error))?;
+    store.append(HOSTS_TOPIC, &key, &value).await
+}
+
+/// Reads the records of all hosts; returns whether the own record is among them and current.
+async fn read_hosts(
+    host: &Host,
+    store: &mut StoreClient,
+    attempt: usize,
+) -> Result<bool, StepError> {
+    let own = host.introduction();
     let (records, _end) = store.read_newest(HOSTS_TOPIC).await?;
     let mut count = 0;
+    let mut own_is_current = false;
     for record in records {
         let value = record.value.unwrap_or_default();
-        let Ok(wire) = postcard::from_bytes::<WireIntroduction>(&value) else {
+        let introduction = postcard::from_bytes::<WireIntroduction>(&value)
+            .ok()
+            .and_then(|wire| Introduction::try_from(wire).ok());
+        let Some(introduction) = introduction else {
             host.events.count("introductions_refused");
             continue;
         };
-        count += usize::from(add_host(host, wire, &own).is_ok());
+        count += 1;
+        own_is_current |= introduction.is_of_same_host(&own);
+        add_host(host, introduction, &own);
     }
     host.gate.urgent_change.notify_one();
-    Ok(count)
+    host.events.state_changed(
+        "hosts-read",
+        serde_json::json!({"count": count, "attempt": attempt, "own_is_current": own_is_current}),
+    );
+    Ok(own_is_current)
 }
 
 /// Adds a host to the known peers, unless it is this one.
-fn add_host(host: &Host, wire: WireIntroduction, own: &Introduction) -> Result<(), NameError> {
-    let introduction = Introduction::try_from(wire)?;
+fn add_host(host: &Host, introduction: Introduction, own: &Introduction) {
     if introduction.address != own.address {
         lock(&host.peers).introduce(introduction, false, host.now_us());
     }
-    Ok(())
 }
 
 /// Requests the known hosts from the contacts in the settings; the first answer is used.
@@ -110,8 +128,9 @@
             continue;
         };
         for wire in introductions {
-            if add_host(host, wire, &own).is_err() {
-                host.events.count("introductions_refused");
+            match Introduction::try_from(wire) {
+                Ok(introduction) => add_host(host, introduction, &own),
+                Err(_invalid_name) => host.events.count("introductions_refused"),
             }
         }
         host.gate.urgent_change.notify_one();
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -92,6 +92,27 @@
     pub config_version: u64,
 }
 
+/// A run at the backend server that ended after the objective of its request.
+#[derive(Debug, Serialize)]
+pub struct LateRun<'a> {
+    /// Identifier of the request.
+    pub id: &'a str,
+    /// Time in the queue of the gate, in ms.
+    pub waited_ms: u64,
+    /// Time from sending the request to the end of its answer, in ms.
+    pub run_ms: u64,
+    /// Usual run time that the gate expected, in ms.
+    pub usual_run_ms: u64,
+    /// Run time when the request was sent, in percent of the usual one.
+    pub slowness_percent: u16,
+    /// Time by which the objective was missed, in ms.
+    pub late_ms: u64,
+    /// Urgency; 0 is the most urgent.
+    pub rank: u8,
+    /// State of the backend server.
+    pub state: ServerState,
+}
+
 /// Structured log and metrics of one node.
 #[derive(Debug)]
 pub struct EventLog {
@@ -236,6 +257,13 @@
         );
     }
 
+    /// Logs and counts a run that ended after the objective of its request.
+    pub fn ran_late(&self, run: &LateRun<'_>) {
+        self.count("late_runs");
+        let fields = serde_json::to_value(run).unwrap_or_default();
+        self.write(LinePriority::Notable, "ran-late", fields);
+    }
+
     /// Logs and counts a further attempt at another host.
     pub fn retried(&self, id: &str, from: Option<IpAddr>, to: Option<IpAddr>, arrivals: u32) {
         self.count("retries");
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -12,7 +12,7 @@
 
 use super::connection_pool::{ANSWER_LIMITS, PooledConnection};
 use super::context::Host;
-use super::events::{FailureInputs, Step};
+use super::events::{FailureInputs, LateRun, Step};
 use super::latency::Stage;
 use super::outcome::{Outcome, RequestFailure, RunMeasurement};
 use super::probe;
@@ -27,6 +27,7 @@
 use crate::model::host_request::{AnswerFacts, HostWork, SERVER_ERROR_MIN};
 use crate::model::reasons::RefusalReason;
 use crate::model::request::Effect;
+use crate::model::units::US_PER_MS;
 use crate::platform::{answers, requests};
 
 /// Retention time of the outcome of a non-idempotent request after its end.
@@ -152,8 +153,12 @@
     host.events.latencies.add(Stage::GateWait, waited_us);
     let mut measurement = RunMeasurement::default();
     let result = send(host, work, &tracked, &mut admitted, &mut measurement).await;
-    if let Err(failure) = &result {
-        log_failure(host, work, Step::Dispatch, failure);
+    match &result {
+        Ok(_) if host.now_us() > work.timing.objective_at_us => {
+            log_late_run(host, work, waited_us, &measurement);
+        }
+        Ok(_) => {}
+        Err(failure) => log_failure(host, work, Step::Dispatch, failure),
     }
     Outcome {
         result: result.map(answers::decode),
@@ -161,6 +166,20 @@
     }
 }
 
+/// Logs a run that ended after the objective of its request, and where the time went.
+fn log_late_run(host: &Host, work: &HostWork, waited_us: u64, measurement: &RunMeasurement) {
+    host.events.ran_late(&LateRun {
+        id: &work.id,
+        waited_ms: waited_us / US_PER_MS,
+        run_ms: measurement.run_us / US_PER_MS,
+        usual_run_ms: work.timing.usual_run_us as u64 / US_PER_MS,
+        slowness_percent: (measurement.slowness * 100.0) as u16,
+        late_ms: (host.now_us() - work.timing.objective_at_us) / US_PER_MS,
+        rank: work.rank,
+        state: host.gate.load().state,
+    });
+}
+
 /// Logs a failed attempt with the load of the gate.
 fn log_failure(host: &Host, work: &HostWork, step: Step, failure: &RequestFailure) {
     let load = host.gate.load();
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -11,16 +11,23 @@
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::model::host_config::HostConfig;
-use crate::model::units::US_PER_S;
+use crate::model::units::{US_PER_MS, US_PER_S};
 use crate::platform::names::OPERATOR_TOPIC;
 use crate::platform::operator::{self, Subject};
 use crate::platform::store::{LogPage, StoreClient};
 
+/// Time since the start of the node after which it knows the hosts that are before it.
+///
+/// Without them every node would follow the log.
+const HOSTS_KNOWN_AFTER_US: u64 = 1_200 * US_PER_MS;
+
 /// Interval of checks whether this node should follow the log.
 const FOLLOW_POLL_PERIOD: Duration = Duration::from_millis(500);
 
 /// Maximum time between reads of a node that does not follow the log, in µs.
-const READ_INTERVAL_MAX_US: u64 = 20 * US_PER_S;
+///
+/// Load reports tell it when other hosts have seen more of the log.
+const READ_INTERVAL_MAX_US: u64 = 120 * US_PER_S;
 
 /// Delay that lets this node's own read come before a request to a peer.
 const PEER_QUERY_DELAY: Duration = Duration::from_millis(250);
@@ -109,6 +116,8 @@
 /// follows the log, and on any other node after [`READ_INTERVAL_MAX_US`]. Returns false if the node
 /// has become a follower while it waited.
 async fn wait_for_follow_role(host: &Host) -> bool {
+    let hosts_known_at = host.clock.instant_at(HOSTS_KNOWN_AFTER_US);
+    tokio::time::sleep_until(hosts_known_at.into()).await;
     let follows = should_follow(host);
     host.follows_log.store(follows, Ordering::Relaxed);
     if follows {
--- a/src/settings/host.rs
+++ b/src/settings/host.rs
@@ -40,6 +40,9 @@
     pub ip: IpAddr,
     /// Availability zone.
     pub zone: ZoneName,
+    /// Whether the whole system starts for the first time; false by default.
+    #[serde(default)]
+    pub first_start: bool,
 }
 
 /// Addresses to listen on.
