Assume a part of the objective as run time until the first answer

Cause: after a restart a node took every run for 50 ms. So the order of the queue, what is refused at once and the placement went by wrong finish times in just the seconds in which capacity is short; and the gate's own average, at a weight of 0.05 a run, stayed wrong for the rest of the cold start.

Change: before its first answer a route's run is a third of its objective; averages are plain means of the first runs; a gate that has seen no run goes by the request it was offered.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -9,6 +9,7 @@
 use super::close_reasons::{CloseReason, CloseTimes};
 use super::cold_rate_limiter::ColdAllowance;
 use super::cold_start::ColdStart;
+use super::run_times::AverageRun;
 use super::slowness::Slowness;
 use super::start_limit::StartLimits;
 use super::wait_queue::{QueueOrder, WaitQueue, WaitingRequest};
@@ -30,10 +31,7 @@
 /// Multiple of the expected finish time that must fit before an objective or deadline.
 pub const FINISH_SAFETY_FACTOR: f64 = 1.5;
 
-/// Weight of the newest run in the average run time.
-const RUN_TIME_WEIGHT: f64 = 0.05;
-
-/// Average run time assumed before the first request, in µs.
+/// Run time assumed before the first request, in µs.
 const INITIAL_RUN_US: f64 = 50_000.0;
 
 /// Final part of the drain time in which nothing is sent, in µs.
@@ -72,7 +70,9 @@
     cold_start: ColdStart,
     slots: u32,
     slowness: Slowness,
-    average_run_us: f64,
+    average_run: AverageRun,
+    /// Expected run time of the request offered last, in µs; used before the first run has ended.
+    offered_run_us: f64,
     running: HashMap<WorkId, Running>,
     waiting: WaitQueue,
     next_id: u64,
@@ -94,7 +94,8 @@
             cold_start: ColdStart::new(allowance),
             slots: 1,
             slowness: Slowness::default(),
-            average_run_us: INITIAL_RUN_US,
+            average_run: AverageRun::default(),
+            offered_run_us: INITIAL_RUN_US,
             running: HashMap::new(),
             waiting: WaitQueue::default(),
             next_id: 0,
@@ -248,6 +249,7 @@
         if let Some(reason) = self.refusal_reason(now_us) {
             return Some(self.refuse(reason, now_us));
         }
+        self.offered_run_us = work.timing.usual_run_us;
         let waiting = WaitingRequest { id, work };
         let wait_us = self.expected_wait_us(&waiting, now_us);
         let limit = self.start_limits(now_us).of(&work);
@@ -286,7 +288,7 @@
             Some(Running::Sent) => {}
         }
         if let Some(usual_us) = usual_run_us {
-            self.average_run_us += (usual_us - self.average_run_us) * RUN_TIME_WEIGHT;
+            self.average_run.record(usual_us);
         }
     }
 
@@ -383,7 +385,7 @@
     pub fn load(&mut self, now_us: u64) -> HostLoad {
         self.report_sequence += 1;
         let hold_us = self
-            .hold_delay_us(self.average_run_us, now_us)
+            .hold_delay_us(self.average_run_us(), now_us)
             .unwrap_or(0.0);
         HostLoad {
             incarnation: self.incarnation,
@@ -395,7 +397,7 @@
             hold_ms: (hold_us / US_PER_MS as f64) as u16,
             slowness_age_ms: (self.slowness.age_us(now_us) / US_PER_MS).min(u64::from(u16::MAX))
                 as u16,
-            run_ms: (self.average_run_us / US_PER_MS as f64) as u16,
+            run_ms: (self.average_run_us() / US_PER_MS as f64) as u16,
             state: self.state(now_us),
         }
     }
@@ -431,6 +433,11 @@
         self.cold_start.is_cold(now_us)
     }
 
+    /// Usual run time of a request, in µs.
+    fn average_run_us(&self) -> f64 {
+        self.average_run.get().unwrap_or(self.offered_run_us)
+    }
+
     /// Maximum number of requests in flight.
     fn limit(&self) -> u32 {
         let usable = (f64::from(self.slots) * SLOT_FRACTION_USED).floor() as u32;
@@ -439,7 +446,7 @@
 
     /// Number of requests in flight that can be sustained now, for the load reports.
     fn sustained_limit(&self, now_us: u64) -> u32 {
-        let run_us = self.average_run_us * self.slowness(now_us);
+        let run_us = self.average_run_us() * self.slowness(now_us);
         let by_rate = self.cold_start.sustained_concurrency(run_us, now_us);
         f64::from(self.limit()).min(by_rate).max(1.0) as u32
     }
@@ -471,7 +478,7 @@
         let limit = self.limit() as usize;
         let free = limit.saturating_sub(self.running.len());
         let runs_before = (ahead + 1).saturating_sub(free);
-        let run_us = self.average_run_us * self.slowness(now_us);
+        let run_us = self.average_run_us() * self.slowness(now_us);
         let slot_wait_us = runs_before as f64 * run_us / limit as f64;
         slot_wait_us.max(self.cold_start.wait_us(ahead, now_us))
     }
--- a/src/decision/host/run_times.rs
+++ b/src/decision/host/run_times.rs
@@ -1,40 +1,59 @@
-//! Usual run time of each route's requests, corrected for the slowness of backend servers.
+//! Usual run times of requests, corrected for the slowness of backend servers.
 
 use std::collections::HashMap;
 use std::sync::Arc;
 
-/// Weight of the newest run in the moving average.
+/// Weight of the newest run in a moving average that has seen many runs.
 const RUN_TIME_WEIGHT: f64 = 0.05;
 
-/// Run time assumed before the first answer, in µs.
-const INITIAL_RUN_US: f64 = 50_000.0;
-
-/// Moving average of the run time by route, in µs.
-#[derive(Debug, Default)]
-pub struct RunTimes {
-    routes: HashMap<Arc<str>, f64>,
-}
+/// Fraction of the objective that a run is assumed to take before the first answer.
+///
+/// Operators leave room for waiting and for slow phases in the objective of a route.
+const OBJECTIVE_FRACTION: f64 = 1.0 / 3.0;
 
 /// Usual duration of a run that took `run_us` at `slowness`, in µs.
 pub fn usual_us(run_us: u64, slowness: f64) -> f64 {
     run_us as f64 / slowness.max(1.0)
 }
 
+/// Average of usual run times, in µs: the mean of the first runs, then a moving average.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AverageRun {
+    average_us: f64,
+    runs: u32,
+}
+
+impl AverageRun {
+    /// Records the usual run time of a run, in µs.
+    pub fn record(&mut self, usual_us: f64) {
+        self.runs = self.runs.saturating_add(1);
+        let weight = RUN_TIME_WEIGHT.max(1.0 / f64::from(self.runs));
+        self.average_us += (usual_us - self.average_us) * weight;
+    }
+
+    /// The average in µs; `None` before the first run.
+    pub fn get(&self) -> Option<f64> {
+        (self.runs > 0).then_some(self.average_us)
+    }
+}
+
+/// Average run time by route.
+#[derive(Debug, Default)]
+pub struct RunTimes {
+    routes: HashMap<Arc<str>, AverageRun>,
+}
+
 impl RunTimes {
     /// Records a run that took `run_us` at `slowness` times the usual run time.
     pub fn record(&mut self, route: &Arc<str>, run_us: u64, slowness: f64) {
-        let usual_us = usual_us(run_us, slowness);
-        match self.routes.get_mut(route) {
-            Some(average_us) => *average_us += (usual_us - *average_us) * RUN_TIME_WEIGHT,
-            None => {
-                self.routes.insert(Arc::clone(route), usual_us);
-            }
-        }
+        let average = self.routes.entry(Arc::clone(route)).or_default();
+        average.record(usual_us(run_us, slowness));
     }
 
-    /// Usual run time of a route's requests, in µs.
-    pub fn usual_us(&self, route: &str) -> f64 {
-        self.routes.get(route).copied().unwrap_or(INITIAL_RUN_US)
+    /// Usual run time of a route's requests, in µs; before the first answer from its objective.
+    pub fn usual_us(&self, route: &str, objective_us: u64) -> f64 {
+        let known_us = self.routes.get(route).and_then(AverageRun::get);
+        known_us.unwrap_or(objective_us as f64 * OBJECTIVE_FRACTION)
     }
 
     /// Removes routes that are no longer configured.
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -132,7 +132,7 @@
         nested_call: origin.nested,
         is_retry: origin.of_retry,
         timing: Timing {
-            usual_run_us: lock(&host.run_times).usual_us(&route.name),
+            usual_run_us: lock(&host.run_times).usual_us(&route.name, route.objective_us),
             objective_at_us: arrived_us + route.objective_us,
             deadline_us: arrived_us + wait_us.min(route.timeout_us),
             other_finish_us: f64::INFINITY,
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -20,4 +20,5 @@
 mod report_schedule;
 mod retry_budget_rule;
 mod routes;
+mod run_times;
 mod shared_retry_budget;
--- a/tests/host/routes.rs
+++ b/tests/host/routes.rs
@@ -97,5 +97,5 @@
     split.retain(|route| names.contains(route));
     run_times.retain(|route| names.contains(route));
     assert_eq!(split.len(), 1);
-    assert!(run_times.usual_us("cows") < run_times.usual_us("gone"));
+    assert!(run_times.usual_us("cows", 300_000) < run_times.usual_us("gone", 300_000));
 }
