Keep a departed backend server closed when its late heartbeat follows

A node restarted beside a backend server that was leaving heard the departure first, which names no start; a heartbeat from before it, 2.6 s late, then counted as a new start and opened the gate. Change: a departure of which no start is known ends all starts up to its receipt, in a pure function.

--- a/src/decision/host/announcement.rs
+++ b/src/decision/host/announcement.rs
@@ -34,6 +34,54 @@
     pub cold_left_us: u64,
 }
 
+/// The last message of a backend server that is shutting down.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Departure {
+    /// Identifier of the backend server.
+    pub instance: Arc<str>,
+    /// Start time in Unix ms; zero when not announced.
+    pub start_time_ms: u64,
+    /// When the message was received, in Unix ms.
+    pub received_ms: u64,
+}
+
+impl Departure {
+    /// Returns the departure as an announcement that follows `known`, the last one applied.
+    ///
+    /// A departure of another start than the known one has no effect. If none is known, all
+    /// starts of the backend server up to now have ended, so a late heartbeat of one of them is
+    /// stale.
+    pub fn announcement(
+        self,
+        known: Option<&Announcement>,
+        service: &ServiceName,
+    ) -> Option<Announcement> {
+        let Some(known) = known else {
+            let start_time_ms = match self.start_time_ms {
+                0 => self.received_ms,
+                announced_ms => announced_ms,
+            };
+            return Some(Announcement {
+                instance: self.instance,
+                service: service.clone(),
+                start_time_ms,
+                // No other announcement of this start may follow.
+                sequence: u64::MAX,
+                slots: 1,
+                state: AnnouncedState::Gone,
+                cold_left_us: 0,
+            });
+        };
+        let is_known_start = known.instance == self.instance
+            && (self.start_time_ms == 0 || self.start_time_ms == known.start_time_ms);
+        is_known_start.then(|| Announcement {
+            sequence: known.sequence.saturating_add(1),
+            state: AnnouncedState::Gone,
+            ..known.clone()
+        })
+    }
+}
+
 /// How an announcement relates to the last one applied.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Freshness {
--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use super::context::Host;
-use crate::decision::host::announcement::{AnnouncedState, Announcement, Freshness};
+use super::events::time_of_day_ms;
+use crate::decision::host::announcement::{Announcement, Departure, Freshness};
 use crate::edge::http1::server::{Handler, ServerLimits};
 use crate::edge::http1::{MessageLimits, Request, Response};
 use crate::platform::announcements::{self, Message};
@@ -38,7 +39,12 @@
                 instance,
                 start_time_ms,
             }) => {
-                apply_departure(host, instance, start_time_ms);
+                let departure = Departure {
+                    instance,
+                    start_time_ms,
+                    received_ms: time_of_day_ms(),
+                };
+                apply_departure(host, departure);
             }
             Err(error) => {
                 host.events
@@ -68,34 +74,10 @@
 }
 
 /// Applies the final message of a backend server that is shutting down.
-///
-/// It counts as one more announcement of the same start, with the state `Gone`. A message about
-/// a start other than the known one is ignored.
-fn apply_departure(host: &Host, instance: Arc<str>, start_time_ms: u64) {
+fn apply_departure(host: &Host, departure: Departure) {
     let known = host.gate.with(|gate| gate.last_announcement().cloned());
-    let Some(known) = known else {
-        let service = host.settings.backend_server.service.clone();
-        let departure = Announcement {
-            instance,
-            service,
-            start_time_ms,
-            sequence: 0,
-            slots: 1,
-            state: AnnouncedState::Gone,
-            cold_left_us: 0,
-        };
-        return apply_announcement(host, departure);
-    };
-    let same_start =
-        known.instance == instance && (start_time_ms == 0 || start_time_ms == known.start_time_ms);
-    if same_start {
-        apply_announcement(
-            host,
-            Announcement {
-                sequence: known.sequence + 1,
-                state: AnnouncedState::Gone,
-                ..known
-            },
-        );
+    let service = &host.settings.backend_server.service;
+    if let Some(announcement) = departure.announcement(known.as_ref(), service) {
+        apply_announcement(host, announcement);
     }
 }
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -409,7 +409,7 @@
 }
 
 /// Returns the wall-clock time in ms, used to merge the logs of several hosts.
-fn time_of_day_ms() -> u64 {
+pub fn time_of_day_ms() -> u64 {
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since_epoch.map_or(0, |since| since.as_millis() as u64)
 }
