Send regular load reports to some hosts of other zones only

Change: a node reports to all hosts of its zone and to 8 or more of each other zone, chosen by rendezvous hashing; nodes of a rare service to more, so that every host hears of about four of each zone and service. The others get a report every 30 s, so that they are not forgotten. Deployments of up to 8 hosts a zone are unchanged. Tests: 195 and 919 hosts, rare services, a host that joins.

--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -13,6 +13,7 @@
 pub mod placement;
 pub mod registration;
 pub mod report_schedule;
+pub mod report_targets;
 pub mod run_times;
 pub mod shared_retry_budget;
 pub mod slowness;
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -6,6 +6,7 @@
 use std::net::IpAddr;
 
 use super::placement::Candidate;
+use super::report_targets::KnownHost;
 use crate::decision::routing::{AttemptOutcome, Health};
 use crate::model::ids::Incarnation;
 use crate::model::load::HostLoad;
@@ -75,6 +76,7 @@
 #[derive(Debug, Default)]
 pub struct Peers {
     peers: BTreeMap<IpAddr, Peer>,
+    version: u64,
 }
 
 impl Peers {
@@ -104,6 +106,7 @@
                     health: Health::default(),
                 };
                 self.peers.insert(address, peer);
+                self.version += 1;
                 true
             }
         }
@@ -196,13 +199,18 @@
         of_service.map(move |peer| peer.candidate(own_zone, now_us))
     }
 
-    /// Addresses of all known hosts and whether each is in `zone`.
-    pub fn addresses<'a>(
-        &'a self,
-        zone: &'a ZoneName,
-    ) -> impl Iterator<Item = (IpAddr, bool)> + 'a {
-        let peers = self.peers.iter();
-        peers.map(move |(address, peer)| (*address, peer.introduction.zone == *zone))
+    /// All known hosts, for the choice of those that get load reports.
+    pub fn known_hosts(&self) -> impl Iterator<Item = KnownHost<'_>> {
+        self.peers.values().map(|peer| KnownHost {
+            address: peer.introduction.address,
+            zone: &peer.introduction.zone,
+            service: &peer.introduction.service,
+        })
+    }
+
+    /// Number that changes whenever a host is added, changed or removed.
+    pub fn version(&self) -> u64 {
+        self.version
     }
 
     /// The host at an address.
@@ -222,10 +230,12 @@
 
     /// Removes hosts that have been silent for too long.
     pub fn forget_silent(&mut self, now_us: u64) {
+        let count_before = self.peers.len();
         self.peers.retain(|_address, peer| {
             let since_us = peer.last_heard_us.unwrap_or(peer.known_since_us);
             now_us.saturating_sub(since_us) < FORGET_AFTER_US
         });
+        self.version += u64::from(self.peers.len() != count_before);
     }
 }
 
--- a/src/decision/host/report_schedule.rs
+++ b/src/decision/host/report_schedule.rs
@@ -18,6 +18,12 @@
 /// A host counts as lost after two of these intervals without a report.
 const OTHER_ZONE_INTERVAL_MAX_US: u64 = 2_200_000;
 
+/// Period of reports to hosts that get no regular ones, in µs.
+///
+/// It is well below the silence after which a host is forgotten, since the retry budget is divided
+/// by the number of known hosts.
+const REMAINING_PERIOD_US: u64 = 30_000_000;
+
 /// Event after which reports may be due.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ReportTrigger {
@@ -36,8 +42,10 @@
 pub struct Due {
     /// Hosts of the same availability zone.
     pub same_zone: bool,
-    /// Hosts of other availability zones.
+    /// Hosts of other availability zones that get regular reports.
     pub other_zones: bool,
+    /// The remaining hosts of other availability zones.
+    pub remaining: bool,
 }
 
 /// Report schedule of one node.
@@ -45,6 +53,7 @@
 pub struct ReportSchedule {
     same_zone_due_us: u64,
     other_zone_due_us: u64,
+    remaining_due_us: u64,
     /// Earliest time of the next change report to other zones, in µs.
     other_zone_allowed_us: u64,
     other_zone_changed: bool,
@@ -53,7 +62,8 @@
 impl ReportSchedule {
     /// Returns which reports are due; the caller sends them.
     ///
-    /// `other_zone_hosts` is the number of hosts in other availability zones.
+    /// `other_zone_hosts` is the number of hosts in other availability zones that get regular
+    /// reports.
     pub fn due(&mut self, trigger: ReportTrigger, other_zone_hosts: usize, now_us: u64) -> Due {
         self.other_zone_changed |= trigger == ReportTrigger::OtherZoneChange;
         let due = Due {
@@ -61,6 +71,7 @@
             other_zones: trigger == ReportTrigger::Urgent
                 || now_us >= self.other_zone_due_us
                 || (self.other_zone_changed && now_us >= self.other_zone_allowed_us),
+            remaining: now_us >= self.remaining_due_us,
         };
         if due.same_zone {
             self.same_zone_due_us = now_us + SAME_ZONE_PERIOD_US;
@@ -71,6 +82,9 @@
             self.other_zone_allowed_us = now_us + interval_us;
             self.other_zone_due_us = now_us + interval_us.max(OTHER_ZONE_PERIOD_US);
         }
+        if due.remaining {
+            self.remaining_due_us = now_us + REMAINING_PERIOD_US;
+        }
         due
     }
 
@@ -81,7 +95,9 @@
         } else {
             self.other_zone_due_us
         };
-        self.same_zone_due_us.min(other_zone_us)
+        self.same_zone_due_us
+            .min(other_zone_us)
+            .min(self.remaining_due_us)
     }
 }
 
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -1,7 +1,7 @@
 //! Load reports between hosts, sent as UDP datagrams; they also serve as heartbeats.
 //!
-//! Each node reports its load to all others after a change that matters to them, and periodically
-//! without a change. A sender that is unknown, or known only by a previous run of its node, is
+//! Each node reports its load to the hosts of [`ReportTargets`] after a change that matters to them,
+//! and periodically without a change. A sender that is unknown, or known only by a previous run of its node, is
 //! asked to introduce itself. Reports also go to hosts that have fallen silent, since that is how a
 //! node discovers the others after a restart.
 
@@ -17,6 +17,7 @@
 use super::peer_rpc::WireIntroduction;
 use crate::decision::host::peers::Introduction;
 use crate::decision::host::report_schedule::{ReportSchedule, ReportTrigger};
+use crate::decision::host::report_targets::{KnownHost, ReportTargets};
 use crate::kernel::shards::lock;
 use crate::model::load::HostLoad;
 
@@ -71,6 +72,8 @@
         let host = &self.host;
         let mut schedule = ReportSchedule::default();
         let mut introduced = false;
+        let mut targets = ReportTargets::default();
+        let mut targets_version = None;
         loop {
             let next = host.clock.instant_at(schedule.next_due_us());
             let trigger = tokio::select! {
@@ -80,37 +83,47 @@
                 () = host.gate.same_zone_change.notified() => ReportTrigger::SameZoneChange,
                 () = tokio::time::sleep_until(next.into()) => ReportTrigger::Timer,
             };
-            let hosts = self.hosts();
-            let other_zone_hosts = hosts.iter().filter(|(_ip, same_zone)| !same_zone).count();
-            let due = schedule.due(trigger, other_zone_hosts, host.now_us());
-            let is_due = |same_zone: bool| {
-                if same_zone {
-                    due.same_zone
-                } else {
-                    due.other_zones
-                }
-            };
-            let targets = hosts.iter().filter(|(_ip, same_zone)| is_due(*same_zone));
-            let targets: Vec<IpAddr> = targets.map(|(ip, _same_zone)| *ip).collect();
+            if let Some(newer) = self.targets_after(&mut targets_version) {
+                targets = newer;
+            }
+            let due = schedule.due(trigger, targets.other_zones.len(), host.now_us());
             let message = if introduced {
                 Message::Load
             } else {
                 self.hello(true)
             };
-            introduced |= !targets.is_empty();
+            let groups = [
+                (&targets.same_zone, due.same_zone),
+                (&targets.other_zones, due.other_zones),
+                (&targets.remaining, due.remaining || !introduced),
+            ];
             let datagram = self.datagram(message);
-            for target in targets {
-                self.send_to(target, &datagram).await;
+            for (group, is_due) in groups {
+                if !is_due {
+                    continue;
+                }
+                introduced |= !group.is_empty();
+                for target in group {
+                    self.send_to(*target, &datagram).await;
+                }
             }
             lock(&host.peers).forget_silent(host.now_us());
             tokio::time::sleep(REPORT_INTERVAL_MIN).await;
         }
     }
 
-    /// Returns all known hosts and whether each is in this node's availability zone.
-    fn hosts(&self) -> Vec<(IpAddr, bool)> {
+    /// Returns the receivers of reports if the known hosts are not those of `version`, and sets it.
+    fn targets_after(&self, version: &mut Option<u64>) -> Option<ReportTargets> {
         let peers = lock(&self.host.peers);
-        peers.addresses(&self.host.settings.host.zone).collect()
+        if version.replace(peers.version()) == Some(peers.version()) {
+            return None;
+        }
+        let own = KnownHost {
+            address: self.host.settings.host.ip,
+            zone: &self.host.settings.host.zone,
+            service: &self.host.service(),
+        };
+        Some(ReportTargets::choose(own, peers.known_hosts()))
     }
 
     fn hello(&self, reply_wanted: bool) -> Message {
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -19,6 +19,8 @@
 mod registration;
 mod report_schedule;
 mod retry_budget_rule;
+
+mod report_targets;
 mod routes;
 mod run_times;
 mod shared_retry_budget;
--- a/tests/host/peers.rs
+++ b/tests/host/peers.rs
@@ -44,9 +44,9 @@
     peers.introduce(introduction(), true, 10 * MS);
     assert_eq!(candidates(&peers, 6_000 * MS), 0);
     peers.forget_silent(60_000 * MS);
-    assert_eq!(peers.addresses(&introduction().zone).count(), 1);
+    assert_eq!(peers.known_hosts().count(), 1);
     peers.forget_silent(200_000 * MS);
-    assert_eq!(peers.addresses(&introduction().zone).count(), 0);
+    assert_eq!(peers.known_hosts().count(), 0);
 }
 
 #[test]
