--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -51,7 +51,7 @@
 /// Number of occupancy steps up to the limit in a load summary.
 const OCCUPANCY_STEPS: usize = 2;
 
-/// What a dispatched request that has not ended has come to.
+/// Progress of a dispatched request that has not ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Running {
     Dispatched,
@@ -352,6 +352,7 @@
         if deadline_us <= now_us {
             return Err(RefusalReason::DeadlineLapsed);
         }
+        // A request is sent again if its connection was closed before the first byte.
         let is_sent_again = self.running.get(&id) == Some(&Running::Sent);
         if is_sent_again {
             if !self.cold_start.allows(now_us) {
--- a/src/decision/host/nested_calls.rs
+++ b/src/decision/host/nested_calls.rs
@@ -136,7 +136,8 @@
             .filter(|run| run.stage != Stage::Waiting);
         for run in sent {
             let has_same_deadline = run.deadline_us.abs_diff(deadline_us) < DEADLINE_TOLERANCE_US;
-            if !has_same_deadline && !(run.is_retry && run.may_have_called(deadline_us)) {
+            let may_be_retry = run.is_retry && run.may_have_called(deadline_us);
+            if !(has_same_deadline || may_be_retry) {
                 continue;
             }
             origin.nested |= has_same_deadline && run.stage == Stage::Running;
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -62,7 +62,7 @@
     pub in_flight: u16,
     /// Requests waiting in the gate.
     pub queued: u16,
-    /// Current limit on concurrent requests.
+    /// Concurrent requests that the backend server can sustain now.
     pub limit: u16,
     /// Current run time, in percent of the usual run time.
     pub slowness_percent: u16,
--- a/tests/host/report_targets.rs
+++ b/tests/host/report_targets.rs
@@ -29,7 +29,7 @@
     let zones = ZONES.len() as u16;
     let host = |index: u16| {
         let [high, low] = index.to_be_bytes();
-        let is_rare = (index / zones) % rare_every == 0;
+        let is_rare = (index / zones).is_multiple_of(rare_every);
         let service = if is_rare { "rare" } else { "common" };
         Host {
             address: IpAddr::V4(Ipv4Addr::new(10, 0, high, low)),
