Send nothing to a backend server of another service, and introduce a node to every host it learns of

A new host took the address of one of another service; a node of another zone still knew the old one, sent a nested call there, and its gate ran it: requests between nodes did not name their service.

Change: a request names its service, and the gate checks it at the last moment; a node introduces itself to each host that becomes known; it follows the log from 0.6 s after its start on.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -19,6 +19,7 @@
 };
 use crate::model::ids::Incarnation;
 use crate::model::load::{HostLoad, ServerState};
+use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 use crate::model::units::US_PER_MS;
 
@@ -336,16 +337,22 @@
 
     /// Checks right before the first byte whether a dispatched request may still be sent.
     ///
-    /// Returns the identifier of the intended backend server.
+    /// Returns the identifier of the intended backend server. A backend server of another service
+    /// may have taken the place of the one that other nodes know.
     ///
     /// # Errors
     /// The reason why the request must not be sent.
     pub fn clear_to_send(
         &mut self,
         id: WorkId,
+        service: &ServiceName,
         deadline_us: u64,
         now_us: u64,
     ) -> Result<Option<Arc<str>>, RefusalReason> {
+        let announced = self.last_announcement.as_ref();
+        if announced.is_some_and(|known| known.service != *service) {
+            return Err(RefusalReason::ServerAbsent);
+        }
         if let Some(reason) = self.refusal_reason(now_us) {
             return Err(reason);
         }
--- a/src/decision/host/report_targets.rs
+++ b/src/decision/host/report_targets.rs
@@ -7,8 +7,8 @@
 //! The hosts are chosen by rendezvous hashing (Thaler and Ravishankar, 1998): each node chooses
 //! others, so each host hears from about as many, and a host that comes or goes changes few choices.
 
-use std::collections::BTreeMap;
 use std::collections::hash_map::DefaultHasher;
+use std::collections::{BTreeMap, HashSet};
 use std::hash::{Hash, Hasher};
 use std::net::IpAddr;
 
@@ -68,6 +68,25 @@
     }
 }
 
+/// Hosts to which a node has introduced itself.
+#[derive(Debug, Default)]
+pub struct Introductions {
+    introduced: HashSet<IpAddr>,
+}
+
+impl Introductions {
+    /// Returns the receivers that have not been introduced to yet, and counts them as such.
+    ///
+    /// Hosts learned of one by one must all hear of this node soon, also those that get no regular
+    /// reports: its address may have belonged to a host of another service.
+    pub fn take_pending(&mut self, targets: &ReportTargets) -> Vec<IpAddr> {
+        let groups = [&targets.same_zone, &targets.other_zones, &targets.remaining];
+        let all = groups.into_iter().flatten().copied();
+        all.filter(|address| self.introduced.insert(*address))
+            .collect()
+    }
+}
+
 fn rendezvous_weight(own: IpAddr, other: IpAddr) -> u64 {
     let mut hasher = DefaultHasher::new();
     (own, other).hash(&mut hasher);
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -127,6 +127,7 @@
     ));
     HostWork {
         id: request.id,
+        service: service.clone(),
         effect: route.effect,
         rank: route.rank,
         nested_call: origin.nested,
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -217,7 +217,12 @@
         let started_us = host.now_us();
         let clearance = host.gate.with(|gate| {
             measurement.slowness = gate.slowness(started_us);
-            gate.clear_to_send(admitted.id, work.timing.deadline_us, started_us)
+            gate.clear_to_send(
+                admitted.id,
+                &work.service,
+                work.timing.deadline_us,
+                started_us,
+            )
         });
         let instance = match clearance {
             Ok(instance) => instance,
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -17,7 +17,7 @@
 use super::peer_rpc::WireIntroduction;
 use crate::decision::host::peers::Introduction;
 use crate::decision::host::report_schedule::{ReportSchedule, ReportTrigger};
-use crate::decision::host::report_targets::{KnownHost, ReportTargets};
+use crate::decision::host::report_targets::{Introductions, KnownHost, ReportTargets};
 use crate::kernel::shards::lock;
 use crate::model::load::HostLoad;
 
@@ -67,11 +67,11 @@
 }
 
 impl LoadReporter {
-    /// Sends reports when they are due, the first time with an introduction.
+    /// Introduces this node to hosts that become known, and sends reports when they are due.
     async fn send(&self) {
         let host = &self.host;
         let mut schedule = ReportSchedule::default();
-        let mut introduced = false;
+        let mut introductions = Introductions::default();
         let mut targets = ReportTargets::default();
         let mut targets_version = None;
         loop {
@@ -85,24 +85,22 @@
             };
             if let Some(newer) = self.targets_after(&mut targets_version) {
                 targets = newer;
+                let hello = self.datagram(self.hello(true));
+                for target in introductions.take_pending(&targets) {
+                    self.send_to(target, &hello).await;
+                }
             }
             let due = schedule.due(trigger, targets.other_zones.len(), host.now_us());
-            let message = if introduced {
-                Message::Load
-            } else {
-                self.hello(true)
-            };
             let groups = [
                 (&targets.same_zone, due.same_zone),
                 (&targets.other_zones, due.other_zones),
-                (&targets.remaining, due.remaining || !introduced),
+                (&targets.remaining, due.remaining),
             ];
-            let datagram = self.datagram(message);
+            let datagram = self.datagram(Message::Load);
             for (group, is_due) in groups {
                 if !is_due {
                     continue;
                 }
-                introduced |= !group.is_empty();
                 for target in group {
                     self.send_to(*target, &datagram).await;
                 }
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -19,7 +19,7 @@
 /// Time since the start of the node after which it knows the hosts that are before it.
 ///
 /// Without them every node would follow the log.
-const HOSTS_KNOWN_AFTER_US: u64 = 1_200 * US_PER_MS;
+const HOSTS_KNOWN_AFTER_US: u64 = 600 * US_PER_MS;
 
 /// Interval of checks whether this node should follow the log.
 const FOLLOW_POLL_PERIOD: Duration = Duration::from_millis(500);
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -67,6 +67,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct WireWork {
     id: String,
+    service: String,
     effect: Effect,
     rank: u8,
     invested: bool,
@@ -86,6 +87,7 @@
     pub fn new(work: HostWork, now_us: u64) -> Self {
         Self {
             id: work.id.as_ref().to_owned(),
+            service: work.service.as_str().to_owned(),
             effect: work.effect,
             rank: work.rank,
             invested: work.nested_call,
@@ -102,9 +104,13 @@
     }
 
     /// Converts to a request at time `now_us` of the receiver's clock.
-    pub fn into_work(self, now_us: u64) -> HostWork {
-        HostWork {
+    ///
+    /// # Errors
+    /// [`NameError`] if the service is not a name.
+    pub fn into_work(self, now_us: u64) -> Result<HostWork, NameError> {
+        Ok(HostWork {
             id: self.id.into(),
+            service: ServiceName::new(&self.service)?,
             effect: self.effect,
             rank: self.rank,
             nested_call: self.invested,
@@ -119,7 +125,7 @@
             target: self.target,
             headers: headers_from_wire(self.headers),
             body: self.body,
-        }
+        })
     }
 }
 
--- a/src/host/peer_server.rs
+++ b/src/host/peer_server.rs
@@ -74,8 +74,13 @@
 
 impl PeerHost for Service {
     async fn run(self, _context: Context, work: WireWork) -> WireOutcome {
-        let work = work.into_work(self.host.now_us());
-        let outcome = executor::run(&self.host, work).await;
+        let outcome = match work.into_work(self.host.now_us()) {
+            Ok(work) => executor::run(&self.host, work).await,
+            Err(error) => {
+                log::warn!("peer server: rejected a request: {error}");
+                Outcome::failed(RequestFailure::not_sent(RefusalReason::PeerRejected))
+            }
+        };
         WireOutcome::new(outcome, self.host.gate.load())
     }
 
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 
 use super::header::Header;
+use super::names::ServiceName;
 use super::request::Effect;
 
 /// Lowest status code of server errors.
@@ -47,6 +48,8 @@
 pub struct HostWork {
     /// Identifier of this attempt.
     pub id: Arc<str>,
+    /// Service that is to run it.
+    pub service: ServiceName,
     /// Whether the request may run twice.
     pub effect: Effect,
     /// Urgency; 0 is the most urgent.
--- a/tests/host/cold_start.rs
+++ b/tests/host/cold_start.rs
@@ -39,6 +39,10 @@
     allowance: ColdAllowance,
 }
 
+fn service() -> ServiceName {
+    ServiceName::new("herd").expect("valid name")
+}
+
 impl Rate {
     /// Most requests that may arrive in any second.
     fn bound(&self) -> f64 {
@@ -51,7 +55,7 @@
         gate.set_cold_rate(self.stated_per_s, 0);
         let announcement = Announcement {
             instance: "i-1".into(),
-            service: ServiceName::new("herd").expect("valid name"),
+            service: service(),
             start_time_ms: 1,
             sequence: 1,
             slots: SLOTS,
@@ -152,7 +156,7 @@
                 held.drain(..).partition(|(at_us, _, _)| due(*at_us));
             held = kept.into();
             for (_at, id, of) in sent {
-                if !of.cancelled && gate.clear_to_send(id, u64::MAX, now_us).is_ok() {
+                if !of.cancelled && gate.clear_to_send(id, &service(), u64::MAX, now_us).is_ok() {
                     arrived_us.push(now_us);
                     running.push((now_us + of.run_us, id));
                 } else {
@@ -262,7 +266,10 @@
         .collect();
     assert_eq!(ids.len(), 4);
     for id in ids {
-        assert!(gate.clear_to_send(id, u64::MAX, S + 300 * MS).is_ok());
+        assert!(
+            gate.clear_to_send(id, &service(), u64::MAX, S + 300 * MS)
+                .is_ok()
+        );
     }
 }
 
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -27,7 +27,7 @@
 fn announcement(sequence: u64, state: AnnouncedState, cold_left_us: u64) -> Announcement {
     Announcement {
         instance: "i-1".into(),
-        service: ServiceName::new("herd").expect("valid name"),
+        service: service(),
         start_time_ms: 1,
         sequence,
         slots: 12,
@@ -36,6 +36,10 @@
     }
 }
 
+fn service() -> ServiceName {
+    ServiceName::new("herd").expect("valid name")
+}
+
 fn warm_gate() -> HostGate {
     let mut gate = HostGate::new(Incarnation(1), DRAIN_US, ALLOWANCE);
     gate.set_cold_rate(COLD_PER_S, 0);
@@ -185,7 +189,7 @@
     let (_id, late) = offer(&mut gate, work(1), S + DRAIN_US);
     assert_eq!(refusal(late), Some(RefusalReason::Leaving));
     assert_eq!(
-        gate.clear_to_send(id, 10 * S, S + DRAIN_US - 300 * MS),
+        gate.clear_to_send(id, &service(), 10 * S, S + DRAIN_US - 300 * MS),
         Err(RefusalReason::Leaving),
         "a first byte must still arrive within the drain time"
     );
@@ -227,7 +231,10 @@
     let mut decided = Vec::new();
     gate.decide_waiting(S + 100 * MS, &mut decided);
     assert_eq!(decided, [(waiting, Verdict::Run)]);
-    assert!(gate.clear_to_send(waiting, 10 * S, S + 200 * MS).is_ok());
+    assert!(
+        gate.clear_to_send(waiting, &service(), 10 * S, S + 200 * MS)
+            .is_ok()
+    );
     gate.finished(running[1], None, S);
     let long = Work {
         timing: timing(1_500.0 * MS as f64),
@@ -270,7 +277,10 @@
     let mut decided = Vec::new();
     gate.decide_waiting(2 * S, &mut decided);
     assert_eq!(decided, [(waiting, Verdict::Run)]);
-    assert!(gate.clear_to_send(waiting, 10 * S, 2 * S).is_ok());
+    assert!(
+        gate.clear_to_send(waiting, &service(), 10 * S, 2 * S)
+            .is_ok()
+    );
     assert_eq!(gate.state(2 * S), ServerState::Warm);
     assert_eq!(gate.state(3 * S), ServerState::Leaving);
     let (_id, verdict) = offer(&mut gate, work(1), 3 * S);
@@ -307,11 +317,24 @@
     let (id, _) = offer(&mut gate, work(1), S);
     gate.set_zone_out(true);
     assert_eq!(
-        gate.clear_to_send(id, 10 * S, S),
+        gate.clear_to_send(id, &service(), 10 * S, S),
         Err(RefusalReason::ZoneOut)
     );
     gate.set_zone_out(false);
-    assert!(gate.clear_to_send(id, 10 * S, S).is_ok());
+    assert!(gate.clear_to_send(id, &service(), 10 * S, S).is_ok());
+}
+
+/// An address goes to a backend server of another service, and other nodes do not know yet.
+#[test]
+fn nothing_is_sent_to_a_backend_server_of_another_service() {
+    let mut gate = warm_gate();
+    let (id, _) = offer(&mut gate, work(1), S);
+    let other = ServiceName::new("parlour").expect("valid name");
+    assert_eq!(
+        gate.clear_to_send(id, &other, 10 * S, S),
+        Err(RefusalReason::ServerAbsent)
+    );
+    assert!(gate.clear_to_send(id, &service(), 10 * S, S).is_ok());
 }
 
 #[test]
@@ -319,7 +342,7 @@
     let mut gate = warm_gate();
     let (id, _) = offer(&mut gate, work(1), S);
     assert_eq!(
-        gate.clear_to_send(id, 2 * S, 2 * S),
+        gate.clear_to_send(id, &service(), 2 * S, 2 * S),
         Err(RefusalReason::DeadlineLapsed)
     );
 }
--- a/tests/host/report_targets.rs
+++ b/tests/host/report_targets.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::{IpAddr, Ipv4Addr};
 
-use bronzelock::decision::host::report_targets::{KnownHost, ReportTargets};
+use bronzelock::decision::host::report_targets::{Introductions, KnownHost, ReportTargets};
 use bronzelock::model::names::{ServiceName, ZoneName};
 
 const ZONES: [&str; 5] = ["a", "b", "c", "d", "e"];
@@ -114,3 +114,16 @@
     let targets = targets_of(&hosts, rare.expect("a host of the rare service"));
     assert!(targets.remaining.is_empty());
 }
+
+/// A node that learns of the hosts one by one must still introduce itself to all of them.
+#[test]
+fn hosts_that_become_known_later_are_introduced_to_once() {
+    let hosts = hosts(195);
+    let mut introductions = Introductions::default();
+    let first = targets_of(&hosts[..3], 0);
+    assert_eq!(introductions.take_pending(&first).len(), 2);
+    let all = targets_of(&hosts, 0);
+    assert!(!all.remaining.is_empty());
+    assert_eq!(introductions.take_pending(&all).len(), 192);
+    assert!(introductions.take_pending(&all).is_empty());
+}
