--- a/tests/host/cold_start.rs
+++ b/tests/host/cold_start.rs
@@ -290,3 +290,33 @@
     assert_eq!(report(800, S + 300 * MS), SlowPhaseAction::Hold);
     assert_eq!(report(200, S + 600 * MS), SlowPhaseAction::Send);
 }
+
+/// A backend server turns cold while it is sent more than its cold rate, and says so later.
+#[test]
+fn requests_sent_before_the_return_to_cold_was_noticed_count_against_the_rate() {
+    let mut gate = ELEVEN.cold_gate(0, 0);
+    let long = work(LONG, S);
+    let held = offer(&mut gate, long, S).1[0];
+    for step in 0..40 {
+        let now_us = S + step * 20 * MS;
+        let id = offer(&mut gate, work(QUICK, now_us), now_us).1[0];
+        assert!(gate.clear_to_send(id, &service(), u64::MAX, now_us).is_ok());
+        gate.finished(id, None, now_us);
+    }
+    let noticed_us = S + 800 * MS;
+    let report = ServerReport {
+        cold_left_us: Some(3 * S),
+        ..ServerReport::default()
+    };
+    gate.observe_report(report, noticed_us);
+    assert_eq!(
+        gate.clear_to_send(held, &service(), u64::MAX, noticed_us),
+        Err(RefusalReason::ColdStart),
+        "dispatched before, not sent yet"
+    );
+    gate.finished(held, None, noticed_us);
+    let (_refused, runs) = offer(&mut gate, work(LONG, noticed_us), noticed_us);
+    assert!(runs.is_empty(), "the second before has used up the rate");
+    let second_later_us = noticed_us + 1_200 * MS;
+    assert!(!dispatched(&mut gate, second_later_us).is_empty());
+}
