Log and count every 3xx and 4xx with its reason, and name who ran a request

The logs could not tell the hypotheses apart: a 400 without an identifier had neither a line nor a counter, a 408 none either, a 400, 413 or 431 of the reader no identifier, and a 4xx passed on from a backend server was one of two routine lines a second. No line named the service chosen, the host tried last, the instance that ran the request, or the age of the configuration and of the last word from the operators' log.

Change, no decision differs: - `no-route` and the new `rejected` name reason, configuration version, its age and that of the operators' log, and count `rejections{status,reason}`. `missed` names service and configuration version. - `lines-dropped` and `log_lines_dropped{event}` say which events' lines were dropped. - The writer thread ended for good, silently, at the first error of standard output, such as EAGAIN of a pipe set to non-blocking. It now keeps the rest, goes on, and counts `log_write_failures`.

--- a/src/edge/http1/reader.rs
+++ b/src/edge/http1/reader.rs
@@ -52,6 +52,8 @@
 enum State<H> {
     Head,
     Body(H, BodyCollector, bool),
+    /// The head is valid, but its body cannot be read.
+    Rejected(H),
 }
 
 /// Reads requests or responses from one connection.
@@ -81,7 +83,20 @@
 
     /// Whether part of the next message has been received.
     pub fn is_within_message(&self) -> bool {
-        !self.buffer.is_empty() || matches!(self.state, State::Body(..))
+        !self.buffer.is_empty() || self.partial_head().is_some()
+    }
+
+    /// Head of the message that is being read, once it is complete.
+    pub fn partial_head(&self) -> Option<&H> {
+        match &self.state {
+            State::Head => None,
+            State::Body(head, ..) | State::Rejected(head) => Some(head),
+        }
+    }
+
+    /// Bytes received that no message has taken yet.
+    pub fn unread_bytes(&self) -> &[u8] {
+        &self.buffer
     }
 
     /// Reads the next message.
@@ -113,13 +128,22 @@
                 return Ok(None);
             };
             let framing = if self.bodiless {
-                Framing::Length(0)
+                Ok(Framing::Length(0))
             } else {
-                head.framing().map_err(ReadError::Body)?
+                head.framing()
             };
-            let body = BodyCollector::new(framing, limits.body_bytes_max);
-            let continue_sent = !head.expects_continue();
-            self.state = State::Body(head, body.map_err(ReadError::Body)?, continue_sent);
+            let body =
+                framing.and_then(|framing| BodyCollector::new(framing, limits.body_bytes_max));
+            match body {
+                Ok(body) => {
+                    let continue_sent = !head.expects_continue();
+                    self.state = State::Body(head, body, continue_sent);
+                }
+                Err(error) => {
+                    self.state = State::Rejected(head);
+                    return Err(ReadError::Body(error));
+                }
+            }
         }
         let State::Body(_head, body, continue_sent) = &mut self.state else {
             return Ok(None);
@@ -136,7 +160,7 @@
     fn on_eof(&mut self) -> Result<Received<H>, ReadError> {
         let complete = match &self.state {
             State::Head if self.buffer.is_empty() => return Err(ReadError::Ended),
-            State::Head => false,
+            State::Head | State::Rejected(_) => false,
             State::Body(_head, body, _continue_sent) => body.ends_with_connection(),
         };
         if complete {
@@ -150,7 +174,7 @@
             State::Body(head, body, _continue_sent) => {
                 Some(Received::Message(head, body.collected.freeze()))
             }
-            State::Head => None,
+            State::Head | State::Rejected(_) => None,
         }
     }
 }
--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -49,6 +49,73 @@
     pub idle_timeout: Duration,
 }
 
+/// Why a request was rejected while it was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectReason {
+    /// The head is malformed.
+    MalformedHead,
+    /// The head is longer than allowed.
+    LongHead,
+    /// The framing of the body is malformed or unknown.
+    MalformedBody,
+    /// The body is longer than allowed.
+    LongBody,
+    /// The rest of the request did not arrive in time.
+    Timeout,
+}
+
+impl RejectReason {
+    /// Status that the caller gets.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::MalformedHead | Self::MalformedBody => 400,
+            Self::Timeout => 408,
+            Self::LongBody => 413,
+            Self::LongHead => 431,
+        }
+    }
+
+    /// Name of the reason in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::MalformedHead => "malformed-head",
+            Self::LongHead => "long-head",
+            Self::MalformedBody => "malformed-body",
+            Self::LongBody => "long-body",
+            Self::Timeout => "timeout",
+        }
+    }
+
+    /// Reason that follows from a read error; `None` if the connection is gone.
+    fn of(error: &ReadError) -> Option<Self> {
+        match error {
+            ReadError::Io(_) | ReadError::Truncated | ReadError::Ended => None,
+            ReadError::Head(HeadError::TooLong(_)) => Some(Self::LongHead),
+            ReadError::Head(_) => Some(Self::MalformedHead),
+            ReadError::Body(BodyError::TooLong(_)) => Some(Self::LongBody),
+            ReadError::Body(_) => Some(Self::MalformedBody),
+        }
+    }
+}
+
+/// A request that was rejected while it was read.
+#[derive(Debug)]
+pub struct RejectedRequest<'a> {
+    /// Address of the caller.
+    pub caller: SocketAddr,
+    /// Why it was rejected.
+    pub reason: RejectReason,
+    /// What exactly was wrong.
+    pub detail: String,
+    /// Its head, if that was read.
+    pub head: Option<&'a RequestHead>,
+    /// Bytes received that were not read as part of the head or the body.
+    pub unread: &'a [u8],
+    /// Whether the status was sent. If earlier requests of the connection were still running, the
+    /// connection was only closed after their responses.
+    pub answered: bool,
+}
+
 /// Handles the requests of a listener.
 pub trait Handler: Send + Sync + 'static {
     /// Current limits.
@@ -61,6 +128,16 @@
         caller: SocketAddr,
     ) -> impl Future<Output = Response> + Send;
 
+    /// Records a request that was rejected while it was read.
+    fn rejected(&self, rejected: &RejectedRequest<'_>) {
+        log::warn!(
+            "listener: rejected a request with {} (peer {}): {}",
+            rejected.reason.status(),
+            rejected.caller,
+            rejected.detail
+        );
+    }
+
     /// Whether to close connections once their pending responses are sent; false by default.
     fn is_closing(&self) -> bool {
         false
@@ -200,21 +277,19 @@
                         Ok(Received::ContinueExpected) => {
                             self.unwritten.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
                         }
-                        Err(error) => match refusal_status(&error) {
-                            Some(status) if pending.is_empty() => {
-                                log::warn!("listener: rejected a request with {status} (peer {}): {error}", self.caller);
-                                self.write_refusal(status);
-                                accept_requests = false;
-                            }
-                            Some(_status) => accept_requests = false,
-                            None => return,
-                        },
+                        Err(error) => {
+                            let Some(reason) = RejectReason::of(&error) else {
+                                return;
+                            };
+                            self.reject(reason, error.to_string(), pending.is_empty());
+                            accept_requests = false;
+                        }
                     }
                 }
                 () = &mut closed, if accept_requests => accept_requests = false,
                 () = tokio::time::sleep(timeout), if timeout_armed => {
                     if mid_message {
-                        self.write_refusal(408);
+                        self.reject(RejectReason::Timeout, format!("no end of the request within {} ms", timeout.as_millis()), true);
                     }
                     accept_requests = false;
                 }
@@ -252,8 +327,19 @@
         close
     }
 
-    fn write_refusal(&mut self, status: u16) {
-        write_response(&mut self.unwritten, status, &[], &[], false, true);
+    /// Records a rejected request, and buffers the response if `answers`.
+    fn reject(&mut self, reason: RejectReason, detail: String, answers: bool) {
+        self.handler.rejected(&RejectedRequest {
+            caller: self.caller,
+            reason,
+            detail,
+            head: self.reader.partial_head(),
+            unread: self.reader.unread_bytes(),
+            answered: answers,
+        });
+        if answers {
+            write_response(&mut self.unwritten, reason.status(), &[], &[], false, true);
+        }
     }
 
     /// Shuts down the write side and discards incoming data for up to [`LINGER_TIMEOUT`].
@@ -295,16 +381,6 @@
     {}
 }
 
-/// Status for a request that could not be read; `None` if the connection is gone.
-fn refusal_status(error: &ReadError) -> Option<u16> {
-    match error {
-        ReadError::Io(_) | ReadError::Truncated | ReadError::Ended => None,
-        ReadError::Head(HeadError::TooLong(_)) => Some(431),
-        ReadError::Body(BodyError::TooLong(_)) => Some(413),
-        ReadError::Head(_) | ReadError::Body(_) => Some(400),
-    }
-}
-
 impl Response {
     /// Creates a response that keeps the connection open.
     pub fn new(status: u16, headers: Vec<Header>, body: impl Into<bytes::Bytes>) -> Self {
--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -65,6 +65,9 @@
         let freshness = gate.observe_announcement(announcement, now_us);
         (freshness, before, gate.state(now_us))
     });
+    if freshness != Freshness::Stale {
+        host.learn_times.announcement.record(now_us);
+    }
     if freshness == Freshness::NewStart {
         host.server_connections.close_all();
     }
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -3,7 +3,7 @@
 //! They end when a host answers, no further attempt is allowed, or the time is up.
 
 use std::net::IpAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use futures::StreamExt;
@@ -16,6 +16,7 @@
 use super::outcome::{Outcome, RequestFailure};
 use super::peer_client::PeerError;
 use super::peer_rpc::WireWork;
+use super::request_lines::{FailedAttempt, TriedHosts};
 use super::retries;
 use crate::decision::host::placement::{self, Candidate, Placement, RequestTiming};
 use crate::decision::routing::AttemptOutcome;
@@ -50,12 +51,13 @@
     pub service: &'a ServiceName,
     /// The request to be sent.
     pub work: HostWork,
+    /// Hosts tried so far.
+    tried_hosts: Mutex<TriedHosts>,
 }
 
 /// Results of the attempts so far.
 #[derive(Debug, Default)]
 struct Progress {
-    tried_hosts: Vec<Option<IpAddr>>,
     /// Number of backend servers that the request may have reached.
     arrivals: u32,
     refusals: u32,
@@ -64,7 +66,30 @@
     reported_failure: Option<RequestFailure>,
 }
 
-impl Attempts<'_> {
+impl<'a> Attempts<'a> {
+    /// Creates the attempts of a request, before the first one.
+    pub fn new(
+        host: &'a Arc<Host>,
+        route: &'a Route,
+        service: &'a ServiceName,
+        work: HostWork,
+    ) -> Self {
+        Self {
+            host,
+            route,
+            service,
+            work,
+            tried_hosts: Mutex::default(),
+        }
+    }
+
+    /// Returns the hosts that were tried, in order.
+    pub fn into_tried_hosts(self) -> TriedHosts {
+        self.tried_hosts
+            .into_inner()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Sends the request to one host after another until one answers.
     ///
     /// # Errors
@@ -72,7 +97,7 @@
     pub async fn run(&self) -> Result<ServerAnswer, RequestFailure> {
         let mut progress = Progress::default();
         let mut attempts = FuturesUnordered::new();
-        match self.place_next(&progress) {
+        match self.place_next() {
             Some(placement) => attempts.push(self.start_attempt(placement, &mut progress)),
             None => return Err(Self::no_host()),
         }
@@ -89,7 +114,7 @@
             if !retry || self.host.now_us() >= self.work.timing.deadline_us {
                 continue;
             }
-            if let Some(next) = self.place_next(&progress) {
+            if let Some(next) = self.place_next() {
                 self.host.events.retried(
                     &self.work.id,
                     placement.candidate.address,
@@ -141,8 +166,20 @@
         retries::take_retry(self.host, self.service, &self.work)
     }
 
+    /// Logs an attempt at another host that failed on the way.
+    fn log_failure(&self, step: Step, failure: &RequestFailure, ip: IpAddr) {
+        self.host.events.attempt_failed(&FailedAttempt {
+            id: &self.work.id,
+            service: self.service,
+            step,
+            failure,
+            inputs: &FailureInputs::peer(ip),
+            config_version: self.host.config_version(),
+        });
+    }
+
     /// Chooses the host for the next attempt, or none if no host is suitable.
-    fn place_next(&self, progress: &Progress) -> Option<Placement> {
+    fn place_next(&self) -> Option<Placement> {
         let host = self.host;
         let now_us = host.now_us();
         let own_candidate = self.own_candidate();
@@ -153,7 +190,7 @@
             usual_run_us: self.work.timing.usual_run_us,
             objective_left_us: self.work.timing.objective_at_us.saturating_sub(now_us) as f64,
         };
-        placement::choose(candidates, &progress.tried_hosts, timing, rand::random())
+        placement::choose(candidates, &lock(&self.tried_hosts), timing, rand::random())
     }
 
     /// Returns this host as a candidate if it serves the service and accepts work.
@@ -178,7 +215,7 @@
         placement: Placement,
         progress: &mut Progress,
     ) -> impl Future<Output = (Placement, Outcome)> + use<'t> {
-        progress.tried_hosts.push(placement.candidate.address);
+        lock(&self.tried_hosts).push(placement.candidate.address);
         let host = self.host;
         let mut work = self.work.clone();
         work.is_retry |= progress.arrivals > 0;
@@ -248,12 +285,7 @@
                 RequestFailure::unknown(RefusalReason::DeadlinePassedRunning)
             }
         };
-        host.events.attempt_failed(
-            &self.work.id,
-            Step::Forward,
-            &failure,
-            &FailureInputs::peer(ip),
-        );
+        self.log_failure(Step::Forward, &failure, ip);
         Outcome::failed(failure)
     }
 
@@ -282,12 +314,7 @@
             }
         }
         let failure = RequestFailure::unknown(RefusalReason::ConnectionLost);
-        host.events.attempt_failed(
-            &self.work.id,
-            Step::Settle,
-            &failure,
-            &FailureInputs::peer(ip),
-        );
+        self.log_failure(Step::Settle, &failure, ip);
         Outcome::failed(failure)
     }
 }
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -1,20 +1,20 @@
 //! HTTP listener for callers' requests, from decoding to the response.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::Arc;
 use std::time::Duration;
 
 use super::attempts::Attempts;
 use super::context::Host;
-use super::events::Completed;
 use super::jitter::with_jitter;
 use super::outcome::RequestFailure;
+use super::request_lines::{Completed, Refused, Rejected, TriedHosts, shortened};
 use super::retries;
-use crate::edge::http1::server::{Handler, ServerLimits};
+use crate::edge::http1::server::{Handler, RejectedRequest, ServerLimits};
 use crate::edge::http1::{MessageLimits, Request, Response};
 use crate::kernel::shards::lock;
 use crate::model::header::Header;
-use crate::model::host_config::{CallerBounds, HostConfig, Route};
+use crate::model::host_config::{CallerBounds, Route};
 use crate::model::host_request::{CallerRequest, HostWork, ServerAnswer, Timing};
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
@@ -27,6 +27,9 @@
 /// Retry-After if the failure states none, in µs.
 const RETRY_AFTER_DEFAULT_US: u64 = 200_000;
 
+/// Body of the response to a request without an identifier.
+const NO_IDENTIFIER: &str = "the request bears no identifier\n";
+
 /// Assumed waiting time of a caller that states none, in ms.
 const WAIT_MS_DEFAULT: u64 = 60_000;
 
@@ -50,55 +53,124 @@
         }
     }
 
-    async fn answer(self: Arc<Self>, request: Request, _caller: SocketAddr) -> Response {
+    async fn answer(self: Arc<Self>, request: Request, caller: SocketAddr) -> Response {
         let arrived_us = self.0.now_us();
         let _open_request = self.0.events.open_request();
+        if requests::id_of(&request.head).is_none() {
+            return without_identifier(&self.0, &request, caller);
+        }
         match requests::decode(request) {
             Some(request) => answer(&self.0, request, arrived_us).await,
-            None => Response::new(400, Vec::new(), "the request bears no identifier\n"),
+            None => Response::new(400, Vec::new(), NO_IDENTIFIER),
         }
     }
 
+    fn rejected(&self, rejected: &RejectedRequest<'_>) {
+        let id = match rejected.head {
+            Some(head) => requests::id_of(head),
+            None => requests::id_in_bytes(rejected.unread),
+        };
+        self.0.events.rejected(&Rejected {
+            id: id.map(shortened),
+            status: rejected.reason.status(),
+            reason: rejected.reason.as_str(),
+            detail: &rejected.detail,
+            peer: rejected.caller,
+            first_line: shortened(&first_line(rejected)),
+            unread_bytes: rejected.unread.len(),
+            answered: rejected.answered,
+            config: self.0.config_age(),
+        });
+    }
+
     fn is_closing(&self) -> bool {
         self.0.stop.is_leaving()
     }
 }
 
+/// Returns method and target of a rejected request, or the first line that was received.
+fn first_line(rejected: &RejectedRequest<'_>) -> String {
+    if let Some(head) = rejected.head {
+        return format!("{} {}", head.method, head.target);
+    }
+    let mut lines = rejected.unread.split(|byte| *byte == b'\n');
+    let line = lines.next().unwrap_or_default();
+    String::from_utf8_lossy(line).trim_end().to_owned()
+}
+
+/// Logs a request without an identifier and builds the response.
+fn without_identifier(host: &Host, request: &Request, caller: SocketAddr) -> Response {
+    let head = &request.head;
+    host.events.rejected(&Rejected {
+        id: None,
+        status: 400,
+        reason: "no-identifier",
+        detail: "",
+        peer: caller,
+        first_line: shortened(&format!("{} {}", head.method, head.target)),
+        unread_bytes: 0,
+        answered: true,
+        config: host.config_age(),
+    });
+    Response::new(400, Vec::new(), NO_IDENTIFIER)
+}
+
 async fn answer(host: &Arc<Host>, request: CallerRequest, arrived_us: u64) -> Response {
     let id = Arc::clone(&request.id);
+    let mut refused = Refusal {
+        host,
+        id: &id,
+        route: None,
+        service: None,
+        tried: &[],
+        config_version: None,
+        arrived_us,
+    };
     let Some(config) = host.config.load_full() else {
         let failure = RequestFailure::not_sent(RefusalReason::NoConfiguration);
-        return refusal(
-            host,
-            &id,
-            None,
-            &failure.retry_after(NO_CONFIG_RETRY_AFTER_US),
-            arrived_us,
-        );
+        return refused.response(&failure.retry_after(NO_CONFIG_RETRY_AFTER_US));
     };
+    refused.config_version = Some(config.version);
     let Some(route) = config.route(&request.host, &request.target).cloned() else {
         host.events
-            .no_route(&id, &request.host, &request.target, config.version);
+            .no_route(&id, &request.host, &request.target, &host.config_age());
         return Response::new(
             404,
             vec![answers::request_id_header(&id)],
             "no route matches\n",
         );
     };
+    refused.route = Some(&route);
     let Some(service) = next_target(host, &route) else {
-        return refusal(
-            host,
-            &id,
-            Some(&route),
-            &RequestFailure::not_sent(RefusalReason::NoServer),
-            arrived_us,
-        );
+        return refused.response(&RequestFailure::not_sent(RefusalReason::NoServer));
     };
+    refused.service = Some(&service);
     let work = host_work(host, request, &route, &service, arrived_us);
     let deadline_us = work.timing.deadline_us;
-    match run(host, &route, &service, work).await {
-        Ok(answer) => response(host, &id, &route, &config, answer, arrived_us, deadline_us),
-        Err(failure) => refusal(host, &id, Some(&route), &failure, arrived_us),
+    let (result, tried) = run(host, &route, &service, work).await;
+    match result {
+        Ok(answer) => {
+            let now_us = host.now_us();
+            host.events.answered(&Completed {
+                id: &id,
+                route: &route.name,
+                service: &service,
+                tried: &tried,
+                instance: answers::instance_of(&answer),
+                status: answer.status,
+                took_us: now_us - arrived_us,
+                left_us: deadline_us.saturating_sub(now_us),
+                in_time: now_us - arrived_us <= route.objective_us,
+                config_version: config.version,
+            });
+            let mut headers = answer.headers;
+            headers.push(answers::request_id_header(&id));
+            Response::new(answer.status, headers, answer.body)
+        }
+        Err(failure) => {
+            refused.tried = &tried;
+            refused.response(&failure)
+        }
     }
 }
 
@@ -145,85 +217,70 @@
     }
 }
 
-/// Runs the attempts until the deadline.
+/// Runs the attempts until the deadline; also returns the hosts that were tried.
 async fn run(
     host: &Arc<Host>,
     route: &Route,
     service: &ServiceName,
     work: HostWork,
-) -> Result<ServerAnswer, RequestFailure> {
+) -> (Result<ServerAnswer, RequestFailure>, TriedHosts) {
     let deadline = host.clock.instant_at(work.timing.deadline_us);
-    let attempts = Attempts {
-        host,
-        route,
-        service,
-        work,
-    };
+    let attempts = Attempts::new(host, route, service, work);
     let attempts_run = attempts.run();
     let with_deadline = tokio::time::timeout_at(deadline.into(), attempts_run);
-    with_deadline.await.unwrap_or_else(|_elapsed| {
+    let result = with_deadline.await.unwrap_or_else(|_elapsed| {
         Err(RequestFailure::unknown(
             RefusalReason::DeadlinePassedRunning,
         ))
-    })
+    });
+    (result, attempts.into_tried_hosts())
 }
 
-/// Logs the answer and turns it into the response.
-fn response(
-    host: &Host,
-    id: &Arc<str>,
-    route: &Route,
-    config: &HostConfig,
-    answer: ServerAnswer,
+/// A request that gets no answer of a backend server, and what is known of it.
+struct Refusal<'a> {
+    host: &'a Host,
+    id: &'a Arc<str>,
+    route: Option<&'a Route>,
+    service: Option<&'a ServiceName>,
+    tried: &'a [Option<IpAddr>],
+    config_version: Option<u64>,
     arrived_us: u64,
-    deadline_us: u64,
-) -> Response {
-    let now_us = host.now_us();
-    host.events.answered(&Completed {
-        id,
-        route: &route.name,
-        status: answer.status,
-        took_us: now_us - arrived_us,
-        left_us: deadline_us.saturating_sub(now_us),
-        in_time: now_us - arrived_us <= route.objective_us,
-        config_version: config.version,
-    });
-    let mut headers = answer.headers;
-    headers.push(answers::request_id_header(id));
-    Response::new(answer.status, headers, answer.body)
 }
 
-/// Logs a failure and turns it into the response.
-///
-/// The status is 503 if the request has certainly not run, 504 if its deadline passed, else 502.
-fn refusal(
-    host: &Host,
-    id: &Arc<str>,
-    route: Option<&Route>,
-    failure: &RequestFailure,
-    arrived_us: u64,
-) -> Response {
-    let took_us = host.now_us() - arrived_us;
-    host.events
-        .refused(id, route.map(|route| &*route.name), failure, took_us);
-    let mut headers = vec![answers::request_id_header(id), problem_json()];
-    let status = match failure.reason {
-        _ if failure.is_not_run() => 503,
-        RefusalReason::DeadlinePassedRunning => 504,
-        _ => 502,
-    };
-    if status == 503 {
-        let base_us = failure.retry_after_us.unwrap_or(RETRY_AFTER_DEFAULT_US);
-        // Jitter keeps refused callers from retrying at the same time.
-        headers.push(answers::retry_after_header(with_jitter(base_us)));
+impl Refusal<'_> {
+    /// Logs a failure and turns it into the response.
+    ///
+    /// The status is 503 if the request has certainly not run, 504 if its deadline passed, else
+    /// 502.
+    fn response(&self, failure: &RequestFailure) -> Response {
+        self.host.events.refused(&Refused {
+            id: self.id,
+            route: self.route.map(|route| &*route.name),
+            service: self.service,
+            tried: self.tried,
+            failure,
+            took_us: self.host.now_us() - self.arrived_us,
+            config_version: self.config_version,
+        });
+        let mut headers = vec![answers::request_id_header(self.id), problem_json()];
+        let status = match failure.reason {
+            _ if failure.is_not_run() => 503,
+            RefusalReason::DeadlinePassedRunning => 504,
+            _ => 502,
+        };
+        if status == 503 {
+            let base_us = failure.retry_after_us.unwrap_or(RETRY_AFTER_DEFAULT_US);
+            // Jitter keeps refused callers from retrying at the same time.
+            headers.push(answers::retry_after_header(with_jitter(base_us)));
+        }
+        let problem = serde_json::json!({
+            "title": failure.reason.as_str(),
+            "status": status,
+            "not_run": failure.is_not_run(),
+            "host": &*self.host.settings.host.name,
+        });
+        Response::new(status, headers, problem.to_string())
     }
-    let problem = serde_json::json!({
-        "title": failure.reason.as_str(),
-        "status": status,
-        "not_run": failure.is_not_run(),
-        "host": &*host.settings.host.name,
-    });
-    Response::new(status, headers, problem.to_string())
 }
 
 fn problem_json() -> Header {
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -10,6 +10,8 @@
 use super::connection_pool::ConnectionPool;
 use super::events::EventLog;
 use super::executor::Executions;
+use super::knowledge::{ConfigAge, LearnTimes};
+use super::log_writer::standard_output;
 use super::peer_client::PeerClients;
 use super::shared_gate::SharedGate;
 use crate::decision::host::claims::Claims;
@@ -54,6 +56,8 @@
     pub events: EventLog,
     /// Configuration in force; none until one has been received.
     pub config: ArcSwapOption<HostConfig>,
+    /// When the node last learned what it knows.
+    pub learn_times: LearnTimes,
     /// Latest record of each key in the operators' log.
     pub operator_state: Mutex<KeyedState>,
     /// Whether this node follows the operators' log and the log service answers.
@@ -98,12 +102,13 @@
             slack: settings.bounds.cold_slack,
         };
         let drain_us = settings.bounds.drain_ms * US_PER_MS;
-        let events = EventLog::start(&settings.host.name, clock);
+        let events = EventLog::start(&settings.host.name, clock, standard_output());
         Self {
             incarnation,
             clock,
             stop: Stop::default(),
             config: ArcSwapOption::empty(),
+            learn_times: LearnTimes::default(),
             operator_state: Mutex::default(),
             follows_log: AtomicBool::new(false),
             operator_log_behind: Notify::new(),
@@ -129,6 +134,22 @@
         self.clock.now_us()
     }
 
+    /// Returns the version of the configuration in force, if one is known.
+    pub fn config_version(&self) -> Option<u64> {
+        self.config.load().as_ref().map(|config| config.version)
+    }
+
+    /// Returns the version of the configuration in force and the age of what is known.
+    pub fn config_age(&self) -> ConfigAge {
+        let now_us = self.now_us();
+        let age_ms = |age_us: Option<u64>| age_us.map(|us| us / US_PER_MS);
+        ConfigAge {
+            config_version: self.config_version(),
+            config_age_ms: age_ms(self.learn_times.config.age_us(now_us)),
+            operator_log_age_ms: age_ms(self.learn_times.operator_log.age_us(now_us)),
+        }
+    }
+
     /// Records that no connection to the backend server can be opened; logs the first failure.
     pub fn record_server_unreachable(&self, error: &std::io::Error) {
         let is_new = self.gate.with(|gate| gate.set_unreachable(true));
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -4,6 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::fmt::Display;
+use std::io::Write;
 use std::net::IpAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
@@ -13,12 +14,17 @@
 use serde_json::{Map, Value};
 
 use super::context::Host;
+use super::knowledge::ConfigAge;
 use super::latency::{Latencies, Stage};
 use super::log_writer::{LinePriority, LogWriter};
-use super::outcome::RequestFailure;
+use super::request_lines::{
+    Completed, FailedAttempt, Refused, Rejected, Run, host_label, host_labels, is_client_error,
+    shortened,
+};
 use crate::decision::host::announcement::{Announcement, Freshness};
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
+use crate::model::host_request::SERVER_ERROR_MIN;
 use crate::model::load::ServerState;
 use crate::model::names::ServiceName;
 use crate::model::units::US_PER_S;
@@ -73,25 +79,6 @@
     }
 }
 
-/// A request that received a complete answer.
-#[derive(Debug)]
-pub struct Completed<'a> {
-    /// Identifier of the request.
-    pub id: &'a str,
-    /// Name of its route.
-    pub route: &'a str,
-    /// Status of the answer.
-    pub status: u16,
-    /// Time since the request arrived, in µs.
-    pub took_us: u64,
-    /// Time left until the deadline, in µs.
-    pub left_us: u64,
-    /// Whether the answer met the latency objective of the route.
-    pub in_time: bool,
-    /// Version of the configuration that chose its route.
-    pub config_version: u64,
-}
-
 /// A run at the backend server that ended after the objective of its request.
 #[derive(Debug, Serialize)]
 pub struct LateRun<'a> {
@@ -138,11 +125,11 @@
 
 impl EventLog {
     /// Creates the log and starts its writer thread.
-    pub fn start(host: &Arc<str>, clock: Clock) -> Self {
+    pub fn start(host: &Arc<str>, clock: Clock, output: Box<dyn Write + Send>) -> Self {
         Self {
             clock,
             host: Arc::clone(host),
-            writer: LogWriter::start(),
+            writer: LogWriter::start(output),
             written_lines: AtomicU64::new(0),
             open_count: AtomicU64::new(0),
             counters: Mutex::default(),
@@ -162,7 +149,7 @@
     }
 
     /// Logs a change in the lifecycle of the process or in what it knows.
-    pub fn state_changed(&self, event: &str, fields: Value) {
+    pub fn state_changed(&self, event: &'static str, fields: Value) {
         self.write(LinePriority::Notable, event, fields);
     }
 
@@ -179,11 +166,10 @@
             "answers{{status=\"{}\",time=\"{timeliness}\"}}",
             completed.status
         ));
-        let is_routine = completed.in_time && completed.status < 500;
-        let priority = if is_routine {
-            LinePriority::Routine
-        } else {
-            LinePriority::Notable
+        let priority = match completed.status {
+            status if is_client_error(status) => LinePriority::ClientError,
+            status if completed.in_time && status < SERVER_ERROR_MIN => LinePriority::RoutineAnswer,
+            _ => LinePriority::Notable,
         };
         self.write(
             priority,
@@ -191,6 +177,9 @@
             serde_json::json!({
                 "id": completed.id,
                 "route": completed.route,
+                "service": completed.service.as_str(),
+                "tried": host_labels(completed.tried),
+                "instance": completed.instance,
                 "status": completed.status,
                 "took_ms": completed.took_us / 1_000,
                 "left_ms": completed.left_us / 1_000,
@@ -201,10 +190,10 @@
     }
 
     /// Logs and counts a request that received no answer from a backend server.
-    pub fn refused(&self, id: &str, route: Option<&str>, failure: &RequestFailure, took_us: u64) {
-        self.latencies.add(Stage::Refused, took_us);
-        let reason = failure.reason.as_str();
-        let not_run = failure.is_not_run();
+    pub fn refused(&self, refused: &Refused<'_>) {
+        self.latencies.add(Stage::Refused, refused.took_us);
+        let reason = refused.failure.reason.as_str();
+        let not_run = refused.failure.is_not_run();
         self.count(&format!(
             "refusals{{reason=\"{reason}\",not_run=\"{not_run}\"}}"
         ));
@@ -212,47 +201,76 @@
             LinePriority::Notable,
             "refused",
             serde_json::json!({
-                "id": id,
-                "route": route,
+                "id": refused.id,
+                "route": refused.route,
+                "service": refused.service.map(ServiceName::as_str),
+                "tried": host_labels(refused.tried),
                 "reason": reason,
                 "not_run": not_run,
-                "took_ms": took_us / 1_000,
-                "retry_after_ms": failure.retry_after_ms(),
+                "took_ms": refused.took_us / 1_000,
+                "retry_after_ms": refused.failure.retry_after_ms(),
+                "config_version": refused.config_version,
             }),
         );
     }
 
-    /// Logs and counts a request that matches no route.
-    pub fn no_route(&self, id: &str, host: &str, target: &str, config_version: u64) {
+    /// Logs and counts a request that matches no route; the caller gets 404.
+    pub fn no_route(&self, id: &str, caller_host: &str, target: &str, config: &ConfigAge) {
         self.count("refusals{reason=\"no-route\",not_run=\"true\"}");
+        self.count("rejections{status=\"404\",reason=\"no-route\"}");
         self.write(
-            LinePriority::Notable,
+            LinePriority::ClientError,
             "no-route",
             serde_json::json!({
-                "id": id, "host": host, "target": target, "config_version": config_version,
+                "id": shortened(id),
+                "requested_host": shortened(caller_host),
+                "target": shortened(target),
+                "config_version": config.config_version,
+                "config_age_ms": config.config_age_ms,
+                "operator_log_age_ms": config.operator_log_age_ms,
             }),
         );
     }
 
+    /// Logs and counts a request that could not be read, or bears no identifier.
+    pub fn rejected(&self, rejected: &Rejected<'_>) {
+        let (status, reason) = (rejected.status, rejected.reason);
+        self.count(&format!(
+            "rejections{{status=\"{status}\",reason=\"{reason}\"}}"
+        ));
+        let fields = serde_json::to_value(rejected).unwrap_or_default();
+        self.write(LinePriority::ClientError, "rejected", fields);
+    }
+
+    /// Logs and counts a run at the backend server.
+    pub fn ran(&self, run: &Run<'_>) {
+        let at_service = run.is_at_its_service();
+        self.count(&format!("runs{{at_service=\"{at_service}\"}}"));
+        let priority = match run.status {
+            Some(status) if is_client_error(status) => LinePriority::ClientError,
+            _ if at_service => LinePriority::RoutineRun,
+            _ => LinePriority::Notable,
+        };
+        let fields = serde_json::to_value(run).unwrap_or_default();
+        self.write(priority, "ran", fields);
+    }
+
     /// Logs and counts a failed attempt.
-    pub fn attempt_failed(
-        &self,
-        id: &str,
-        step: Step,
-        failure: &RequestFailure,
-        inputs: &FailureInputs,
-    ) {
+    pub fn attempt_failed(&self, attempt: &FailedAttempt<'_>) {
+        let failure = attempt.failure;
         self.count(&format!("misses{{reason=\"{}\"}}", failure.reason.as_str()));
         self.write(
             LinePriority::Notable,
             "missed",
             serde_json::json!({
-                "id": id,
-                "step": step,
+                "id": attempt.id,
+                "service": attempt.service.as_str(),
+                "step": attempt.step,
                 "reason": failure.reason.as_str(),
                 "not_run": failure.is_not_run(),
                 "arrived": failure.arrived,
-                "inputs": inputs,
+                "inputs": attempt.inputs,
+                "config_version": attempt.config_version,
             }),
         );
     }
@@ -320,6 +338,7 @@
             "announced",
             serde_json::json!({
                 "instance": &*announcement.instance,
+                "service": announcement.service.as_str(),
                 "born_ms": announcement.start_time_ms,
                 "sequence": announcement.sequence,
                 "said": format!("{:?}", announcement.state),
@@ -385,13 +404,24 @@
             "log_lines_written",
             self.written_lines.load(Ordering::Relaxed),
         );
+        line("log_write_failures", self.writer.write_failure_count());
+        let config = host.config_age();
+        let ages = [
+            ("config_age_ms", config.config_age_ms),
+            ("operator_log_age_ms", config.operator_log_age_ms),
+        ];
+        for (name, age_ms) in ages {
+            if let Some(age_ms) = age_ms {
+                line(name, age_ms);
+            }
+        }
         text.push_str(&self.latencies.text());
         text
     }
 
-    fn write(&self, priority: LinePriority, event: &str, fields: Value) {
+    fn write(&self, priority: LinePriority, event: &'static str, fields: Value) {
         let now_us = self.clock.now_us();
-        let added = self.writer.add(priority, now_us / US_PER_S, || {
+        let added = self.writer.add(priority, event, now_us / US_PER_S, || {
             let mut line = Map::new();
             line.insert("time_ms".to_owned(), time_of_day_ms().into());
             line.insert("at_ms".to_owned(), (now_us / 1_000).into());
@@ -404,6 +434,8 @@
         });
         if added {
             self.written_lines.fetch_add(1, Ordering::Relaxed);
+        } else if !priority.is_sampled() {
+            self.count(&format!("log_lines_dropped{{event=\"{event}\"}}"));
         }
     }
 }
@@ -413,8 +445,3 @@
     let since_epoch = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since_epoch.map_or(0, |since| since.as_millis() as u64)
 }
-
-/// Returns the address of a host for the log, or `own` for this host.
-fn host_label(ip: Option<IpAddr>) -> String {
-    ip.map_or_else(|| "own".to_owned(), |ip| ip.to_string())
-}
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -16,6 +16,7 @@
 use super::latency::Stage;
 use super::outcome::{Outcome, RequestFailure, RunMeasurement};
 use super::probe;
+use super::request_lines::{FailedAttempt, Run};
 use super::retries::TrackedRun;
 use super::shared_gate::Admitted;
 use crate::decision::host::claims::{ClaimError, ClaimState};
@@ -25,6 +26,7 @@
 use crate::edge::http1::client::ExchangeError;
 use crate::kernel::shards::lock;
 use crate::model::host_request::{AnswerFacts, HostWork, SERVER_ERROR_MIN};
+use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 use crate::model::request::Effect;
 use crate::model::units::US_PER_MS;
@@ -183,20 +185,51 @@
 /// Logs a failed attempt with the load of the gate.
 fn log_failure(host: &Host, work: &HostWork, step: Step, failure: &RequestFailure) {
     let load = host.gate.load();
-    host.events.attempt_failed(
-        &work.id,
+    let inputs = FailureInputs {
+        queued: Some(load.queued),
+        in_flight: Some(load.in_flight),
+        limit: Some(load.limit),
+        slowness_percent: Some(load.slowness_percent),
+        left_ms: Some(work.timing.deadline_us.saturating_sub(host.now_us()) / 1_000),
+        state: Some(load.state),
+        ..FailureInputs::default()
+    };
+    host.events.attempt_failed(&FailedAttempt {
+        id: &work.id,
+        service: &work.service,
         step,
         failure,
-        &FailureInputs {
-            queued: Some(load.queued),
-            in_flight: Some(load.in_flight),
-            limit: Some(load.limit),
-            slowness_percent: Some(load.slowness_percent),
-            left_ms: Some(work.timing.deadline_us.saturating_sub(host.now_us()) / 1_000),
-            state: Some(load.state),
-            ..FailureInputs::default()
-        },
-    );
+        inputs: &inputs,
+        config_version: host.config_version(),
+    });
+}
+
+/// Logs a request that was written to the backend server, with what the node knew of it then.
+fn log_run(
+    host: &Host,
+    work: &HostWork,
+    known: &KnownServer,
+    exchanged: &Result<Response, ExchangeFailure>,
+) {
+    let answer = exchanged.as_ref().ok();
+    let facts = answer.map(answers::decode_facts);
+    host.events.ran(&Run {
+        id: &work.id,
+        service: work.service.as_str(),
+        own_service: known.service.as_ref().map(ServiceName::as_str),
+        target_instance: known.target_instance.as_deref(),
+        instance: facts.as_ref().and_then(|facts| facts.instance.as_deref()),
+        status: answer.map(|response| response.head.status),
+        announcement_age_ms: known.announcement_age_us.map(|us| us / US_PER_MS),
+        config_version: host.config_version(),
+    });
+}
+
+/// What the node knew of its backend server when it sent a request.
+struct KnownServer {
+    service: Option<ServiceName>,
+    target_instance: Option<Arc<str>>,
+    announcement_age_us: Option<u64>,
 }
 
 /// Sends an admitted request.
@@ -217,22 +250,31 @@
         let started_us = host.now_us();
         let clearance = host.gate.with(|gate| {
             measurement.slowness = gate.slowness(started_us);
+            let announced = gate.last_announcement();
+            let service = announced.map(|announcement| announcement.service.clone());
             gate.clear_to_send(
                 admitted.id,
                 &work.service,
                 work.timing.deadline_us,
                 started_us,
             )
+            .map(|target_instance| KnownServer {
+                service,
+                target_instance,
+                announcement_age_us: host.learn_times.announcement.age_us(started_us),
+            })
         });
-        let instance = match clearance {
-            Ok(instance) => instance,
+        let known = match clearance {
+            Ok(known) => known,
             Err(reason) => {
                 host.server_connections.release(pooled.connection);
                 return Err(RequestFailure::not_sent(reason));
             }
         };
         tracked.sent();
-        let exchanged = exchange(host, work, &mut pooled, instance.as_deref(), started_us).await;
+        let target_instance = known.target_instance.as_deref();
+        let exchanged = exchange(host, work, &mut pooled, target_instance, started_us).await;
+        log_run(host, work, &known, &exchanged);
         measurement.run_us = host.now_us() - started_us;
         host.events
             .latencies
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -84,6 +84,7 @@
         NextRead::Newest { pause_ms } => {
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
             let (records, end) = store.read_newest(OPERATOR_TOPIC).await?;
+            host.learn_times.operator_log.record(host.now_us());
             let behind = end < lock(&host.operator_state).end();
             apply(host, records, Some(end));
             return Ok(if behind {
@@ -99,7 +100,9 @@
     }
     let from = lock(&host.operator_state).end();
     let wait = Duration::from_millis(wait_ms);
-    match store.read(OPERATOR_TOPIC, from, wait).await? {
+    let page = store.read(OPERATOR_TOPIC, from, wait).await?;
+    host.learn_times.operator_log.record(host.now_us());
+    match page {
         LogPage::Records(_, end) if end < from => Ok(ReadOutcome::StaleReplica),
         LogPage::Records(records, _) if records.is_empty() => Ok(ReadOutcome::Empty),
         LogPage::Records(records, _) => {
@@ -167,7 +170,10 @@
             .operator_records(host.peer_address(ip))
             .await
         {
-            Ok(wire) => apply(host, wire.into_records().collect(), None),
+            Ok(wire) => {
+                host.learn_times.operator_log.record(host.now_us());
+                apply(host, wire.into_records().collect(), None);
+            }
             Err(error) => log::debug!("operator log: failed to get records from a peer: {error:?}"),
         }
     }
@@ -246,6 +252,7 @@
     lock(&host.run_times).retain(|route| names.contains(route));
     lock(&host.traffic_split).retain(|route| names.contains(route));
     host.config.store(Some(Arc::new(config)));
+    host.learn_times.config.record(host.now_us());
 }
 
 /// Sets the gate's request rate for a cold backend server of its service.
--- a/src/operators/explain.rs
+++ b/src/operators/explain.rs
@@ -1,6 +1,6 @@
 //! Puts together what the nodes' logs say of one request.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write;
 
 use serde_json::{Map, Value};
@@ -9,7 +9,7 @@
 const CONTEXT_MS: u64 = 3_000;
 
 /// Events that end a request's trail.
-const FINAL_EVENTS: [&str; 3] = ["answered", "refused", "no-route"];
+const FINAL_EVENTS: [&str; 4] = ["answered", "refused", "no-route", "rejected"];
 
 /// Fields that are shown at the start of a line or not at all.
 const PLACED_FIELDS: [&str; 5] = ["time_ms", "at_ms", "event", "host", "id"];
@@ -30,6 +30,8 @@
     entries: Vec<Entry>,
     unreadable: usize,
     dropped: u64,
+    /// Number of dropped lines of each event, as far as the logs tell.
+    dropped_by_event: BTreeMap<String, u64>,
 }
 
 impl Trails {
@@ -52,6 +54,7 @@
         };
         if event == "lines-dropped" {
             self.dropped += fields.get("count").and_then(Value::as_u64).unwrap_or(0);
+            self.add_dropped_by_event(&fields);
         }
         self.entries.push(Entry {
             time_ms: fields.get("time_ms").and_then(Value::as_u64).unwrap_or(0),
@@ -62,6 +65,14 @@
         });
     }
 
+    fn add_dropped_by_event(&mut self, fields: &Map<String, Value>) {
+        let by_event = fields.get("by_event").and_then(Value::as_object);
+        for (event, count) in by_event.into_iter().flatten() {
+            let sum = self.dropped_by_event.entry(event.clone()).or_default();
+            *sum += count.as_u64().unwrap_or(0);
+        }
+    }
+
     /// The path of the request `id` over all nodes, in order of time, and why it ends there.
     pub fn explain(&self, id: &str) -> String {
         let is_of_request = |entry: &&Entry| entry.id.as_deref() == Some(id);
@@ -96,6 +107,9 @@
             let _infallible =
                 writeln!(out, "the logs say that {} lines were dropped", self.dropped);
         }
+        for (event, count) in &self.dropped_by_event {
+            let _infallible = writeln!(out, "  {count} of them {event}");
+        }
         if self.unreadable > 0 {
             let _infallible = writeln!(out, "{} lines could not be read", self.unreadable);
         }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -35,3 +35,21 @@
 fn an_unknown_request_says_why_no_line_may_name_it() {
     insta::assert_snapshot!(trails().explain("9"));
 }
+
+#[test]
+fn dropped_lines_are_told_by_event_and_a_rejection_ends_a_trail() {
+    let mut trails = Trails::default();
+    trails.read(
+        r#"{"time_ms":1000,"event":"rejected","host":"a","id":"7","status":431,"reason":"long-head"}
+{"event":"lines-dropped","count":3,"by_event":{"no-route":2,"rejected":1}}
+"#,
+    );
+    let told = trails.explain("7");
+    for part in [
+        "a rejected reason=\"long-head\" status=431",
+        "the trail ends with the answer to the caller",
+        "  2 of them no-route\n  1 of them rejected\n",
+    ] {
+        assert!(told.contains(part), "{told}");
+    }
+}
