--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -22,6 +22,7 @@
 mod retry_budget_rule;
 
 mod report_targets;
+mod request_reading;
 mod routes;
 mod run_times;
 mod shared_retry_budget;
