Hold a request to the limits in force when its bytes arrive

Cause: the loop of a connection took limits and timers before it waited for bytes, and one wait lasted from the end of one request to the end of the next. So limits were as old as the idle time, the idle timer ran on while a request arrived, and a wait that began within a request applied the time limit of heads to the rest of its body.

The reader is now asked in two steps: fill, which only waits for bytes, and parse, with the limits of that moment. A request is held to the highest limits since its first byte. The time limit of heads ends with the head; a body is given up when nothing arrives for the idle timeout.

Evidence: four cases of tests/host/request_reading.rs failed before (431; 408; closed; no 408 for a head without end) and pass now; the five that passed still pass, as do tests/host/http1.rs and event_log.rs.

--- a/src/edge/http1/reader.rs
+++ b/src/edge/http1/reader.rs
@@ -21,6 +21,17 @@
     pub body_bytes_max: usize,
 }
 
+impl MessageLimits {
+    /// The higher of two limits, each.
+    #[must_use]
+    pub fn max(self, other: Self) -> Self {
+        Self {
+            head_bytes_max: self.head_bytes_max.max(other.head_bytes_max),
+            body_bytes_max: self.body_bytes_max.max(other.body_bytes_max),
+        }
+    }
+}
+
 /// Why reading a message failed.
 #[derive(Debug, Display)]
 pub enum ReadError {
@@ -109,19 +120,30 @@
         limits: MessageLimits,
     ) -> Result<Received<H>, ReadError> {
         loop {
-            if let Some(received) = self.advance(limits)? {
+            if let Some(received) = self.parse(limits)? {
                 return Ok(received);
             }
-            self.buffer.reserve(READ_BYTES_MIN);
-            let count = stream.read_buf(&mut self.buffer).await;
-            if count.map_err(ReadError::Io)? == 0 {
+            if !self.fill(stream).await? {
                 return self.on_eof();
             }
         }
     }
 
-    /// Parses the buffered bytes; returns `None` if more are needed.
-    fn advance(&mut self, limits: MessageLimits) -> Result<Option<Received<H>>, ReadError> {
+    /// Reads more bytes; returns false at the end of the connection.
+    ///
+    /// # Errors
+    /// [`ReadError::Io`] if the connection fails.
+    pub async fn fill(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> Result<bool, ReadError> {
+        self.buffer.reserve(READ_BYTES_MIN);
+        let count = stream.read_buf(&mut self.buffer).await;
+        Ok(count.map_err(ReadError::Io)? > 0)
+    }
+
+    /// Parses the bytes read so far; returns `None` if more are needed.
+    ///
+    /// # Errors
+    /// [`ReadError`] if the message is invalid or too long.
+    pub fn parse(&mut self, limits: MessageLimits) -> Result<Option<Received<H>>, ReadError> {
         if matches!(self.state, State::Head) {
             let head = H::parse(&mut self.buffer, limits.head_bytes_max);
             let Some(head) = head.map_err(ReadError::Head)? else {
--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -14,6 +14,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 
 use super::body::BodyError;
 use super::head::{HeadError, write_response};
@@ -45,7 +46,7 @@
     pub message: MessageLimits,
     /// Maximum time between the first and the last byte of a request head.
     pub head_timeout: Duration,
-    /// Maximum time that a connection may stay idle.
+    /// Maximum time that a connection may stay idle, between two requests or within a body.
     pub idle_timeout: Duration,
 }
 
@@ -209,6 +210,12 @@
     output: OwnedWriteHalf,
     reader: MessageReader<RequestHead>,
     unwritten: BytesMut,
+    /// Limits of the request that is being read: the highest in force since it began.
+    message_limits: Option<MessageLimits>,
+    /// When the first byte of the request that is being read arrived.
+    message_began: Instant,
+    /// When bytes were last received or written.
+    last_transfer: Instant,
 }
 
 impl<H: Handler> Connection<H> {
@@ -224,6 +231,9 @@
             output,
             reader: MessageReader::default(),
             unwritten: BytesMut::new(),
+            message_limits: None,
+            message_began: Instant::now(),
+            last_transfer: Instant::now(),
         }
     }
 
@@ -240,19 +250,34 @@
             if idle && !accept_requests {
                 return self.linger().await;
             }
-            let limits = self.handler.limits();
-            let mid_message = self.reader.is_within_message();
-            let timeout = if mid_message {
-                limits.head_timeout
-            } else {
-                limits.idle_timeout
-            };
-            let timeout_armed = idle && accept_requests;
             let may_read = if accept_requests {
                 pending.len() < PIPELINED_REQUESTS_MAX
             } else {
                 !pending.is_empty()
             };
+            if may_read && accept_requests {
+                match self.parse() {
+                    Ok(Some(Received::Message(head, body))) => {
+                        accept_requests = head.keep_alive;
+                        pending.push_back(self.start(Request { head, body }));
+                        continue;
+                    }
+                    Ok(Some(Received::ContinueExpected)) => {
+                        self.unwritten
+                            .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        continue;
+                    }
+                    Ok(None) => {}
+                    Err(error) => {
+                        if let Some(reason) = RejectReason::of(&error) {
+                            self.reject(reason, error.to_string(), pending.is_empty());
+                        }
+                        accept_requests = false;
+                        continue;
+                    }
+                }
+            }
+            let times_out_at = self.times_out_at();
             let take_responses = !pending.is_empty() && self.unwritten.len() < UNWRITTEN_BYTES_MAX;
             tokio::select! {
                 biased;
@@ -260,6 +285,7 @@
                     if written.is_err() {
                         return;
                     }
+                    self.last_transfer = Instant::now();
                 }
                 Some(outgoing) = pending.next(), if take_responses => {
                     let last = pending.is_empty() && !self.reader.is_within_message();
@@ -268,28 +294,16 @@
                         pending.clear();
                     }
                 }
-                received = receive(&mut self.reader, &mut self.input, accept_requests, limits.message), if may_read => {
-                    match received {
-                        Ok(Received::Message(head, body)) => {
-                            accept_requests = head.keep_alive;
-                            pending.push_back(self.start(Request { head, body }));
-                        }
-                        Ok(Received::ContinueExpected) => {
-                            self.unwritten.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-                        }
-                        Err(error) => {
-                            let Some(reason) = RejectReason::of(&error) else {
-                                return;
-                            };
-                            self.reject(reason, error.to_string(), pending.is_empty());
-                            accept_requests = false;
-                        }
+                open = receive(&mut self.reader, &mut self.input, accept_requests), if may_read => {
+                    if !open {
+                        return;
                     }
+                    self.last_transfer = Instant::now();
                 }
                 () = &mut closed, if accept_requests => accept_requests = false,
-                () = tokio::time::sleep(timeout), if timeout_armed => {
-                    if mid_message {
-                        self.reject(RejectReason::Timeout, format!("no end of the request within {} ms", timeout.as_millis()), true);
+                () = tokio::time::sleep_until(times_out_at), if idle && accept_requests => {
+                    if self.reader.is_within_message() {
+                        self.reject(RejectReason::Timeout, "the rest of the request did not arrive".to_owned(), true);
                     }
                     accept_requests = false;
                 }
@@ -297,6 +311,43 @@
         }
     }
 
+    /// Parses the bytes received so far.
+    ///
+    /// A request is held to the highest limits in force since its first byte arrived.
+    fn parse(&mut self) -> Result<Option<Received<RequestHead>>, ReadError> {
+        let current = self.handler.limits().message;
+        if !self.reader.is_within_message() {
+            self.message_limits = None;
+            return Ok(None);
+        }
+        let limits = match self.message_limits {
+            None => {
+                self.message_began = Instant::now();
+                current
+            }
+            Some(earlier) => earlier.max(current),
+        };
+        self.message_limits = Some(limits);
+        let parsed = self.reader.parse(limits);
+        if matches!(parsed, Ok(Some(Received::Message(..)))) {
+            self.message_limits = None;
+        }
+        parsed
+    }
+
+    /// Time at which a connection without running requests is given up.
+    ///
+    /// The time limit of heads does not apply to bodies.
+    fn times_out_at(&self) -> Instant {
+        let limits = self.handler.limits();
+        let reads_head = self.reader.is_within_message() && self.reader.partial_head().is_none();
+        if reads_head {
+            self.message_began + limits.head_timeout
+        } else {
+            self.last_transfer + limits.idle_timeout
+        }
+    }
+
     fn start(&self, request: Request) -> impl Future<Output = OutgoingResponse> + use<H> {
         let handler = Arc::clone(&self.handler);
         let head_only = request.head.method == "HEAD";
@@ -357,18 +408,19 @@
     }
 }
 
-/// Reads the next request, or only waits for the caller's close if `accept_requests` is false.
+/// Reads more bytes, or only waits for the caller's close if `accept_requests` is false.
+///
+/// Returns false once the connection is closed.
 async fn receive(
     reader: &mut MessageReader<RequestHead>,
     input: &mut OwnedReadHalf,
     accept_requests: bool,
-    limits: MessageLimits,
-) -> Result<Received<RequestHead>, ReadError> {
+) -> bool {
     if accept_requests {
-        return reader.next(input, limits).await;
+        return matches!(reader.fill(input).await, Ok(true));
     }
     drain_until_close(input).await;
-    Err(ReadError::Ended)
+    false
 }
 
 /// Discards incoming data until the caller closes the connection.
