Read heads with any number of headers within their length limit

What callers saw: 400 for a request whose head is within the length limit but has more than 128 headers.

Cause: the parser had room for 128 headers, a limit that no configuration states; one more counted as malformed.

A head that needs more room is now parsed again with room for all headers that its length can hold, so only the length limit applies. Heads with up to 128 headers are parsed without an allocation as before. It holds for answers as well.

Evidence: request_reading::a_head_within_its_bound_may_have_many_headers got 400 before and 200 now.

--- a/src/edge/http1/head.rs
+++ b/src/edge/http1/head.rs
@@ -6,8 +6,11 @@
 use super::body::{BodyError, Framing};
 use crate::model::header::{Header, text_of};
 
-/// Maximum number of headers in one message.
-const HEADERS_MAX: usize = 128;
+/// Number of headers up to which a head is parsed without an allocation.
+const HEADERS_USUAL: usize = 128;
+
+/// Length of the shortest header line, in bytes.
+const HEADER_LINE_BYTES_MIN: usize = 3;
 
 /// Headers that apply to a single connection and are never forwarded (RFC 9110, section 7.6.1).
 const HOP_BY_HOP_HEADERS: [&str; 10] = [
@@ -91,9 +94,15 @@
 
 impl Head for RequestHead {
     fn parse(buffer: &mut BytesMut, bytes_max: usize) -> Result<Option<Self>, HeadError> {
-        let mut header_slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
-        let mut parsed = httparse::Request::new(&mut header_slots);
-        let status = parsed.parse(buffer).map_err(HeadError::Malformed)?;
+        let mut usual_slots = [httparse::EMPTY_HEADER; HEADERS_USUAL];
+        let mut more_slots;
+        let mut parsed = httparse::Request::new(&mut usual_slots);
+        let mut status = parsed.parse(buffer);
+        if status == Err(httparse::Error::TooManyHeaders) {
+            more_slots = header_slots(buffer.len().min(bytes_max));
+            parsed = httparse::Request::new(&mut more_slots);
+            status = parsed.parse(buffer);
+        }
         let Some(length) = head_length(status, buffer.len(), bytes_max)? else {
             return Ok(None);
         };
@@ -119,9 +128,15 @@
 
 impl Head for ResponseHead {
     fn parse(buffer: &mut BytesMut, bytes_max: usize) -> Result<Option<Self>, HeadError> {
-        let mut header_slots = [httparse::EMPTY_HEADER; HEADERS_MAX];
-        let mut parsed = httparse::Response::new(&mut header_slots);
-        let status = parsed.parse(buffer).map_err(HeadError::Malformed)?;
+        let mut usual_slots = [httparse::EMPTY_HEADER; HEADERS_USUAL];
+        let mut more_slots;
+        let mut parsed = httparse::Response::new(&mut usual_slots);
+        let mut status = parsed.parse(buffer);
+        if status == Err(httparse::Error::TooManyHeaders) {
+            more_slots = header_slots(buffer.len().min(bytes_max));
+            parsed = httparse::Response::new(&mut more_slots);
+            status = parsed.parse(buffer);
+        }
         let Some(length) = head_length(status, buffer.len(), bytes_max)? else {
             return Ok(None);
         };
@@ -144,17 +159,22 @@
     }
 }
 
+/// Returns room for all headers that a head of `head_bytes` can contain.
+fn header_slots<'b>(head_bytes: usize) -> Vec<httparse::Header<'b>> {
+    vec![httparse::EMPTY_HEADER; head_bytes / HEADER_LINE_BYTES_MIN + 1]
+}
+
 fn head_length(
-    status: httparse::Status<usize>,
+    status: Result<httparse::Status<usize>, httparse::Error>,
     buffered: usize,
     bytes_max: usize,
 ) -> Result<Option<usize>, HeadError> {
     match status {
-        httparse::Status::Complete(length) if length <= bytes_max => Ok(Some(length)),
-        httparse::Status::Partial if buffered <= bytes_max => Ok(None),
-        httparse::Status::Complete(_) | httparse::Status::Partial => {
-            Err(HeadError::TooLong(bytes_max))
-        }
+        Ok(httparse::Status::Complete(length)) if length <= bytes_max => Ok(Some(length)),
+        Ok(httparse::Status::Partial) if buffered <= bytes_max => Ok(None),
+        // There is room for all headers of a head that is not too long.
+        Ok(_) | Err(httparse::Error::TooManyHeaders) => Err(HeadError::TooLong(bytes_max)),
+        Err(error) => Err(HeadError::Malformed(error)),
     }
 }
 
