--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -14,6 +14,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::time::Instant;
 
 use super::body::BodyError;
 use super::head::{HeadError, write_response};
@@ -45,10 +46,77 @@
     pub message: MessageLimits,
     /// Maximum time between the first and the last byte of a request head.
     pub head_timeout: Duration,
-    /// Maximum time that a connection may stay idle.
+    /// Maximum time that a connection may stay idle, between two requests or within a body.
     pub idle_timeout: Duration,
 }
 
+/// Why a request was rejected while it was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RejectReason {
+    /// The head is malformed.
+    MalformedHead,
+    /// The head is longer than allowed.
+    LongHead,
+    /// The framing of the body is malformed or unknown.
+    MalformedBody,
+    /// The body is longer than allowed.
+    LongBody,
+    /// The rest of the request did not arrive in time.
+    Timeout,
+}
+
+impl RejectReason {
+    /// Status that the caller gets.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::MalformedHead | Self::MalformedBody => 400,
+            Self::Timeout => 408,
+            Self::LongBody => 413,
+            Self::LongHead => 431,
+        }
+    }
+
+    /// Name of the reason in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::MalformedHead => "malformed-head",
+            Self::LongHead => "long-head",
+            Self::MalformedBody => "malformed-body",
+            Self::LongBody => "long-body",
+            Self::Timeout => "timeout",
+        }
+    }
+
+    /// Reason that follows from a read error; `None` if the connection is gone.
+    fn of(error: &ReadError) -> Option<Self> {
+        match error {
+            ReadError::Io(_) | ReadError::Truncated | ReadError::Ended => None,
+            ReadError::Head(HeadError::TooLong(_)) => Some(Self::LongHead),
+            ReadError::Head(_) => Some(Self::MalformedHead),
+            ReadError::Body(BodyError::TooLong(_)) => Some(Self::LongBody),
+            ReadError::Body(_) => Some(Self::MalformedBody),
+        }
+    }
+}
+
+/// A request that was rejected while it was read.
+#[derive(Debug)]
+pub struct RejectedRequest<'a> {
+    /// Address of the caller.
+    pub caller: SocketAddr,
+    /// Why it was rejected.
+    pub reason: RejectReason,
+    /// What exactly was wrong.
+    pub detail: String,
+    /// Its head, if that was read.
+    pub head: Option<&'a RequestHead>,
+    /// Bytes received that were not read as part of the head or the body.
+    pub unread: &'a [u8],
+    /// Whether the status was sent. If earlier requests of the connection were still running, the
+    /// connection was only closed after their responses.
+    pub answered: bool,
+}
+
 /// Handles the requests of a listener.
 pub trait Handler: Send + Sync + 'static {
     /// Current limits.
@@ -61,6 +129,16 @@
         caller: SocketAddr,
     ) -> impl Future<Output = Response> + Send;
 
+    /// Records a request that was rejected while it was read.
+    fn rejected(&self, rejected: &RejectedRequest<'_>) {
+        log::warn!(
+            "listener: rejected a request with {} (peer {}): {}",
+            rejected.reason.status(),
+            rejected.caller,
+            rejected.detail
+        );
+    }
+
     /// Whether to close connections once their pending responses are sent; false by default.
     fn is_closing(&self) -> bool {
         false
@@ -132,6 +210,12 @@
     output: OwnedWriteHalf,
     reader: MessageReader<RequestHead>,
     unwritten: BytesMut,
+    /// Limits of the request that is being read: the highest in force since it began.
+    message_limits: Option<MessageLimits>,
+    /// When the first byte of the request that is being read arrived.
+    message_began: Instant,
+    /// When bytes were last received or written.
+    last_transfer: Instant,
 }
 
 impl<H: Handler> Connection<H> {
@@ -147,6 +231,9 @@
             output,
             reader: MessageReader::default(),
             unwritten: BytesMut::new(),
+            message_limits: None,
+            message_began: Instant::now(),
+            last_transfer: Instant::now(),
         }
     }
 
@@ -163,19 +250,34 @@
             if idle && !accept_requests {
                 return self.linger().await;
             }
-            let limits = self.handler.limits();
-            let mid_message = self.reader.is_within_message();
-            let timeout = if mid_message {
-                limits.head_timeout
-            } else {
-                limits.idle_timeout
-            };
-            let timeout_armed = idle && accept_requests;
             let may_read = if accept_requests {
                 pending.len() < PIPELINED_REQUESTS_MAX
             } else {
                 !pending.is_empty()
             };
+            if may_read && accept_requests {
+                match self.parse() {
+                    Ok(Some(Received::Message(head, body))) => {
+                        accept_requests = head.keep_alive;
+                        pending.push_back(self.start(Request { head, body }));
+                        continue;
+                    }
+                    Ok(Some(Received::ContinueExpected)) => {
+                        self.unwritten
+                            .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                        continue;
+                    }
+                    Ok(None) => {}
+                    Err(error) => {
+                        if let Some(reason) = RejectReason::of(&error) {
+                            self.reject(reason, error.to_string(), pending.is_empty());
+                        }
+                        accept_requests = false;
+                        continue;
+                    }
+                }
+            }
+            let times_out_at = self.times_out_at();
             let take_responses = !pending.is_empty() && self.unwritten.len() < UNWRITTEN_BYTES_MAX;
             tokio::select! {
                 biased;
@@ -183,6 +285,7 @@
                     if written.is_err() {
                         return;
                     }
+                    self.last_transfer = Instant::now();
                 }
                 Some(outgoing) = pending.next(), if take_responses => {
                     let last = pending.is_empty() && !self.reader.is_within_message();
@@ -191,30 +294,16 @@
                         pending.clear();
                     }
                 }
-                received = receive(&mut self.reader, &mut self.input, accept_requests, limits.message), if may_read => {
-                    match received {
-                        Ok(Received::Message(head, body)) => {
-                            accept_requests = head.keep_alive;
-                            pending.push_back(self.start(Request { head, body }));
-                        }
-                        Ok(Received::ContinueExpected) => {
-                            self.unwritten.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
-                        }
-                        Err(error) => match refusal_status(&error) {
-                            Some(status) if pending.is_empty() => {
-                                log::warn!("listener: rejected a request with {status} (peer {}): {error}", self.caller);
-                                self.write_refusal(status);
-                                accept_requests = false;
-                            }
-                            Some(_status) => accept_requests = false,
-                            None => return,
-                        },
+                open = receive(&mut self.reader, &mut self.input, accept_requests), if may_read => {
+                    if !open {
+                        return;
                     }
+                    self.last_transfer = Instant::now();
                 }
                 () = &mut closed, if accept_requests => accept_requests = false,
-                () = tokio::time::sleep(timeout), if timeout_armed => {
-                    if mid_message {
-                        self.write_refusal(408);
+                () = tokio::time::sleep_until(times_out_at), if idle && accept_requests => {
+                    if self.reader.is_within_message() {
+                        self.reject(RejectReason::Timeout, "the rest of the request did not arrive".to_owned(), true);
                     }
                     accept_requests = false;
                 }
@@ -222,6 +311,43 @@
         }
     }
 
+    /// Parses the bytes received so far.
+    ///
+    /// A request is held to the highest limits in force since its first byte arrived.
+    fn parse(&mut self) -> Result<Option<Received<RequestHead>>, ReadError> {
+        let current = self.handler.limits().message;
+        if !self.reader.is_within_message() {
+            self.message_limits = None;
+            return Ok(None);
+        }
+        let limits = match self.message_limits {
+            None => {
+                self.message_began = Instant::now();
+                current
+            }
+            Some(earlier) => earlier.max(current),
+        };
+        self.message_limits = Some(limits);
+        let parsed = self.reader.parse(limits);
+        if matches!(parsed, Ok(Some(Received::Message(..)))) {
+            self.message_limits = None;
+        }
+        parsed
+    }
+
+    /// Time at which a connection without running requests is given up.
+    ///
+    /// The time limit of heads does not apply to bodies.
+    fn times_out_at(&self) -> Instant {
+        let limits = self.handler.limits();
+        let reads_head = self.reader.is_within_message() && self.reader.partial_head().is_none();
+        if reads_head {
+            self.message_began + limits.head_timeout
+        } else {
+            self.last_transfer + limits.idle_timeout
+        }
+    }
+
     fn start(&self, request: Request) -> impl Future<Output = OutgoingResponse> + use<H> {
         let handler = Arc::clone(&self.handler);
         let head_only = request.head.method == "HEAD";
@@ -252,8 +378,19 @@
         close
     }
 
-    fn write_refusal(&mut self, status: u16) {
-        write_response(&mut self.unwritten, status, &[], &[], false, true);
+    /// Records a rejected request, and buffers the response if `answers`.
+    fn reject(&mut self, reason: RejectReason, detail: String, answers: bool) {
+        self.handler.rejected(&RejectedRequest {
+            caller: self.caller,
+            reason,
+            detail,
+            head: self.reader.partial_head(),
+            unread: self.reader.unread_bytes(),
+            answered: answers,
+        });
+        if answers {
+            write_response(&mut self.unwritten, reason.status(), &[], &[], false, true);
+        }
     }
 
     /// Shuts down the write side and discards incoming data for up to [`LINGER_TIMEOUT`].
@@ -271,18 +408,19 @@
     }
 }
 
-/// Reads the next request, or only waits for the caller's close if `accept_requests` is false.
+/// Reads more bytes, or only waits for the caller's close if `accept_requests` is false.
+///
+/// Returns false once the connection is closed.
 async fn receive(
     reader: &mut MessageReader<RequestHead>,
     input: &mut OwnedReadHalf,
     accept_requests: bool,
-    limits: MessageLimits,
-) -> Result<Received<RequestHead>, ReadError> {
+) -> bool {
     if accept_requests {
-        return reader.next(input, limits).await;
+        return matches!(reader.fill(input).await, Ok(true));
     }
     drain_until_close(input).await;
-    Err(ReadError::Ended)
+    false
 }
 
 /// Discards incoming data until the caller closes the connection.
@@ -295,16 +433,6 @@
     {}
 }
 
-/// Status for a request that could not be read; `None` if the connection is gone.
-fn refusal_status(error: &ReadError) -> Option<u16> {
-    match error {
-        ReadError::Io(_) | ReadError::Truncated | ReadError::Ended => None,
-        ReadError::Head(HeadError::TooLong(_)) => Some(431),
-        ReadError::Body(BodyError::TooLong(_)) => Some(413),
-        ReadError::Head(_) | ReadError::Body(_) => Some(400),
-    }
-}
-
 impl Response {
     /// Creates a response that keeps the connection open.
     pub fn new(status: u16, headers: Vec<Header>, body: impl Into<bytes::Bytes>) -> Self {
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -6,6 +6,7 @@
 mod announcement;
 mod claims;
 mod cold_start;
+mod event_log;
 mod gate;
 mod http1;
 mod latency;
@@ -21,6 +22,7 @@
 mod retry_budget_rule;
 
 mod report_targets;
+mod request_reading;
 mod routes;
 mod run_times;
 mod shared_retry_budget;
