Let silent connections of the test proxy acknowledge nothing

In the users' record connections ended with "Connection timed out (os error 110)": the kernel gave up on a peer that acknowledged nothing.

Both sockets of a silent connection now get a filter (SO_ATTACH_FILTER) that drops every segment.

--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use socket2::SockRef;
+use socket2::{SockFilter, SockRef};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -15,6 +15,11 @@
 /// Bytes that are passed on at once.
 const CHUNK_BYTES: usize = 16 << 10;
 
+/// Socket filter that drops every segment: the classic BPF instruction `BPF_RET | BPF_K` with 0.
+///
+/// The kernel then acknowledges nothing, like a peer behind a cut.
+const DROP_ALL: [SockFilter; 1] = [SockFilter::new(0x06, 0, 0, 0)];
+
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -59,13 +64,14 @@
 pub enum ConnectionFault {
     /// They are reset.
     Reset,
-    /// They go silent; new ones work.
+    /// They go silent, and nothing is acknowledged; new ones work.
     Silence,
 }
 
 /// Running proxy in front of one address.
 #[derive(Debug)]
 pub struct Proxy {
+    address: SocketAddr,
     link: Arc<Link>,
     stop: CancellationToken,
 }
@@ -85,6 +91,7 @@
     /// The system's error when the address cannot be bound.
     pub async fn start(listen: SocketAddr, server: SocketAddr) -> std::io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
         let link = Arc::new(Link {
             server,
             state: watch::Sender::default(),
@@ -92,7 +99,16 @@
         });
         let stop = CancellationToken::new();
         tokio::spawn(accept_all(listener, Arc::clone(&link), stop.clone()));
-        Ok(Self { link, stop })
+        Ok(Self {
+            address,
+            link,
+            stop,
+        })
+    }
+
+    /// Address it listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 
     /// Puts a state in force for all connections.
@@ -169,7 +185,13 @@
         changed = faulted.changed() => changed.ok().map(|()| faulted.borrow().1),
     };
     match fault {
-        Some(ConnectionFault::Silence) => std::future::pending().await,
+        Some(ConnectionFault::Silence) => {
+            for stream in [from_opener.as_ref(), from_acceptor.as_ref()] {
+                silence(stream);
+                reset(stream);
+            }
+            std::future::pending::<()>().await;
+        }
         Some(ConnectionFault::Reset) => {
             reset(from_opener.as_ref());
             reset(from_acceptor.as_ref());
@@ -204,6 +226,13 @@
     }
 }
 
+/// Drops every segment that arrives for a stream from now on.
+fn silence(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).attach_filter(&DROP_ALL) {
+        log::warn!("proxy: a silent connection still acknowledges: {error}");
+    }
+}
+
 /// Makes the close of a stream reset it.
 fn reset(stream: &TcpStream) {
     if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
--- a/standins/tests/standins/main.rs
+++ b/standins/tests/standins/main.rs
@@ -7,4 +7,5 @@
 mod log_service;
 mod oracle;
 mod precise_timer;
+mod proxy;
 mod support;
