Test that a configuration acknowledged during a silence of all connections is in force in time

The tests start seven node processes, let the connections of all links go silent at once, and then let the operator add or move a route. From 3 s after the silence (contact-s) and 2 s after the acknowledgement (config-apply-s) on, no node may refuse requests of the added route, nor run requests of the moved one at its old service.

--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -220,10 +220,25 @@
 
 /// Status of the answer to one idempotent request on a connection of its own.
 pub async fn ask(node: SocketAddr, id: &str) -> Option<u16> {
-    let kind = Kind::History;
-    let target = format!("{}{id}", kind.path_prefix());
-    let answer = send_once(node, request(id, kind, &target)).await;
-    answer.ok().map(|answer| answer.status.as_u16())
+    let answer = ask_at(node, Kind::History.path_prefix(), id).await;
+    answer.map(|(status, _service)| status)
+}
+
+/// Status of the answer to one idempotent request with a path prefix, and the service that ran it.
+///
+/// The request has a connection of its own. `None` if no answer came in time.
+pub async fn ask_at(
+    node: SocketAddr,
+    path_prefix: &str,
+    id: &str,
+) -> Option<(u16, Option<&'static str>)> {
+    let target = format!("{path_prefix}{id}");
+    let answer = send_once(node, request(id, Kind::History, &target));
+    let limit = Duration::from_millis(WAIT_MS + LATE_MS);
+    let answer = tokio::time::timeout(limit, answer).await.ok()?.ok()?;
+    let body = |service: &&&str| answer.body == answer_body(id, service);
+    let service = SERVICES.iter().find(body).copied();
+    Some((answer.status.as_u16(), service))
 }
 
 fn request(id: &str, kind: Kind, target: &str) -> Request<Full<Bytes>> {
--- a/tests/host_processes/operator.rs
+++ b/tests/host_processes/operator.rs
@@ -22,24 +22,32 @@
 /// The operator of a system.
 #[derive(Debug, Default)]
 pub struct Operator {
-    changes: usize,
+    moves: usize,
+    routes_added: usize,
 }
 
 impl Operator {
     /// Service that the moved route leads to now.
     pub fn moved_to(&self) -> &'static str {
-        SERVICES[self.changes % SERVICES.len()]
+        SERVICES[self.moves % SERVICES.len()]
     }
 
     /// Writes a configuration that moves one route to the other service.
     pub fn move_route(&mut self, store: &Store) {
-        self.changes += 1;
+        self.moves += 1;
         self.write_config(store);
     }
 
+    /// Writes a configuration with one more route; tells the prefix of its paths.
+    pub fn add_route(&mut self, store: &Store) -> String {
+        self.routes_added += 1;
+        self.write_config(store);
+        added_prefix(self.routes_added)
+    }
+
     /// Writes the configuration.
     pub fn write_config(&self, store: &Store) {
-        let config = config(1 + self.changes as u64 * VERSION_STEP, self.moved_to());
+        let config = self.config();
         let text = config.to_string();
         store.put(OPERATOR_TOPIC, "config", Some(text.as_bytes()));
     }
@@ -49,33 +57,44 @@
         let key = format!("evacuate/{zone}");
         store.put(OPERATOR_TOPIC, &key, out.then_some(b"{}".as_slice()));
     }
-}
 
-fn config(version: u64, moved_to: &str) -> Value {
-    let route = |kind: Kind, effect: &str, service: &str| {
+    fn config(&self) -> Value {
+        let changes = self.moves + self.routes_added;
+        let added = (1..=self.routes_added)
+            .map(|number| route(&added_prefix(number), "idempotent", SERVICES[0]));
+        let routes = [
+            route(Kind::History.path_prefix(), "idempotent", SERVICES[0]),
+            route(Kind::Gate.path_prefix(), "non-idempotent", SERVICES[0]),
+            route(Kind::Moved.path_prefix(), "idempotent", self.moved_to()),
+        ];
         json!({
-            "name": kind.path_prefix(), "host": HOST_NAME, "path_prefix": kind.path_prefix(),
-            "effect": effect, "timeout_ms": 2_000, "objective_ms": 600, "rank": 1,
-            "service": service, "servers_max": 3,
+            "version": 1 + changes as u64 * VERSION_STEP,
+            "routes": routes.into_iter().chain(added).collect::<Vec<_>>(),
+            "services": SERVICES.iter().map(service).collect::<Vec<_>>(),
+            "limits": {
+                "head_bytes_max": 16_384, "body_bytes_max": 65_536,
+                "head_timeout_ms": 5_000, "idle_timeout_ms": 10_000,
+            },
         })
-    };
-    let service = |name: &&str| {
-        json!({
-            "name": name, "health_path": HEALTH_PATH, "connections_max": 200,
-            "cold_requests_per_s": COLD_REQUESTS_PER_S,
-        })
-    };
+    }
+}
+
+/// Prefix of the paths of a route that was added later.
+fn added_prefix(number: usize) -> String {
+    format!("/added-{number}/")
+}
+
+fn route(path_prefix: &str, effect: &str, service: &str) -> Value {
+    json!({
+        "name": path_prefix, "host": HOST_NAME, "path_prefix": path_prefix,
+        "effect": effect, "timeout_ms": 2_000, "objective_ms": 600, "rank": 1,
+        "service": service, "servers_max": 3,
+    })
+}
+
+fn service(name: &&str) -> Value {
     json!({
-        "version": version,
-        "routes": [
-            route(Kind::History, "idempotent", SERVICES[0]),
-            route(Kind::Gate, "non-idempotent", SERVICES[0]),
-            route(Kind::Moved, "idempotent", moved_to),
-        ],
-        "services": SERVICES.iter().map(service).collect::<Vec<_>>(),
-        "limits": {
-            "head_bytes_max": 16_384, "body_bytes_max": 65_536,
-            "head_timeout_ms": 5_000, "idle_timeout_ms": 10_000,
-        },
+        "name": name, "health_path": HEALTH_PATH, "connections_max": 200,
+        "cold_requests_per_s": COLD_REQUESTS_PER_S,
     })
 }
--- /dev/null
+++ b/tests/host_processes/silent_links.rs
@@ -0,0 +1,211 @@
+//! Connections that go silent without a reset while new ones work.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::callers::{Kind, ask_at};
+use crate::site::Place;
+use crate::system::{PLACES, System, place};
+
+/// Time after a disruption from which hosts are in touch again: the users' `contact-s`.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Time in which an acknowledged configuration must be in force: the users' `config-apply-s`.
+const CONFIG_APPLY: Duration = Duration::from_secs(2);
+
+/// Time after the start in which hosts learn of each other and open connections.
+const SETTLED_AFTER: Duration = Duration::from_secs(3);
+
+/// Time for which requests are sent once a configuration must be in force.
+///
+/// Together with [`CONTACT`] longer than a read of the log waits for a record.
+const OBSERVED_FOR: Duration = Duration::from_secs(8);
+
+/// Pause between two requests at one node.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Times from the last record to the silence.
+const IDLE_BEFORE: [Duration; 3] = [
+    Duration::from_millis(200),
+    Duration::from_millis(1_100),
+    Duration::from_millis(2_700),
+];
+
+/// More hosts in one availability zone than read the log there.
+const WITH_RELAYED_HOSTS: [Place; 7] = [
+    PLACES[0],
+    PLACES[1],
+    PLACES[2],
+    PLACES[3],
+    PLACES[4],
+    place("herd-4", "herd", "ratchaburi"),
+    place("parlour-3", "parlour", "ratchaburi"),
+];
+
+/// A change of the configuration that the log service has acknowledged.
+struct Change {
+    path_prefix: String,
+    service: &'static str,
+    /// Time from which hosts that lost their connections must handle requests by it.
+    in_force_at: Instant,
+}
+
+/// One request after the change had to be in force.
+struct Seen {
+    node: &'static str,
+    /// Time since then.
+    after: Duration,
+    answer: Option<(u16, Option<&'static str>)>,
+}
+
+impl Seen {
+    /// Whether the answer is none that an older configuration alone allows.
+    fn is_allowed(&self, change: &Change) -> bool {
+        match self.answer {
+            Some((408 | 421 | 429, _)) => true,
+            Some((300..=499, _)) => false,
+            Some((_, Some(service))) => service == change.service,
+            Some((_, None)) | None => true,
+        }
+    }
+
+    fn is_served(&self) -> bool {
+        matches!(self.answer, Some((200, Some(_service))))
+    }
+}
+
+/// Adds a route, which takes effect `CONFIG_APPLY` from now and `CONTACT` after the silence.
+async fn add_route(system: &System, silenced_at: Instant) -> Change {
+    let mut operator = system.operator.lock().await;
+    Change {
+        path_prefix: operator.add_route(&system.store),
+        service: "herd",
+        in_force_at: (silenced_at + CONTACT).max(Instant::now() + CONFIG_APPLY),
+    }
+}
+
+/// Moves a route to the other service, with effect as by [`add_route`].
+async fn move_route(system: &System, silenced_at: Instant) -> Change {
+    let mut operator = system.operator.lock().await;
+    operator.move_route(&system.store);
+    Change {
+        path_prefix: Kind::Moved.path_prefix().to_owned(),
+        service: operator.moved_to(),
+        in_force_at: (silenced_at + CONTACT).max(Instant::now() + CONFIG_APPLY),
+    }
+}
+
+/// Sends requests of a changed route to every node while the change must be in force.
+async fn observe(system: &System, change: &Change) -> Vec<Seen> {
+    let watched = system.sites.iter().enumerate().map(async |(index, site)| {
+        let (node, address) = {
+            let site = site.lock().await;
+            (site.place.name, site.addresses.callers())
+        };
+        tokio::time::sleep_until(change.in_force_at).await;
+        let mut seen = Vec::new();
+        while change.in_force_at.elapsed() < OBSERVED_FOR {
+            let after = change.in_force_at.elapsed();
+            let id = format!("{index}-{}", after.as_micros());
+            let answer = ask_at(address, &change.path_prefix, &id).await;
+            seen.push(Seen {
+                node,
+                after,
+                answer,
+            });
+            tokio::time::sleep(PAUSE).await;
+        }
+        seen
+    });
+    let seen = futures::future::join_all(watched).await;
+    seen.into_iter().flatten().collect()
+}
+
+/// Lines of all nodes about the log service and the configuration.
+async fn log_lines(system: &System) -> String {
+    let mut lines = String::new();
+    for site in &system.sites {
+        let log = std::fs::read_to_string(site.lock().await.log_file()).unwrap_or_default();
+        let wanted = ["store-lost", "store-regained", "\"config\"", "WARN"];
+        for line in log.lines() {
+            if wanted.iter().any(|part| line.contains(part)) {
+                writeln!(lines, "{line}").expect("text can be written");
+            }
+        }
+    }
+    lines
+}
+
+/// Answers at each node, with their number and the times of the first and the last.
+fn summary<'a>(seen: impl Iterator<Item = &'a Seen>) -> String {
+    let mut answers = BTreeMap::new();
+    for one in seen {
+        let (count, _first, last) = answers
+            .entry((one.node, one.answer))
+            .or_insert((0, one.after, one.after));
+        *count += 1;
+        *last = one.after;
+    }
+    let lines = answers
+        .iter()
+        .map(|((node, answer), (count, first, last))| {
+            format!("{node}: {count} times {answer:?}, {first:?} to {last:?} after it was due")
+        });
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// Requires that nodes handled requests by the change, and served them.
+async fn assert_in_force(system: &System, change: &Change, seen: &[Seen]) {
+    let outdated = seen.iter().filter(|one| !one.is_allowed(change));
+    let outdated = summary(outdated);
+    let served = seen.iter().filter(|one| one.is_served()).count();
+    assert!(
+        outdated.is_empty() && served * 10 > seen.len() * 9,
+        "by an older configuration:\n{outdated}\nall:\n{}\n{}",
+        summary(seen.iter()),
+        log_lines(system).await
+    );
+}
+
+async fn settled(places: &[Place]) -> System {
+    let system = System::start_at(places).await;
+    system.wait_until_ready().await;
+    tokio::time::sleep(SETTLED_AFTER).await;
+    system
+}
+
+async fn silence(system: &System) -> Instant {
+    for site in &system.sites {
+        site.lock().await.silence();
+    }
+    Instant::now()
+}
+
+/// Guards against refusals with 404 while the long poll at the log service is silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_route_added_while_all_connections_are_silent_is_served() {
+    let system = settled(&WITH_RELAYED_HOSTS).await;
+    for idle in IDLE_BEFORE {
+        tokio::time::sleep(idle).await;
+        let silenced_at = silence(&system).await;
+        let change = add_route(&system, silenced_at).await;
+        let seen = observe(&system, &change).await;
+        assert_in_force(&system, &change, &seen).await;
+    }
+}
+
+/// Guards against runs by old routes while the long poll at the log service is silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_route_moved_while_all_connections_are_silent_leads_to_its_new_service() {
+    let system = settled(&WITH_RELAYED_HOSTS).await;
+    for idle in IDLE_BEFORE {
+        tokio::time::sleep(idle).await;
+        let silenced_at = silence(&system).await;
+        let change = move_route(&system, silenced_at).await;
+        let seen = observe(&system, &change).await;
+        assert_in_force(&system, &change, &seen).await;
+    }
+}
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -13,7 +13,7 @@
 use standins::platform::announcer::{Announcer, ServerStatus};
 use standins::platform::backend_server::{BackendServer, BackendServerSettings, SharedBehaviour};
 use standins::platform::ledger::Ledger;
-use standins::proxy::Proxy;
+use standins::proxy::{ConnectionFault, Proxy};
 use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
 
@@ -228,6 +228,13 @@
         life.task.await.expect("the backend server did not panic")
     }
 
+    /// Makes the connections of all links that are open now go silent; new ones work.
+    pub fn silence(&self) {
+        for link in [&self.store_link, &self.peer_link, &self.server_link] {
+            link.inject(ConnectionFault::Silence);
+        }
+    }
+
     /// File with the log of all runs of the node.
     pub fn log_file(&self) -> &Path {
         &self.log
--- a/tests/host_processes/system.rs
+++ b/tests/host_processes/system.rs
@@ -34,7 +34,8 @@
     place("parlour-2", "parlour", "saraburi"),
 ];
 
-const fn place(name: &'static str, service: &'static str, zone: &'static str) -> Place {
+/// Places one host at a time.
+pub const fn place(name: &'static str, service: &'static str, zone: &'static str) -> Place {
     Place {
         name,
         service,
@@ -54,6 +55,11 @@
 impl System {
     /// Starts all hosts at once; the configuration is there before.
     pub async fn start() -> Self {
+        Self::start_at(&PLACES).await
+    }
+
+    /// Starts hosts at these places at once; the configuration is there before.
+    pub async fn start_at(places: &[Place]) -> Self {
         let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let store = Store::start(loopback).await.expect("the store starts");
         let operator = Operator::default();
@@ -61,8 +67,8 @@
         let ledger = Ledger::default();
         let mut sites: Vec<Mutex<Site>> = Vec::new();
         let mut contact = None;
-        for place in PLACES {
-            let site = Site::start(place, contact, store.address(), ledger.clone()).await;
+        for place in places {
+            let site = Site::start(*place, contact, store.address(), ledger.clone()).await;
             contact = contact.or(Some(site.addresses.announcements()));
             sites.push(Mutex::new(site));
         }
