--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -16,23 +16,45 @@
 /// Time after which a connection with unacknowledged sent data is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Idle time before the first TCP keep-alive probe, and interval between probes.
-const KEEP_ALIVE_INTERVAL: Duration = Duration::from_secs(5);
+/// How soon a dead peer is detected on a connection on which this side sends nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum KeepAlive {
+    /// Within 10 s, for connections that are mostly idle or have a check of their own.
+    Seldom,
+    /// Within 2 s, for connections that deliver what this node must learn of in time.
+    Frequent,
+}
+
+impl KeepAlive {
+    /// Idle time before the TCP keep-alive probe, and time in which it must be answered.
+    fn interval(self) -> Duration {
+        match self {
+            Self::Seldom => Duration::from_secs(5),
+            Self::Frequent => Duration::from_secs(1),
+        }
+    }
+}
 
 /// Number of unanswered keep-alive probes after which a connection is closed.
-const KEEP_ALIVE_PROBES: u32 = 2;
+///
+/// With [`UNACKNOWLEDGED_TIMEOUT`] the system does not wait for a second one.
+const KEEP_ALIVE_PROBES: u32 = 1;
 
 /// Opens a TCP connection with dead peer detection.
 ///
 /// # Errors
 /// The connection error, or `TimedOut` if connecting takes longer than `timeout`.
-pub async fn connect(address: SocketAddr, timeout: Duration) -> std::io::Result<TcpStream> {
+pub async fn connect(
+    address: SocketAddr,
+    timeout: Duration,
+    keep_alive: KeepAlive,
+) -> std::io::Result<TcpStream> {
     let connecting = tokio::time::timeout(timeout, TcpStream::connect(address));
     let stream = match connecting.await {
         Ok(stream) => stream?,
         Err(_elapsed) => return Err(ErrorKind::TimedOut.into()),
     };
-    enable_dead_peer_detection(&stream)?;
+    enable_dead_peer_detection(&stream, keep_alive)?;
     Ok(stream)
 }
 
@@ -42,15 +64,18 @@
 ///
 /// # Errors
 /// If a socket option cannot be set.
-pub fn enable_dead_peer_detection(stream: &TcpStream) -> std::io::Result<()> {
+pub fn enable_dead_peer_detection(
+    stream: &TcpStream,
+    keep_alive: KeepAlive,
+) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
-    let keep_alive = TcpKeepalive::new()
-        .with_time(KEEP_ALIVE_INTERVAL)
-        .with_interval(KEEP_ALIVE_INTERVAL)
+    let probes = TcpKeepalive::new()
+        .with_time(keep_alive.interval())
+        .with_interval(keep_alive.interval())
         .with_retries(KEEP_ALIVE_PROBES);
-    socket.set_tcp_keepalive(&keep_alive)
+    socket.set_tcp_keepalive(&probes)
 }
 
 /// Failed exchange.
--- a/src/host/connection_pool.rs
+++ b/src/host/connection_pool.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use crate::edge::http1::MessageLimits;
-use crate::edge::http1::client::{ClientConnection, connect};
+use crate::edge::http1::client::{ClientConnection, KeepAlive, connect};
 use crate::kernel::shards::lock;
 use crate::model::request::Effect;
 
@@ -93,7 +93,7 @@
     /// Returns the I/O error; nothing was sent.
     pub async fn open(&self) -> std::io::Result<PooledConnection> {
         self.opened_count.fetch_add(1, Ordering::Relaxed);
-        let stream = connect(self.address, CONNECT_TIMEOUT).await?;
+        let stream = connect(self.address, CONNECT_TIMEOUT, KeepAlive::Seldom).await?;
         Ok(PooledConnection {
             connection: ClientConnection::new(stream),
             reused: false,
--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::peer_rpc::{PeerHostClient, WireOutcome, WireWork};
-use crate::edge::http1::client::connect;
+use crate::edge::http1::client::{KeepAlive, connect};
 use crate::edge::peer_client::frame_codec;
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
@@ -192,7 +192,7 @@
         if let Some(known) = open.as_ref().filter(|known| !known.ended.is_cancelled()) {
             return Ok(known.client.clone());
         }
-        let connected = connect(address, CONNECT_TIMEOUT).await;
+        let connected = connect(address, CONNECT_TIMEOUT, KeepAlive::Seldom).await;
         let stream = connected
             .map_err(|error| PeerError::NotSent(StepError::with_peer("connect", address, error)))?;
         let framed = frame_codec(MESSAGE_BYTES_MAX).new_framed(stream);
--- a/src/host/peer_server.rs
+++ b/src/host/peer_server.rs
@@ -14,7 +14,7 @@
 use super::outcome::{Outcome, RequestFailure};
 use super::peer_client::MESSAGE_BYTES_MAX;
 use super::peer_rpc::{PeerHost, WireIntroduction, WireOperatorRecords, WireOutcome, WireWork};
-use crate::edge::http1::client::enable_dead_peer_detection;
+use crate::edge::http1::client::{KeepAlive, enable_dead_peer_detection};
 use crate::edge::peer_client::frame_codec;
 use crate::kernel::shards::lock;
 use crate::model::reasons::RefusalReason;
@@ -34,7 +34,7 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                if let Err(error) = enable_dead_peer_detection(&stream) {
+                if let Err(error) = enable_dead_peer_detection(&stream, KeepAlive::Seldom) {
                     log::warn!("peer server: failed to set socket options (peer {peer}): {error}");
                 }
                 host.tasks
