--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -10,6 +10,7 @@
 mod path;
 #[path = "../support/program.rs"]
 mod program;
+mod reused_address;
 mod site;
 mod soak;
 mod system;
--- /dev/null
+++ b/tests/host_processes/reused_address.rs
@@ -0,0 +1,141 @@
+//! The address of a backend server passes to one of another service while callers go on.
+
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use standins::platform::ledger::Run;
+
+use crate::callers::{Attempt, Kind, Outcome};
+use crate::program::Signal;
+use crate::site::{COLD_MS, ServerEnd, Site};
+use crate::system::{PLACES, System, eventually, is_ready};
+
+/// Seed of callers.
+const SEED: u64 = 3;
+
+/// Index of the host whose address passes to another service.
+const HOST: usize = 1;
+
+/// Service that takes over the address.
+const NEW_SERVICE: &str = "parlour";
+
+/// Time in which a backend server serves without an announcement.
+const UNANNOUNCED: Duration = Duration::from_secs(2);
+
+/// Time without a backend server at the address.
+const GAP: Duration = Duration::from_millis(300);
+
+/// Time in which all nodes learn of the new service, and of a configuration.
+const LEARNED_WITHIN: Duration = Duration::from_secs(2);
+
+/// Time in which everything must be as usual again.
+const CALM: Duration = Duration::from_secs(2);
+
+/// What the node beside the backend server does meanwhile.
+#[derive(Debug, Clone, Copy)]
+enum Node {
+    /// It runs on.
+    RunsOn,
+    /// It is restarted after the change.
+    RestartedAfter,
+    /// It is restarted while no backend server is there, with the settings of the earlier one.
+    RestartedBetween,
+    /// It is restarted before the change, and hears no announcement of the earlier backend server.
+    RestartedBefore,
+}
+
+async fn restart_node(site: &mut Site) {
+    site.node.signal(Signal::Kill);
+    site.restart_node().await;
+    let ready = site.addresses.ready();
+    eventually("the node is ready", async || is_ready(ready).await).await;
+}
+
+/// Replaces the backend server by one of the new service, which is not announced yet.
+async fn replace_server(site: &mut Site, node: Node) {
+    site.hold_announcements(true);
+    if matches!(node, Node::RestartedBefore) {
+        restart_node(site).await;
+        tokio::time::sleep(UNANNOUNCED).await;
+    }
+    site.end_server(ServerEnd::Crash).await;
+    if matches!(node, Node::RestartedBetween) {
+        restart_node(site).await;
+    }
+    tokio::time::sleep(GAP).await;
+    site.pass_address_to(NEW_SERVICE);
+    site.start_server().await;
+    if matches!(node, Node::RestartedAfter) {
+        restart_node(site).await;
+    }
+    tokio::time::sleep(UNANNOUNCED).await;
+    site.hold_announcements(false);
+}
+
+/// Runs of requests that no configuration sends to the service that ran them.
+fn wrong_runs(runs: &[Run]) -> Vec<&Run> {
+    let is_wrong = |run: &&Run| {
+        let moved = run.method_and_target.contains(Kind::Moved.path_prefix());
+        !moved && run.service != PLACES[0].service
+    };
+    runs.iter().filter(is_wrong).collect()
+}
+
+fn unserved_since(attempts: &[Attempt], from_ms: u64) -> Vec<&Attempt> {
+    let is_unserved = |attempt: &&Attempt| {
+        attempt.sent_ms >= from_ms
+            && !matches!(
+                attempt.outcome,
+                Outcome::Answered { status: 200, .. } | Outcome::GivenUp
+            )
+    };
+    attempts.iter().filter(is_unserved).collect()
+}
+
+async fn check(node: Node) {
+    let system = System::start().await;
+    system.wait_until_ready().await;
+    tokio::time::sleep(Duration::from_millis(COLD_MS)).await;
+    let callers = system.start_callers(&mut StdRng::seed_from_u64(SEED)).await;
+    tokio::time::sleep(CALM).await;
+    replace_server(&mut *system.sites[HOST].lock().await, node).await;
+    system.operator.lock().await.move_route(&system.store);
+    tokio::time::sleep(LEARNED_WITHIN).await;
+    let calm_from_ms = system.ledger.now_ms();
+    tokio::time::sleep(CALM).await;
+    let attempts = callers.finish().await;
+    let runs = system.ledger.runs();
+    let wrong = wrong_runs(&runs);
+    assert!(wrong.is_empty(), "{} runs: {:#?}", wrong.len(), wrong[0]);
+    let unserved = unserved_since(&attempts, calm_from_ms);
+    assert!(unserved.is_empty(), "{unserved:#?}");
+    let instance = PLACES[HOST].instance(2);
+    let own_requests = format!("{HOST}-");
+    let from_others = runs
+        .iter()
+        .filter(|run| run.instance == instance && !run.request_id.starts_with(&own_requests));
+    assert!(
+        from_others.count() > 0,
+        "no other node sends to the new backend server"
+    );
+}
+
+macro_rules! nodes {
+    ($($name:ident($node:expr);)+) => {
+        $(
+            /// Guards against requests run by a service to which no configuration sends them.
+            #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+            async fn $name() {
+                check($node).await;
+            }
+        )+
+    };
+}
+
+nodes! {
+    no_request_runs_at_the_new_service_while_the_node_runs_on(Node::RunsOn);
+    no_request_runs_at_the_new_service_after_a_restart_of_the_node(Node::RestartedAfter);
+    no_request_runs_at_the_new_service_if_the_node_restarts_in_between(Node::RestartedBetween);
+    no_request_runs_at_the_new_service_if_the_earlier_one_was_not_announced(Node::RestartedBefore);
+}
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -7,6 +7,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus, Stdio};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::json;
@@ -81,7 +82,12 @@
     /// How the backend server treats requests.
     pub behaviour: SharedBehaviour,
     node_started: Instant,
+    /// Service of the backend servers that are started next.
+    service: &'static str,
+    /// Whether announcements of the backend server are held back.
+    announcements_held: Arc<AtomicBool>,
     server: Option<ServerLife>,
+    contact: Option<SocketAddr>,
     settings: PathBuf,
     log: PathBuf,
     ledger: Ledger,
@@ -128,8 +134,7 @@
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR"));
         let settings = directory.join(format!("{unique}.json"));
         let log = directory.join(format!("{unique}.log"));
-        let text = settings_of(place, addresses, contact).to_string();
-        std::fs::write(&settings, text).expect("settings are written");
+        write_settings(&settings, place, addresses, contact);
         std::fs::write(&log, "").expect("a log file");
         let mut site = Self {
             place,
@@ -140,7 +145,10 @@
             node: spawn_logging(&settings, &log),
             behaviour: SharedBehaviour::default(),
             node_started: Instant::now(),
+            service: place.service,
+            announcements_held: Arc::default(),
             server: None,
+            contact,
             settings,
             log,
             ledger,
@@ -200,7 +208,7 @@
         self.server_starts_ms.push(self.ledger.now_ms());
         let settings = BackendServerSettings {
             instance: self.place.instance(self.server_starts_ms.len()),
-            service: self.place.service.to_owned(),
+            service: self.service.to_owned(),
             listen: self.addresses.inner_server(),
             slots: SLOTS,
             work_ms: 20,
@@ -217,7 +225,8 @@
             BackendServer::start(settings, self.ledger.clone(), Arc::clone(&self.behaviour)).await;
         let server = server.expect("the backend server starts");
         let (end, ended) = oneshot::channel();
-        let task = tokio::spawn(live(server, announcer, ended, self.ledger.clone()));
+        let held = Arc::clone(&self.announcements_held);
+        let task = tokio::spawn(live(server, announcer, held, ended, self.ledger.clone()));
         self.server = Some(ServerLife { end, task });
     }
 
@@ -228,12 +237,39 @@
         life.task.await.expect("the backend server did not panic")
     }
 
+    /// Passes the address to another service, after the backend server has ended.
+    ///
+    /// A node that is started later finds the service in its settings.
+    pub fn pass_address_to(&mut self, service: &'static str) {
+        self.service = service;
+        let place = Place {
+            service,
+            ..self.place
+        };
+        write_settings(&self.settings, place, self.addresses, self.contact);
+    }
+
+    /// Holds back the announcements of backend servers, or lets them through again.
+    pub fn hold_announcements(&self, held: bool) {
+        self.announcements_held.store(held, Ordering::Relaxed);
+    }
+
     /// File with the log of all runs of the node.
     pub fn log_file(&self) -> &Path {
         &self.log
     }
 }
 
+fn write_settings(
+    file: &Path,
+    place: Place,
+    addresses: HostAddresses,
+    contact: Option<SocketAddr>,
+) {
+    let text = settings_of(place, addresses, contact).to_string();
+    std::fs::write(file, text).expect("settings are written");
+}
+
 fn spawn_logging(settings: &Path, log: &Path) -> Program {
     let log = File::options()
         .append(true)
@@ -287,11 +323,14 @@
 async fn live(
     server: BackendServer,
     mut announcer: Announcer,
+    announcements_held: Arc<AtomicBool>,
     mut ended: oneshot::Receiver<ServerEnd>,
     ledger: Ledger,
 ) -> Option<Leave> {
     let how = loop {
-        announcer.announce(told(&server)).await;
+        if !announcements_held.load(Ordering::Relaxed) {
+            announcer.announce(told(&server)).await;
+        }
         tokio::select! {
             how = &mut ended => break how.unwrap_or(ServerEnd::Crash),
             () = tokio::time::sleep(ANNOUNCE_PERIOD) => {}
