Before the first announcement serve only the service of the settings, by the process that answered

Change: KnownServer holds what is known of the process at the address. Every request names an instance; there is no way left to send one without. Before the first announcement it is the first process that answered a health check, with the service of the settings, so a node restarted alone serves as soon as before. If a second process answers, the settings may be those of the earlier one, and nothing is sent until it is announced. The late departure of an earlier process no longer closes the gate of the one that answers. Why it works: the backend server refuses (421) what names another instance. A request for another service now has the reason other-service; one existing test asserts that in place of server-absent. It is refused all the same.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -5,10 +5,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use super::announcement::{AnnouncedState, Announcement, Freshness};
+use super::announcement::{AnnouncedState, Announcement, Departure, Freshness};
 use super::close_reasons::{CloseReason, CloseTimes};
 use super::cold_rate_limiter::ColdAllowance;
 use super::cold_start::ColdStart;
+use super::known_server::KnownServer;
 use super::run_times::AverageRun;
 use super::slowness::Slowness;
 use super::start_limit::StartLimits;
@@ -65,8 +66,7 @@
     incarnation: Incarnation,
     drain_us: u64,
     report_sequence: u64,
-    last_announcement: Option<Announcement>,
-    healthy_seen: bool,
+    server: KnownServer,
     close_times: CloseTimes,
     cold_start: ColdStart,
     slots: u32,
@@ -82,15 +82,19 @@
 impl HostGate {
     /// Creates a gate that refuses all requests until the backend server is known.
     ///
-    /// `drain_us` is how long a backend server keeps serving after its announcement that it is
+    /// `service` is that of the settings, `drain_us` is how long a backend server keeps serving after its announcement that it is
     /// leaving was acknowledged, and `allowance` is what it bears above its cold rate.
-    pub fn new(incarnation: Incarnation, drain_us: u64, allowance: ColdAllowance) -> Self {
+    pub fn new(
+        incarnation: Incarnation,
+        service: ServiceName,
+        drain_us: u64,
+        allowance: ColdAllowance,
+    ) -> Self {
         Self {
             incarnation,
             drain_us,
             report_sequence: 0,
-            last_announcement: None,
-            healthy_seen: false,
+            server: KnownServer::new(service),
             close_times: CloseTimes::default(),
             cold_start: ColdStart::new(allowance),
             slots: 1,
@@ -105,7 +109,9 @@
 
     /// Applies an announcement of the backend server.
     pub fn observe_announcement(&mut self, announcement: Announcement, now_us: u64) -> Freshness {
-        let freshness = announcement.freshness(self.last_announcement.as_ref());
+        let (state, slots) = (announcement.state, announcement.slots);
+        let cold_left_us = announcement.cold_left_us;
+        let freshness = self.server.apply(announcement);
         match freshness {
             Freshness::Stale => return freshness,
             Freshness::NewStart => {
@@ -116,7 +122,7 @@
         }
         // A process that announced that it is leaving is not used again, whatever it announces
         // later.
-        if announcement.state != AnnouncedState::Ready {
+        if state != AnnouncedState::Ready {
             let drain_left_us = if freshness == Freshness::NewStart {
                 // It may have started leaving long ago, for example if this node restarted since.
                 0
@@ -126,17 +132,26 @@
             self.close_times
                 .close_at(CloseReason::ServerLeaving, now_us + drain_left_us);
         }
-        self.slots = announcement.slots.max(1);
+        self.slots = slots.max(1);
         self.close_times.set(CloseReason::Unreachable, false);
-        self.cold_start
-            .set_cold_until(now_us + announcement.cold_left_us);
-        self.last_announcement = Some(announcement);
+        self.cold_start.set_cold_until(now_us + cold_left_us);
         freshness
     }
 
-    /// Last announcement applied.
-    pub fn last_announcement(&self) -> Option<&Announcement> {
-        self.last_announcement.as_ref()
+    /// What is known of the backend server.
+    pub fn server(&self) -> &KnownServer {
+        &self.server
+    }
+
+    /// Applies the last message of a backend server; returns it as an announcement if it counts.
+    pub fn observe_departure(
+        &mut self,
+        departure: Departure,
+        now_us: u64,
+    ) -> Option<(Announcement, Freshness)> {
+        let announcement = self.server.departure(departure)?;
+        let freshness = self.observe_announcement(announcement.clone(), now_us);
+        Some((announcement, freshness))
     }
 
     /// Applies the load headers of an answer of the backend server.
@@ -160,15 +175,12 @@
     /// A cold backend server says so in its health answers, so an answer of the known process
     /// determines whether it is cold.
     pub fn observe_health(&mut self, result: &HealthCheckResult<'_>, now_us: u64) {
-        let Some(known) = &self.last_announcement else {
-            self.healthy_seen |= result.healthy;
-            return;
-        };
-        if known.instance.as_ref() == result.instance {
-            self.cold_start.set_cold_until(now_us + result.cold_left_us);
-        } else {
+        let is_known = self.server.observe_answer(result.instance, result.healthy);
+        if !is_known {
             // Another process answers at the address; its announcement has not arrived yet.
             self.suspect_restart();
+        } else if self.server.announcement().is_some() {
+            self.cold_start.set_cold_until(now_us + result.cold_left_us);
         }
     }
 
@@ -335,10 +347,19 @@
             .min()
     }
 
+    /// Checks that the backend server is of a service.
+    ///
+    /// Another one may have taken the place of the one that other nodes know.
+    ///
+    /// # Errors
+    /// The reason why no request for the service may be sent.
+    pub fn check_service(&self, service: &ServiceName) -> Result<(), RefusalReason> {
+        self.server.check_service(service)
+    }
+
     /// Checks right before the first byte whether a dispatched request may still be sent.
     ///
-    /// Returns the identifier of the intended backend server. A backend server of another service
-    /// may have taken the place of the one that other nodes know.
+    /// Returns the identifier of the backend server that the request is meant for.
     ///
     /// # Errors
     /// The reason why the request must not be sent.
@@ -348,14 +369,13 @@
         service: &ServiceName,
         deadline_us: u64,
         now_us: u64,
-    ) -> Result<Option<Arc<str>>, RefusalReason> {
-        let announced = self.last_announcement.as_ref();
-        if announced.is_some_and(|known| known.service != *service) {
-            return Err(RefusalReason::ServerAbsent);
-        }
+    ) -> Result<Arc<str>, RefusalReason> {
+        self.check_service(service)?;
         if let Some(reason) = self.refusal_reason(now_us) {
             return Err(reason);
         }
+        let target = self.server.target().map(Arc::clone);
+        let target = target.ok_or(RefusalReason::ServerAbsent)?;
         if deadline_us <= now_us {
             return Err(RefusalReason::DeadlineLapsed);
         }
@@ -371,10 +391,7 @@
             return Err(RefusalReason::ColdStart);
         }
         self.running.insert(id, Running::Sent);
-        Ok(self
-            .last_announcement
-            .as_ref()
-            .map(|known| Arc::clone(&known.instance)))
+        Ok(target)
     }
 
     /// Load summary; a change of it should reach other hosts soon.
@@ -413,7 +430,7 @@
     /// State of the backend server, which tells whether it accepts new work.
     pub fn state(&self, now_us: u64) -> ServerState {
         let closed_for = |reason| self.close_times.is_closed_for(reason, now_us);
-        let known = self.last_announcement.is_some() || self.healthy_seen;
+        let known = self.server.target().is_some();
         if closed_for(CloseReason::Unreachable) || !known {
             ServerState::Absent
         } else if closed_for(CloseReason::ZoneOut) {
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -7,6 +7,7 @@
 pub mod cold_start;
 pub mod gate;
 pub mod keyed_state;
+pub mod known_server;
 pub mod log_reader;
 pub mod nested_calls;
 pub mod peers;
--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -7,6 +7,7 @@
 use super::context::Host;
 use super::events::time_of_day_ms;
 use crate::decision::host::announcement::{Announcement, Departure, Freshness};
+use crate::decision::host::gate::HostGate;
 use crate::edge::http1::server::{Handler, ServerLimits};
 use crate::edge::http1::{MessageLimits, Request, Response};
 use crate::platform::announcements::{self, Message};
@@ -34,7 +35,13 @@
         let host = &self.0;
         let own_address = host.settings.backend_server.address;
         match announcements::decode(&request.head.target, &request.body, own_address) {
-            Ok(Message::Heartbeat(announcement)) => apply_announcement(host, announcement),
+            Ok(Message::Heartbeat(announcement)) => {
+                let now_us = host.now_us();
+                apply(host, |gate| {
+                    let freshness = gate.observe_announcement(announcement.clone(), now_us);
+                    Some((announcement, freshness))
+                });
+            }
             Ok(Message::Deregistered {
                 instance,
                 start_time_ms,
@@ -44,7 +51,8 @@
                     start_time_ms,
                     received_ms: time_of_day_ms(),
                 };
-                apply_departure(host, departure);
+                let now_us = host.now_us();
+                apply(host, |gate| gate.observe_departure(departure, now_us));
             }
             Err(error) => {
                 host.events
@@ -57,27 +65,19 @@
 }
 
 /// Updates the gate and logs the announcement if the state changed or the server restarted.
-fn apply_announcement(host: &Host, announcement: Announcement) {
+fn apply(host: &Host, observe: impl FnOnce(&mut HostGate) -> Option<(Announcement, Freshness)>) {
     let now_us = host.now_us();
-    let applied = announcement.clone();
-    let (freshness, before, after) = host.gate.with(|gate| {
+    let (applied, before, after) = host.gate.with(|gate| {
         let before = gate.state(now_us);
-        let freshness = gate.observe_announcement(announcement, now_us);
-        (freshness, before, gate.state(now_us))
+        (observe(gate), before, gate.state(now_us))
     });
+    let Some((announcement, freshness)) = applied else {
+        return;
+    };
     if freshness == Freshness::NewStart {
         host.server_connections.close_all();
     }
     if freshness == Freshness::NewStart || before != after {
-        host.events.announced(&applied, freshness, after);
-    }
-}
-
-/// Applies the final message of a backend server that is shutting down.
-fn apply_departure(host: &Host, departure: Departure) {
-    let known = host.gate.with(|gate| gate.last_announcement().cloned());
-    let service = &host.settings.backend_server.service;
-    if let Some(announcement) = departure.announcement(known.as_ref(), service) {
-        apply_announcement(host, announcement);
+        host.events.announced(&announcement, freshness, after);
     }
 }
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -109,7 +109,13 @@
             operator_log_behind: Notify::new(),
             peers: Mutex::default(),
             peer_clients: PeerClients::new(tasks.clone()),
-            gate: SharedGate::new(incarnation, drain_us, cold_allowance, clock),
+            gate: SharedGate::new(
+                incarnation,
+                settings.backend_server.service.clone(),
+                drain_us,
+                cold_allowance,
+                clock,
+            ),
             server_connections: ConnectionPool::new(settings.backend_server.address),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_RETENTION_US)),
             executions: Executions::default(),
@@ -147,11 +153,7 @@
     ///
     /// Before the first announcement it is the one in the settings.
     pub fn service(&self) -> ServiceName {
-        let announced = self.gate.with(|gate| {
-            gate.last_announcement()
-                .map(|announcement| announcement.service.clone())
-        });
-        announced.unwrap_or_else(|| self.settings.backend_server.service.clone())
+        self.gate.with(|gate| gate.server().service().clone())
     }
 
     /// Returns the introduction that this node sends to other nodes.
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -232,7 +232,7 @@
             }
         };
         tracked.sent();
-        let exchanged = exchange(host, work, &mut pooled, instance.as_deref(), started_us).await;
+        let exchanged = exchange(host, work, &mut pooled, &instance, started_us).await;
         measurement.run_us = host.now_us() - started_us;
         host.events
             .latencies
@@ -318,7 +318,7 @@
     host: &Host,
     work: &HostWork,
     pooled: &mut PooledConnection,
-    instance: Option<&str>,
+    instance: &str,
     now_us: u64,
 ) -> Result<Response, ExchangeFailure> {
     let left_us = work.timing.deadline_us.saturating_sub(now_us);
--- a/src/host/shared_gate.rs
+++ b/src/host/shared_gate.rs
@@ -13,6 +13,7 @@
 use crate::kernel::stop::Stop;
 use crate::model::ids::Incarnation;
 use crate::model::load::HostLoad;
+use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 
 /// Minimum delay before waiting requests are checked again, in µs.
@@ -85,13 +86,14 @@
     /// Creates a gate that refuses all requests until the backend server is known.
     pub fn new(
         incarnation: Incarnation,
+        service: ServiceName,
         drain_us: u64,
         allowance: ColdAllowance,
         clock: Clock,
     ) -> Self {
         Self {
             inner: Mutex::new(Inner {
-                gate: HostGate::new(incarnation, drain_us, allowance),
+                gate: HostGate::new(incarnation, service, drain_us, allowance),
                 waiting: HashMap::new(),
                 decided: Vec::new(),
                 summary: None,
--- a/src/model/reasons.rs
+++ b/src/model/reasons.rs
@@ -68,6 +68,8 @@
         ServerOut => "server-out",
         /// The backend server has not announced itself, or its lease has expired.
         ServerAbsent => "server-absent",
+        /// The backend server is of another service than the sending node expects.
+        OtherService => "other-service",
         /// The backend server shed the request and stated that it was not run.
         ServerShed => "server-shed",
         /// The backend server is currently slower than the sending node accepts.
--- a/src/request/problem.rs
+++ b/src/request/problem.rs
@@ -108,6 +108,7 @@
         R::ZoneOut => "The availability zone is out of service",
         R::ServerOut => "The backend server is out of service",
         R::ServerAbsent => "The backend server has not announced itself",
+        R::OtherService => "The backend server is of another service",
         R::ServerSlow => "The backend server is slow now",
         R::ServerShed => "The backend server shed the request",
         R::NoServer => "No backend server of the service is live",
--- a/tests/host/cold_start.rs
+++ b/tests/host/cold_start.rs
@@ -51,7 +51,7 @@
 
     /// Gate of a backend server that has just started.
     fn cold_gate(&self, at_us: u64, cold_for_us: u64) -> HostGate {
-        let mut gate = HostGate::new(Incarnation(1), 2 * S, self.allowance);
+        let mut gate = HostGate::new(Incarnation(1), service(), 2 * S, self.allowance);
         gate.set_cold_rate(self.stated_per_s, 0);
         let announcement = Announcement {
             instance: "i-1".into(),
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -1,6 +1,8 @@
 //! Admission gate: whether, when and in which order requests are sent.
 
-use bronzelock::decision::host::announcement::{AnnouncedState, Announcement, Freshness};
+use bronzelock::decision::host::announcement::{
+    AnnouncedState, Announcement, Departure, Freshness,
+};
 use bronzelock::decision::host::cold_rate_limiter::ColdAllowance;
 use bronzelock::decision::host::gate::{
     HealthCheckResult, HostGate, ServerReport, SlowPhaseAction, Timing, Verdict, Work, WorkId,
@@ -41,7 +43,7 @@
 }
 
 fn warm_gate() -> HostGate {
-    let mut gate = HostGate::new(Incarnation(1), DRAIN_US, ALLOWANCE);
+    let mut gate = HostGate::new(Incarnation(1), service(), DRAIN_US, ALLOWANCE);
     gate.set_cold_rate(COLD_PER_S, 0);
     gate.observe_announcement(announcement(1, AnnouncedState::Ready, 0), 0);
     gate
@@ -88,7 +90,7 @@
 
 #[test]
 fn nothing_runs_before_the_backend_server_is_known() {
-    let mut gate = HostGate::new(Incarnation(1), DRAIN_US, ALLOWANCE);
+    let mut gate = HostGate::new(Incarnation(1), service(), DRAIN_US, ALLOWANCE);
     let (_id, verdict) = offer(&mut gate, work(1), 0);
     assert_eq!(refusal(verdict), Some(RefusalReason::ServerAbsent));
 }
@@ -212,7 +214,7 @@
 /// A restarted node does not know how long its backend server has been leaving.
 #[test]
 fn nothing_is_sent_to_a_backend_server_that_is_leaving_when_first_seen() {
-    let mut gate = HostGate::new(Incarnation(1), DRAIN_US, ALLOWANCE);
+    let mut gate = HostGate::new(Incarnation(1), service(), DRAIN_US, ALLOWANCE);
     gate.observe_announcement(announcement(7, AnnouncedState::Draining, 0), S);
     let (_id, verdict) = offer(&mut gate, work(1), S);
     assert_eq!(refusal(verdict), Some(RefusalReason::Leaving));
@@ -332,7 +334,7 @@
     let other = ServiceName::new("parlour").expect("valid name");
     assert_eq!(
         gate.clear_to_send(id, &other, 10 * S, S),
-        Err(RefusalReason::ServerAbsent)
+        Err(RefusalReason::OtherService)
     );
     assert!(gate.clear_to_send(id, &service(), 10 * S, S).is_ok());
 }
@@ -488,3 +490,78 @@
     gate.observe_health(&health_check("i-2", 0), S);
     assert_eq!(gate.state(S), ServerState::Cold);
 }
+
+/// A gate that has heard no announcement; `instance` has answered a health check.
+fn unannounced_gate(instance: &str) -> HostGate {
+    let mut gate = HostGate::new(Incarnation(1), service(), DRAIN_US, ALLOWANCE);
+    gate.set_cold_rate(COLD_PER_S, 0);
+    gate.observe_health(&health_check(instance, 0), 0);
+    gate
+}
+
+/// Guards against requests for another service that run before anything is announced.
+///
+/// Requests name the process that answered, so that another one at the address refuses them.
+#[test]
+fn before_the_first_announcement_only_the_service_of_the_settings_is_sent_to_the_process_that_answered()
+ {
+    let mut gate = unannounced_gate("i-1");
+    let (id, verdict) = offer(&mut gate, work(1), S);
+    assert_eq!(verdict, Some(Verdict::Run));
+    let other = ServiceName::new("parlour").expect("valid name");
+    assert_eq!(
+        gate.clear_to_send(id, &other, 10 * S, S),
+        Err(RefusalReason::OtherService)
+    );
+    assert_eq!(
+        gate.clear_to_send(id, &service(), 10 * S, S),
+        Ok("i-1".into())
+    );
+}
+
+/// Guards against requests run by a backend server that took the address and is not announced.
+///
+/// The service of the settings may be that of the earlier one.
+#[test]
+fn a_second_process_at_the_address_gets_nothing_until_it_is_announced() {
+    let mut gate = unannounced_gate("i-1");
+    let (dispatched, _verdict) = offer(&mut gate, work(1), S);
+    gate.observe_health(&health_check("i-2", 0), S);
+    assert_eq!(
+        gate.clear_to_send(dispatched, &service(), 10 * S, S),
+        Err(RefusalReason::ServerAbsent)
+    );
+    gate.observe_health(&health_check("i-1", 0), S);
+    let (_id, verdict) = offer(&mut gate, work(1), S);
+    assert_eq!(refusal(verdict), Some(RefusalReason::ServerAbsent));
+    let second = Announcement {
+        instance: "i-2".into(),
+        ..announcement(1, AnnouncedState::Ready, 0)
+    };
+    gate.observe_announcement(second, 2 * S);
+    let (id, _verdict) = offer(&mut gate, work(1), 2 * S);
+    assert_eq!(
+        gate.clear_to_send(id, &service(), 10 * S, 2 * S),
+        Ok("i-2".into())
+    );
+}
+
+fn departure(instance: &str) -> Departure {
+    Departure {
+        instance: instance.into(),
+        start_time_ms: 0,
+        received_ms: 100,
+    }
+}
+
+/// Guards against a backend server that gets nothing more since an earlier one departed late.
+#[test]
+fn a_late_departure_of_an_earlier_process_does_not_end_the_one_that_answers() {
+    let mut gate = unannounced_gate("i-2");
+    assert_eq!(gate.observe_departure(departure("i-1"), S), None);
+    let (_id, verdict) = offer(&mut gate, work(1), S);
+    assert_eq!(verdict, Some(Verdict::Run));
+    assert!(gate.observe_departure(departure("i-2"), S).is_some());
+    let (_id, verdict) = offer(&mut gate, work(1), S);
+    assert_eq!(refusal(verdict), Some(RefusalReason::Leaving));
+}
