Take the process that answers at the address for the later one, whatever its clock

Callers would see: refusals for good (server-absent, or 421 from the backend server) after a backend server started whose clock was behind that of the one before it. Cause: Announcement::freshness orders by start time before instance, so announcements of such a process counted as stale, and the earlier service stayed the known one. The other direction must hold too: a late heartbeat of a crashed process must not win. Change: of two instances the one that answers counts as later: in a health check, or with a 421. Only answers since the last new start count, and the start that was replaced so is remembered, so its late heartbeats stay stale. Not covered: a start under the same identifier whose clock went back can't be told from a late heartbeat.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -184,6 +184,12 @@
         }
     }
 
+    /// Records that a process rejected a request without running it.
+    pub fn observe_rejection(&mut self, instance: &str) {
+        self.server.observe_answer(instance, false);
+        self.suspect_restart();
+    }
+
     /// Records that the backend server may have restarted.
     pub fn suspect_restart(&mut self) {
         self.cold_start.suspect_restart();
--- a/src/decision/host/known_server.rs
+++ b/src/decision/host/known_server.rs
@@ -32,6 +32,10 @@
     /// Service of the settings, or of the last announcement applied.
     service: ServiceName,
     process: Process,
+    /// Instance that answered last, since the last new start was applied.
+    answering: Option<Arc<str>>,
+    /// Instance and start time of the announcement that was replaced by one of an earlier time.
+    displaced: Option<(Arc<str>, u64)>,
 }
 
 impl KnownServer {
@@ -40,6 +44,8 @@
         Self {
             service,
             process: Process::Unknown,
+            answering: None,
+            displaced: None,
         }
     }
 
@@ -82,6 +88,9 @@
 
     /// Records that a process answered; returns whether it is the known one.
     pub fn observe_answer(&mut self, instance: &str, healthy: bool) -> bool {
+        if self.answering.as_deref() != Some(instance) {
+            self.answering = Some(instance.into());
+        }
         match &mut self.process {
             Process::Unknown => {
                 self.process = Process::Answered {
@@ -106,11 +115,37 @@
         }
     }
 
+    /// Compares an announcement with what is known.
+    ///
+    /// Start times come from clocks that differ, so the process that answers at the address counts
+    /// as the later one of two instances.
+    pub fn freshness(&self, announcement: &Announcement) -> Freshness {
+        let by_time = announcement.freshness(self.announcement());
+        let answers = self.answering.as_ref() == Some(&announcement.instance);
+        match by_time {
+            Freshness::Stale if answers && !self.is_announced(&announcement.instance) => {
+                Freshness::NewStart
+            }
+            Freshness::NewStart if !answers && self.is_displaced(announcement) => Freshness::Stale,
+            Freshness::NewStart | Freshness::Newer | Freshness::Stale => by_time,
+        }
+    }
+
     /// Applies an announcement and returns how it relates to what was known.
     pub fn apply(&mut self, announcement: Announcement) -> Freshness {
-        let freshness = announcement.freshness(self.announcement());
-        if freshness == Freshness::Stale {
-            return freshness;
+        let freshness = self.freshness(&announcement);
+        match freshness {
+            Freshness::Stale => return freshness,
+            Freshness::Newer => {}
+            Freshness::NewStart => {
+                let displaced = self
+                    .announcement()
+                    .filter(|known| known.start_time_ms > announcement.start_time_ms)
+                    .map(|known| (Arc::clone(&known.instance), known.start_time_ms));
+                self.displaced = displaced.or(self.displaced.take());
+                // What answered before may have been another process.
+                self.answering = None;
+            }
         }
         if self.service != announcement.service {
             self.service = announcement.service.clone();
@@ -129,4 +164,16 @@
             | Process::Announced(_) => departure.announcement(self.announcement(), &self.service),
         }
     }
+
+    fn is_announced(&self, instance: &Arc<str>) -> bool {
+        let known = self.announcement();
+        known.is_some_and(|known| known.instance == *instance)
+    }
+
+    fn is_displaced(&self, announcement: &Announcement) -> bool {
+        let displaced = self.displaced.as_ref();
+        displaced.is_some_and(|(instance, start_time_ms)| {
+            *instance == announcement.instance && *start_time_ms == announcement.start_time_ms
+        })
+    }
 }
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -354,8 +354,8 @@
     response: Response,
 ) -> Result<Response, RequestFailure> {
     if facts.not_run {
-        if facts.instance.is_some() {
-            host.gate.with(HostGate::suspect_restart);
+        if let Some(instance) = &facts.instance {
+            host.gate.with(|gate| gate.observe_rejection(instance));
         }
         return Err(RequestFailure::shed());
     }
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -565,3 +565,84 @@
     let (_id, verdict) = offer(&mut gate, work(1), S);
     assert_eq!(refusal(verdict), Some(RefusalReason::Leaving));
 }
+
+fn announcement_of(instance: &str, start_time_ms: u64, sequence: u64) -> Announcement {
+    Announcement {
+        instance: instance.into(),
+        start_time_ms,
+        ..announcement(sequence, AnnouncedState::Ready, 0)
+    }
+}
+
+/// A gate whose known backend server `i-1` started at 1 000 ms.
+fn announced_gate() -> HostGate {
+    let mut gate = HostGate::new(Incarnation(1), service(), DRAIN_US, ALLOWANCE);
+    gate.observe_announcement(announcement_of("i-1", 1_000, 1), 0);
+    gate.observe_health(&health_check("i-1", 0), 0);
+    gate
+}
+
+fn server_of(gate: &HostGate) -> Option<&str> {
+    gate.server().target().map(|instance| &**instance)
+}
+
+/// Guards against an earlier service that stays the known one since the next clock is behind.
+#[test]
+fn a_process_that_answers_at_the_address_is_the_later_one_whatever_its_clock() {
+    let mut gate = announced_gate();
+    let next = Announcement {
+        service: ServiceName::new("parlour").expect("valid name"),
+        ..announcement_of("i-2", 400, 1)
+    };
+    assert_eq!(
+        gate.observe_announcement(next.clone(), S),
+        Freshness::Stale,
+        "a late heartbeat of a crashed process"
+    );
+    gate.observe_health(&health_check("i-2", 0), S);
+    assert_eq!(gate.observe_announcement(next, S), Freshness::NewStart);
+    assert_eq!(server_of(&gate), Some("i-2"));
+    assert_eq!(
+        gate.check_service(&service()),
+        Err(RefusalReason::OtherService)
+    );
+}
+
+/// Guards against a late heartbeat that wins since the process that took over has a clock behind.
+#[test]
+fn a_late_heartbeat_of_the_process_that_was_replaced_is_stale_whatever_its_clock() {
+    let mut gate = announced_gate();
+    gate.observe_health(&health_check("i-2", 0), S);
+    gate.observe_announcement(announcement_of("i-2", 400, 1), S);
+    for sequence in [2, 3] {
+        let late = announcement_of("i-1", 1_000, sequence);
+        assert_eq!(gate.observe_announcement(late, S), Freshness::Stale);
+        gate.observe_health(&health_check("i-2", 0), S);
+    }
+    assert_eq!(server_of(&gate), Some("i-2"));
+    let third = announcement_of("i-3", 500, 1);
+    assert_eq!(gate.observe_announcement(third, S), Freshness::NewStart);
+}
+
+/// Guards against a late heartbeat that wins by an answer from before the crash.
+#[test]
+fn an_answer_from_before_the_new_start_does_not_speak_for_a_late_heartbeat() {
+    let mut gate = announced_gate();
+    gate.observe_announcement(announcement_of("i-2", 2_000, 1), S);
+    let late = announcement_of("i-1", 1_000, 9);
+    assert_eq!(gate.observe_announcement(late, S), Freshness::Stale);
+    assert_eq!(server_of(&gate), Some("i-2"));
+}
+
+/// An answer of a crashed process may be read after the next one has announced itself.
+#[test]
+fn a_wrong_choice_ends_with_the_next_answer_and_announcement() {
+    let mut gate = announced_gate();
+    gate.observe_announcement(announcement_of("i-2", 2_000, 1), S);
+    gate.observe_health(&health_check("i-1", 0), S);
+    gate.observe_announcement(announcement_of("i-1", 1_000, 9), S);
+    gate.observe_health(&health_check("i-2", 0), S);
+    let next = announcement_of("i-2", 2_000, 2);
+    assert_eq!(gate.observe_announcement(next, S), Freshness::NewStart);
+    assert_eq!(server_of(&gate), Some("i-2"));
+}
