Wait for the announcement of a backend server that starts after its node

Cause: before anything was announced, the first process that answered a health check counted as one of the service of the settings, also if nothing had listened at the address before. The process test now refuses connections while no backend server is there, as a port without a listener does: the proxy of the harness accepted them. A node restarted alone beside a living one serves as soon as before.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -190,6 +190,11 @@
         self.suspect_restart();
     }
 
+    /// Records that no process listens at the backend server's address.
+    pub fn observe_no_listener(&mut self) {
+        self.server.observe_no_listener();
+    }
+
     /// Records that the backend server may have restarted.
     pub fn suspect_restart(&mut self) {
         self.cold_start.suspect_restart();
--- a/src/decision/host/known_server.rs
+++ b/src/decision/host/known_server.rs
@@ -115,6 +115,16 @@
         }
     }
 
+    /// Records that no process listens at the address.
+    ///
+    /// The next one that does may be of another service than the settings say.
+    pub fn observe_no_listener(&mut self) {
+        match self.process {
+            Process::Unknown | Process::Answered { .. } => self.process = Process::Unidentified,
+            Process::Unidentified | Process::Announced(_) => {}
+        }
+    }
+
     /// Compares an announcement with what is known.
     ///
     /// Start times come from clocks that differ, so the process that answers at the address counts
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -1,5 +1,6 @@
 //! State shared by the parts of a host's node.
 
+use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -137,7 +138,12 @@
 
     /// Records that no connection to the backend server can be opened; logs the first failure.
     pub fn record_server_unreachable(&self, error: &std::io::Error) {
-        let is_new = self.gate.with(|gate| gate.set_unreachable(true));
+        let is_new = self.gate.with(|gate| {
+            if error.kind() == ErrorKind::ConnectionRefused {
+                gate.observe_no_listener();
+            }
+            gate.set_unreachable(true)
+        });
         self.events.server_unreachable(error, is_new);
     }
 
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -646,3 +646,19 @@
     assert_eq!(gate.observe_announcement(next, S), Freshness::NewStart);
     assert_eq!(server_of(&gate), Some("i-2"));
 }
+
+/// Guards against requests run by a backend server that started after the node had its settings.
+///
+/// The address had no listener meanwhile, so it may have passed to another service.
+#[test]
+fn a_process_that_starts_after_the_node_gets_nothing_until_it_is_announced() {
+    let mut gate = HostGate::new(Incarnation(1), service(), DRAIN_US, ALLOWANCE);
+    gate.observe_no_listener();
+    gate.observe_health(&health_check("i-1", 0), S);
+    let (_id, verdict) = offer(&mut gate, work(1), S);
+    assert_eq!(refusal(verdict), Some(RefusalReason::ServerAbsent));
+    gate.observe_announcement(announcement_of("i-1", 1_000, 1), S);
+    assert_eq!(server_of(&gate), Some("i-1"));
+    gate.observe_no_listener();
+    assert_eq!(server_of(&gate), Some("i-1"), "requests name it");
+}
--- a/tests/host_processes/reused_address.rs
+++ b/tests/host_processes/reused_address.rs
@@ -61,9 +61,13 @@
     }
     site.end_server(ServerEnd::Crash).await;
     if matches!(node, Node::RestartedBetween) {
+        site.close_server_address().await;
         restart_node(site).await;
     }
     tokio::time::sleep(GAP).await;
+    if matches!(node, Node::RestartedBetween) {
+        site.open_server_address().await;
+    }
     site.pass_address_to(NEW_SERVICE);
     site.start_server().await;
     if matches!(node, Node::RestartedAfter) {
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -237,6 +237,19 @@
         life.task.await.expect("the backend server did not panic")
     }
 
+    /// Refuses connections at the backend server's address, as a port without a listener does.
+    pub async fn close_server_address(&mut self) {
+        let elsewhere = HostAddresses::unused().server();
+        let inner = self.addresses.inner_server();
+        self.server_link = Proxy::start(elsewhere, inner).await.expect("a proxy");
+    }
+
+    /// Takes connections at the backend server's address again.
+    pub async fn open_server_address(&mut self) {
+        let (address, inner) = (self.addresses.server(), self.addresses.inner_server());
+        self.server_link = Proxy::start(address, inner).await.expect("a proxy");
+    }
+
     /// Passes the address to another service, after the backend server has ended.
     ///
     /// A node that is started later finds the service in its settings.
