--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -1,5 +1,6 @@
 //! State shared by the parts of a host's node.
 
+use std::io::ErrorKind;
 use std::net::{IpAddr, SocketAddr};
 use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
@@ -114,7 +115,13 @@
             operator_log_behind: Notify::new(),
             peers: Mutex::default(),
             peer_clients: PeerClients::new(tasks.clone()),
-            gate: SharedGate::new(incarnation, drain_us, cold_allowance, clock),
+            gate: SharedGate::new(
+                incarnation,
+                settings.backend_server.service.clone(),
+                drain_us,
+                cold_allowance,
+                clock,
+            ),
             server_connections: ConnectionPool::new(settings.backend_server.address),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_RETENTION_US)),
             executions: Executions::default(),
@@ -152,7 +159,12 @@
 
     /// Records that no connection to the backend server can be opened; logs the first failure.
     pub fn record_server_unreachable(&self, error: &std::io::Error) {
-        let is_new = self.gate.with(|gate| gate.set_unreachable(true));
+        let is_new = self.gate.with(|gate| {
+            if error.kind() == ErrorKind::ConnectionRefused {
+                gate.observe_no_listener();
+            }
+            gate.set_unreachable(true)
+        });
         self.events.server_unreachable(error, is_new);
     }
 
@@ -168,11 +180,7 @@
     ///
     /// Before the first announcement it is the one in the settings.
     pub fn service(&self) -> ServiceName {
-        let announced = self.gate.with(|gate| {
-            gate.last_announcement()
-                .map(|announcement| announcement.service.clone())
-        });
-        announced.unwrap_or_else(|| self.settings.backend_server.service.clone())
+        self.gate.with(|gate| gate.server().service().clone())
     }
 
     /// Returns the introduction that this node sends to other nodes.
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -205,30 +205,23 @@
 }
 
 /// Logs a request that was written to the backend server, with what the node knew of it then.
-fn log_run(
-    host: &Host,
-    work: &HostWork,
-    known: &KnownServer,
-    exchanged: &Result<Response, ExchangeFailure>,
-) {
-    let answer = exchanged.as_ref().ok();
-    let facts = answer.map(answers::decode_facts);
+fn log_run(host: &Host, work: &HostWork, destination: &Destination, facts: Option<&AnswerFacts>) {
     host.events.ran(&Run {
         id: &work.id,
         service: work.service.as_str(),
-        own_service: known.service.as_ref().map(ServiceName::as_str),
-        target_instance: known.target_instance.as_deref(),
-        instance: facts.as_ref().and_then(|facts| facts.instance.as_deref()),
-        status: answer.map(|response| response.head.status),
-        announcement_age_ms: known.announcement_age_us.map(|us| us / US_PER_MS),
+        own_service: destination.service.as_str(),
+        target_instance: &destination.instance,
+        instance: facts.and_then(|facts| facts.instance.as_deref()),
+        status: facts.map(|facts| facts.status),
+        announcement_age_ms: destination.announcement_age_us.map(|us| us / US_PER_MS),
         config_version: host.config_version(),
     });
 }
 
-/// What the node knew of its backend server when it sent a request.
-struct KnownServer {
-    service: Option<ServiceName>,
-    target_instance: Option<Arc<str>>,
+/// The backend server that a request is meant for, as the node knew it when it sent the request.
+struct Destination {
+    service: ServiceName,
+    instance: Arc<str>,
     announcement_age_us: Option<u64>,
 }
 
@@ -250,38 +243,38 @@
         let started_us = host.now_us();
         let clearance = host.gate.with(|gate| {
             measurement.slowness = gate.slowness(started_us);
-            let announced = gate.last_announcement();
-            let service = announced.map(|announcement| announcement.service.clone());
+            let service = gate.server().service().clone();
             gate.clear_to_send(
                 admitted.id,
                 &work.service,
                 work.timing.deadline_us,
                 started_us,
             )
-            .map(|target_instance| KnownServer {
+            .map(|instance| Destination {
                 service,
-                target_instance,
+                instance,
                 announcement_age_us: host.learn_times.announcement.age_us(started_us),
             })
         });
-        let known = match clearance {
-            Ok(known) => known,
+        let destination = match clearance {
+            Ok(destination) => destination,
             Err(reason) => {
                 host.server_connections.release(pooled.connection);
                 return Err(RequestFailure::not_sent(reason));
             }
         };
         tracked.sent();
-        let target_instance = known.target_instance.as_deref();
-        let exchanged = exchange(host, work, &mut pooled, target_instance, started_us).await;
-        log_run(host, work, &known, &exchanged);
+        let instance = &destination.instance;
+        let exchanged = exchange(host, work, &mut pooled, instance, started_us).await;
+        let answer_facts = exchanged.as_ref().ok().map(answers::decode_facts);
+        log_run(host, work, &destination, answer_facts.as_ref());
         measurement.run_us = host.now_us() - started_us;
         host.events
             .latencies
             .add(Stage::ServerRun, measurement.run_us);
         match exchanged {
             Ok(response) => {
-                let answer_facts = answers::decode_facts(&response);
+                let answer_facts = answer_facts.unwrap_or_default();
                 observe_load_report(host, &answer_facts);
                 host.server_connections.release(pooled.connection);
                 let answer = check_answer(host, &answer_facts, response)?;
@@ -360,7 +353,7 @@
     host: &Host,
     work: &HostWork,
     pooled: &mut PooledConnection,
-    instance: Option<&str>,
+    instance: &str,
     now_us: u64,
 ) -> Result<Response, ExchangeFailure> {
     let left_us = work.timing.deadline_us.saturating_sub(now_us);
@@ -396,8 +389,8 @@
     response: Response,
 ) -> Result<Response, RequestFailure> {
     if facts.not_run {
-        if facts.instance.is_some() {
-            host.gate.with(HostGate::suspect_restart);
+        if let Some(instance) = &facts.instance {
+            host.gate.with(|gate| gate.observe_rejection(instance));
         }
         return Err(RequestFailure::shed());
     }
--- a/src/host/request_lines.rs
+++ b/src/host/request_lines.rs
@@ -110,10 +110,10 @@
     pub id: &'a str,
     /// Service that was asked for.
     pub service: &'a str,
-    /// Service that the backend server announced; `None` before the first announcement.
-    pub own_service: Option<&'a str>,
+    /// Service of the backend server, as far as known here.
+    pub own_service: &'a str,
     /// Backend server that the request named as the one meant.
-    pub target_instance: Option<&'a str>,
+    pub target_instance: &'a str,
     /// Backend server that answered, if it says which one it is.
     pub instance: Option<&'a str>,
     /// Status of the answer; `None` if there is none.
@@ -127,7 +127,7 @@
 impl Run<'_> {
     /// Whether the request asked for the service of the backend server.
     pub fn is_at_its_service(&self) -> bool {
-        self.own_service == Some(self.service)
+        self.own_service == self.service
     }
 }
 
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -102,6 +102,8 @@
 /// Metadata from the headers of a backend server's answer.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct AnswerFacts {
+    /// Status code.
+    pub status: u16,
     /// Identifier of the request that was answered.
     pub request_id: Option<String>,
     /// Whether the answer has the backend server's signature.
--- a/tests/host/event_log.rs
+++ b/tests/host/event_log.rs
@@ -127,8 +127,8 @@
     Run {
         id: "7",
         service: "milk",
-        own_service: Some(own_service),
-        target_instance: Some("i-1"),
+        own_service,
+        target_instance: "i-1",
         instance: None,
         status: Some(200),
         announcement_age_ms: Some(5),
