--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -4,6 +4,7 @@
 mod callers;
 #[path = "../support/eventually.rs"]
 mod eventually;
+mod log_copy;
 #[path = "../support/loopback.rs"]
 mod loopback;
 mod operator;
