Follow the log through returns from older copies of itself

Cause: records and ends were compared by offset alone, and nothing read the header that counts the returns. Class: positions of different histories of one log were compared with each other.

--- a/src/decision/host/log_reader.rs
+++ b/src/decision/host/log_reader.rs
@@ -2,7 +2,8 @@
 //!
 //! A long-poll read is cheap in normal operation. After a failure, a deletion or a stale answer it
 //! is not reliable: the records may have been deleted, and for some seconds a stale replica may
-//! answer. The newest records are then rechecked several times, with growing pauses.
+//! answer. The newest records are then rechecked several times, with growing pauses. The same holds
+//! after the log has come back from an older copy.
 
 /// Maximum long-poll time of one read, in ms.
 const FOLLOW_WAIT_MS: u64 = 10_000;
@@ -53,6 +54,8 @@
     StaleReplica,
     /// The records after the last one seen have been deleted.
     Deleted,
+    /// The log has come back from an older copy; the newest records are not known yet.
+    NewEra,
     /// No usable answer.
     Failed,
 }
@@ -86,7 +89,7 @@
                     pause_ms: FAILURE_BACKOFF_MS[index] * factor,
                 };
             }
-            ReadOutcome::Deleted => {
+            ReadOutcome::Deleted | ReadOutcome::NewEra => {
                 self.failures = 0;
                 self.next_recheck = Some(0);
                 return NextRead::Newest { pause_ms: 0 };
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -5,11 +5,13 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
+use super::keyed_state::KeyedState;
 use super::placement::Candidate;
 use super::report_targets::KnownHost;
 use crate::decision::routing::{AttemptOutcome, Health};
 use crate::model::ids::Incarnation;
 use crate::model::load::HostLoad;
+use crate::model::log_position::LogPosition;
 use crate::model::names::{ServiceName, ZoneName};
 use crate::model::units::US_PER_S;
 
@@ -46,15 +48,34 @@
     }
 }
 
+/// What a node knows of the operators' log, according to its load reports.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LogView {
+    /// Position up to which it knows the log.
+    pub end: LogPosition,
+    /// Whether it follows the log and the log service answers it.
+    pub follows: bool,
+    /// Whether it retains records that the log has lost.
+    pub has_lost_records: bool,
+    /// Whether its release knows that the log may come back from an older copy.
+    pub knows_eras: bool,
+}
+
+impl LogView {
+    /// Whether the node knows more of the log than `own`, or lost records that `own` misses.
+    pub fn is_ahead_of(&self, own: &KeyedState) -> bool {
+        let knows_lost = self.has_lost_records && self.end.era == own.end().era;
+        self.end > own.end() || (knows_lost && own.misses_lost_records())
+    }
+}
+
 /// A host known to this node.
 #[derive(Debug)]
 pub struct Peer {
     /// Identity of its node.
     pub introduction: Introduction,
-    /// Offset up to which it knows the operators' log.
-    pub operator_end: u64,
-    /// Whether it follows the operators' log and the log service answers it.
-    pub follows_log: bool,
+    /// What it knows of the operators' log.
+    pub log_view: LogView,
     load: Option<HostLoad>,
     load_received_us: u64,
     last_heard_us: Option<u64>,
@@ -95,8 +116,7 @@
             _ => {
                 let peer = Peer {
                     introduction,
-                    operator_end: 0,
-                    follows_log: false,
+                    log_view: LogView::default(),
                     known_since_us: now_us,
                     load: None,
                     load_received_us: 0,
@@ -137,11 +157,11 @@
         }
     }
 
-    /// Records a host's known end of the operators' log and whether it follows it.
-    pub fn set_log_position(&mut self, address: IpAddr, end: u64, follows: bool) {
+    /// Records what a host knows of the operators' log; its position never goes back.
+    pub fn set_log_view(&mut self, address: IpAddr, view: LogView) {
         if let Some(peer) = self.peers.get_mut(&address) {
-            peer.operator_end = peer.operator_end.max(end);
-            peer.follows_log = follows;
+            let end = peer.log_view.end.max(view.end);
+            peer.log_view = LogView { end, ..view };
         }
     }
 
@@ -151,7 +171,7 @@
     /// what they read.
     pub fn should_follow_log(&self, own: IpAddr, zone: &ZoneName, now_us: u64) -> bool {
         let before = self.live_before(own, zone, now_us);
-        before.filter(|peer| peer.follows_log).count() < LOG_FOLLOWERS_PER_ZONE
+        before.filter(|peer| peer.log_view.follows).count() < LOG_FOLLOWERS_PER_ZONE
     }
 
     /// Whether `own` is among the first live hosts of its availability zone in order of address.
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -60,6 +60,10 @@
     pub follows_log: AtomicBool,
     /// Notified when a peer has seen more of the operators' log than this node.
     pub operator_log_behind: Notify,
+    /// Notified when the records that the operators' log has lost may have changed.
+    pub lost_records_changed: Notify,
+    /// Notified when the log service has come back from an older copy.
+    pub log_era_changed: Notify,
     /// Nodes on other hosts.
     pub peers: Mutex<Peers>,
     /// Connections to the nodes on other hosts.
@@ -107,6 +111,8 @@
             operator_state: Mutex::default(),
             follows_log: AtomicBool::new(false),
             operator_log_behind: Notify::new(),
+            lost_records_changed: Notify::new(),
+            log_era_changed: Notify::new(),
             peers: Mutex::default(),
             peer_clients: PeerClients::new(tasks.clone()),
             gate: SharedGate::new(incarnation, drain_us, cold_allowance, clock),
--- a/src/host/directory.rs
+++ b/src/host/directory.rs
@@ -1,4 +1,6 @@
 //! Discovers other hosts through the log service, or through contacts while it is unavailable.
+//!
+//! The own record is checked again whenever the log service has come back from an older copy.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -17,20 +19,40 @@
 /// Pauses between attempts, in ms; the last one repeats.
 const RETRY_PAUSES_MS: [u64; 4] = [200, 400, 800, 1_500];
 
-/// Registers this node and reads the other hosts, with retries until it succeeds.
+/// Maximum delay before the own record is checked in a new era.
+///
+/// It spreads the calls of all nodes.
+const RECHECK_DELAY_MS_MAX: u64 = 1_000;
+
+/// Keeps this node registered and reads the other hosts until the node stops.
 pub async fn join(host: Arc<Host>) {
     tokio::select! {
         () = host.stop.stopped() => {}
-        () = join_with_retries(&host) => {}
+        () = stay_registered(&host) => {}
     }
 }
 
-async fn join_with_retries(host: &Arc<Host>) {
-    let mut store = StoreClient::new(host.settings.store.address);
+/// Registers this node, and again in each new era of the log.
+async fn stay_registered(host: &Arc<Host>) {
     let mut registration = Registration::new(host.settings.host.first_start);
-    for attempt in 0_usize.. {
+    loop {
+        let era = join_with_retries(host, registration).await;
+        while lock(&host.operator_state).end().era <= era {
+            host.log_era_changed.notified().await;
+        }
+        let delay_ms = rand::random_range(0..RECHECK_DELAY_MS_MAX);
+        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+        registration = Registration::new(false);
+    }
+}
+
+/// Makes the calls of a registration, with retries until it is done; returns the era of the log.
+async fn join_with_retries(host: &Arc<Host>, mut registration: Registration) -> u64 {
+    let mut store = StoreClient::new(host.settings.store.address);
+    let mut attempt = 0;
+    loop {
         match register_and_read_hosts(host, &mut store, &mut registration, attempt).await {
-            Ok(()) => return,
+            Ok(era) => return era,
             Err(error) => {
                 host.events.state_changed(
                     "store-lost",
@@ -43,32 +65,44 @@
         }
         let pause_ms = RETRY_PAUSES_MS[attempt.min(RETRY_PAUSES_MS.len() - 1)];
         tokio::time::sleep(Duration::from_millis(with_jitter(pause_ms))).await;
+        attempt += 1;
     }
 }
 
-/// Makes the calls of the registration that are left.
+/// Makes the calls of the registration that are left; returns the era of the last read.
 async fn register_and_read_hosts(
     host: &Arc<Host>,
     store: &mut StoreClient,
     registration: &mut Registration,
     attempt: usize,
-) -> Result<(), StepError> {
+) -> Result<u64, StepError> {
+    let mut era = 0;
     loop {
         match registration.next() {
             NextCall::Append => {
                 append_own_record(host, store).await?;
+                host.events.count("host_records_written");
                 registration.appended();
             }
             NextCall::Read { pause_ms } => {
                 tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-                let own_is_current = read_hosts(host, store, attempt).await?;
-                registration.read(own_is_current);
+                let hosts = read_hosts(host, store, attempt).await?;
+                era = hosts.era;
+                registration.read(hosts.own_is_current);
             }
-            NextCall::Done => return Ok(()),
+            NextCall::Done => return Ok(era),
         }
     }
 }
 
+/// What a read of the hosts showed.
+struct HostsRead {
+    /// Whether the own record is among them and current.
+    own_is_current: bool,
+    /// Era of the log.
+    era: u64,
+}
+
 async fn append_own_record(host: &Host, store: &mut StoreClient) -> Result<(), StepError> {
     let own = host.introduction();
     let key = own.address.to_string();
@@ -77,17 +111,18 @@
     store.append(HOSTS_TOPIC, &key, &value).await
 }
 
-/// Reads the records of all hosts; returns whether the own record is among them and current.
+/// Reads the records of all hosts and adds them to the known ones.
 async fn read_hosts(
     host: &Host,
     store: &mut StoreClient,
     attempt: usize,
-) -> Result<bool, StepError> {
+) -> Result<HostsRead, StepError> {
     let own = host.introduction();
-    let (records, _end) = store.read_newest(HOSTS_TOPIC).await?;
+    let snapshot = store.read_newest(HOSTS_TOPIC).await?;
+    let era = snapshot.end.era;
     let mut count = 0;
     let mut own_is_current = false;
-    for record in records {
+    for record in snapshot.records {
         let value = record.value.unwrap_or_default();
         let introduction = postcard::from_bytes::<WireIntroduction>(&value)
             .ok()
@@ -103,9 +138,14 @@
     host.gate.urgent_change.notify_one();
     host.events.state_changed(
         "hosts-read",
-        serde_json::json!({"count": count, "attempt": attempt, "own_is_current": own_is_current}),
+        serde_json::json!({
+            "count": count, "attempt": attempt, "own_is_current": own_is_current, "era": era,
+        }),
     );
-    Ok(own_is_current)
+    Ok(HostsRead {
+        own_is_current,
+        era,
+    })
 }
 
 /// Adds a host to the known peers, unless it is this one.
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -380,6 +380,12 @@
                 .as_ref()
                 .map_or(0, |config| config.version),
         );
+        let (log_era, lost_records) = {
+            let state = lock(&host.operator_state);
+            (state.end().era, state.lost().len() as u64)
+        };
+        line("log_era", log_era);
+        line("log_lost_records", lost_records);
         line("peers_known", lock(&host.peers).node_count() as u64 - 1);
         line(
             "log_lines_written",
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -15,11 +15,12 @@
 
 use super::context::Host;
 use super::peer_rpc::WireIntroduction;
-use crate::decision::host::peers::Introduction;
+use crate::decision::host::peers::{Introduction, LogView};
 use crate::decision::host::report_schedule::{ReportSchedule, ReportTrigger};
 use crate::decision::host::report_targets::{Introductions, KnownHost, ReportTargets};
 use crate::kernel::shards::lock;
 use crate::model::load::HostLoad;
+use crate::model::log_position::LogPosition;
 
 /// Minimum interval between two reports.
 const REPORT_INTERVAL_MIN: Duration = Duration::from_millis(25);
@@ -52,6 +53,32 @@
     message: Message,
 }
 
+/// What follows a datagram; earlier releases send nothing and pass over it.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct DatagramExtension {
+    /// Era of `operator_end`.
+    operator_era: u64,
+    /// Whether the sender retains records that the operators' log has lost.
+    has_lost_records: bool,
+}
+
+/// Decodes a datagram and what follows it.
+fn decode(bytes: &[u8]) -> Option<(Datagram, LogView)> {
+    let (datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes).ok()?;
+    if datagram.version != WIRE_VERSION {
+        return None;
+    }
+    let extension = postcard::from_bytes::<DatagramExtension>(rest).ok();
+    let era = extension.map_or(0, |extension| extension.operator_era);
+    let view = LogView {
+        end: LogPosition::new(era, datagram.operator_end),
+        follows: datagram.follows_log,
+        has_lost_records: extension.is_some_and(|extension| extension.has_lost_records),
+        knows_eras: extension.is_some(),
+    };
+    Some((datagram, view))
+}
+
 /// Sends and receives reports until the node stops.
 pub async fn run(host: Arc<Host>, socket: UdpSocket) {
     let reporter = LoadReporter {
@@ -132,14 +159,22 @@
     }
 
     fn datagram(&self, message: Message) -> Vec<u8> {
+        let (end, has_lost_records) = {
+            let state = lock(&self.host.operator_state);
+            (state.end(), state.lost().len() > 0)
+        };
         let datagram = Datagram {
             version: WIRE_VERSION,
             load: self.host.gate.load(),
-            operator_end: lock(&self.host.operator_state).end(),
+            operator_end: end.offset,
             follows_log: self.host.follows_log.load(Ordering::Relaxed),
             message,
         };
-        postcard::to_stdvec(&datagram).unwrap_or_default()
+        let extension = DatagramExtension {
+            operator_era: end.era,
+            has_lost_records,
+        };
+        postcard::to_stdvec(&(datagram, extension)).unwrap_or_default()
     }
 
     async fn send_to(&self, ip: IpAddr, datagram: &[u8]) {
@@ -160,17 +195,15 @@
                 tokio::time::sleep(REPORT_INTERVAL_MIN).await;
                 continue;
             };
-            match postcard::from_bytes::<Datagram>(&buffer[..length]) {
-                Ok(datagram) if datagram.version == WIRE_VERSION => {
-                    self.handle(from.ip(), datagram).await;
-                }
-                Ok(_) | Err(_) => self.host.events.count("datagrams_refused"),
+            match decode(&buffer[..length]) {
+                Some((datagram, log_view)) => self.handle(from.ip(), datagram, log_view).await,
+                None => self.host.events.count("datagrams_refused"),
             }
         }
     }
 
     /// Applies a datagram and replies with an introduction if one is needed.
-    async fn handle(&self, from: IpAddr, datagram: Datagram) {
+    async fn handle(&self, from: IpAddr, datagram: Datagram, log_view: LogView) {
         let host = &self.host;
         let now_us = host.now_us();
         let mut reply_wanted = false;
@@ -204,9 +237,9 @@
         {
             let mut peers = lock(&host.peers);
             peers.record_load(from, datagram.load, now_us);
-            peers.set_log_position(from, datagram.operator_end, datagram.follows_log);
+            peers.set_log_view(from, log_view);
         }
-        if datagram.operator_end > lock(&host.operator_state).end() {
+        if log_view.is_ahead_of(&lock(&host.operator_state)) {
             host.operator_log_behind.notify_one();
         }
         if reply_wanted {
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use super::context::Host;
-use crate::decision::host::keyed_state::KeyedRecord;
+use crate::decision::host::keyed_state::{Applied, KeyedRecord, KeyedState, Snapshot};
 use crate::decision::host::log_reader::{LogReader, NextRead, ReadOutcome, ReadRole};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::model::host_config::HostConfig;
+use crate::model::log_position::LogPosition;
 use crate::model::units::{US_PER_MS, US_PER_S};
 use crate::platform::names::OPERATOR_TOPIC;
 use crate::platform::operator::{self, Subject};
@@ -32,12 +33,16 @@
 /// Delay that lets this node's own read come before a request to a peer.
 const PEER_QUERY_DELAY: Duration = Duration::from_millis(250);
 
+/// Maximum number of keys that the line of a new era names.
+const LOGGED_KEYS_MAX: usize = 20;
+
 /// Follows the operators' log until the node stops.
 pub async fn follow(host: Arc<Host>) {
     tokio::select! {
         () = host.stop.stopped() => {}
         () = read_continuously(&host) => {}
         () = query_peers(&host) => {}
+        () = expire_lost_records(&host) => {}
     }
 }
 
@@ -83,9 +88,9 @@
     let wait_ms = match next {
         NextRead::Newest { pause_ms } => {
             tokio::time::sleep(Duration::from_millis(pause_ms)).await;
-            let (records, end) = store.read_newest(OPERATOR_TOPIC).await?;
-            let behind = end < lock(&host.operator_state).end();
-            apply(host, records, Some(end));
+            let snapshot = store.read_newest(OPERATOR_TOPIC).await?;
+            let behind = snapshot.end < lock(&host.operator_state).end();
+            apply(host, Update::Snapshot(snapshot));
             return Ok(if behind {
                 ReadOutcome::StaleReplica
             } else {
@@ -103,10 +108,11 @@
         LogPage::Records(_, end) if end < from => Ok(ReadOutcome::StaleReplica),
         LogPage::Records(records, _) if records.is_empty() => Ok(ReadOutcome::Empty),
         LogPage::Records(records, _) => {
-            apply(host, records, None);
+            apply(host, Update::Records(records));
             Ok(ReadOutcome::Records)
         }
         LogPage::Deleted => Ok(ReadOutcome::Deleted),
+        LogPage::NewEra => Ok(ReadOutcome::NewEra),
     }
 }
 
@@ -159,66 +165,138 @@
         if host.follows_log.load(Ordering::Relaxed) {
             tokio::time::sleep(PEER_QUERY_DELAY).await;
         }
-        let Some(ip) = peer_ahead(host) else {
+        let Some((ip, knows_eras)) = peer_ahead(host) else {
             continue;
         };
-        match host
+        let address = host.peer_address(ip);
+        let state = host
             .peer_clients
-            .operator_records(host.peer_address(ip))
-            .await
-        {
-            Ok(wire) => apply(host, wire.into_records().collect(), None),
+            .operator_log(address, knows_eras, host.now_us());
+        match state.await {
+            Ok(snapshot) => apply(host, Update::Snapshot(snapshot)),
             Err(error) => log::debug!("operator log: failed to get records from a peer: {error:?}"),
         }
     }
 }
 
-/// Returns a live peer that has seen more of the log, preferably of the same zone.
-fn peer_ahead(host: &Host) -> Option<IpAddr> {
-    let end = lock(&host.operator_state).end();
+/// Returns a live peer that knows more of the log, preferably of the same zone, and whether its
+/// release knows eras.
+fn peer_ahead(host: &Host) -> Option<(IpAddr, bool)> {
     let now_us = host.now_us();
     let zone = &host.settings.host.zone;
     let peers = lock(&host.peers);
+    let state = lock(&host.operator_state);
     let ahead = peers
         .iter()
-        .filter(|peer| peer.operator_end > end && peer.is_live(now_us));
-    let best = ahead.max_by_key(|peer| (peer.introduction.zone == *zone, peer.operator_end));
-    best.map(|peer| peer.introduction.address)
+        .filter(|peer| peer.log_view.is_ahead_of(&state) && peer.is_live(now_us));
+    let best = ahead.max_by_key(|peer| (peer.introduction.zone == *zone, peer.log_view.end));
+    best.map(|peer| (peer.introduction.address, peer.log_view.knows_eras))
 }
 
-/// Applies records and the changes that follow from them.
-///
-/// With `snapshot_end` the records are a snapshot: the newest of every key as of that offset.
-fn apply(host: &Host, records: Vec<KeyedRecord>, snapshot_end: Option<u64>) {
+/// Puts the records of the log in force when lost ones cease to be.
+async fn expire_lost_records(host: &Host) {
+    loop {
+        let expiry_us = lock(&host.operator_state).next_expiry_us();
+        let expired = async {
+            match expiry_us {
+                Some(at_us) => tokio::time::sleep_until(host.clock.instant_at(at_us).into()).await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = host.lost_records_changed.notified() => {}
+            () = expired => apply(host, Update::Expiry),
+        }
+    }
+}
+
+/// What changes the known state of the log.
+enum Update {
+    /// The newest records, from the log service or from a peer.
+    Snapshot(Snapshot),
+    /// Records that follow the known ones.
+    Records(Vec<KeyedRecord>),
+    /// The end of the time for which lost records stay in force.
+    Expiry,
+}
+
+/// Applies an update and the changes that follow from it.
+fn apply(host: &Host, update: Update) {
+    let now_us = host.now_us();
     let mut state = lock(&host.operator_state);
-    let changed = if let Some(end) = snapshot_end {
-        state.apply_snapshot(records, end)
-    } else {
-        let applied = records.into_iter().map(|record| state.apply(record));
-        applied.filter(|changed| *changed).count() > 0
+    let applied = match update {
+        Update::Snapshot(snapshot) => state.apply_snapshot(snapshot, now_us),
+        Update::Records(records) => apply_records(&mut state, records),
+        Update::Expiry if state.expire_lost(now_us) => Applied::Changed,
+        Update::Expiry => Applied::Unchanged,
     };
-    if !changed {
-        return;
-    }
-    let mut zone_out = false;
-    for (record, value) in state.live() {
-        match operator::subject(&record.key) {
-            Subject::Config => apply_config(host, value),
-            Subject::ZoneOut(zone) => zone_out |= zone == host.settings.host.zone,
-            Subject::Other => {}
-        }
+    match applied {
+        Applied::Unchanged => return,
+        Applied::Changed => {}
+        Applied::NewEra { previous_end } => log_new_era(host, &state, previous_end),
     }
+    let zone_out = put_in_force(host, &state);
     host.events.state_changed(
         "operator-records",
         serde_json::json!({
-            "end": state.end(), "zone_out": zone_out,
+            "era": state.end().era, "end": state.end().offset, "zone_out": zone_out,
         }),
     );
     drop(state);
+    host.lost_records_changed.notify_one();
     host.gate.with(|gate| gate.set_zone_out(zone_out));
     host.gate.urgent_change.notify_one();
 }
 
+fn apply_records(state: &mut KeyedState, records: Vec<KeyedRecord>) -> Applied {
+    let applied = records.into_iter().map(|record| state.apply(record));
+    if applied.filter(|changed| *changed).count() > 0 {
+        Applied::Changed
+    } else {
+        Applied::Unchanged
+    }
+}
+
+/// Puts the configuration in force and returns whether the zone of this host is out of service.
+///
+/// Of a configuration that the log has lost and the one that it has, the higher version counts.
+fn put_in_force(host: &Host, state: &KeyedState) -> bool {
+    let mut zone_out = false;
+    for (key, values) in state.values() {
+        match operator::subject(key) {
+            Subject::Config => {
+                let lost = values.lost.flatten();
+                for value in values.logged.into_iter().chain(lost) {
+                    apply_config(host, value);
+                }
+            }
+            Subject::ZoneOut(zone) => {
+                zone_out |= values.in_force().is_some() && zone == host.settings.host.zone;
+            }
+            Subject::Other => {}
+        }
+    }
+    zone_out
+}
+
+/// Logs that the log has come back from an older copy, and lets the node check its own record.
+fn log_new_era(host: &Host, state: &KeyedState, previous_end: LogPosition) {
+    let lost_keys: Vec<&str> = state
+        .lost()
+        .map(|lost| &*lost.key)
+        .take(LOGGED_KEYS_MAX)
+        .collect();
+    host.events.state_changed(
+        "log-era",
+        serde_json::json!({
+            "era_before": previous_end.era, "end_before": previous_end.offset,
+            "era": state.end().era, "end": state.end().offset,
+            "lost": state.lost().len(), "lost_keys": lost_keys,
+        }),
+    );
+    host.log_era_changed.notify_one();
+}
+
 /// Applies a configuration unless the same or a newer version is in force.
 fn apply_config(host: &Host, value: &[u8]) {
     let config = match operator::decode_config(value) {
--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::peer_rpc::{PeerHostClient, WireOutcome, WireWork};
+use crate::decision::host::keyed_state::Snapshot;
 use crate::edge::http1::client::connect;
 use crate::edge::peer_client::frame_codec;
 use crate::kernel::StepError;
@@ -109,17 +110,28 @@
         self.await_with_pings(address, &client, call).await
     }
 
-    /// Returns the latest records of the operators' log that the peer holds.
+    /// Returns the state of the operators' log that the peer holds, at the receiver's time `now_us`.
+    ///
+    /// A peer of a release without eras (`knows_eras` is false) is asked for its records only.
     ///
     /// # Errors
     /// Returns [`PeerError`] if the call fails.
-    pub async fn operator_records(
+    pub async fn operator_log(
         &self,
         address: SocketAddr,
-    ) -> Result<super::peer_rpc::WireOperatorRecords, PeerError> {
+        knows_eras: bool,
+        now_us: u64,
+    ) -> Result<Snapshot, PeerError> {
         let client = self.client(address).await?;
-        let call = client.operator_records(context(RECORDS_TIMEOUT));
-        call.await.map_err(|error| self.call_error(address, &error))
+        let context = context(RECORDS_TIMEOUT);
+        let state = if knows_eras {
+            let state = client.operator_log(context).await;
+            state.map(|wire| wire.into_snapshot(now_us))
+        } else {
+            let records = client.operator_records(context).await;
+            records.map(Snapshot::from)
+        };
+        state.map_err(|error| self.call_error(address, &error))
     }
 
     /// Returns the hosts that the peer knows.
--- a/src/host/peer_server.rs
+++ b/src/host/peer_server.rs
@@ -13,7 +13,9 @@
 use super::executor;
 use super::outcome::{Outcome, RequestFailure};
 use super::peer_client::MESSAGE_BYTES_MAX;
-use super::peer_rpc::{PeerHost, WireIntroduction, WireOperatorRecords, WireOutcome, WireWork};
+use super::peer_rpc::{
+    PeerHost, WireIntroduction, WireOperatorLog, WireOperatorRecords, WireOutcome, WireWork,
+};
 use crate::edge::http1::client::enable_dead_peer_detection;
 use crate::edge::peer_client::frame_codec;
 use crate::kernel::shards::lock;
@@ -96,8 +98,11 @@
     async fn ping(self, _context: Context) {}
 
     async fn operator_records(self, _context: Context) -> WireOperatorRecords {
-        let operator_state = lock(&self.host.operator_state);
-        WireOperatorRecords::new(operator_state.records(), operator_state.end())
+        WireOperatorRecords::from(&*lock(&self.host.operator_state))
+    }
+
+    async fn operator_log(self, _context: Context) -> WireOperatorLog {
+        WireOperatorLog::new(&lock(&self.host.operator_state), self.host.now_us())
     }
 
     async fn known_hosts(self, _context: Context) -> Vec<WireIntroduction> {
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -7,6 +7,7 @@
 pub mod host_request;
 pub mod ids;
 pub mod load;
+pub mod log_position;
 pub mod names;
 pub mod reasons;
 pub mod request;
--- a/tests/host/log_reader.rs
+++ b/tests/host/log_reader.rs
@@ -1,7 +1,8 @@
 //! Planned reads of a log whose answers are late, stale or deleted.
 
-use bronzelock::decision::host::keyed_state::{KeyedRecord, KeyedState};
+use bronzelock::decision::host::keyed_state::{Applied, KeyedRecord, KeyedState, Snapshot};
 use bronzelock::decision::host::log_reader::{LogReader, NextRead, ReadOutcome, ReadRole};
+use bronzelock::model::log_position::LogPosition;
 use bytes::Bytes;
 
 fn pause_ms(next: NextRead) -> u64 {
@@ -96,29 +97,48 @@
     KeyedRecord {
         key: key.into(),
         value: value.map(Bytes::from),
-        offset,
+        position: LogPosition::new(0, offset),
     }
 }
 
+fn snapshot(records: Vec<KeyedRecord>, end: u64) -> Snapshot {
+    Snapshot {
+        records,
+        end: LogPosition::new(0, end),
+        lost: Vec::new(),
+    }
+}
+
+fn values(state: &KeyedState) -> Vec<Bytes> {
+    let values = state.values();
+    values
+        .filter_map(|(_key, values)| values.in_force().cloned())
+        .collect()
+}
+
 #[test]
 fn an_older_record_replaces_nothing() {
     let mut state = KeyedState::default();
     assert!(state.apply(record("config", Some("new"), 7)));
     assert!(!state.apply(record("config", Some("old"), 3)));
-    assert!(!state.apply_snapshot(vec![record("config", Some("old"), 3)], 4));
-    let live: Vec<_> = state.live().map(|(_record, value)| value.clone()).collect();
-    assert_eq!(live, ["new"]);
-    assert_eq!(state.end(), 8);
+    let older = snapshot(vec![record("config", Some("old"), 3)], 4);
+    assert_eq!(state.apply_snapshot(older, 0), Applied::Unchanged);
+    assert_eq!(values(&state), ["new"]);
+    assert_eq!(state.end(), LogPosition::new(0, 8));
 }
 
 #[test]
 fn a_key_missing_from_a_later_snapshot_is_dropped() {
     let mut state = KeyedState::default();
     state.apply(record("evacuate/a", Some("{}"), 5));
-    assert!(
-        !state.apply_snapshot(Vec::new(), 5),
+    assert_eq!(
+        state.apply_snapshot(snapshot(Vec::new(), 5), 0),
+        Applied::Unchanged,
         "an earlier snapshot does not cover the record"
     );
-    assert!(state.apply_snapshot(Vec::new(), 9));
-    assert_eq!(state.live().count(), 0);
+    assert_eq!(
+        state.apply_snapshot(snapshot(Vec::new(), 9), 0),
+        Applied::Changed
+    );
+    assert!(values(&state).is_empty());
 }
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -9,6 +9,7 @@
 mod gate;
 mod http1;
 mod latency;
+mod log_eras;
 mod log_reader;
 mod nested_calls;
 mod peer_client;
--- a/tests/host/peers.rs
+++ b/tests/host/peers.rs
@@ -2,8 +2,9 @@
 
 use std::net::{IpAddr, Ipv4Addr};
 
-use bronzelock::decision::host::peers::{Introduction, Peers};
+use bronzelock::decision::host::peers::{Introduction, LogView, Peers};
 use bronzelock::model::ids::Incarnation;
+use bronzelock::model::log_position::LogPosition;
 use bronzelock::model::names::{ServiceName, ZoneName};
 
 const ADDRESS: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
@@ -19,6 +20,14 @@
     }
 }
 
+fn view(follows: bool) -> LogView {
+    LogView {
+        end: LogPosition::new(0, 5),
+        follows,
+        ..LogView::default()
+    }
+}
+
 fn candidates(peers: &Peers, now_us: u64) -> usize {
     let known = introduction();
     peers
@@ -65,10 +74,10 @@
             true,
             10 * MS,
         );
-        peers.set_log_position(address, 5, true);
+        peers.set_log_view(address, view(true));
     }
     assert!(!peers.should_follow_log(own, &zone, 20 * MS));
-    peers.set_log_position(ADDRESS, 5, false);
+    peers.set_log_view(ADDRESS, view(false));
     assert!(
         peers.should_follow_log(own, &zone, 20 * MS),
         "one of the followers lost the log service"
