--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -10,6 +10,7 @@
 mod gate;
 mod http1;
 mod latency;
+mod log_eras;
 mod log_reader;
 mod nested_calls;
 mod peer_client;
