--- a/src/model/reasons.rs
+++ b/src/model/reasons.rs
@@ -37,6 +37,8 @@
 
 reason_set! {
     /// Why a request was refused or abandoned. Each reason has its own counter.
+    ///
+    /// Nodes of different releases exchange reasons by their index, so new ones come last.
     RefusalReason {
         /// The request is malformed.
         BadRequest => "bad-request",
@@ -68,8 +70,6 @@
         ServerOut => "server-out",
         /// The backend server has not announced itself, or its lease has expired.
         ServerAbsent => "server-absent",
-        /// The backend server is of another service than the sending node expects.
-        OtherService => "other-service",
         /// The backend server shed the request and stated that it was not run.
         ServerShed => "server-shed",
         /// The backend server is currently slower than the sending node accepts.
@@ -110,6 +110,8 @@
         Cancelled => "cancelled",
         /// A peer's message was malformed, of another system or lacked the right token.
         PeerRejected => "peer-rejected",
+        /// The backend server is of another service than the sending node expects.
+        OtherService => "other-service",
     }
 }
 
