--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -24,3 +24,4 @@
 mod routes;
 mod run_times;
 mod shared_retry_budget;
+mod store_client;
