Test that a configuration whose record no waiting read receives is in force in time

What callers could see: proper requests of a route that was added end with 404 for more than 10 s, though the log service works again.

The log service may lose answers, and such a connection returns nothing more, while its system still acknowledges. The stand-in loses the answers to reads for 0.3 s now, right when the operator adds a route. From 3 s after the disruption (contact-s) on no node may refuse it. Keep-alive probes can't show this.

--- a/tests/host_processes/silent_links.rs
+++ b/tests/host_processes/silent_links.rs
@@ -4,6 +4,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use standins::platform::store::StoreFaults;
 use tokio::time::Instant;
 
 use crate::callers::{Kind, ask_at};
@@ -30,6 +31,16 @@
 /// Silences that follow each other.
 const SILENCES_IN_A_ROW: usize = 5;
 
+/// Length of a disruption of the log service in which it loses answers.
+const ANSWERS_LOST_FOR: Duration = Duration::from_millis(300);
+
+/// Times from a record to such a disruption.
+const IDLE_BEFORE_LOSS: [Duration; 3] = [
+    Duration::from_millis(500),
+    Duration::from_secs(2),
+    Duration::from_millis(4_500),
+];
+
 /// Time in which all nodes have the records of a change, in calm.
 const RELAYED_WITHIN: Duration = Duration::from_millis(250);
 
@@ -86,24 +97,24 @@
     }
 }
 
-/// Adds a route, which takes effect `CONFIG_APPLY` from now and `CONTACT` after the silence.
-async fn add_route(system: &System, silenced_at: Instant) -> Change {
+/// Adds a route, which takes effect `CONFIG_APPLY` from now and `CONTACT` after a disruption.
+async fn add_route(system: &System, disrupted_until: Instant) -> Change {
     let mut operator = system.operator.lock().await;
     Change {
         path_prefix: operator.add_route(&system.store),
         service: "herd",
-        in_force_at: (silenced_at + CONTACT).max(Instant::now() + CONFIG_APPLY),
+        in_force_at: (disrupted_until + CONTACT).max(Instant::now() + CONFIG_APPLY),
     }
 }
 
 /// Moves a route to the other service, with effect as by [`add_route`].
-async fn move_route(system: &System, silenced_at: Instant) -> Change {
+async fn move_route(system: &System, disrupted_until: Instant) -> Change {
     let mut operator = system.operator.lock().await;
     operator.move_route(&system.store);
     Change {
         path_prefix: Kind::Moved.path_prefix().to_owned(),
         service: operator.moved_to(),
-        in_force_at: (silenced_at + CONTACT).max(Instant::now() + CONFIG_APPLY),
+        in_force_at: (disrupted_until + CONTACT).max(Instant::now() + CONFIG_APPLY),
     }
 }
 
@@ -221,6 +232,29 @@
     }
 }
 
+/// Guards against refusals with 404 when the answers to all waiting reads of the log are lost.
+///
+/// The connections stay open, and the log service's system acknowledges what comes over them.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_route_whose_record_was_lost_by_all_readers_is_served() {
+    let system = settled(&WITH_RELAYED_HOSTS).await;
+    for idle in IDLE_BEFORE_LOSS {
+        let _in_calm = add_route(&system, Instant::now()).await;
+        tokio::time::sleep(idle).await;
+        let losing = |loses_read_answers| StoreFaults {
+            loses_read_answers,
+            ..StoreFaults::default()
+        };
+        system.store.set_faults(losing(true));
+        let disrupted_until = Instant::now() + ANSWERS_LOST_FOR;
+        let change = add_route(&system, disrupted_until).await;
+        tokio::time::sleep_until(disrupted_until).await;
+        system.store.set_faults(losing(false));
+        let seen = observe(&system, &change, OBSERVED_FOR).await;
+        assert_in_force(&system, &change, &seen, true).await;
+    }
+}
+
 /// Guards against records that are requested from another node over a connection that is silent.
 ///
 /// Each silence finds the connections that the records right before it came over. Requests that are
