--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -30,6 +30,9 @@
 /// Load reports tell it when other hosts have seen more of the log.
 const READ_INTERVAL_MAX_US: u64 = 120 * US_PER_S;
 
+/// Pause between a failed request to a peer and the next one.
+const PEER_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Delay that lets this node's own read come before a request to a peer.
 const PEER_QUERY_DELAY: Duration = Duration::from_millis(250);
 
@@ -161,14 +164,21 @@
 /// Requests records from a peer that has seen more of the log.
 ///
 /// A node that follows the log first waits for [`PEER_QUERY_DELAY`], in which its own read may
-/// catch up.
+/// catch up. After a failure it asks the other peers that have seen more, without waiting for
+/// another report.
 async fn query_peers(host: &Host) {
+    let mut failed = Vec::new();
     loop {
-        host.operator_log_behind.notified().await;
-        if host.follows_log.load(Ordering::Relaxed) {
-            tokio::time::sleep(PEER_QUERY_DELAY).await;
+        if failed.is_empty() {
+            host.operator_log_behind.notified().await;
+            if host.follows_log.load(Ordering::Relaxed) {
+                tokio::time::sleep(PEER_QUERY_DELAY).await;
+            }
+        } else {
+            tokio::time::sleep(PEER_RETRY_PAUSE).await;
         }
-        let Some((ip, knows_eras)) = peer_ahead(host) else {
+        let Some((ip, knows_eras)) = peer_ahead(host, &failed) else {
+            failed.clear();
             continue;
         };
         let address = host.peer_address(ip);
@@ -177,24 +187,31 @@
             .operator_log(address, knows_eras, host.now_us());
         match state.await {
             Ok(snapshot) => {
+                failed.clear();
                 host.learn_times.operator_log.record(host.now_us());
                 apply(host, Update::Snapshot(snapshot));
             }
-            Err(error) => log::debug!("operator log: failed to get records from a peer: {error:?}"),
+            Err(error) => {
+                log::debug!("operator log: failed to get records from a peer: {error:?}");
+                failed.push(ip);
+            }
         }
     }
 }
 
 /// Returns a live peer that knows more of the log, preferably of the same zone, and whether its
 /// release knows eras.
-fn peer_ahead(host: &Host) -> Option<(IpAddr, bool)> {
+///
+/// The peers in `failed` are left out.
+fn peer_ahead(host: &Host, failed: &[IpAddr]) -> Option<(IpAddr, bool)> {
     let now_us = host.now_us();
     let zone = &host.settings.host.zone;
     let peers = lock(&host.peers);
     let state = lock(&host.operator_state);
     let ahead = peers
         .iter()
-        .filter(|peer| peer.log_view.is_ahead_of(&state) && peer.is_live(now_us));
+        .filter(|peer| peer.log_view.is_ahead_of(&state) && peer.is_live(now_us))
+        .filter(|peer| !failed.contains(&peer.introduction.address));
     let best = ahead.max_by_key(|peer| (peer.introduction.zone == *zone, peer.log_view.end));
     best.map(|peer| (peer.introduction.address, peer.log_view.knows_eras))
 }
--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -32,8 +32,8 @@
 /// Timeout of calls that run no request, such as a ping.
 const CONTROL_CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Timeout for the transfer of a peer's records.
-const RECORDS_TIMEOUT: Duration = Duration::from_secs(2);
+/// Timeout for the transfer of a peer's records; another peer can be asked after it.
+const RECORDS_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Time without an answer before the connection is checked with a ping.
 const PING_PERIOD: Duration = Duration::from_millis(600);
@@ -114,6 +114,8 @@
     ///
     /// A peer of a release without eras (`knows_eras` is false) is asked for its records only.
     ///
+    /// Opens a new connection, since an open one may be silent without having ended.
+    ///
     /// # Errors
     /// Returns [`PeerError`] if the call fails.
     pub async fn operator_log(
@@ -122,6 +124,7 @@
         knows_eras: bool,
         now_us: u64,
     ) -> Result<Snapshot, PeerError> {
+        self.forget(address);
         let client = self.client(address).await?;
         let context = context(RECORDS_TIMEOUT);
         let state = if knows_eras {
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -27,3 +27,4 @@
 mod routes;
 mod run_times;
 mod shared_retry_budget;
+mod store_client;
