Tell other nodes when the service of a host changes, and trust no introduction from before it

Callers saw: requests refused (server-absent) at a host whose backend server had been replaced by one of another service while its node ran on, and none of the new service's requests served there by other nodes. Cause: a node introduced itself once to each host. A change of its service changed neither its incarnation nor the known hosts, so nobody heard of it, and a lost or late introduction would have stayed for good. Change: each load report and each reply counts the changes of the host's service. A receiver whose introduction is of an earlier one sends that host nothing more and asks for the new one; an introduction from before the change has no effect, whether late or relayed. After a change the node introduces itself to all hosts again, and its gate takes the cold rate of the new service (that part is covered by no test). The datagrams have a new format and version; nodes of the earlier one refuse them.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -426,6 +426,7 @@
         HostLoad {
             incarnation: self.incarnation,
             sequence: self.report_sequence,
+            service_changes: self.server.service_changes(),
             in_flight: self.running.len() as u16,
             queued: self.waiting.len() as u16,
             limit: self.sustained_limit(now_us) as u16,
--- a/src/decision/host/known_server.rs
+++ b/src/decision/host/known_server.rs
@@ -31,6 +31,7 @@
 pub struct KnownServer {
     /// Service of the settings, or of the last announcement applied.
     service: ServiceName,
+    service_changes: u16,
     process: Process,
     /// Instance that answered last, since the last new start was applied.
     answering: Option<Arc<str>>,
@@ -43,6 +44,7 @@
     pub fn new(service: ServiceName) -> Self {
         Self {
             service,
+            service_changes: 0,
             process: Process::Unknown,
             answering: None,
             displaced: None,
@@ -54,6 +56,11 @@
         &self.service
     }
 
+    /// Number of changes of the service since the start of the node.
+    pub fn service_changes(&self) -> u16 {
+        self.service_changes
+    }
+
     /// Last announcement applied.
     pub fn announcement(&self) -> Option<&Announcement> {
         match &self.process {
@@ -159,6 +166,7 @@
         }
         if self.service != announcement.service {
             self.service = announcement.service.clone();
+            self.service_changes = self.service_changes.saturating_add(1);
         }
         self.process = Process::Announced(announcement);
         freshness
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -33,6 +33,8 @@
     pub zone: ZoneName,
     /// Service of the local backend server.
     pub service: ServiceName,
+    /// Changes of that service since the start of the node.
+    pub service_changes: u16,
 }
 
 impl Introduction {
@@ -40,10 +42,16 @@
     pub fn is_of_same_host(&self, other: &Self) -> bool {
         let this_run = Self {
             incarnation: other.incarnation,
+            service_changes: other.service_changes,
             ..self.clone()
         };
         this_run == *other
     }
+
+    /// Whether the same run of the node has stated a later service in `known`.
+    fn is_outdated_by(&self, known: &Self) -> bool {
+        self.incarnation == known.incarnation && self.service_changes < known.service_changes
+    }
 }
 
 /// A host known to this node.
@@ -55,6 +63,8 @@
     pub operator_end: u64,
     /// Whether it follows the operators' log and the log service answers it.
     pub follows_log: bool,
+    /// Whether the host has changed its service and has not introduced itself since.
+    service_changed: bool,
     load: Option<HostLoad>,
     load_received_us: u64,
     last_heard_us: Option<u64>,
@@ -92,11 +102,13 @@
                 false
             }
             Some(known) if !direct && known.is_live(now_us) => false,
+            Some(known) if introduction.is_outdated_by(&known.introduction) => false,
             _ => {
                 let peer = Peer {
                     introduction,
                     operator_end: 0,
                     follows_log: false,
+                    service_changed: false,
                     known_since_us: now_us,
                     load: None,
                     load_received_us: 0,
@@ -112,10 +124,14 @@
         }
     }
 
-    /// Whether this incarnation of the host's node is known.
-    pub fn knows(&self, address: IpAddr, incarnation: Incarnation) -> bool {
+    /// Whether the introduction of the host that sent a load report is known and current.
+    pub fn knows(&self, address: IpAddr, load: &HostLoad) -> bool {
         let known = self.peers.get(&address);
-        known.is_some_and(|peer| peer.introduction.incarnation == incarnation)
+        known.is_some_and(|peer| {
+            let introduction = &peer.introduction;
+            introduction.incarnation == load.incarnation
+                && introduction.service_changes >= load.service_changes
+        })
     }
 
     /// Records a load report of a host.
@@ -129,6 +145,7 @@
             return;
         }
         peer.last_heard_us = Some(now_us);
+        peer.service_changed |= peer.introduction.service_changes < load.service_changes;
         let newer = peer.load.is_none_or(|known| known.sequence < load.sequence);
         if newer {
             peer.load = Some(load);
@@ -193,9 +210,10 @@
         own_zone: &'a ZoneName,
         now_us: u64,
     ) -> impl Iterator<Item = Candidate> + 'a {
-        let of_service = self.peers.values().filter(move |peer| {
-            peer.introduction.service == *service && peer.is_live(now_us) && peer.takes_work()
-        });
+        let of_service = self
+            .peers
+            .values()
+            .filter(move |peer| peer.serves(service) && peer.is_live(now_us) && peer.takes_work());
         of_service.map(move |peer| peer.candidate(own_zone, now_us))
     }
 
@@ -240,6 +258,10 @@
 }
 
 impl Peer {
+    fn serves(&self, service: &ServiceName) -> bool {
+        self.introduction.service == *service && !self.service_changed
+    }
+
     fn takes_work(&self) -> bool {
         self.load.is_none_or(|load| load.state.takes_work())
     }
--- a/src/decision/host/report_targets.rs
+++ b/src/decision/host/report_targets.rs
@@ -72,14 +72,20 @@
 #[derive(Debug, Default)]
 pub struct Introductions {
     introduced: HashSet<IpAddr>,
+    service_changes: u16,
 }
 
 impl Introductions {
     /// Returns the receivers that have not been introduced to yet, and counts them as such.
     ///
     /// Hosts learned of one by one must all hear of this node soon, also those that get no regular
-    /// reports: its address may have belonged to a host of another service.
-    pub fn take_pending(&mut self, targets: &ReportTargets) -> Vec<IpAddr> {
+    /// reports: its address may have belonged to a host of another service. After a change of the
+    /// own service all are pending again.
+    pub fn take_pending(&mut self, targets: &ReportTargets, service_changes: u16) -> Vec<IpAddr> {
+        if self.service_changes != service_changes {
+            self.service_changes = service_changes;
+            self.introduced.clear();
+        }
         let groups = [&targets.same_zone, &targets.other_zones, &targets.remaining];
         let all = groups.into_iter().flatten().copied();
         all.filter(|address| self.introduced.insert(*address))
--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -6,6 +6,7 @@
 
 use super::context::Host;
 use super::events::time_of_day_ms;
+use super::operator_log::set_cold_rate;
 use crate::decision::host::announcement::{Announcement, Departure, Freshness};
 use crate::decision::host::gate::HostGate;
 use crate::edge::http1::server::{Handler, ServerLimits};
@@ -67,9 +68,11 @@
 /// Updates the gate and logs the announcement if the state changed or the server restarted.
 fn apply(host: &Host, observe: impl FnOnce(&mut HostGate) -> Option<(Announcement, Freshness)>) {
     let now_us = host.now_us();
-    let (applied, before, after) = host.gate.with(|gate| {
-        let before = gate.state(now_us);
-        (observe(gate), before, gate.state(now_us))
+    let (applied, before, after, service_changed) = host.gate.with(|gate| {
+        let (before, changes_before) = (gate.state(now_us), gate.server().service_changes());
+        let applied = observe(gate);
+        let service_changed = gate.server().service_changes() != changes_before;
+        (applied, before, gate.state(now_us), service_changed)
     });
     let Some((announcement, freshness)) = applied else {
         return;
@@ -77,6 +80,12 @@
     if freshness == Freshness::NewStart {
         host.server_connections.close_all();
     }
+    if service_changed {
+        if let Some(config) = &*host.config.load() {
+            set_cold_rate(host, config);
+        }
+        host.gate.urgent_change.notify_one();
+    }
     if freshness == Freshness::NewStart || before != after {
         host.events.announced(&announcement, freshness, after);
     }
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -164,11 +164,16 @@
 
     /// Returns the introduction that this node sends to other nodes.
     pub fn introduction(&self) -> Introduction {
+        let (service, service_changes) = self.gate.with(|gate| {
+            let server = gate.server();
+            (server.service().clone(), server.service_changes())
+        });
         Introduction {
             address: self.settings.host.ip,
             incarnation: self.incarnation,
             zone: self.settings.host.zone.clone(),
-            service: self.service(),
+            service,
+            service_changes,
         }
     }
 
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -28,7 +28,7 @@
 const DATAGRAM_BYTES_MAX: usize = 1_024;
 
 /// Version of the datagram format; datagrams of other versions are ignored.
-const WIRE_VERSION: u8 = 1;
+const WIRE_VERSION: u8 = 2;
 
 #[derive(Debug, Serialize, Deserialize)]
 enum Message {
@@ -86,7 +86,7 @@
             if let Some(newer) = self.targets_after(&mut targets_version) {
                 targets = newer;
                 let hello = self.datagram(self.hello(true));
-                for target in introductions.take_pending(&targets) {
+                for target in introductions.take_pending(&targets, self.service_changes()) {
                     self.send_to(target, &hello).await;
                 }
             }
@@ -110,10 +110,13 @@
         }
     }
 
-    /// Returns the receivers of reports if the known hosts are not those of `version`, and sets it.
-    fn targets_after(&self, version: &mut Option<u64>) -> Option<ReportTargets> {
+    /// Returns the receivers of reports if the known hosts or the own service are not those of
+    /// `version`, and sets it.
+    fn targets_after(&self, version: &mut Option<(u64, u16)>) -> Option<ReportTargets> {
+        let service_changes = self.service_changes();
         let peers = lock(&self.host.peers);
-        if version.replace(peers.version()) == Some(peers.version()) {
+        let newest = Some((peers.version(), service_changes));
+        if std::mem::replace(version, newest) == newest {
             return None;
         }
         let own = KnownHost {
@@ -124,6 +127,10 @@
         Some(ReportTargets::choose(own, peers.known_hosts()))
     }
 
+    fn service_changes(&self) -> u16 {
+        self.host.gate.with(|gate| gate.server().service_changes())
+    }
+
     fn hello(&self, reply_wanted: bool) -> Message {
         Message::Hello {
             introduction: self.host.introduction().into(),
@@ -196,7 +203,7 @@
                 Ok(_) | Err(_) => host.events.count("datagrams_refused"),
             }
         }
-        let known = lock(&host.peers).knows(from, datagram.load.incarnation);
+        let known = lock(&host.peers).knows(from, &datagram.load);
         if !known {
             let hello = self.datagram(self.hello(true));
             return self.send_to(from, &hello).await;
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -249,7 +249,7 @@
 }
 
 /// Sets the gate's request rate for a cold backend server of its service.
-fn set_cold_rate(host: &Host, config: &HostConfig) {
+pub fn set_cold_rate(host: &Host, config: &HostConfig) {
     let service = host.service();
     if let Some(bounds) = config.services.get(&service) {
         let rate = bounds.cold_requests_per_s;
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -235,6 +235,7 @@
     incarnation: u64,
     zone: String,
     service: String,
+    service_changes: u16,
 }
 
 impl From<Introduction> for WireIntroduction {
@@ -244,6 +245,7 @@
             incarnation: introduction.incarnation.0,
             zone: introduction.zone.as_str().to_owned(),
             service: introduction.service.as_str().to_owned(),
+            service_changes: introduction.service_changes,
         }
     }
 }
@@ -257,6 +259,7 @@
             incarnation: Incarnation(wire.incarnation),
             zone: ZoneName::new(&wire.zone)?,
             service: ServiceName::new(&wire.service)?,
+            service_changes: wire.service_changes,
         })
     }
 }
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -58,6 +58,8 @@
     pub incarnation: Incarnation,
     /// Sequence number of the report within the incarnation.
     pub sequence: u64,
+    /// Changes of the backend server's service since the start of the node.
+    pub service_changes: u16,
     /// Requests running on the backend server.
     pub in_flight: u16,
     /// Requests waiting in the gate.
--- a/tests/host/peers.rs
+++ b/tests/host/peers.rs
@@ -4,6 +4,7 @@
 
 use bronzelock::decision::host::peers::{Introduction, Peers};
 use bronzelock::model::ids::Incarnation;
+use bronzelock::model::load::{HostLoad, ServerState};
 use bronzelock::model::names::{ServiceName, ZoneName};
 
 const ADDRESS: IpAddr = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 1));
@@ -16,6 +17,7 @@
         incarnation: Incarnation(1),
         zone: ZoneName::new("z").expect("valid name"),
         service: ServiceName::new("herd").expect("valid name"),
+        service_changes: 0,
     }
 }
 
@@ -82,3 +84,61 @@
         "all hosts with lower addresses are silent"
     );
 }
+
+fn load(sequence: u64, service_changes: u16) -> HostLoad {
+    HostLoad {
+        incarnation: Incarnation(1),
+        sequence,
+        service_changes,
+        in_flight: 0,
+        queued: 0,
+        limit: 9,
+        slowness_percent: 100,
+        slowness_age_ms: 0,
+        hold_ms: 0,
+        run_ms: 100,
+        state: ServerState::Warm,
+    }
+}
+
+/// The introduction after the first change of the service.
+fn next_introduction() -> Introduction {
+    Introduction {
+        service: ServiceName::new("parlour").expect("valid name"),
+        service_changes: 1,
+        ..introduction()
+    }
+}
+
+/// Guards against requests that go on to a host whose introduction of its new service was lost.
+///
+/// Its load reports and replies tell that the introduction is outdated.
+#[test]
+fn a_host_that_has_changed_its_service_gets_no_requests_until_it_introduces_itself() {
+    let mut peers = Peers::default();
+    peers.introduce(introduction(), true, 10 * MS);
+    peers.record_load(ADDRESS, load(1, 0), 20 * MS);
+    assert_eq!(candidates(&peers, 30 * MS), 1);
+    assert!(!peers.knows(ADDRESS, &load(2, 1)));
+    peers.record_load(ADDRESS, load(2, 1), 40 * MS);
+    assert_eq!(candidates(&peers, 50 * MS), 0);
+    assert!(peers.introduce(next_introduction(), true, 60 * MS));
+    let next = next_introduction();
+    let count = peers.candidates(&next.service, &next.zone, 70 * MS).count();
+    assert_eq!(count, 1);
+}
+
+/// Guards against a late datagram or a relayed introduction that brings the earlier service back.
+#[test]
+fn an_introduction_from_before_a_change_of_the_service_has_no_effect() {
+    let mut peers = Peers::default();
+    peers.introduce(next_introduction(), true, 10 * MS);
+    for direct in [true, false] {
+        assert!(!peers.introduce(introduction(), direct, 20_000 * MS));
+        assert_eq!(candidates(&peers, 20_000 * MS), 0);
+    }
+    assert!(
+        peers.knows(ADDRESS, &load(1, 0)),
+        "a late report asks for nothing"
+    );
+}
--- a/tests/host/placement.rs
+++ b/tests/host/placement.rs
@@ -23,6 +23,7 @@
         load: Some(HostLoad {
             incarnation: Incarnation(1),
             sequence: 1,
+            service_changes: 0,
             in_flight: 0,
             queued: 0,
             limit: 9,
--- a/tests/host/registration.rs
+++ b/tests/host/registration.rs
@@ -13,6 +13,7 @@
         incarnation: Incarnation(incarnation),
         zone: ZoneName::new("ratchaburi").expect("valid name"),
         service: ServiceName::new(service).expect("valid name"),
+        service_changes: 0,
     }
 }
 
--- a/tests/host/report_targets.rs
+++ b/tests/host/report_targets.rs
@@ -121,9 +121,19 @@
     let hosts = hosts(195);
     let mut introductions = Introductions::default();
     let first = targets_of(&hosts[..3], 0);
-    assert_eq!(introductions.take_pending(&first).len(), 2);
+    assert_eq!(introductions.take_pending(&first, 0).len(), 2);
     let all = targets_of(&hosts, 0);
     assert!(!all.remaining.is_empty());
-    assert_eq!(introductions.take_pending(&all).len(), 192);
-    assert!(introductions.take_pending(&all).is_empty());
+    assert_eq!(introductions.take_pending(&all, 0).len(), 192);
+    assert!(introductions.take_pending(&all, 0).is_empty());
+}
+
+/// Guards against requests sent to a host that has changed its service while its node ran on.
+#[test]
+fn all_hosts_are_introduced_to_again_after_a_change_of_the_own_service() {
+    let targets = targets_of(&hosts(30), 0);
+    let mut introductions = Introductions::default();
+    assert_eq!(introductions.take_pending(&targets, 0).len(), 29);
+    assert_eq!(introductions.take_pending(&targets, 1).len(), 29);
+    assert!(introductions.take_pending(&targets, 1).is_empty());
 }
