Name the service that runs on the host as the caller's service, not the one of the settings

Cause: the header was built from the settings of the node's start. Change: the header names the announced service, and that of the settings until one is announced.

--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -122,9 +122,7 @@
     let caller_deadline_us = arrived_us + wait_us;
     let origin = retries::record_request(host, service, caller_deadline_us);
     let mut headers = request.headers;
-    headers.push(requests::caller_service_header(
-        &host.settings.backend_server.service,
-    ));
+    headers.push(requests::caller_service_header(&host.service()));
     HostWork {
         id: request.id,
         service: service.clone(),
--- a/tests/host_processes/reused_address.rs
+++ b/tests/host_processes/reused_address.rs
@@ -116,6 +116,12 @@
     assert!(unserved.is_empty(), "{unserved:#?}");
     let instance = PLACES[HOST].instance(2);
     let own_requests = format!("{HOST}-");
+    let misnamed = runs.iter().find(|run| {
+        run.begun_ms >= calm_from_ms
+            && run.request_id.starts_with(&own_requests)
+            && run.caller_service != NEW_SERVICE
+    });
+    assert_eq!(misnamed, None, "requests begin at a host of {NEW_SERVICE}");
     let from_others = runs
         .iter()
         .filter(|run| run.instance == instance && !run.request_id.starts_with(&own_requests));
