--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -424,7 +424,9 @@
             .hold_delay_us(self.average_run_us(), now_us)
             .unwrap_or(0.0);
         HostLoad {
-            incarnation: self.incarnation,
+            incarnation: self
+                .incarnation
+                .after_service_changes(self.server.service_changes()),
             sequence: self.report_sequence,
             in_flight: self.running.len() as u16,
             queued: self.waiting.len() as u16,
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -76,6 +76,8 @@
     pub introduction: Introduction,
     /// What it knows of the operators' log.
     pub log_view: LogView,
+    /// Whether the host has changed its service and has not introduced itself since.
+    service_changed: bool,
     load: Option<HostLoad>,
     load_received_us: u64,
     last_heard_us: Option<u64>,
@@ -113,10 +115,18 @@
                 false
             }
             Some(known) if !direct && known.is_live(now_us) => false,
+            Some(known)
+                if introduction
+                    .incarnation
+                    .is_outdated_by(known.introduction.incarnation) =>
+            {
+                false
+            }
             _ => {
                 let peer = Peer {
                     introduction,
                     log_view: LogView::default(),
+                    service_changed: false,
                     known_since_us: now_us,
                     load: None,
                     load_received_us: 0,
@@ -132,10 +142,12 @@
         }
     }
 
-    /// Whether this incarnation of the host's node is known.
+    /// Whether this incarnation of the host's node is known, or is outdated by the known one.
     pub fn knows(&self, address: IpAddr, incarnation: Incarnation) -> bool {
-        let known = self.peers.get(&address);
-        known.is_some_and(|peer| peer.introduction.incarnation == incarnation)
+        self.peers.get(&address).is_some_and(|peer| {
+            let introduced = peer.introduction.incarnation;
+            introduced == incarnation || incarnation.is_outdated_by(introduced)
+        })
     }
 
     /// Records a load report of a host.
@@ -145,7 +157,9 @@
         let Some(peer) = self.peers.get_mut(&address) else {
             return;
         };
-        if peer.introduction.incarnation != load.incarnation {
+        let introduced = peer.introduction.incarnation;
+        peer.service_changed |= introduced.is_outdated_by(load.incarnation);
+        if introduced != load.incarnation {
             return;
         }
         peer.last_heard_us = Some(now_us);
@@ -213,9 +227,10 @@
         own_zone: &'a ZoneName,
         now_us: u64,
     ) -> impl Iterator<Item = Candidate> + 'a {
-        let of_service = self.peers.values().filter(move |peer| {
-            peer.introduction.service == *service && peer.is_live(now_us) && peer.takes_work()
-        });
+        let of_service = self
+            .peers
+            .values()
+            .filter(move |peer| peer.serves(service) && peer.is_live(now_us) && peer.takes_work());
         of_service.map(move |peer| peer.candidate(own_zone, now_us))
     }
 
@@ -260,6 +275,10 @@
 }
 
 impl Peer {
+    fn serves(&self, service: &ServiceName) -> bool {
+        self.introduction.service == *service && !self.service_changed
+    }
+
     fn takes_work(&self) -> bool {
         self.load.is_none_or(|load| load.state.takes_work())
     }
--- a/src/host/peer_server.rs
+++ b/src/host/peer_server.rs
@@ -19,6 +19,7 @@
 use crate::edge::http1::client::{KeepAlive, enable_dead_peer_detection};
 use crate::edge::peer_client::frame_codec;
 use crate::kernel::shards::lock;
+use crate::model::ids::Incarnation;
 use crate::model::reasons::RefusalReason;
 
 /// Pause after a failed accept, such as when file descriptors have run out.
@@ -87,7 +88,7 @@
     }
 
     async fn settle(self, _context: Context, id: String, incarnation: u64) -> WireOutcome {
-        let outcome = if incarnation == self.host.incarnation.0 {
+        let outcome = if Incarnation(incarnation).is_same_run(self.host.incarnation) {
             executor::settle(&self.host, &id.into()).await
         } else {
             Outcome::failed(RequestFailure::unknown(RefusalReason::ConnectionLost))
--- a/src/model/ids.rs
+++ b/src/model/ids.rs
@@ -11,6 +11,32 @@
 )]
 pub struct Incarnation(pub u64);
 
+/// Bits of an incarnation that identify the run of a host's node.
+const RUN_BITS: u32 = 32;
+
+/// A host's node counts the changes of its service in the bits above those of its run.
+impl Incarnation {
+    /// Returns the incarnation after so many changes of the service.
+    #[must_use]
+    pub fn after_service_changes(self, changes: u16) -> Self {
+        Self(self.run() | (u64::from(changes) << RUN_BITS))
+    }
+
+    /// Whether both are of one run of a host's node.
+    pub fn is_same_run(self, other: Self) -> bool {
+        self.run() == other.run()
+    }
+
+    /// Whether the same run of a host's node has changed its service since, as `other` shows.
+    pub fn is_outdated_by(self, other: Self) -> bool {
+        self.is_same_run(other) && self.0 < other.0
+    }
+
+    fn run(self) -> u64 {
+        self.0 & u64::from(u32::MAX)
+    }
+}
+
 /// Identifies one run of a backend server process, as announced by it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct BootId(pub u64);
--- a/tests/host/claims.rs
+++ b/tests/host/claims.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bronzelock::decision::host::claims::{ClaimError, ClaimState, Claims};
+use bronzelock::model::ids::Incarnation;
 
 const RETENTION_US: u64 = 60_000_000;
 
@@ -45,3 +46,13 @@
         "the first one has expired"
     );
 }
+
+/// A change of the service must not make the outcome of a lost request unknown.
+#[test]
+fn a_change_of_the_service_does_not_end_the_run_of_a_node() {
+    let started = Incarnation(7);
+    let changed = started.after_service_changes(1);
+    assert!(started.is_same_run(changed) && started.is_outdated_by(changed));
+    assert!(!changed.is_outdated_by(started));
+    assert!(!Incarnation(8).is_same_run(changed) && !Incarnation(6).is_outdated_by(changed));
+}
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -40,7 +40,7 @@
     let (unanswered, silent) = tokio::join!(first, listener.accept());
     assert!(unanswered.is_err() && silent.is_ok(), "{unanswered:?}");
     let limit = Duration::from_secs(1);
-    let second = tokio::time::timeout(limit, clients.operator_records(address));
+    let second = tokio::time::timeout(limit, clients.operator_log(address, true, 0));
     let (_unanswered, opened) =
         tokio::join!(second, tokio::time::timeout(limit, listener.accept()));
     assert!(matches!(opened, Ok(Ok(_))), "no new connection");
--- a/tests/host/store_client.rs
+++ b/tests/host/store_client.rs
@@ -24,10 +24,16 @@
         .expect("a proxy");
     let mut client = StoreClient::new(proxy.address());
     let first = client.read_newest(TOPIC).await;
-    assert!(matches!(first, Ok((_, 0))), "{first:?}");
+    assert!(
+        matches!(&first, Ok(read) if read.end.offset == 0),
+        "{first:?}"
+    );
     store.put(TOPIC, "config", Some(b"value"));
     proxy.inject(ConnectionFault::Silence);
     tokio::time::sleep(PAUSE).await;
     let second = client.read_newest(TOPIC).await;
-    assert!(matches!(second, Ok((_, 1))), "{second:?}");
+    assert!(
+        matches!(&second, Ok(read) if read.end.offset == 1),
+        "{second:?}"
+    );
 }
