Let a cut of the test proxy acknowledge nothing, and test cuts, partial silences and restarts

A cut link of the proxy still acknowledged what it held back, so a node never got error 110 from a cut. A way that is cut now drops all segments that arrive on it; afterwards the senders' retransmissions go on, with their backoff. (What the other way brings is still acknowledged by the proxy, unlike a network.)

Tests: a_cut_connection_acknowledges_no_data (fails without the filter: no error within 20 s) and data_of_a_cut_connection_arrives_after_the_cut. With node processes: a cut from the log service of 0.6, 1.7 and 4 s in which a route is added, a silence of the hosts that read the log in one zone alone, and a node that is killed and started in a silence.

--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -31,7 +31,8 @@
     Open,
     /// Each piece is late by so many ms.
     Late(u64),
-    /// Nothing passes; connections hang, and go on when the state ends.
+    /// Nothing passes, and no side whose bytes are stopped gets an acknowledgement; connections that
+    /// are not given up go on when the state ends.
     Cut(Direction),
 }
 
@@ -209,8 +210,12 @@
 ) -> std::io::Result<()> {
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
-        let count = from.read(&mut chunk).await?;
-        wait_until_passable(&mut state, way).await;
+        hold_while_cut(from.as_ref(), &mut state, way).await;
+        let count = tokio::select! {
+            count = from.read(&mut chunk) => count?,
+            Ok(()) = state.changed() => continue,
+        };
+        hold_while_cut(from.as_ref(), &mut state, way).await;
         let lateness = state.borrow().lateness();
         tokio::time::sleep(lateness).await;
         if count == 0 {
@@ -220,6 +225,18 @@
     }
 }
 
+/// While a way is cut, drops the segments that arrive on it; returns when it is open.
+async fn hold_while_cut(from: &TcpStream, state: &mut watch::Receiver<LinkState>, way: Direction) {
+    if !state.borrow_and_update().stops(way) {
+        return;
+    }
+    silence(from);
+    wait_until_passable(state, way).await;
+    if let Err(error) = SockRef::from(from).detach_filter() {
+        log::warn!("proxy: a connection stays silent after a cut: {error}");
+    }
+}
+
 async fn wait_until_passable(state: &mut watch::Receiver<LinkState>, way: Direction) {
     if state.wait_for(|state| !state.stops(way)).await.is_err() {
         std::future::pending::<()>().await;
--- a/standins/tests/standins/proxy.rs
+++ b/standins/tests/standins/proxy.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use socket2::{SockRef, TcpKeepalive};
-use standins::proxy::{ConnectionFault, Proxy};
+use standins::proxy::{ConnectionFault, Direction, LinkState, Proxy};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -81,6 +81,28 @@
         assert_eq!(read_error(&mut client).await, Some(ErrorKind::TimedOut));
     }
 
+    a_cut_connection_acknowledges_no_data => {
+        let link = Link::start().await;
+        let (mut client, _server) = link.connect().await;
+        link.proxy.set_state(LinkState::Cut(Direction::Forward));
+        tokio::time::sleep(INJECTED_WITHIN).await;
+        client.write_all(b"data").await.expect("the kernel takes data");
+        assert_eq!(read_error(&mut client).await, Some(ErrorKind::TimedOut));
+    }
+
+    data_of_a_cut_connection_arrives_after_the_cut => {
+        let link = Link::start().await;
+        let (mut client, mut server) = link.connect().await;
+        link.proxy.set_state(LinkState::Cut(Direction::Back));
+        tokio::time::sleep(INJECTED_WITHIN).await;
+        server.write_u8(7).await.expect("the kernel takes data");
+        let early = timeout(INJECTED_WITHIN, client.read_u8()).await;
+        assert!(early.is_err(), "{early:?}");
+        link.proxy.set_state(LinkState::Open);
+        let read = timeout(GIVEN_UP_WITHIN, client.read_u8()).await;
+        assert!(matches!(read, Ok(Ok(7))), "{read:?}");
+    }
+
     a_connection_opened_after_a_silence_works => {
         let link = Link::start().await;
         let _silent = link.connect().await;
--- a/tests/host_processes/silent_links.rs
+++ b/tests/host_processes/silent_links.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use standins::platform::store::StoreFaults;
+use standins::proxy::{Direction, LinkState};
 use tokio::time::Instant;
 
 use crate::callers::{Kind, ask_at};
+use crate::program::Signal;
 use crate::site::Place;
 use crate::system::{PLACES, System, place};
 
@@ -31,6 +33,13 @@
 /// Silences that follow each other.
 const SILENCES_IN_A_ROW: usize = 5;
 
+/// Lengths of cuts of the links to the log service; connections outlive the shorter ones.
+const CUT_FOR: [Duration; 3] = [
+    Duration::from_millis(600),
+    Duration::from_millis(1_700),
+    Duration::from_secs(4),
+];
+
 /// Length of a disruption of the log service in which it loses answers.
 const ANSWERS_LOST_FOR: Duration = Duration::from_millis(300);
 
@@ -199,6 +208,12 @@
     system
 }
 
+async fn set_store_links(system: &System, state: LinkState) {
+    for site in &system.sites {
+        site.lock().await.store_link.set_state(state);
+    }
+}
+
 async fn silence(system: &System) -> Instant {
     for site in &system.sites {
         site.lock().await.silence();
@@ -255,6 +270,55 @@
     }
 }
 
+/// Guards against old configurations after a cut in one direction, which the system's
+/// retransmissions outlast.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_route_added_during_a_cut_from_the_log_service_is_served() {
+    let system = settled(&WITH_RELAYED_HOSTS).await;
+    for cut_for in CUT_FOR {
+        set_store_links(&system, LinkState::Cut(Direction::Back)).await;
+        let change = add_route(&system, Instant::now() + cut_for).await;
+        tokio::time::sleep(cut_for).await;
+        set_store_links(&system, LinkState::Open).await;
+        let seen = observe(&system, &change, OBSERVED_SHORTLY).await;
+        assert_in_force(&system, &change, &seen, true).await;
+    }
+}
+
+/// Guards against old configurations where the silence strikes the nodes that read the log.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_route_added_while_the_first_hosts_of_a_zone_are_silent_is_served() {
+    let system = settled(&WITH_RELAYED_HOSTS).await;
+    for idle in IDLE_BEFORE {
+        tokio::time::sleep(idle).await;
+        for site in &system.sites {
+            let site = site.lock().await;
+            if site.place.zone == "ratchaburi" {
+                site.silence();
+            }
+        }
+        let change = add_route(&system, Instant::now()).await;
+        let seen = observe(&system, &change, OBSERVED_SHORTLY).await;
+        assert_in_force(&system, &change, &seen, true).await;
+    }
+}
+
+/// Guards against old configurations at a node that starts during a silence.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_route_added_while_a_node_restarts_in_a_silence_is_served() {
+    let system = settled(&WITH_RELAYED_HOSTS).await;
+    for site in [0, WITH_RELAYED_HOSTS.len() - 1] {
+        silence(&system).await;
+        let mut site = system.sites[site].lock().await;
+        site.node.signal(Signal::Kill);
+        site.restart_node().await;
+        drop(site);
+        let change = add_route(&system, Instant::now()).await;
+        let seen = observe(&system, &change, OBSERVED_SHORTLY).await;
+        assert_in_force(&system, &change, &seen, false).await;
+    }
+}
+
 /// Guards against records that are requested from another node over a connection that is silent.
 ///
 /// Each silence finds the connections that the records right before it came over. Requests that are
