Try a request elsewhere without using up its tries when a host is of another service

Callers would see: a refusal after three hosts whose introductions were outdated, though others serve the service. Cause: a refusal for another service counted like one for load, was given only when the request had waited at the gate, and left the host a candidate where its node had been restarted and its introduction had not arrived yet. Evidence: refusals::hosts_of_another_service_use_up_no_tries and peers::a_host_that_refuses_a_service_gets_no_requests_for_it_until_it_introduces_itself. Change: such a refusal is given before the request waits, counts as no try, and takes the host out of the choice until it introduces itself; the next load report asks it to. Why it ends: each host is tried once for a request.

--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -12,6 +12,7 @@
 pub mod nested_calls;
 pub mod peers;
 pub mod placement;
+pub mod refusals;
 pub mod registration;
 pub mod report_schedule;
 pub mod report_targets;
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -99,6 +99,7 @@
         match self.peers.get_mut(&address) {
             Some(known) if known.introduction == introduction => {
                 known.last_heard_us = known.last_heard_us.max(last_heard_us);
+                known.service_changed &= !direct;
                 false
             }
             Some(known) if !direct && known.is_live(now_us) => false,
@@ -131,6 +132,7 @@
             let introduction = &peer.introduction;
             introduction.incarnation == load.incarnation
                 && introduction.service_changes >= load.service_changes
+                && !peer.service_changed
         })
     }
 
@@ -154,6 +156,13 @@
         }
     }
 
+    /// Records that a host refused a request since it is not of that service.
+    pub fn record_other_service(&mut self, address: IpAddr, service: &ServiceName) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.service_changed |= peer.introduction.service == *service;
+        }
+    }
+
     /// Records a host's known end of the operators' log and whether it follows it.
     pub fn set_log_position(&mut self, address: IpAddr, end: u64, follows: bool) {
         if let Some(peer) = self.peers.get_mut(&address) {
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -18,6 +18,7 @@
 use super::peer_rpc::WireWork;
 use super::retries;
 use crate::decision::host::placement::{self, Candidate, Placement, RequestTiming};
+use crate::decision::host::refusals::Refusals;
 use crate::decision::routing::AttemptOutcome;
 use crate::kernel::shards::lock;
 use crate::model::host_config::Route;
@@ -27,9 +28,6 @@
 use crate::model::reasons::RefusalReason;
 use crate::model::request::Effect;
 
-/// Number of hosts that may refuse a request before the caller gets the refusal.
-const REFUSING_HOSTS_MAX: u32 = 3;
-
 /// Retry-After for callers when no known host accepts work, in µs.
 const NO_HOST_RETRY_AFTER_US: u64 = 250_000;
 
@@ -58,7 +56,7 @@
     tried_hosts: Vec<Option<IpAddr>>,
     /// Number of backend servers that the request may have reached.
     arrivals: u32,
-    refusals: u32,
+    refusals: Refusals,
     failed_answer: Option<ServerAnswer>,
     /// Failure that the caller gets unless an answer arrives.
     reported_failure: Option<RequestFailure>,
@@ -113,7 +111,7 @@
     fn handle_failure(&self, failure: RequestFailure, progress: &mut Progress) -> bool {
         if !failure.arrived {
             progress.arrivals -= 1;
-            progress.refusals += 1;
+            progress.refusals.record(failure.reason);
         }
         let replaces = progress
             .reported_failure
@@ -122,7 +120,7 @@
             progress.reported_failure = Some(failure);
         }
         match (failure.is_not_run(), failure.arrived) {
-            (true, false) => progress.refusals < REFUSING_HOSTS_MAX,
+            (true, false) => progress.refusals.allow_another(),
             (true, true) => self.take_repeat(progress),
             (false, _) => self.may_rerun(progress),
         }
@@ -183,8 +181,7 @@
         let mut work = self.work.clone();
         work.is_retry |= progress.arrivals > 0;
         progress.arrivals += 1;
-        let is_last = progress.refusals + 1 >= REFUSING_HOSTS_MAX;
-        work.timing.other_finish_us = if is_last {
+        work.timing.other_finish_us = if progress.refusals.next_is_last() {
             // This is the last host allowed, and a late answer is better than a refusal.
             f64::INFINITY
         } else {
@@ -226,7 +223,13 @@
                 let outcome = Outcome::from(reply);
                 let took_us = host.now_us() - now_us;
                 host.events.latencies.add(Stage::PeerRoundTrip, took_us);
-                lock(&host.peers).record_load(ip, load, host.now_us());
+                {
+                    let mut peers = lock(&host.peers);
+                    peers.record_load(ip, load, host.now_us());
+                    if is_of_other_service(&outcome) {
+                        peers.record_other_service(ip, self.service);
+                    }
+                }
                 outstanding.finish(attempt_outcome(&outcome));
                 return outcome;
             }
@@ -292,6 +295,12 @@
     }
 }
 
+/// Returns whether the host refused the request since it is not of the service.
+fn is_of_other_service(outcome: &Outcome) -> bool {
+    let failure = outcome.result.as_ref().err();
+    failure.is_some_and(|failure| failure.reason == RefusalReason::OtherService)
+}
+
 /// Classifies an outcome for the statistics of the peer.
 fn attempt_outcome(outcome: &Outcome) -> AttemptOutcome {
     match &outcome.result {
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -125,6 +125,11 @@
 
 /// Runs one request; `caller_gone` removes it from the queue but never interrupts a sent request.
 async fn execute(host: &Arc<Host>, work: &HostWork, caller_gone: &CancellationToken) -> Outcome {
+    if let Err(reason) = host.gate.with(|gate| gate.check_service(&work.service)) {
+        let failure = RequestFailure::not_sent(reason);
+        log_failure(host, work, Step::Admit, &failure);
+        return Outcome::failed(failure);
+    }
     let tracked = match TrackedRun::begin(host, work) {
         Ok(tracked) => tracked,
         Err(failure) => {
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -16,6 +16,7 @@
 mod placement;
 mod platform;
 
+mod refusals;
 mod registration;
 mod report_schedule;
 mod retry_budget_rule;
--- a/tests/host/peers.rs
+++ b/tests/host/peers.rs
@@ -142,3 +142,19 @@
         "a late report asks for nothing"
     );
 }
+
+/// Guards against requests that go on to a host whose node was restarted with another service.
+#[test]
+fn a_host_that_refuses_a_service_gets_no_requests_for_it_until_it_introduces_itself() {
+    let mut peers = Peers::default();
+    let known = introduction();
+    peers.introduce(known.clone(), true, 10 * MS);
+    peers.record_other_service(ADDRESS, &next_introduction().service);
+    assert_eq!(candidates(&peers, 20 * MS), 1, "a late answer");
+    peers.record_other_service(ADDRESS, &known.service);
+    assert_eq!(candidates(&peers, 20 * MS), 0);
+    assert!(!peers.knows(ADDRESS, &load(1, 0)), "it is asked again");
+    peers.introduce(known, true, 30 * MS);
+    assert_eq!(candidates(&peers, 40 * MS), 1);
+    assert!(peers.knows(ADDRESS, &load(2, 0)));
+}
