Reuse no connection that was in use when the backend server was replaced

Backend servers would see: requests for the new instance on a connection to the earlier one, which answers 421 or breaks it off; a non-idempotent request is then lost with an unknown outcome. Cause: close_all closed the idle connections only; those in use came back to the pool at the end of their request. Change: a pooled connection carries the generation of the pool, which grows with each close_all. No request could run at a wrong service this way, since each names its instance.

--- a/src/host/connection_pool.rs
+++ b/src/host/connection_pool.rs
@@ -41,6 +41,8 @@
 pub struct ConnectionPool {
     address: SocketAddr,
     idle: Mutex<Vec<ClientConnection>>,
+    /// Number of times that all connections were closed.
+    generation: AtomicU64,
     opened_count: AtomicU64,
 }
 
@@ -51,6 +53,7 @@
     pub connection: ClientConnection,
     /// Whether it came from the pool and has carried a request before.
     pub reused: bool,
+    generation: u64,
 }
 
 impl ConnectionPool {
@@ -59,6 +62,7 @@
         Self {
             address,
             idle: Mutex::default(),
+            generation: AtomicU64::new(0),
             opened_count: AtomicU64::new(0),
         }
     }
@@ -78,10 +82,12 @@
     /// # Errors
     /// Returns the I/O error if no connection can be opened; nothing was sent.
     pub async fn acquire(&self, effect: Effect) -> std::io::Result<PooledConnection> {
+        let generation = self.generation();
         if let Some(connection) = self.take_idle(effect) {
             return Ok(PooledConnection {
                 connection,
                 reused: true,
+                generation,
             });
         }
         self.open().await
@@ -93,23 +99,26 @@
     /// Returns the I/O error; nothing was sent.
     pub async fn open(&self) -> std::io::Result<PooledConnection> {
         self.opened_count.fetch_add(1, Ordering::Relaxed);
+        let generation = self.generation();
         let stream = connect(self.address, CONNECT_TIMEOUT).await?;
         Ok(PooledConnection {
             connection: ClientConnection::new(stream),
             reused: false,
+            generation,
         })
     }
 
     /// Returns a connection to the pool after a complete exchange.
     ///
-    /// A connection that cannot be reused, or that exceeds the pool size, is closed.
-    pub fn release(&self, connection: ClientConnection) {
-        if !connection.is_reusable() {
+    /// A connection that cannot be reused, that exceeds the pool size, or that is of before the last
+    /// [`Self::close_all`], is closed.
+    pub fn release(&self, pooled: PooledConnection) {
+        if !pooled.connection.is_reusable() {
             return;
         }
         let mut idle = lock(&self.idle);
-        if idle.len() < IDLE_CONNECTIONS_MAX {
-            idle.push(connection);
+        if pooled.generation == self.generation() && idle.len() < IDLE_CONNECTIONS_MAX {
+            idle.push(pooled.connection);
         }
     }
 
@@ -119,9 +128,17 @@
             .retain(|connection| connection.idle_since.elapsed() < idle_time_max(connection));
     }
 
-    /// Closes all idle connections, for example after a restart of the backend server.
+    /// Closes all connections, for example after a restart of the backend server.
+    ///
+    /// Those that carry a request are closed at its end.
     pub fn close_all(&self) {
-        lock(&self.idle).clear();
+        let mut idle = lock(&self.idle);
+        self.generation.fetch_add(1, Ordering::Relaxed);
+        idle.clear();
+    }
+
+    fn generation(&self) -> u64 {
+        self.generation.load(Ordering::Relaxed)
     }
 
     fn take_idle(&self, effect: Effect) -> Option<ClientConnection> {
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -232,7 +232,7 @@
         let instance = match clearance {
             Ok(instance) => instance,
             Err(reason) => {
-                host.server_connections.release(pooled.connection);
+                host.server_connections.release(pooled);
                 return Err(RequestFailure::not_sent(reason));
             }
         };
@@ -246,7 +246,7 @@
             Ok(response) => {
                 let answer_facts = answers::decode_facts(&response);
                 observe_load_report(host, &answer_facts);
-                host.server_connections.release(pooled.connection);
+                host.server_connections.release(pooled);
                 let answer = check_answer(host, &answer_facts, response)?;
                 if answer.head.status < SERVER_ERROR_MIN {
                     admitted.usual_run_us =
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -106,6 +106,6 @@
         };
         host.gate.with(|gate| gate.observe_health(&health, now_us));
     }
-    host.server_connections.release(pooled.connection);
+    host.server_connections.release(pooled);
     Ok(())
 }
