Refuse announcements of services that the configuration does not have

Cause: any announcement with a valid name and a later start replaced the known one. Evidence: reused_address::an_announcement_of_a_service_that_is_not_configured_has_no_effect failed before, with requests under the caller service nowhere. Change: such an announcement is refused with 400 and changes nothing. The host's own service is always accepted, and any service while no configuration is known.

--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -11,6 +11,8 @@
 use crate::decision::host::gate::HostGate;
 use crate::edge::http1::server::{Handler, ServerLimits};
 use crate::edge::http1::{MessageLimits, Request, Response};
+use crate::model::host_config::HostConfig;
+use crate::model::names::ServiceName;
 use crate::platform::announcements::{self, Message};
 
 /// Decodes announcements and applies them to the gate.
@@ -36,6 +38,13 @@
         let host = &self.0;
         let own_address = host.settings.backend_server.address;
         match announcements::decode(&request.head.target, &request.body, own_address) {
+            Ok(Message::Heartbeat(announcement)) if !is_known(host, &announcement.service) => {
+                let error =
+                    format_args!("the service {} is unknown", announcement.service.as_str());
+                host.events
+                    .announcement_refused(&request.head.target, &error);
+                return Response::new(400, Vec::new(), error.to_string());
+            }
             Ok(Message::Heartbeat(announcement)) => {
                 let now_us = host.now_us();
                 apply(host, |gate| {
@@ -65,6 +74,13 @@
     }
 }
 
+/// Returns whether a service is that of this host, or may be: the configuration has it.
+fn is_known(host: &Host, service: &ServiceName) -> bool {
+    let config = host.config.load();
+    let is_configured = |config: &Arc<HostConfig>| config.services.contains_key(service);
+    *service == host.service() || config.as_ref().is_none_or(is_configured)
+}
+
 /// Updates the gate and logs the announcement if the state changed or the server restarted.
 fn apply(host: &Host, observe: impl FnOnce(&mut HostGate) -> Option<(Announcement, Freshness)>) {
     let now_us = host.now_us();
--- a/tests/host_processes/reused_address.rs
+++ b/tests/host_processes/reused_address.rs
@@ -4,6 +4,7 @@
 
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use standins::platform::announcer::{Announcer, ServerStatus};
 use standins::platform::ledger::Run;
 
 use crate::callers::{Attempt, Kind, Outcome};
@@ -32,6 +33,10 @@
 /// Time in which everything must be as usual again.
 const CALM: Duration = Duration::from_secs(2);
 
+/// Announcements of a service that is not configured, and the time between two of them.
+const ODD_ANNOUNCEMENTS: usize = 30;
+const ODD_PERIOD: Duration = Duration::from_millis(50);
+
 /// What the node beside the backend server does meanwhile.
 #[derive(Debug, Clone, Copy)]
 enum Node {
@@ -149,3 +154,42 @@
     no_request_runs_at_the_new_service_if_the_node_restarts_in_between(Node::RestartedBetween);
     no_request_runs_at_the_new_service_if_the_earlier_one_was_not_announced(Node::RestartedBefore);
 }
+
+/// Guards against an announcement of another writer that takes the place of the backend server.
+///
+/// A service that the configuration does not have names no backend server.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_announcement_of_a_service_that_is_not_configured_has_no_effect() {
+    let system = System::start().await;
+    system.wait_until_ready().await;
+    tokio::time::sleep(Duration::from_millis(COLD_MS)).await;
+    let callers = system.start_callers(&mut StdRng::seed_from_u64(SEED)).await;
+    let addresses = system.sites[HOST].lock().await.addresses;
+    let mut announcer = Announcer::new(
+        addresses.announcements(),
+        addresses.server(),
+        "i-odd".to_owned(),
+        "nowhere".to_owned(),
+        PLACES[HOST].zone.to_owned(),
+    );
+    let mut acknowledged = 0;
+    for _ in 0..ODD_ANNOUNCEMENTS {
+        let status = ServerStatus {
+            slots: 1,
+            draining: false,
+            cold_left_ms: 0,
+        };
+        acknowledged += usize::from(announcer.announce(status).await);
+        tokio::time::sleep(ODD_PERIOD).await;
+    }
+    let attempts = callers.finish().await;
+    let unserved = unserved_since(&attempts, 0);
+    assert!(unserved.is_empty(), "{unserved:#?}");
+    let runs = system.ledger.runs();
+    let own_requests = format!("{HOST}-");
+    let misnamed = runs.iter().find(|run| {
+        run.request_id.starts_with(&own_requests) && run.caller_service != PLACES[HOST].service
+    });
+    assert_eq!(misnamed, None);
+    assert_eq!(acknowledged, 0);
+}
