--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -13,6 +13,7 @@
 pub mod peers;
 pub mod placement;
 pub mod poll_schedule;
+pub mod refusals;
 pub mod registration;
 pub mod report_schedule;
 pub mod report_targets;
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -113,6 +113,7 @@
         match self.peers.get_mut(&address) {
             Some(known) if known.introduction == introduction => {
                 known.last_heard_us = known.last_heard_us.max(last_heard_us);
+                known.service_changed &= !direct;
                 false
             }
             Some(known) if !direct && known.is_live(now_us) => false,
@@ -144,10 +145,13 @@
     }
 
     /// Whether this incarnation of the host's node is known, or is outdated by the known one.
+    ///
+    /// It is unknown if the host has changed its service since.
     pub fn knows(&self, address: IpAddr, incarnation: Incarnation) -> bool {
         self.peers.get(&address).is_some_and(|peer| {
             let introduced = peer.introduction.incarnation;
-            introduced == incarnation || incarnation.is_outdated_by(introduced)
+            let is_known = introduced == incarnation || incarnation.is_outdated_by(introduced);
+            is_known && !peer.service_changed
         })
     }
 
@@ -172,6 +176,13 @@
         }
     }
 
+    /// Records that a host refused a request since it is not of that service.
+    pub fn record_other_service(&mut self, address: IpAddr, service: &ServiceName) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.service_changed |= peer.introduction.service == *service;
+        }
+    }
+
     /// Records what a host knows of the operators' log; its position never goes back.
     pub fn set_log_view(&mut self, address: IpAddr, view: LogView) {
         if let Some(peer) = self.peers.get_mut(&address) {
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -19,6 +19,7 @@
 use super::request_lines::{FailedAttempt, TriedHosts};
 use super::retries;
 use crate::decision::host::placement::{self, Candidate, Placement, RequestTiming};
+use crate::decision::host::refusals::Refusals;
 use crate::decision::routing::AttemptOutcome;
 use crate::kernel::shards::lock;
 use crate::model::host_config::Route;
@@ -28,9 +29,6 @@
 use crate::model::reasons::RefusalReason;
 use crate::model::request::Effect;
 
-/// Number of hosts that may refuse a request before the caller gets the refusal.
-const REFUSING_HOSTS_MAX: u32 = 3;
-
 /// Retry-After for callers when no known host accepts work, in µs.
 const NO_HOST_RETRY_AFTER_US: u64 = 250_000;
 
@@ -60,7 +58,7 @@
 struct Progress {
     /// Number of backend servers that the request may have reached.
     arrivals: u32,
-    refusals: u32,
+    refusals: Refusals,
     failed_answer: Option<ServerAnswer>,
     /// Failure that the caller gets unless an answer arrives.
     reported_failure: Option<RequestFailure>,
@@ -138,7 +136,7 @@
     fn handle_failure(&self, failure: RequestFailure, progress: &mut Progress) -> bool {
         if !failure.arrived {
             progress.arrivals -= 1;
-            progress.refusals += 1;
+            progress.refusals.record(failure.reason);
         }
         let replaces = progress
             .reported_failure
@@ -147,7 +145,7 @@
             progress.reported_failure = Some(failure);
         }
         match (failure.is_not_run(), failure.arrived) {
-            (true, false) => progress.refusals < REFUSING_HOSTS_MAX,
+            (true, false) => progress.refusals.allow_another(),
             (true, true) => self.take_repeat(progress),
             (false, _) => self.may_rerun(progress),
         }
@@ -220,8 +218,7 @@
         let mut work = self.work.clone();
         work.is_retry |= progress.arrivals > 0;
         progress.arrivals += 1;
-        let is_last = progress.refusals + 1 >= REFUSING_HOSTS_MAX;
-        work.timing.other_finish_us = if is_last {
+        work.timing.other_finish_us = if progress.refusals.next_is_last() {
             // This is the last host allowed, and a late answer is better than a refusal.
             f64::INFINITY
         } else {
@@ -263,7 +260,13 @@
                 let outcome = Outcome::from(reply);
                 let took_us = host.now_us() - now_us;
                 host.events.latencies.add(Stage::PeerRoundTrip, took_us);
-                lock(&host.peers).record_load(ip, load, host.now_us());
+                {
+                    let mut peers = lock(&host.peers);
+                    peers.record_load(ip, load, host.now_us());
+                    if is_of_other_service(&outcome) {
+                        peers.record_other_service(ip, self.service);
+                    }
+                }
                 outstanding.finish(attempt_outcome(&outcome));
                 return outcome;
             }
@@ -319,6 +322,12 @@
     }
 }
 
+/// Returns whether the host refused the request since it is not of the service.
+fn is_of_other_service(outcome: &Outcome) -> bool {
+    let failure = outcome.result.as_ref().err();
+    failure.is_some_and(|failure| failure.reason == RefusalReason::OtherService)
+}
+
 /// Classifies an outcome for the statistics of the peer.
 fn attempt_outcome(outcome: &Outcome) -> AttemptOutcome {
     match &outcome.result {
