Test that answers without end cost a node neither its memory nor the time of others

The stand-in `endless_server` writes at full speed: a head, a header line, a body until close or in chunks, trailers, interim answers or answers of other requests. tests/host_processes/endless_answers.rs sends 12 requests at once to a node process beside it and measures VmHWM against half of the smallest host, 80 MiB.

7 of 8 cases fail and are listed: 336 and 346 MiB for bodies; trailers, interim answers and answers of others are read at full speed until the deadline (504); heads are given up, but as a lost connection, and no line says why.

--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -220,7 +220,11 @@
 
 /// Status of the answer to one idempotent request on a connection of its own.
 pub async fn ask(node: SocketAddr, id: &str) -> Option<u16> {
-    let kind = Kind::History;
+    ask_kind(node, id, Kind::History).await
+}
+
+/// Status of the answer to one request on a connection of its own.
+pub async fn ask_kind(node: SocketAddr, id: &str, kind: Kind) -> Option<u16> {
     let target = format!("{}{id}", kind.path_prefix());
     let answer = send_once(node, request(id, kind, &target)).await;
     answer.ok().map(|answer| answer.status.as_u16())
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -2,6 +2,7 @@
 
 mod addresses;
 mod callers;
+mod endless_answers;
 #[path = "../support/eventually.rs"]
 mod eventually;
 #[path = "../support/loopback.rs"]
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -59,6 +59,16 @@
         assert!(sent.success(), "{signal:?} was not sent");
     }
 
+    /// Highest resident memory so far, in bytes.
+    #[allow(dead_code, reason = "some test programs measure it")]
+    pub fn peak_memory_bytes(&self) -> u64 {
+        let path = format!("/proc/{}/status", self.child.id());
+        let status = std::fs::read_to_string(path).expect("the process runs");
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kib = peak.and_then(|peak| peak.trim().strip_suffix(" kB"));
+        kib.expect("a size").parse::<u64>().expect("a number") << 10
+    }
+
     /// How the process ended; none while it runs.
     pub fn exit(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("a child of this process")
