Bound the memory and the work that one backend server's answers cost

What callers would see of answers without end: the node used 336 to 346 MiB with 12 of them at once, above the 160 MB of the smallest host, so that it is killed with all its requests; with endless trailers, interim answers or answers to others it read at full speed until the deadline (504).

Cause: each answer could take 64 MB, whatever the others took, in a buffer that doubled and was moved as it grew; trailers and responses that belong to no request had no bound at all.

- All bodies of answers together take at most 32 MiB, each at most 16 MiB.
- An exchange ends after 16 responses that belong to no request, interim ones included, and after 16 KiB of trailers.
- Bytes that are no answer close the connection, count as `answer-broken` instead of `connection-lost`, and a line says what was wrong.
The request counts as unknown: 502, or another attempt if it is idempotent.
- Answers to health checks have 64 KiB.

--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -2,6 +2,7 @@
 
 use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -11,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::reader::{MessageLimits, MessageReader, ReadError, Received};
-use super::{Response, ResponseHead};
+use super::{BodyBudget, Response, ResponseHead};
 
 /// Time after which a connection with unacknowledged sent data is closed.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
@@ -22,6 +23,9 @@
 /// Number of unanswered keep-alive probes after which a connection is closed.
 const KEEP_ALIVE_PROBES: u32 = 2;
 
+/// Maximum number of responses of an exchange that are discarded, interim ones included.
+const DISCARDED_RESPONSES_MAX: usize = 16;
+
 /// Opens a TCP connection with dead peer detection.
 ///
 /// # Errors
@@ -86,6 +90,13 @@
         }
     }
 
+    /// Takes the memory for bodies of responses from a budget.
+    #[must_use]
+    pub fn with_body_budget(mut self, budget: Arc<BodyBudget>) -> Self {
+        self.reader.body_budget = Some(budget);
+        self
+    }
+
     /// Whether another request may be sent: the last exchange left the connection usable, no unread
     /// data is pending and the server has not closed it.
     pub fn is_reusable(&self) -> bool {
@@ -111,6 +122,7 @@
         self.reader.bodiless = head_only;
         let mut unwritten = BytesMut::from(request);
         let (mut input, mut output) = self.stream.split();
+        let mut discarded_count = 0;
         loop {
             let request_written = unwritten.is_empty();
             let received = tokio::select! {
@@ -140,6 +152,13 @@
                 }
             };
             if matches!(response.head.status, 100..=199) || !accept(&response) {
+                discarded_count += 1;
+                if discarded_count > DISCARDED_RESPONSES_MAX {
+                    return Err(ExchangeError {
+                        nothing_written: unwritten.len() == request.len(),
+                        cause: ReadError::Unrequested(DISCARDED_RESPONSES_MAX),
+                    });
+                }
                 continue;
             }
             self.reusable = request_written && response.head.keep_alive;
--- a/src/edge/http1/mod.rs
+++ b/src/edge/http1/mod.rs
@@ -6,12 +6,14 @@
 //! `docs/design/platform.md` for the trade-offs.
 
 mod body;
+mod budget;
 pub mod client;
 mod head;
 mod reader;
 pub mod server;
 
 pub use body::BodyError;
+pub use budget::BodyBudget;
 pub use head::{RequestHead, ResponseHead, end_to_end_headers, write_request, write_response};
 pub use reader::{MessageLimits, MessageReader, ReadError, Received};
 
--- a/src/edge/http1/reader.rs
+++ b/src/edge/http1/reader.rs
@@ -2,16 +2,22 @@
 //!
 //! Reads are cancel safe: dropping a pending read loses no bytes.
 
+use std::sync::Arc;
+
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 use super::body::{BodyCollector, BodyError, Framing};
+use super::budget::BodyBudget;
 use super::head::{Head, HeadError};
 
 /// Minimum free buffer space before each read, in bytes.
 const READ_BYTES_MIN: usize = 4_096;
 
+/// Free buffer space before each read within a long body, in bytes.
+const LONG_BODY_READ_BYTES: usize = 64 << 10;
+
 /// Size limits of one message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct MessageLimits {
@@ -41,6 +47,8 @@
     Head(HeadError),
     /// {0}
     Body(BodyError),
+    /// more than {0} messages belong to no request
+    Unrequested(usize),
     /// the connection ended within a message
     Truncated,
     /// the connection ended
@@ -74,6 +82,8 @@
     state: State<H>,
     /// Whether messages have no body regardless of their headers, like responses to HEAD.
     pub bodiless: bool,
+    /// Memory that the bodies are taken from, if it is limited.
+    pub body_budget: Option<Arc<BodyBudget>>,
 }
 
 impl<H> Default for MessageReader<H> {
@@ -82,6 +92,7 @@
             buffer: BytesMut::new(),
             state: State::Head,
             bodiless: false,
+            body_budget: None,
         }
     }
 }
@@ -134,7 +145,13 @@
     /// # Errors
     /// [`ReadError::Io`] if the connection fails.
     pub async fn fill(&mut self, stream: &mut (impl AsyncRead + Unpin)) -> Result<bool, ReadError> {
-        self.buffer.reserve(READ_BYTES_MIN);
+        let is_long =
+            matches!(&self.state, State::Body(_head, body, _continue_sent) if body.is_long());
+        self.buffer.reserve(if is_long {
+            LONG_BODY_READ_BYTES
+        } else {
+            READ_BYTES_MIN
+        });
         let count = stream.read_buf(&mut self.buffer).await;
         Ok(count.map_err(ReadError::Io)? > 0)
     }
@@ -154,8 +171,9 @@
             } else {
                 head.framing()
             };
-            let body =
-                framing.and_then(|framing| BodyCollector::new(framing, limits.body_bytes_max));
+            let body = framing.and_then(|framing| {
+                BodyCollector::new(framing, limits.body_bytes_max, self.body_budget.clone())
+            });
             match body {
                 Ok(body) => {
                     let continue_sent = !head.expects_continue();
@@ -194,7 +212,7 @@
     fn take_message(&mut self) -> Option<Received<H>> {
         match std::mem::replace(&mut self.state, State::Head) {
             State::Body(head, body, _continue_sent) => {
-                Some(Received::Message(head, body.collected.freeze()))
+                Some(Received::Message(head, body.into_bytes()))
             }
             State::Head | State::Rejected(_) => None,
         }
--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -90,10 +90,14 @@
     /// Reason that follows from a read error; `None` if the connection is gone.
     fn of(error: &ReadError) -> Option<Self> {
         match error {
-            ReadError::Io(_) | ReadError::Truncated | ReadError::Ended => None,
-            ReadError::Head(HeadError::TooLong(_)) => Some(Self::LongHead),
+            ReadError::Io(_)
+            | ReadError::Truncated
+            | ReadError::Ended
+            | ReadError::Unrequested(_) => None,
+            ReadError::Head(HeadError::TooLong(_))
+            | ReadError::Body(BodyError::LongTrailers(_)) => Some(Self::LongHead),
             ReadError::Head(_) => Some(Self::MalformedHead),
-            ReadError::Body(BodyError::TooLong(_)) => Some(Self::LongBody),
+            ReadError::Body(BodyError::TooLong(_) | BodyError::NoMemory(_)) => Some(Self::LongBody),
             ReadError::Body(_) => Some(Self::MalformedBody),
         }
     }
--- a/src/host/connection_pool.rs
+++ b/src/host/connection_pool.rs
@@ -1,12 +1,12 @@
 //! Connection pool for the local backend server. Each connection carries one request at a time.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use crate::edge::http1::MessageLimits;
 use crate::edge::http1::client::{ClientConnection, connect};
+use crate::edge::http1::{BodyBudget, MessageLimits};
 use crate::kernel::shards::lock;
 use crate::model::request::Effect;
 
@@ -33,15 +33,27 @@
 /// Size limits of one answer.
 pub const ANSWER_LIMITS: MessageLimits = MessageLimits {
     head_bytes_max: 32 << 10,
-    body_bytes_max: 64 << 20,
+    body_bytes_max: 16 << 20,
 };
 
+/// Size limits of the answer to a health check.
+pub const HEALTH_ANSWER_LIMITS: MessageLimits = MessageLimits {
+    head_bytes_max: 32 << 10,
+    body_bytes_max: 64 << 10,
+};
+
+/// Memory for the bodies of all answers, in bytes: a fifth of the smallest host.
+///
+/// The node passes an answer on when it is complete.
+const ANSWER_MEMORY_BYTES: usize = 32 << 20;
+
 /// Pool of idle connections to one backend server.
 #[derive(Debug)]
 pub struct ConnectionPool {
     address: SocketAddr,
     idle: Mutex<Vec<ClientConnection>>,
     opened_count: AtomicU64,
+    answer_memory: Arc<BodyBudget>,
 }
 
 /// A connection taken from the pool or newly opened.
@@ -60,6 +72,7 @@
             address,
             idle: Mutex::default(),
             opened_count: AtomicU64::new(0),
+            answer_memory: Arc::new(BodyBudget::new(ANSWER_MEMORY_BYTES)),
         }
     }
 
@@ -73,6 +86,11 @@
         self.opened_count.load(Ordering::Relaxed)
     }
 
+    /// Returns the memory that the bodies of answers take, in bytes.
+    pub fn answer_memory_bytes(&self) -> usize {
+        self.answer_memory.reserved_bytes()
+    }
+
     /// Takes an idle connection that suits the request's effect, or opens one.
     ///
     /// # Errors
@@ -95,7 +113,8 @@
         self.opened_count.fetch_add(1, Ordering::Relaxed);
         let stream = connect(self.address, CONNECT_TIMEOUT).await?;
         Ok(PooledConnection {
-            connection: ClientConnection::new(stream),
+            connection: ClientConnection::new(stream)
+                .with_body_budget(Arc::clone(&self.answer_memory)),
             reused: false,
         })
     }
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -275,6 +275,16 @@
         );
     }
 
+    /// Logs and counts bytes from the backend server that are no answer to a request.
+    pub fn answer_broken(&self, id: &str, status: Option<u16>, error: &impl Display) {
+        self.count("broken_answers");
+        self.write(
+            LinePriority::Notable,
+            "answer-broken",
+            serde_json::json!({ "id": id, "status": status, "error": error.to_string() }),
+        );
+    }
+
     /// Logs and counts a run that ended after the objective of its request.
     pub fn ran_late(&self, run: &LateRun<'_>) {
         self.count("late_runs");
@@ -392,6 +402,10 @@
             "server_connections_opened",
             host.server_connections.opened_count(),
         );
+        line(
+            "answer_memory_bytes",
+            host.server_connections.answer_memory_bytes() as u64,
+        );
         line(
             "config_version",
             host.config
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -22,8 +22,8 @@
 use crate::decision::host::claims::{ClaimError, ClaimState};
 use crate::decision::host::gate::{HostGate, SlowPhaseAction, Work};
 use crate::decision::host::run_times::usual_us;
-use crate::edge::http1::Response;
 use crate::edge::http1::client::ExchangeError;
+use crate::edge::http1::{ReadError, Response};
 use crate::kernel::shards::lock;
 use crate::model::host_request::{AnswerFacts, HostWork, SERVER_ERROR_MIN};
 use crate::model::names::ServiceName;
@@ -284,7 +284,7 @@
                 let answer_facts = answers::decode_facts(&response);
                 observe_load_report(host, &answer_facts);
                 host.server_connections.release(pooled.connection);
-                let answer = check_answer(host, &answer_facts, response)?;
+                let answer = check_answer(host, work, &answer_facts, response)?;
                 if answer.head.status < SERVER_ERROR_MIN {
                     admitted.usual_run_us =
                         Some(usual_us(measurement.run_us, measurement.slowness));
@@ -301,11 +301,7 @@
                     error.cause
                 );
                 host.gate.with(HostGate::suspect_restart);
-                return Err(if error.nothing_written {
-                    RequestFailure::not_sent(RefusalReason::ServerAbsent)
-                } else {
-                    RequestFailure::unknown(RefusalReason::ConnectionLost)
-                });
+                return Err(exchange_failure(host, work, &error));
             }
             Err(ExchangeFailure::Deadline) => {
                 return Err(RequestFailure::unknown(
@@ -316,6 +312,22 @@
     }
 }
 
+/// Turns a failed exchange into a request failure, and logs bytes that are no answer.
+fn exchange_failure(host: &Host, work: &HostWork, error: &ExchangeError) -> RequestFailure {
+    if error.nothing_written {
+        return RequestFailure::not_sent(RefusalReason::ServerAbsent);
+    }
+    match &error.cause {
+        ReadError::Io(_) | ReadError::Truncated | ReadError::Ended => {
+            RequestFailure::unknown(RefusalReason::ConnectionLost)
+        }
+        cause @ (ReadError::Head(_) | ReadError::Body(_) | ReadError::Unrequested(_)) => {
+            host.events.answer_broken(&work.id, None, cause);
+            RequestFailure::unknown(RefusalReason::AnswerBroken)
+        }
+    }
+}
+
 /// Delays an admitted request during a slow phase of the backend server.
 ///
 /// The gate decides whether to send it, to hold it, or to let another host run it.
@@ -392,6 +404,7 @@
 /// the request was not run.
 fn check_answer(
     host: &Host,
+    work: &HostWork,
     facts: &AnswerFacts,
     response: Response,
 ) -> Result<Response, RequestFailure> {
@@ -404,5 +417,12 @@
     if facts.signed && facts.request_id.is_some() {
         return Ok(response);
     }
+    let error = if facts.signed {
+        "the answer names no request"
+    } else {
+        "the answer has no signature"
+    };
+    host.events
+        .answer_broken(&work.id, Some(response.head.status), &error);
     Err(RequestFailure::unknown(RefusalReason::AnswerBroken))
 }
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use super::connection_pool::ANSWER_LIMITS;
+use super::connection_pool::HEALTH_ANSWER_LIMITS;
 use super::context::Host;
 use super::executor;
 use crate::decision::host::gate::HealthCheckResult;
@@ -84,7 +84,7 @@
     // An answer with a request identifier belongs to an earlier request.
     let exchange = pooled
         .connection
-        .exchange(&request, false, ANSWER_LIMITS, |response| {
+        .exchange(&request, false, HEALTH_ANSWER_LIMITS, |response| {
             answers::request_id_of(response).is_none()
         });
     let response = match exchange.await {
