Pass on only answers with a defined status and without an encoding

What callers saw or could see: a status that HTTP does not define (000, 099, 600, 999), or a body with an encoding that nobody asked for, as the backend server's own answer, if signature and identifier were there.

Cause: the check of answers asked for a signature and an identifier only.

Such an answer now counts as unknown, as other bytes that are no answer do, and `answer-broken` names its status.

--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -4,6 +4,7 @@
 //! arrived, so that its outcome can still be requested over another connection.
 
 use std::collections::HashMap;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -41,6 +42,9 @@
 /// Interval of checks for the end of a slow phase.
 const SLOW_PHASE_POLL_PERIOD: Duration = Duration::from_millis(25);
 
+/// Status codes of final answers (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 type OutcomeReceiver = watch::Receiver<Option<Outcome>>;
 
 /// Non-idempotent requests that are running or have just ended, by identifier.
@@ -400,8 +404,8 @@
 
 /// Checks that a response is the complete answer of the backend server to the request.
 ///
-/// An answer needs the backend server's signature and the request identifier, unless it says that
-/// the request was not run.
+/// An answer needs a status that HTTP defines, the backend server's signature, the request
+/// identifier and a body without encoding, unless it says that the request was not run.
 fn check_answer(
     host: &Host,
     work: &HostWork,
@@ -414,15 +418,16 @@
         }
         return Err(RequestFailure::shed());
     }
-    if facts.signed && facts.request_id.is_some() {
-        return Ok(response);
-    }
-    let error = if facts.signed {
-        "the answer names no request"
-    } else {
-        "the answer has no signature"
+    let status = response.head.status;
+    let error = match facts {
+        _ if !FINAL_STATUSES.contains(&status) => "HTTP does not define the status",
+        AnswerFacts { signed: false, .. } => "the answer has no signature",
+        AnswerFacts {
+            request_id: None, ..
+        } => "the answer names no request",
+        AnswerFacts { encoded: true, .. } => "the body is encoded",
+        _ => return Ok(response),
     };
-    host.events
-        .answer_broken(&work.id, Some(response.head.status), &error);
+    host.events.answer_broken(&work.id, Some(status), &error);
     Err(RequestFailure::unknown(RefusalReason::AnswerBroken))
 }
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -108,6 +108,8 @@
     pub signed: bool,
     /// Whether the answer states that the request was not run.
     pub not_run: bool,
+    /// Whether the body has an encoding, which no caller asks for.
+    pub encoded: bool,
     /// Backend server that answered, if stated.
     pub instance: Option<String>,
     /// Reported load and warmth.
--- a/tests/host/event_log.rs
+++ b/tests/host/event_log.rs
@@ -303,13 +303,18 @@
 }
 
 fn host() -> Arc<Host> {
+    host_with_server(SocketAddr::from(([127, 0, 0, 1], 6)))
+}
+
+/// A node without configuration, beside a backend server at this address.
+pub fn host_with_server(server: SocketAddr) -> Arc<Host> {
     let settings = json!({
         "host": {"name": "a", "ip": "127.0.0.1", "zone": "z"},
         "listen": {
             "callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "ready": "127.0.0.1:3",
             "announcements": "127.0.0.1:4", "shared_port_first": 5,
         },
-        "backend_server": {"address": "127.0.0.1:6", "service": "milk"},
+        "backend_server": {"address": server, "service": "milk"},
         "contacts": [],
         "store": {"address": "127.0.0.1:7"},
         "limits": {"files_max": 1_024},
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 
 mod announcement;
+mod backend_answers;
 mod claims;
 mod cold_start;
 mod event_log;
