Close a connection on which bytes came that are no answer

What callers could see: 502 for a request on a kept connection, because of bytes that followed a broken answer to the request before it.

Cause: the connection went back to the pool before the answer was checked.

Evidence: backend_answers::a_connection_with_bytes_that_are_no_answer_is_not_used_again saw one connection for two requests before, and sees two now.

--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -287,8 +287,15 @@
             Ok(response) => {
                 let answer_facts = answers::decode_facts(&response);
                 observe_load_report(host, &answer_facts);
-                host.server_connections.release(pooled.connection);
-                let answer = check_answer(host, work, &answer_facts, response)?;
+                let checked = check_answer(host, work, &answer_facts, response);
+                // Later bytes on a connection with a broken answer belong to no request.
+                if checked
+                    .as_ref()
+                    .map_or_else(RequestFailure::is_not_run, |_answer| true)
+                {
+                    host.server_connections.release(pooled.connection);
+                }
+                let answer = checked?;
                 if answer.head.status < SERVER_ERROR_MIN {
                     admitted.usual_run_us =
                         Some(usual_us(measurement.run_us, measurement.slowness));
--- a/tests/host/backend_answers.rs
+++ b/tests/host/backend_answers.rs
@@ -31,6 +31,12 @@
 
 /// Sends one request to a backend server that answers with these bytes.
 async fn outcome_of(answer: String) -> Outcome {
+    let host = host_beside(answer).await;
+    executor::run(&host, work(&host)).await
+}
+
+/// A node beside a backend server that answers each connection's first request with these bytes.
+async fn host_beside(answer: String) -> Arc<Host> {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     tokio::spawn(async move {
@@ -45,8 +51,7 @@
             });
         }
     });
-    let host = announced_host(address);
-    executor::run(&host, work(&host)).await
+    announced_host(address)
 }
 
 fn announced_host(server: SocketAddr) -> Arc<Host> {
@@ -214,3 +219,14 @@
     );
     check_unknown(cut).await;
 }
+
+/// The connection used to go back to the pool, and later bytes on it belonged to the next request.
+#[tokio::test]
+async fn a_connection_with_bytes_that_are_no_answer_is_not_used_again() {
+    let host = host_beside(answer(404, &OWN_ID)).await;
+    for _request in 0..2 {
+        let outcome = executor::run(&host, work(&host)).await;
+        assert!(outcome.result.is_err(), "{outcome:?}");
+    }
+    assert_eq!(host.server_connections.opened_count(), 2);
+}
