Answer 503 to a long head while no configuration is known

What callers saw: 431 from a node that knows no configuration yet, for a head above 16 KiB that the configuration may allow. A node without a configuration has to answer 503; a 431 counts as DENIED and is not retried.

Cause: until then the node applied limits of its own, which no configuration states.

They are now 64 KiB and 10 s for a head. Bodies keep 16 MiB, for memory's sake.

Evidence: event_log::a_node_without_a_configuration_answers_a_long_head_with_503 got 431 before and 503 now.

--- a/src/model/host_config.rs
+++ b/src/model/host_config.rs
@@ -63,11 +63,13 @@
 }
 
 impl Default for CallerBounds {
+    /// Limits until a configuration is known: wide, since any configuration may follow, and every
+    /// request is refused anyway.
     fn default() -> Self {
         Self {
-            head_bytes_max: 16 << 10,
+            head_bytes_max: 64 << 10,
             body_bytes_max: 16 << 20,
-            head_timeout_ms: 3_000,
+            head_timeout_ms: 10_000,
             idle_timeout_ms: 15_000,
         }
     }
--- a/tests/host/event_log.rs
+++ b/tests/host/event_log.rs
@@ -16,6 +16,7 @@
 use bronzelock::kernel::stop::Stop;
 use bronzelock::kernel::tasks::Tasks;
 use bronzelock::model::names::ServiceName;
+use bronzelock::platform::names;
 use serde_json::{Value, json};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -349,3 +350,19 @@
     let counter = "bronzelock_rejections{status=\"400\",reason=\"malformed-head\"} 1\n";
     check_counted("GET\r\n\r\n", counter).await;
 }
+
+async fn check_answered_without_configuration(request: &str) {
+    let handler = Arc::new(CallerHandler(host()));
+    let (address, _stop) = serve(&handler).await;
+    let answer = send(address, request).await;
+    assert!(answer.starts_with("HTTP/1.1 503 "), "{answer}");
+}
+
+/// A node without a configuration used to apply limits that no configuration states.
+#[tokio::test]
+async fn a_node_without_a_configuration_answers_a_long_head_with_503() {
+    let id = names::REQUEST_ID;
+    let filler = "a".repeat(40 << 10);
+    let request = format!("GET / HTTP/1.1\r\n{id}: 7\r\nConnection: close\r\nA: {filler}\r\n\r\n");
+    check_answered_without_configuration(&request).await;
+}
