--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -4,6 +4,7 @@
 //! arrived, so that its outcome can still be requested over another connection.
 
 use std::collections::HashMap;
+use std::ops::RangeInclusive;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -22,8 +23,8 @@
 use crate::decision::host::claims::{ClaimError, ClaimState};
 use crate::decision::host::gate::{HostGate, SlowPhaseAction, Work};
 use crate::decision::host::run_times::usual_us;
-use crate::edge::http1::Response;
 use crate::edge::http1::client::ExchangeError;
+use crate::edge::http1::{ReadError, Response};
 use crate::kernel::shards::lock;
 use crate::model::host_request::{AnswerFacts, HostWork, SERVER_ERROR_MIN};
 use crate::model::names::ServiceName;
@@ -41,6 +42,9 @@
 /// Interval of checks for the end of a slow phase.
 const SLOW_PHASE_POLL_PERIOD: Duration = Duration::from_millis(25);
 
+/// Status codes of final answers (RFC 9110, section 15).
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 type OutcomeReceiver = watch::Receiver<Option<Outcome>>;
 
 /// Non-idempotent requests that are running or have just ended, by identifier.
@@ -281,8 +285,15 @@
             Ok(response) => {
                 let answer_facts = answer_facts.unwrap_or_default();
                 observe_load_report(host, &answer_facts);
-                host.server_connections.release(pooled);
-                let answer = check_answer(host, &answer_facts, response)?;
+                let checked = check_answer(host, work, &answer_facts, response);
+                // Later bytes on a connection with a broken answer belong to no request.
+                if checked
+                    .as_ref()
+                    .map_or_else(RequestFailure::is_not_run, |_answer| true)
+                {
+                    host.server_connections.release(pooled);
+                }
+                let answer = checked?;
                 if answer.head.status < SERVER_ERROR_MIN {
                     admitted.usual_run_us =
                         Some(usual_us(measurement.run_us, measurement.slowness));
@@ -299,11 +310,7 @@
                     error.cause
                 );
                 host.gate.with(HostGate::suspect_restart);
-                return Err(if error.nothing_written {
-                    RequestFailure::not_sent(RefusalReason::ServerAbsent)
-                } else {
-                    RequestFailure::unknown(RefusalReason::ConnectionLost)
-                });
+                return Err(exchange_failure(host, work, &error));
             }
             Err(ExchangeFailure::Deadline) => {
                 return Err(RequestFailure::unknown(
@@ -314,6 +321,22 @@
     }
 }
 
+/// Turns a failed exchange into a request failure, and logs bytes that are no answer.
+fn exchange_failure(host: &Host, work: &HostWork, error: &ExchangeError) -> RequestFailure {
+    if error.nothing_written {
+        return RequestFailure::not_sent(RefusalReason::ServerAbsent);
+    }
+    match &error.cause {
+        ReadError::Io(_) | ReadError::Truncated | ReadError::Ended => {
+            RequestFailure::unknown(RefusalReason::ConnectionLost)
+        }
+        cause @ (ReadError::Head(_) | ReadError::Body(_) | ReadError::Unrequested(_)) => {
+            host.events.answer_broken(&work.id, None, cause);
+            RequestFailure::unknown(RefusalReason::AnswerBroken)
+        }
+    }
+}
+
 /// Delays an admitted request during a slow phase of the backend server.
 ///
 /// The gate decides whether to send it, to hold it, or to let another host run it.
@@ -386,10 +409,11 @@
 
 /// Checks that a response is the complete answer of the backend server to the request.
 ///
-/// An answer needs the backend server's signature and the request identifier, unless it says that
-/// the request was not run.
+/// An answer needs a status that HTTP defines, the backend server's signature, the request
+/// identifier and a body without encoding, unless it says that the request was not run.
 fn check_answer(
     host: &Host,
+    work: &HostWork,
     facts: &AnswerFacts,
     response: Response,
 ) -> Result<Response, RequestFailure> {
@@ -399,8 +423,16 @@
         }
         return Err(RequestFailure::shed());
     }
-    if facts.signed && facts.request_id.is_some() {
-        return Ok(response);
-    }
+    let status = response.head.status;
+    let error = match facts {
+        _ if !FINAL_STATUSES.contains(&status) => "HTTP does not define the status",
+        AnswerFacts { signed: false, .. } => "the answer has no signature",
+        AnswerFacts {
+            request_id: None, ..
+        } => "the answer names no request",
+        AnswerFacts { encoded: true, .. } => "the body is encoded",
+        _ => return Ok(response),
+    };
+    host.events.answer_broken(&work.id, Some(status), &error);
     Err(RequestFailure::unknown(RefusalReason::AnswerBroken))
 }
--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -22,7 +22,7 @@
 pub const WAIT_MS: u64 = 1_500;
 
 /// Time that callers wait beyond it for a late answer, in ms.
-const LATE_MS: u64 = 500;
+pub const LATE_MS: u64 = 500;
 
 /// Longest pause between two requests of one caller, in ms.
 const PAUSE_MS_MAX: u64 = 90;
@@ -241,6 +241,13 @@
     Some((answer.status.as_u16(), service))
 }
 
+/// Status of the answer to one request on a connection of its own.
+pub async fn ask_kind(node: SocketAddr, id: &str, kind: Kind) -> Option<u16> {
+    let target = format!("{}{id}", kind.path_prefix());
+    let answer = send_once(node, request(id, kind, &target)).await;
+    answer.ok().map(|answer| answer.status.as_u16())
+}
+
 fn request(id: &str, kind: Kind, target: &str) -> Request<Full<Bytes>> {
     Request::builder()
         .method(kind.method())
