Drop connections to other nodes that were not heard lately once one of them proves silent

What callers saw in a test: from 3 s after all connections had gone silent, all requests at some nodes ended with 504 for seconds.

Cause, the same class: an idle connection to another node shows its silence only when a request on it has waited for 1 s (unacknowledged data, or a ping), and each host that is tried next has a silent connection of its own. Two tries use up the route's 2 s.

Change: once a connection proves silent, those on which nothing has been heard for over 1 s are dropped, so the next tries open new ones. Calls that still wait on a dropped connection go on. It costs nothing while connections work; shorter keep-alive intervals between all nodes would send bytes between zones.

--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tarpc::client::RpcError;
 use tarpc::context::Context;
@@ -37,11 +37,31 @@
 /// Time without an answer before the connection is checked with a ping.
 const PING_PERIOD: Duration = Duration::from_millis(600);
 
+/// Time without an answer after which a connection is dropped once another one proved silent.
+///
+/// A network that silences one connection often silences others with it.
+const UNHEARD_TIME_MAX: Duration = Duration::from_secs(1);
+
 /// A connection; `ended` is cancelled when it closes.
 #[derive(Debug, Clone)]
 struct Connection {
     client: PeerHostClient,
     ended: CancellationToken,
+    /// Time of the last answer, or of the opening.
+    last_heard: Arc<Mutex<Instant>>,
+}
+
+impl Connection {
+    /// Records an answer to a call.
+    fn hear<T>(&self, answered: &Result<T, RpcError>) {
+        if answered.is_ok() {
+            *lock(&self.last_heard) = Instant::now();
+        }
+    }
+
+    fn is_unheard(&self) -> bool {
+        lock(&self.last_heard).elapsed() > UNHEARD_TIME_MAX
+    }
 }
 
 type ConnectionSlot = Arc<AsyncMutex<Option<Connection>>>;
@@ -85,9 +105,11 @@
         work: WireWork,
         time_left: Duration,
     ) -> Result<WireOutcome, PeerError> {
-        let client = self.client(address).await?;
-        let call = client.run(context(time_left + REPLY_GRACE), work);
-        self.await_with_pings(address, &client, call).await
+        let connection = self.connection(address).await?;
+        let call = connection
+            .client
+            .run(context(time_left + REPLY_GRACE), work);
+        self.await_with_pings(address, &connection, call).await
     }
 
     /// Resolves a request whose connection was lost, over a new connection.
@@ -104,9 +126,11 @@
         time_left: Duration,
     ) -> Result<WireOutcome, PeerError> {
         self.forget(address);
-        let client = self.client(address).await?;
-        let call = client.settle(context(time_left), id.to_owned(), incarnation.0);
-        self.await_with_pings(address, &client, call).await
+        let connection = self.connection(address).await?;
+        let call = connection
+            .client
+            .settle(context(time_left), id.to_owned(), incarnation.0);
+        self.await_with_pings(address, &connection, call).await
     }
 
     /// Returns the latest records of the operators' log that the peer holds.
@@ -120,9 +144,9 @@
         address: SocketAddr,
     ) -> Result<super::peer_rpc::WireOperatorRecords, PeerError> {
         self.forget(address);
-        let client = self.client(address).await?;
-        let call = client.operator_records(context(RECORDS_TIMEOUT));
-        call.await.map_err(|error| self.call_error(address, &error))
+        let connection = self.connection(address).await?;
+        let call = connection.client.operator_records(context(RECORDS_TIMEOUT));
+        self.finish(address, &connection, call.await)
     }
 
     /// Returns the hosts that the peer knows.
@@ -133,9 +157,9 @@
         &self,
         address: SocketAddr,
     ) -> Result<Vec<super::peer_rpc::WireIntroduction>, PeerError> {
-        let client = self.client(address).await?;
-        let call = client.known_hosts(context(CONTROL_CALL_TIMEOUT));
-        call.await.map_err(|error| self.call_error(address, &error))
+        let connection = self.connection(address).await?;
+        let call = connection.client.known_hosts(context(CONTROL_CALL_TIMEOUT));
+        self.finish(address, &connection, call.await)
     }
 
     /// Drops the connection to a peer; the next request opens a new one.
@@ -152,23 +176,24 @@
     async fn await_with_pings(
         &self,
         address: SocketAddr,
-        client: &PeerHostClient,
+        connection: &Connection,
         call: impl Future<Output = Result<WireOutcome, RpcError>>,
     ) -> Result<WireOutcome, PeerError> {
         tokio::pin!(call);
         loop {
             tokio::select! {
-                answered = &mut call =>
-                    return answered.map_err(|error| self.call_error(address, &error)),
+                answered = &mut call => return self.finish(address, connection, answered),
                 () = tokio::time::sleep(PING_PERIOD) => {}
             }
-            let ping = client.ping(context(CONTROL_CALL_TIMEOUT));
+            let ping = connection.client.ping(context(CONTROL_CALL_TIMEOUT));
             tokio::select! {
                 biased;
-                answered = &mut call =>
-                    return answered.map_err(|error| self.call_error(address, &error)),
-                pinged = ping => if let Err(error) = pinged {
+                answered = &mut call => return self.finish(address, connection, answered),
+                pinged = ping => {
+                    connection.hear(&pinged);
+                    let Err(error) = pinged else { continue };
                     self.forget(address);
+                    self.forget_unheard();
                     let error = StepError::with_peer("check the connection", address, error);
                     return Err(PeerError::Lost(error));
                 },
@@ -176,6 +201,34 @@
         }
     }
 
+    /// Returns the answer to a call, or converts its error.
+    fn finish<T>(
+        &self,
+        address: SocketAddr,
+        connection: &Connection,
+        answered: Result<T, RpcError>,
+    ) -> Result<T, PeerError> {
+        connection.hear(&answered);
+        let finished = answered.map_err(|error| self.call_error(address, &error));
+        if matches!(finished, Err(PeerError::Lost(_))) && connection.is_unheard() {
+            self.forget_unheard();
+        }
+        finished
+    }
+
+    /// Drops the connections that may be silent as well as one that proved to be.
+    ///
+    /// Calls that wait on them go on.
+    fn forget_unheard(&self) {
+        lock(&self.slots).retain(|_address, slot| {
+            let Ok(open) = slot.try_lock() else {
+                // It is being opened.
+                return true;
+            };
+            !open.as_ref().is_some_and(Connection::is_unheard)
+        });
+    }
+
     /// Converts a call error, and drops the connection if it is no longer usable.
     fn call_error(&self, address: SocketAddr, error: &RpcError) -> PeerError {
         match error {
@@ -187,13 +240,13 @@
         }
     }
 
-    /// Returns the client of an open connection, or opens one.
-    async fn client(&self, address: SocketAddr) -> Result<PeerHostClient, PeerError> {
+    /// Returns the open connection, or opens one.
+    async fn connection(&self, address: SocketAddr) -> Result<Connection, PeerError> {
         let slot = Arc::clone(lock(&self.slots).entry(address).or_default());
         let mut open = slot.lock().await;
         // A request on a closed connection would count as lost although it was never sent.
         if let Some(known) = open.as_ref().filter(|known| !known.ended.is_cancelled()) {
-            return Ok(known.client.clone());
+            return Ok(known.clone());
         }
         let connected = connect(address, CONNECT_TIMEOUT, KeepAlive::Seldom).await;
         let stream = connected
@@ -209,11 +262,13 @@
                 log::debug!("peer client: connection to {address} closed: {error}");
             }
         });
-        *open = Some(Connection {
-            client: new_client.client.clone(),
+        let connection = Connection {
+            client: new_client.client,
             ended,
-        });
-        Ok(new_client.client)
+            last_heard: Arc::new(Mutex::new(Instant::now())),
+        };
+        *open = Some(connection.clone());
+        Ok(connection)
     }
 }
 
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -4,6 +4,7 @@
 
 use bronzelock::host::peer_client::{PeerClients, PeerError};
 use bronzelock::kernel::tasks::Tasks;
+use bronzelock::model::ids::Incarnation;
 use tokio::net::TcpListener;
 
 /// Guards against requests lost in a rolling restart.
@@ -45,3 +46,23 @@
         tokio::join!(second, tokio::time::timeout(limit, listener.accept()));
     assert!(matches!(opened, Ok(Ok(_))), "no new connection");
 }
+
+/// Guards against requests that fail with 504 since each try meets another silent connection.
+#[tokio::test]
+async fn a_connection_that_proves_silent_ends_the_use_of_others_that_are_unheard() {
+    let silent = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let other = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = |listener: &TcpListener| listener.local_addr().expect("an address");
+    let clients = PeerClients::new(Tasks::default());
+    let (_unanswered, _open) = tokio::join!(clients.known_hosts(address(&other)), other.accept());
+    let time_left = Duration::from_secs(5);
+    let lost = clients.settle(address(&silent), "id", Incarnation(1), time_left);
+    let (lost, _open) = tokio::join!(lost, silent.accept());
+    assert!(matches!(lost, Err(PeerError::Lost(_))), "{lost:?}");
+    let limit = Duration::from_secs(1);
+    let (_unanswered, opened) = tokio::join!(
+        clients.known_hosts(address(&other)),
+        tokio::time::timeout(limit, other.accept())
+    );
+    assert!(matches!(opened, Ok(Ok(_))), "no new connection");
+}
