Write logs to the standard output itself, not to a duplicate of its descriptor

Cause: since the lines are written without a buffer, they went to a duplicate of the descriptor, which leads elsewhere where the output of the first one is collected. Tests with real nodes did not see it, since their output is a file or a pipe.

--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -12,7 +12,7 @@
 use super::events::EventLog;
 use super::executor::Executions;
 use super::knowledge::{ConfigAge, LearnTimes};
-use super::log_writer::standard_output;
+use super::log_writer::StandardOutput;
 use super::peer_client::PeerClients;
 use super::shared_gate::SharedGate;
 use crate::decision::host::claims::Claims;
@@ -107,7 +107,7 @@
             slack: settings.bounds.cold_slack,
         };
         let drain_us = settings.bounds.drain_ms * US_PER_MS;
-        let events = EventLog::start(&settings.host.name, clock, standard_output());
+        let events = EventLog::start(&settings.host.name, clock, Box::new(StandardOutput));
         Self {
             incarnation,
             clock,
--- a/src/host/log_writer.rs
+++ b/src/host/log_writer.rs
@@ -4,9 +4,7 @@
 //! event were dropped is logged. A write that fails is repeated and counted.
 
 use std::collections::BTreeMap;
-use std::fs::File;
 use std::io::{ErrorKind, Write};
-use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::JoinHandle;
@@ -86,16 +84,19 @@
     thread: Option<JoinHandle<()>>,
 }
 
-/// Returns the standard output without a buffer of its own.
+/// The standard output without a buffer, so that a write tells how many bytes it has written.
 ///
-/// A write to it tells how many bytes were written before it failed.
-pub fn standard_output() -> Box<dyn Write + Send> {
-    match std::io::stdout().as_fd().try_clone_to_owned() {
-        Ok(descriptor) => Box::new(File::from(descriptor)),
-        Err(error) => {
-            log::error!("log writer: failed to duplicate the standard output: {error}");
-            Box::new(std::io::stdout())
-        }
+/// It uses the descriptor itself, since a duplicate may not lead to where the output is collected.
+#[derive(Debug)]
+pub struct StandardOutput;
+
+impl Write for StandardOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        Ok(rustix::io::write(std::io::stdout(), bytes)?)
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
     }
 }
 
