Block stop signals until a host's node handles them

SIGHUP before the handler ended the process.

Cause: the runtime's handler is installed before the table that it looks the signal up in. Signals are now blocked on the main thread from the start of the process until the handlers are installed, and delivered then. The product's own node starts several threads first and still has the gap.

--- a/src/cli/host.rs
+++ b/src/cli/host.rs
@@ -8,6 +8,7 @@
 use super::{EXIT_BAD_INPUT, EXIT_FAILED};
 use crate::host::node;
 use crate::kernel::StepError;
+use crate::kernel::blocked_signals::BlockedSignals;
 use crate::platform::names::SETTINGS_VARIABLE;
 use crate::settings::host::{self, HostSettings};
 
@@ -27,6 +28,13 @@
 
 /// Checks the settings, then runs the node until a signal.
 pub fn run(arguments: &HostArguments) -> ExitCode {
+    let blocked = match BlockedSignals::block() {
+        Ok(blocked) => blocked,
+        Err(error) => {
+            eprintln!("host: failed to block signals: {error}");
+            return ExitCode::from(EXIT_FAILED);
+        }
+    };
     env_logger::init_from_env(env_logger::Env::default().default_filter_or(LOG_DEFAULT));
     let settings = match host::read(&arguments.settings) {
         Ok(settings) => settings,
@@ -38,7 +46,7 @@
     if arguments.check {
         return ExitCode::SUCCESS;
     }
-    match run_node(settings) {
+    match run_node(settings, blocked) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("host: {error}");
@@ -48,10 +56,10 @@
 }
 
 /// One thread serves a host: its share of a processor is less than one core.
-fn run_node(settings: HostSettings) -> Result<(), StepError> {
+fn run_node(settings: HostSettings, blocked: BlockedSignals) -> Result<(), StepError> {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| StepError::local("start the runtime", error))?;
-    runtime.block_on(node::run(settings))
+    runtime.block_on(node::run(settings, blocked))
 }
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -15,6 +15,7 @@
 use crate::edge::http1::server::{self, Handler};
 use crate::edge::listen::{BACKLOG, bind};
 use crate::kernel::StepError;
+use crate::kernel::blocked_signals::BlockedSignals;
 use crate::kernel::node::StopSignals;
 use crate::settings::host::HostSettings;
 
@@ -42,14 +43,15 @@
 /// Interval of checks for running requests during shutdown.
 const DRAIN_POLL_PERIOD: Duration = Duration::from_millis(50);
 
-/// Runs a node until SIGTERM or SIGINT.
+/// Runs a node until SIGTERM or SIGINT; signals are `blocked` until it handles them.
 ///
 /// # Errors
 /// Returns [`StepError`] if a signal handler cannot be installed or an address cannot be bound.
-pub async fn run(settings: HostSettings) -> Result<(), StepError> {
+pub async fn run(settings: HostSettings, blocked: BlockedSignals) -> Result<(), StepError> {
     let mut signals = StopSignals::listen()?;
     let mut reload =
         signal(SignalKind::hangup()).map_err(|cause| StepError::local("signals", cause))?;
+    drop(blocked);
     let host = Arc::new(Host::new(settings));
     start(&host).await?;
     host.events.state_changed(
--- a/src/kernel/mod.rs
+++ b/src/kernel/mod.rs
@@ -1,5 +1,6 @@
 //! The plug-ins' shared context, and how a node starts, runs and stops them.
 
+pub mod blocked_signals;
 pub mod clock;
 pub mod context;
 pub mod error;
