Notice within two seconds that connections to the backend server are silent

Cause, the same class: kept connections are used for up to 6 s, and were probed after 5 and 10 s.

Change: they are probed each second, as the connection to the log service is. Node and backend server share a host, so the probes cost no bytes between zones.

Evidence: connection_pool::a_connection_that_has_gone_silent_carries_no_request failed before (the silent connection was handed out 3 s after the silence) and passes now.

--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -21,7 +21,9 @@
 pub enum KeepAlive {
     /// Within 10 s, for connections that are mostly idle or have a check of their own.
     Seldom,
-    /// Within 2 s, for connections that deliver what this node must learn of in time.
+    /// Within 2 s, for connections that deliver what this node waits for.
+    ///
+    /// Its probes would be many bytes between all nodes.
     Frequent,
 }
 
--- a/src/host/connection_pool.rs
+++ b/src/host/connection_pool.rs
@@ -93,7 +93,7 @@
     /// Returns the I/O error; nothing was sent.
     pub async fn open(&self) -> std::io::Result<PooledConnection> {
         self.opened_count.fetch_add(1, Ordering::Relaxed);
-        let stream = connect(self.address, CONNECT_TIMEOUT, KeepAlive::Seldom).await?;
+        let stream = connect(self.address, CONNECT_TIMEOUT, KeepAlive::Frequent).await?;
         Ok(PooledConnection {
             connection: ClientConnection::new(stream),
             reused: false,
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -6,6 +6,7 @@
 mod announcement;
 mod claims;
 mod cold_start;
+mod connection_pool;
 mod gate;
 mod http1;
 mod latency;
