Soak: judge refusals, repeats, stale and older configurations; add and remove routes; silence all connections

Callers saw proper requests refused and runs at a service that no configuration names. No check of the soak judged a refusal, so it could not find the first; no fault left a host's configuration behind while the host counted as undisturbed. New checks: refusals of proper requests, judged as the rule does; a refusal or a run that only a replaced configuration allows; a host that goes back to an older configuration; repeats of all nodes together; backend servers per request; failures and lost connections of a calm system. Each has a case that shows that it finds its break. A route is stale by the rule's own bound now: the host in touch when the request is sent, not also for 2 s before that.

Seeds below 2,000 keep their faults. From 2,000 on a plan is drawn by the seed.

--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -45,15 +45,38 @@
     Gate,
     /// Idempotent, to a service that the operator changes.
     Moved,
+    /// Idempotent, on a route that the operator adds and removes.
+    Added,
+    /// Idempotent, on a route that no configuration has.
+    NeverRouted,
 }
 
 impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 5] = [
+        Self::History,
+        Self::Gate,
+        Self::Moved,
+        Self::Added,
+        Self::NeverRouted,
+    ];
+
     /// Prefix of the paths.
     pub fn path_prefix(self) -> &'static str {
         match self {
             Self::History => "/history/",
             Self::Gate => "/gate/",
             Self::Moved => "/moved/",
+            Self::Added => "/added/",
+            Self::NeverRouted => "/never/",
+        }
+    }
+
+    /// Backend servers that may be tried for one request.
+    pub fn servers_max(self) -> usize {
+        match self {
+            Self::Added => 1,
+            Self::History | Self::Gate | Self::Moved | Self::NeverRouted => 3,
         }
     }
 
@@ -64,15 +87,15 @@
 
     fn method(self) -> Method {
         match self {
-            Self::History | Self::Moved => Method::GET,
             Self::Gate => Method::POST,
+            Self::History | Self::Moved | Self::Added | Self::NeverRouted => Method::GET,
         }
     }
 
     fn body(self) -> &'static [u8] {
         match self {
-            Self::History | Self::Moved => b"",
             Self::Gate => b"release cow 7",
+            Self::History | Self::Moved | Self::Added | Self::NeverRouted => b"",
         }
     }
 }
@@ -113,10 +136,23 @@
     pub outcome: Outcome,
 }
 
+/// Kinds that callers draw from.
+pub const CALLER_KINDS: [Kind; 3] = [Kind::Gate, Kind::Moved, Kind::History];
+
+/// Kinds that a prober draws from, to learn which configuration is in force.
+pub const PROBER_KINDS: [Kind; 5] = [
+    Kind::Added,
+    Kind::Added,
+    Kind::Moved,
+    Kind::History,
+    Kind::NeverRouted,
+];
+
 /// One caller on one host.
 #[derive(Debug)]
 pub struct Caller {
     pub host: usize,
+    pub kinds: &'static [Kind],
     pub index: usize,
     pub node: SocketAddr,
     pub ledger: Ledger,
@@ -134,11 +170,7 @@
                 () = stop.cancelled() => break,
                 () = tokio::time::sleep(pause) => {}
             }
-            let kind = match random.random_range(0..3) {
-                0 => Kind::Gate,
-                1 => Kind::Moved,
-                _ => Kind::History,
-            };
+            let kind = self.kinds[random.random_range(0..self.kinds.len())];
             let gives_up = kind.is_idempotent() && random.random_ratio(1, GIVES_UP_ONE_IN);
             let limit_ms = if gives_up {
                 GIVES_UP_AFTER_MS
--- a/tests/host_processes/operator.rs
+++ b/tests/host_processes/operator.rs
@@ -22,25 +22,42 @@
 /// The operator of a system.
 #[derive(Debug, Default)]
 pub struct Operator {
-    changes: usize,
+    moves: usize,
+    /// Times that a route was added or removed.
+    additions: usize,
 }
 
 impl Operator {
     /// Service that the moved route leads to now.
     pub fn moved_to(&self) -> &'static str {
-        SERVICES[self.changes % SERVICES.len()]
+        SERVICES[self.moves % SERVICES.len()]
+    }
+
+    /// Service that the route of a kind leads to now, if there is such a route.
+    pub fn target(&self, kind: Kind) -> Option<&'static str> {
+        match kind {
+            Kind::History | Kind::Gate => Some(SERVICES[0]),
+            Kind::Moved => Some(self.moved_to()),
+            Kind::Added => (self.additions % 2 == 1).then_some(SERVICES[1]),
+            Kind::NeverRouted => None,
+        }
     }
 
     /// Writes a configuration that moves one route to the other service.
     pub fn move_route(&mut self, store: &Store) {
-        self.changes += 1;
+        self.moves += 1;
+        self.write_config(store);
+    }
+
+    /// Writes a configuration that has one route more, or that one less.
+    pub fn add_or_remove_route(&mut self, store: &Store) {
+        self.additions += 1;
         self.write_config(store);
     }
 
     /// Writes the configuration.
     pub fn write_config(&self, store: &Store) {
-        let config = config(1 + self.changes as u64 * VERSION_STEP, self.moved_to());
-        let text = config.to_string();
+        let text = self.config().to_string();
         store.put(OPERATOR_TOPIC, "config", Some(text.as_bytes()));
     }
 
@@ -49,33 +66,41 @@
         let key = format!("evacuate/{zone}");
         store.put(OPERATOR_TOPIC, &key, out.then_some(b"{}".as_slice()));
     }
-}
 
-fn config(version: u64, moved_to: &str) -> Value {
-    let route = |kind: Kind, effect: &str, service: &str| {
-        json!({
-            "name": kind.path_prefix(), "host": HOST_NAME, "path_prefix": kind.path_prefix(),
-            "effect": effect, "timeout_ms": 2_000, "objective_ms": 600, "rank": 1,
-            "service": service, "servers_max": 3,
-        })
-    };
-    let service = |name: &&str| {
+    fn config(&self) -> Value {
+        let changes = (self.moves + self.additions) as u64;
+        let routes = Kind::ALL.into_iter().filter_map(|kind| {
+            let service = self.target(kind)?;
+            Some(route(kind, service))
+        });
         json!({
-            "name": name, "health_path": HEALTH_PATH, "connections_max": 200,
-            "cold_requests_per_s": COLD_REQUESTS_PER_S,
+            "version": 1 + changes * VERSION_STEP,
+            "routes": routes.collect::<Vec<_>>(),
+            "services": SERVICES.map(service),
+            "limits": {
+                "head_bytes_max": 16_384, "body_bytes_max": 65_536,
+                "head_timeout_ms": 5_000, "idle_timeout_ms": 10_000,
+            },
         })
+    }
+}
+
+fn route(kind: Kind, service: &str) -> Value {
+    let effect = if kind.is_idempotent() {
+        "idempotent"
+    } else {
+        "non-idempotent"
     };
     json!({
-        "version": version,
-        "routes": [
-            route(Kind::History, "idempotent", SERVICES[0]),
-            route(Kind::Gate, "non-idempotent", SERVICES[0]),
-            route(Kind::Moved, "idempotent", moved_to),
-        ],
-        "services": SERVICES.iter().map(service).collect::<Vec<_>>(),
-        "limits": {
-            "head_bytes_max": 16_384, "body_bytes_max": 65_536,
-            "head_timeout_ms": 5_000, "idle_timeout_ms": 10_000,
-        },
+        "name": kind.path_prefix(), "host": HOST_NAME, "path_prefix": kind.path_prefix(),
+        "effect": effect, "timeout_ms": 2_000, "objective_ms": 600, "rank": 1,
+        "service": service, "servers_max": kind.servers_max(),
+    })
+}
+
+fn service(name: &str) -> Value {
+    json!({
+        "name": name, "health_path": HEALTH_PATH, "connections_max": 200,
+        "cold_requests_per_s": COLD_REQUESTS_PER_S,
     })
 }
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -48,6 +48,11 @@
 /// Slots of one backend server.
 const SLOTS: u32 = 12;
 
+/// Repeats that all nodes may send together: a part of the requests in a window, and a slack.
+pub const RETRY_RATIO: f64 = 0.2;
+pub const RETRY_WINDOW_S: u64 = 10;
+pub const RETRY_SLACK: usize = 56;
+
 /// Time after its start in which a backend server is cold, in ms.
 pub const COLD_MS: u64 = 1_500;
 
@@ -278,7 +283,7 @@
         "limits": {"files_max": 1_024},
         "bounds": {
             "drain_ms": DRAIN_MS, "grace_s": GRACE_S,
-            "retry_ratio": 0.2, "retry_window_s": 10, "retry_slack": 56,
+            "retry_ratio": RETRY_RATIO, "retry_window_s": RETRY_WINDOW_S, "retry_slack": RETRY_SLACK,
             "probes_per_s": 60, "cold_overage": 1.5, "cold_slack": 5,
         },
     })
--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -5,17 +5,15 @@
 
 use standins::platform::ledger::Run;
 
-use super::facts::{Facts, Part, PlannedRestart, host_of};
-use crate::callers::{Attempt, Kind, Outcome, WAIT_MS};
-use crate::operator::{COLD_REQUESTS_PER_S, SERVICES};
+use super::facts::{Config, Facts, Part, PlannedRestart, host_of};
+use super::{budgets, refusals, regressions};
+use crate::callers::{Attempt, Outcome, WAIT_MS};
+use crate::operator::COLD_REQUESTS_PER_S;
 use crate::site::{COLD_MS, DRAIN_MS};
 use crate::system::PLACES;
 
 /// Statuses that promise that the request has not run.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
-
-/// Time in which a configuration is to be applied, in ms.
-const APPLY_MS: u64 = 2_000;
+pub const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
 /// Time in which a zone that is taken out is to get no more requests, in ms.
 const ZONE_OUT_MS: u64 = 5_000;
@@ -44,7 +42,7 @@
     ForeignAnswer { id: String },
     /// A run that no caller asked for in this way.
     NeverSent { run: Run },
-    /// A run at a service that no configuration ever named.
+    /// A run at a service that no configuration ever named for the request's route.
     WrongService { run: Run },
     /// A run by a configuration that had been replaced.
     StaleRoute { run: Run },
@@ -60,8 +58,28 @@
     WorkAfterClose { late: usize, of: usize },
     /// A graceful restart ended a connection without an answer.
     LostByRestart { id: String },
-    /// Callers of undisturbed hosts got no answer in time.
+    /// Callers of an undisturbed system got no answer in time.
     Unanswered { id: String },
+    /// An idempotent request failed on an undisturbed system.
+    Failed { id: String, status: u16 },
+    /// Proper requests were refused as if they were wrong.
+    Denied {
+        ids: Vec<String>,
+        /// Those of them at hosts that were disturbed.
+        at_disturbed_hosts: usize,
+    },
+    /// A refusal that only a replaced configuration allows.
+    StaleRefusal { id: String },
+    /// A host went back to a configuration before one that it had applied.
+    WentBack { id: String, host: usize },
+    /// More repeated requests reached a service than the hosts may send together.
+    RetryOverrun {
+        service: String,
+        repeats: usize,
+        allowed: usize,
+    },
+    /// Requests reached more backend servers than their route allows.
+    TooManyServers { ids: Vec<String> },
     /// A node ended by itself, or otherwise than a shutdown ends.
     EndedWrongly { host: usize, exit: ExitStatus },
 }
@@ -74,16 +92,23 @@
             | Self::RefusedYetRan { id, .. }
             | Self::ForeignAnswer { id }
             | Self::LostByRestart { id }
-            | Self::Unanswered { id } => Some(id),
+            | Self::Unanswered { id }
+            | Self::Failed { id, .. }
+            | Self::StaleRefusal { id }
+            | Self::WentBack { id, .. } => Some(id),
+            Self::Denied { ids, .. } | Self::TooManyServers { ids } => {
+                ids.first().map(String::as_str)
+            }
             Self::NeverSent { run }
             | Self::WrongService { run }
             | Self::StaleRoute { run }
             | Self::AfterLeave { run }
             | Self::AfterZoneOut { run }
             | Self::TooMuchTime { run } => Some(&run.request_id),
-            Self::ColdOverrun { .. } | Self::WorkAfterClose { .. } | Self::EndedWrongly { .. } => {
-                None
-            }
+            Self::ColdOverrun { .. }
+            | Self::WorkAfterClose { .. }
+            | Self::RetryOverrun { .. }
+            | Self::EndedWrongly { .. } => None,
         }
     }
 }
@@ -109,12 +134,18 @@
     }
     found.extend(cold_overruns(facts));
     found.extend(work_after_close(facts, &runs));
+    found.extend(refusals::denied(facts));
+    found.extend(refusals::stale(facts));
+    found.extend(regressions::of_configs(facts));
+    found.extend(budgets::retry_overruns(facts));
+    found.extend(budgets::too_many_servers(facts));
     let ends = facts.wrong_ends.iter();
     found.extend(ends.map(|&(host, exit)| Violation::EndedWrongly { host, exit }));
     found
 }
 
-fn runs_by_id(facts: &Facts) -> HashMap<&str, Vec<&Run>> {
+/// Runs of each request.
+pub fn runs_by_id(facts: &Facts) -> HashMap<&str, Vec<&Run>> {
     let mut runs: HashMap<&str, Vec<&Run>> = HashMap::new();
     for run in &facts.runs {
         runs.entry(&run.request_id).or_default().push(run);
@@ -138,9 +169,15 @@
         Outcome::Lost if is_lost_by_restart(facts, attempt, runs) => {
             Some(Violation::LostByRestart { id })
         }
-        Outcome::TimedOut if is_everything_calm(facts, attempt) => {
+        Outcome::TimedOut | Outcome::Lost if is_everything_calm(facts, attempt) => {
             Some(Violation::Unanswered { id })
         }
+        Outcome::Answered {
+            status: status @ (502 | 504),
+            own: false,
+        } if attempt.kind.is_idempotent() && is_everything_calm(facts, attempt) => {
+            Some(Violation::Failed { id, status })
+        }
         _ => None,
     }
 }
@@ -172,16 +209,16 @@
 
 fn of_run(facts: &Facts, attempt: &Attempt, run: &Run) -> Option<Violation> {
     let run_of = |violation: fn(Run) -> Violation| Some(violation(run.clone()));
-    if !is_as_sent(attempt, run) {
+    if !is_as_sent(facts, attempt, run) {
         return run_of(|run| Violation::NeverSent { run });
     }
     if run.left_ms.is_none_or(|left_ms| left_ms > WAIT_MS) {
         return run_of(|run| Violation::TooMuchTime { run });
     }
-    if attempt.kind != Kind::Moved && run.service != SERVICES[0] {
+    if !is_ever_named(facts, attempt, run) {
         return run_of(|run| Violation::WrongService { run });
     }
-    if attempt.kind == Kind::Moved && is_stale(facts, attempt, run) {
+    if is_stale(facts, attempt, run) {
         return run_of(|run| Violation::StaleRoute { run });
     }
     if is_after_leave(facts, run) {
@@ -193,27 +230,26 @@
     None
 }
 
-fn is_as_sent(attempt: &Attempt, run: &Run) -> bool {
+fn is_as_sent(facts: &Facts, attempt: &Attempt, run: &Run) -> bool {
     run.method_and_target == attempt.method_and_target
         && run.body_bytes == attempt.body_bytes
-        && run.caller_service == PLACES[attempt.host].service
+        && facts
+            .services_of(attempt.host, attempt.sent_ms, run.begun_ms)
+            .contains(&run.caller_service.as_str())
+}
+
+/// Whether a configuration that was sent before a run names its service for its route.
+fn is_ever_named(facts: &Facts, attempt: &Attempt, run: &Run) -> bool {
+    let until_run = |config: &&Config| config.sent_ms <= run.begun_ms;
+    let mut sent = facts.configs.iter().filter(until_run);
+    sent.any(|config| config.target(attempt.kind) == Some(run.service.as_str()))
 }
 
 fn is_stale(facts: &Facts, attempt: &Attempt, run: &Run) -> bool {
-    let since_ms = attempt.sent_ms.saturating_sub(APPLY_MS);
-    let before = facts
-        .moves
-        .iter()
-        .rev()
-        .find(|change| change.at_ms <= since_ms);
-    let later = facts
-        .moves
-        .iter()
-        .filter(|change| change.at_ms > since_ms && change.at_ms <= run.begun_ms);
-    let mut allowed = before.into_iter().chain(later);
-    let judged = facts.is_calm(Part::Store, since_ms, run.begun_ms)
-        && facts.is_host_calm(attempt.host, since_ms, run.begun_ms);
-    judged && !allowed.any(|change| change.to == run.service)
+    let (sent_ms, begun_ms) = (attempt.sent_ms, run.begun_ms);
+    let names = |config: &Config| config.target(attempt.kind) == Some(run.service.as_str());
+    facts.is_in_touch(attempt.host, sent_ms, begun_ms)
+        && !facts.in_force(sent_ms, begun_ms).any(names)
 }
 
 /// Bytes that a disturbed link held back say nothing of the time at which they were sent.
--- a/tests/host_processes/soak/checks_find.rs
+++ b/tests/host_processes/soak/checks_find.rs
@@ -3,10 +3,12 @@
 use std::os::unix::process::ExitStatusExt;
 use std::process::ExitStatus;
 
-use standins::platform::ledger::Run;
+use standins::platform::ledger::{Arrival, Run};
 
 use super::checks::{Violation, violations};
-use super::facts::{Disturbance, Facts, Move, Part, PlannedRestart, ServerStart, ZoneOut};
+use super::facts::{
+    Config, Disturbance, Facts, NodeStart, Part, PlannedRestart, ServerStart, ZoneOut,
+};
 use crate::callers::{Attempt, Kind, Outcome};
 use crate::site::Leave;
 
@@ -42,15 +44,83 @@
     Facts {
         attempts: vec![attempt],
         runs: vec![run],
-        moves: vec![Move {
+        configs: vec![config(0, Some("herd"), None)],
+        node_starts: vec![NodeStart {
+            host: 0,
             at_ms: 0,
-            to: "herd",
+            service: "herd",
         }],
         now_ms: 60_000,
         ..Facts::default()
     }
 }
 
+/// A configuration with these services of the moved and of the added route.
+const fn config(at_ms: u64, moved: Option<&'static str>, added: Option<&'static str>) -> Config {
+    Config {
+        targets: [Some("herd"), Some("herd"), moved, added, None],
+        sent_ms: at_ms,
+        acknowledged_ms: at_ms,
+    }
+}
+
+const MOVED: (Option<&str>, Option<&str>) = (Some("parlour"), None);
+const ADDED: (Option<&str>, Option<&str>) = (Some("herd"), Some("parlour"));
+const FIRST: (Option<&str>, Option<&str>) = (Some("herd"), None);
+
+/// Changes the configuration at a time.
+fn configured(
+    facts: &mut Facts,
+    at_ms: u64,
+    (moved, added): (Option<&'static str>, Option<&'static str>),
+) {
+    facts.configs.push(config(at_ms, moved, added));
+}
+
+/// Requests of host 0 that a node refused, each some ms after the other.
+fn refused(facts: &mut Facts, count: usize, status: u16) {
+    facts.attempts[0].outcome = Outcome::Answered { status, own: false };
+    repeated(facts, count);
+    facts.runs.clear();
+}
+
+/// Further requests that were served, at another host.
+fn served_as_well(facts: &mut Facts, count: usize) {
+    let served = Attempt {
+        host: 1,
+        outcome: SERVED,
+        ..facts.attempts[0].clone()
+    };
+    facts.attempts.extend((0..count).map(|index| Attempt {
+        id: format!("served-{index}"),
+        ..served.clone()
+    }));
+}
+
+/// Two requests at one host, the first by a changed configuration, the second by the one before.
+fn goes_back(facts: &mut Facts) {
+    configured(facts, 19_500, MOVED);
+    facts.runs[0].service = "parlour".into();
+    repeated(facts, 2);
+    facts.attempts[1].sent_ms += 1_000;
+    facts.attempts[1].ended_ms += 1_000;
+    facts.runs[1].service = "herd".into();
+    facts.runs[1].begun_ms += 1_000;
+}
+
+/// Arrivals of each request at backend servers of a service.
+fn arrived(facts: &mut Facts, instances: &[&str]) {
+    for attempt in &facts.attempts {
+        let arrivals = instances.iter().map(|instance| Arrival {
+            request_id: attempt.id.clone(),
+            instance: (*instance).to_owned(),
+            service: "herd".to_owned(),
+            at_ms: 20_010,
+        });
+        facts.arrivals.extend(arrivals);
+    }
+}
+
 fn changed(mut facts: Facts, change: impl FnOnce(&mut Facts)) -> Vec<Violation> {
     change(&mut facts);
     violations(&facts)
@@ -100,16 +170,32 @@
         => [Violation::NeverSent { .. }],
     a_service_never_named: Kind::History, SERVED, |facts| facts.runs[0].service = "parlour".into()
         => [Violation::WrongService { .. }],
+    a_service_not_named_yet: Kind::Moved, SERVED, |facts| {
+        facts.runs[0].service = "parlour".into();
+        configured(facts, 20_011, MOVED);
+    } => [Violation::WrongService { .. }],
+    a_run_without_a_route: Kind::NeverRouted, SERVED, |_| {}
+        => [Violation::WrongService { .. }],
+    a_run_on_a_route_that_was_removed: Kind::Added, SERVED, |facts| {
+        facts.runs[0].service = "parlour".into();
+        configured(facts, 10_000, ADDED);
+        configured(facts, 17_900, FIRST);
+    } => [Violation::StaleRoute { .. }],
+    no_run_on_a_removed_route_within_the_bound: Kind::Added, SERVED, |facts| {
+        facts.runs[0].service = "parlour".into();
+        configured(facts, 10_000, ADDED);
+        configured(facts, 18_100, FIRST);
+    } => [],
     more_time_than_there_was: Kind::History, SERVED, |facts| facts.runs[0].left_ms = Some(1_501)
         => [Violation::TooMuchTime { .. }],
     a_replaced_route: Kind::Moved, SERVED, |facts| {
-        facts.moves.push(Move { at_ms: 17_900, to: "parlour" });
+        configured(facts, 17_900, MOVED);
     } => [Violation::StaleRoute { .. }],
     no_replaced_route_within_the_bound: Kind::Moved, SERVED, |facts| {
-        facts.moves.push(Move { at_ms: 18_100, to: "parlour" });
+        configured(facts, 18_100, MOVED);
     } => [],
     no_replaced_route_in_an_outage: Kind::Moved, SERVED, |facts| {
-        facts.moves.push(Move { at_ms: 17_900, to: "parlour" });
+        configured(facts, 17_900, MOVED);
         facts.disturbances.push(Disturbance { part: Part::Store, from_ms: 17_000, to_ms: 18_500 });
     } => [],
     a_run_after_a_leave: Kind::History, SERVED, |facts| {
@@ -141,4 +227,78 @@
         => [Violation::Unanswered { .. }],
     a_node_that_ended: Kind::History, SERVED, |facts| facts.wrong_ends.push((3, ExitStatus::from_raw(256)))
         => [Violation::EndedWrongly { host: 3, .. }],
+    a_failure_on_a_calm_system: Kind::History, Outcome::Answered { status: 502, own: false }, |_| {}
+        => [Violation::Failed { status: 502, .. }],
+    no_failure_beside_a_disturbance: Kind::History, Outcome::Answered { status: 502, own: false }, |facts| {
+        facts.disturbances.push(Disturbance { part: Part::Server(4), from_ms: 17_000, to_ms: 17_000 });
+    } => [],
+    a_connection_that_ends_on_a_calm_system: Kind::History, Outcome::Lost, |_| {}
+        => [Violation::Unanswered { .. }],
+    too_many_refusals_of_proper_requests: Kind::History, SERVED, |facts| refused(facts, 6, 404)
+        => [Violation::Denied { at_disturbed_hosts: 0, .. }],
+    no_refusals_within_the_bound: Kind::History, SERVED, |facts| refused(facts, 5, 400) => [],
+    no_refusals_that_say_not_run: Kind::History, SERVED, |facts| refused(facts, 11, 429) => [],
+    no_refusals_of_what_no_configuration_routes: Kind::NeverRouted, SERVED, |facts| refused(facts, 11, 404)
+        => [],
+    too_many_refusals_by_disturbed_hosts: Kind::History, SERVED, |facts| {
+        refused(facts, 11, 404);
+        facts.disturbances.push(Disturbance { part: Part::Node(0), from_ms: 17_000, to_ms: 17_000 });
+        // Fewer than one in 500.
+        served_as_well(facts, 6_000);
+    } => [Violation::Denied { at_disturbed_hosts: 11, .. }],
+    no_refusals_by_disturbed_hosts_within_the_bound: Kind::History, SERVED, |facts| {
+        refused(facts, 10, 404);
+        facts.disturbances.push(Disturbance { part: Part::Node(0), from_ms: 17_000, to_ms: 17_000 });
+        served_as_well(facts, 6_000);
+    } => [],
+    no_other_refusals_by_disturbed_hosts: Kind::History, SERVED, |facts| {
+        refused(facts, 11, 413);
+        facts.disturbances.push(Disturbance { part: Part::Node(0), from_ms: 17_000, to_ms: 17_000 });
+    } => [],
+    a_refusal_of_a_route_that_was_added: Kind::Added, SERVED, |facts| {
+        refused(facts, 1, 404);
+        configured(facts, 17_900, ADDED);
+    } => [Violation::StaleRefusal { .. }],
+    no_refusal_of_an_added_route_within_the_bound: Kind::Added, SERVED, |facts| {
+        refused(facts, 1, 404);
+        configured(facts, 18_100, ADDED);
+    } => [],
+    no_refusal_of_an_added_route_after_a_silence: Kind::Added, SERVED, |facts| {
+        refused(facts, 1, 404);
+        configured(facts, 17_500, ADDED);
+        facts.disturbances.push(Disturbance { part: Part::Node(0), from_ms: 17_001, to_ms: 17_001 });
+    } => [],
+    a_refusal_of_an_added_route_long_after_a_silence: Kind::Added, SERVED, |facts| {
+        refused(facts, 1, 404);
+        configured(facts, 17_500, ADDED);
+        facts.disturbances.push(Disturbance { part: Part::Node(0), from_ms: 16_999, to_ms: 16_999 });
+    } => [Violation::StaleRefusal { .. }],
+    a_host_that_goes_back: Kind::Moved, SERVED, |facts| {
+        goes_back(facts);
+    } => [Violation::WentBack { host: 0, .. }],
+    no_host_goes_back_by_a_restart: Kind::Moved, SERVED, |facts| {
+        goes_back(facts);
+        facts.node_starts.push(NodeStart { host: 0, at_ms: 20_500, service: "herd" });
+    } => [],
+    too_many_repeats: Kind::History, SERVED, |facts| {
+        repeated(facts, 100);
+        arrived(facts, &["herd-2.1", "herd-2.1"]);
+    } => [Violation::RetryOverrun { repeats: 100, allowed: 76, .. }],
+    no_repeats_beyond_the_bound: Kind::History, SERVED, |facts| {
+        repeated(facts, 70);
+        arrived(facts, &["herd-2.1", "herd-2.1"]);
+    } => [],
+    too_many_servers_for_a_request: Kind::History, SERVED, |facts| {
+        repeated(facts, 4);
+        arrived(facts, &["herd-1.1", "herd-2.1", "herd-3.1", "herd-1.2"]);
+    } => [Violation::TooManyServers { .. }],
+    no_server_too_many: Kind::History, SERVED, |facts| {
+        repeated(facts, 4);
+        arrived(facts, &["herd-1.1", "herd-2.1", "herd-3.1", "herd-1.1"]);
+    } => [],
+    no_server_too_many_where_one_ended: Kind::History, SERVED, |facts| {
+        repeated(facts, 4);
+        arrived(facts, &["herd-1.1", "herd-2.1", "herd-3.1", "herd-1.2"]);
+        facts.disturbances.push(Disturbance { part: Part::Server(0), from_ms: 20_020, to_ms: 20_020 });
+    } => [],
 }
--- a/tests/host_processes/soak/facts.rs
+++ b/tests/host_processes/soak/facts.rs
@@ -2,15 +2,19 @@
 
 use std::process::ExitStatus;
 
-use standins::platform::ledger::Run;
+use standins::platform::ledger::{Arrival, Run};
 
-use crate::callers::Attempt;
+use crate::callers::{Attempt, Kind};
+use crate::operator::Operator;
 use crate::site::Leave;
 use crate::system::PLACES;
 
 /// Time without disturbance after which a host counts as undisturbed, in ms.
 pub const CONTACT_MS: u64 = 3_000;
 
+/// Time in which a configuration is to be applied, in ms.
+pub const APPLY_MS: u64 = 2_000;
+
 /// Where a disturbance was.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Part {
@@ -38,11 +42,29 @@
     pub to_ms: u64,
 }
 
-/// A route that leads to another service from a time on.
+/// A configuration, as far as the routes of the callers' requests go.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Move {
-    pub at_ms: u64,
-    pub to: &'static str,
+pub struct Config {
+    /// Service of each kind's route, in the order of [`Kind::ALL`]; none without a route.
+    pub targets: [Option<&'static str>; Kind::ALL.len()],
+    pub sent_ms: u64,
+    pub acknowledged_ms: u64,
+}
+
+impl Config {
+    /// The operator's configuration, which was sent at a time and is acknowledged at another.
+    pub fn of(operator: &Operator, sent_ms: u64, acknowledged_ms: u64) -> Self {
+        Self {
+            targets: Kind::ALL.map(|kind| operator.target(kind)),
+            sent_ms,
+            acknowledged_ms,
+        }
+    }
+
+    /// Service that the route of a kind leads to, if there is such a route.
+    pub fn target(&self, kind: Kind) -> Option<&'static str> {
+        self.targets[kind as usize]
+    }
 }
 
 /// An availability zone that was taken out for a time.
@@ -53,6 +75,15 @@
     pub to_ms: u64,
 }
 
+/// Start of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct NodeStart {
+    pub host: usize,
+    pub at_ms: u64,
+    /// Service of the host from then on.
+    pub service: &'static str,
+}
+
 /// Start of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerStart {
@@ -65,12 +96,17 @@
 pub struct Facts {
     pub attempts: Vec<Attempt>,
     pub runs: Vec<Run>,
+    /// Requests that reached a backend server, ordered by their time.
+    pub arrivals: Vec<Arrival>,
     pub leaves: Vec<Leave>,
-    pub moves: Vec<Move>,
+    /// Configurations, the oldest first.
+    pub configs: Vec<Config>,
     pub zones_out: Vec<ZoneOut>,
     pub disturbances: Vec<Disturbance>,
     pub restarts: Vec<PlannedRestart>,
     pub server_starts: Vec<ServerStart>,
+    /// Starts of nodes, ordered by their time.
+    pub node_starts: Vec<NodeStart>,
     /// Hosts whose node ended by itself, or otherwise than a shutdown ends, and how.
     pub wrong_ends: Vec<(usize, ExitStatus)>,
     pub now_ms: u64,
@@ -87,6 +123,44 @@
         !at_part.any(overlaps)
     }
 
+    /// Whether a host's node and the log service were undisturbed, and the node not shut down.
+    ///
+    /// Rules with a time bound hold for such hosts.
+    pub fn is_in_touch(&self, host: usize, from_ms: u64, to_ms: u64) -> bool {
+        let since_ms = from_ms.saturating_sub(CONTACT_MS);
+        let mut restarts = self.restarts.iter().filter(|restart| restart.host == host);
+        let restarting =
+            |restart: &PlannedRestart| restart.from_ms <= to_ms && restart.to_ms >= since_ms;
+        let parts = [Part::Node(host), Part::Store];
+        let calm = parts.iter().all(|part| self.is_calm(*part, from_ms, to_ms));
+        calm && !restarts.any(restarting)
+    }
+
+    /// Configurations that may be in force for a request that was sent at a time, until another.
+    pub fn in_force(&self, sent_ms: u64, until_ms: u64) -> impl Iterator<Item = &Config> {
+        let since_ms = sent_ms.saturating_sub(APPLY_MS);
+        let before = self
+            .configs
+            .iter()
+            .rposition(|config| config.acknowledged_ms <= since_ms);
+        let from = before.unwrap_or(0);
+        let may_be = self.configs[from..].iter();
+        may_be.take_while(move |config| config.sent_ms <= until_ms)
+    }
+
+    /// Services of a host in a time, as its nodes were told.
+    pub fn services_of(&self, host: usize, from_ms: u64, to_ms: u64) -> Vec<&'static str> {
+        let starts: Vec<_> = self
+            .node_starts
+            .iter()
+            .filter(|start| start.host == host)
+            .collect();
+        let before = starts.iter().rposition(|start| start.at_ms <= from_ms);
+        let from = before.unwrap_or(0);
+        let in_time = starts[from..].iter().filter(|start| start.at_ms <= to_ms);
+        in_time.map(|start| start.service).collect()
+    }
+
     /// Whether a host's node, and its way to its backend server, were undisturbed.
     pub fn is_host_calm(&self, host: usize, from_ms: u64, to_ms: u64) -> bool {
         let parts = [Part::Node(host), Part::Server(host)];
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -18,7 +18,7 @@
 const BEHAVIOUR_CHANGES: usize = 4;
 
 /// Shortest and longest fault, in ms.
-const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
+pub const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
 
 /// Length of a zone's absence, longer than the time in which it must get no more requests, in ms.
 pub const ZONE_OUT_MS: u64 = 8_000;
@@ -37,6 +37,11 @@
     Store,
 }
 
+impl LinkName {
+    /// All links.
+    pub const ALL: [Self; 3] = [Self::Peers, Self::Server, Self::Store];
+}
+
 /// What goes wrong.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
@@ -68,6 +73,10 @@
     RouteMove,
     /// The availability zone of the host is taken out.
     ZoneOut,
+    /// A route is added, or removed.
+    RouteAddition,
+    /// All connections of all hosts go silent at once; a route changes after a while, in ms.
+    AllSilent { change_after_ms: u64 },
 }
 
 /// A fault in its time and place.
@@ -79,8 +88,8 @@
     pub fault: Fault,
 }
 
-/// Draws the faults of one soak.
-pub fn draw(seed: u64) -> Vec<Event> {
+/// Draws faults of all hosts at any times.
+pub fn draw_mixed(seed: u64) -> Vec<Event> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut events = Vec::new();
     for _ in 0..FAULTS {
@@ -93,7 +102,6 @@
         });
     }
     events.extend(draw_behaviours(seed));
-    events.sort_by_key(|event| event.at_ms);
     events
 }
 
@@ -119,7 +127,7 @@
     }
 }
 
-fn draw_fault(random: &mut StdRng) -> Fault {
+pub fn draw_fault(random: &mut StdRng) -> Fault {
     match random.random_range(0..16) {
         0 => Fault::Kill,
         1 => Fault::Pause,
--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -1,9 +1,13 @@
 //! Randomized faults on a running system; what callers and backend servers see is checked.
 
+mod budgets;
 mod checks;
 mod checks_find;
 mod facts;
 mod faults;
+mod plans;
+mod refusals;
+mod regressions;
 mod run;
 
 use std::panic::AssertUnwindSafe;
@@ -44,9 +48,11 @@
         report.logs
     );
     println!(
-        "seed {seed}: {} requests, {} runs, {served} of {owed} served after the faults",
+        "seed {seed}: {} requests, {} runs, {served} of {owed} served after the faults; \
+         proper requests refused within the bound: {:?}",
         report.facts.attempts.len(),
-        report.facts.runs.len()
+        report.facts.runs.len(),
+        refusals::proper_refusals(&report.facts),
     );
 }
 
--- /dev/null
+++ b/tests/host_processes/soak/plans.rs
@@ -0,0 +1,138 @@
+//! Plan of one soak: which faults it has. Each class of faults has random numbers of its own, so
+//! that a new class leaves the others of a seed as they are.
+
+use std::ops::Range;
+
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use super::faults::{Event, FAULTS_MS, Fault, LENGTH_MS, draw_fault, draw_mixed};
+use crate::system::PLACES;
+
+/// First seed with a plan other than mixed faults alone.
+const FIRST_SEED_OF_PLANS: u64 = 2_000;
+
+/// Changes of routes, and the time in which they are made; some come after all faults, in ms.
+const CHANGES: usize = 7;
+const CHANGES_MS: Range<u64> = 0..FAULTS_MS + 3_000;
+
+/// Times at which all connections go silent: far apart, so that hosts are in touch between them.
+const SILENCES_MS: [Range<u64>; 2] = [0..2_000, 9_000..11_000];
+
+/// Time between the silence and the change that follows, in ms.
+const CHANGE_AFTER_MS: Range<u64> = 0..2_500;
+
+/// Series of faults at one host: when each begins, its length, and the pauses in it, in ms.
+const SERIES_MS: [Range<u64>; 2] = [0..2_000, 7_000..9_000];
+const SERIES_FAULTS: usize = 4;
+const SERIES_PAUSE_MS: Range<u64> = 0..600;
+
+/// Faults of one soak.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Plan {
+    /// Mixed faults alone.
+    Mixed,
+    /// All classes.
+    All,
+    /// All connections go silent, and routes change.
+    Silence,
+    /// Several faults at one host, and routes change.
+    Series,
+}
+
+/// Classes of faults; a later class takes the next number.
+#[derive(Debug, Clone, Copy)]
+enum Class {
+    Changes = 1,
+    Silences = 2,
+    Series = 3,
+}
+
+impl Class {
+    fn random(self, seed: u64) -> StdRng {
+        StdRng::seed_from_u64(seed ^ ((self as u64) << u32::BITS))
+    }
+}
+
+impl Plan {
+    fn of(seed: u64) -> Self {
+        if seed < FIRST_SEED_OF_PLANS {
+            return Self::Mixed;
+        }
+        match seed % 3 {
+            0 => Self::All,
+            1 => Self::Silence,
+            _ => Self::Series,
+        }
+    }
+}
+
+/// Draws the faults of one soak, in the order of their times.
+pub fn draw(seed: u64) -> Vec<Event> {
+    let mut events = match Plan::of(seed) {
+        Plan::Mixed => draw_mixed(seed),
+        Plan::All => [
+            draw_mixed(seed),
+            changes(seed),
+            silences(seed),
+            series(seed),
+        ]
+        .concat(),
+        Plan::Silence => [changes(seed), silences(seed)].concat(),
+        Plan::Series => [changes(seed), series(seed)].concat(),
+    };
+    events.sort_by_key(|event| event.at_ms);
+    events
+}
+
+fn changes(seed: u64) -> Vec<Event> {
+    let mut random = Class::Changes.random(seed);
+    let change = |_| Event {
+        fault: draw_change(&mut random),
+        at_ms: random.random_range(CHANGES_MS),
+        for_ms: 0,
+        host: 0,
+    };
+    (0..CHANGES).map(change).collect()
+}
+
+fn draw_change(random: &mut StdRng) -> Fault {
+    if random.random() {
+        Fault::RouteAddition
+    } else {
+        Fault::RouteMove
+    }
+}
+
+fn silences(seed: u64) -> Vec<Event> {
+    let mut random = Class::Silences.random(seed);
+    let silence = |within: Range<u64>| Event {
+        at_ms: random.random_range(within),
+        for_ms: 0,
+        host: 0,
+        fault: Fault::AllSilent {
+            change_after_ms: random.random_range(CHANGE_AFTER_MS),
+        },
+    };
+    SILENCES_MS.into_iter().map(silence).collect()
+}
+
+fn series(seed: u64) -> Vec<Event> {
+    let mut random = Class::Series.random(seed);
+    let mut events = Vec::new();
+    for within in SERIES_MS {
+        let host = random.random_range(0..PLACES.len());
+        let mut at_ms = random.random_range(within);
+        for _ in 0..SERIES_FAULTS {
+            let for_ms = random.random_range(LENGTH_MS) / SERIES_FAULTS as u64;
+            events.push(Event {
+                at_ms,
+                for_ms,
+                host,
+                fault: draw_fault(&mut random),
+            });
+            at_ms += for_ms + random.random_range(SERIES_PAUSE_MS);
+        }
+    }
+    events
+}
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -9,12 +9,15 @@
 use standins::log_service::DownMode;
 use standins::platform::backend_server::Behaviour;
 use standins::platform::names::OPERATOR_TOPIC;
-use standins::platform::store::StoreFaults;
-use standins::proxy::{LinkState, Proxy};
+use standins::platform::store::{Store, StoreFaults};
+use standins::proxy::{ConnectionFault, LinkState, Proxy};
 
 use super::checks::{Violation, violations};
-use super::facts::{Disturbance, Facts, Move, Part, PlannedRestart, ServerStart, ZoneOut};
-use super::faults::{Event, FAULTS_MS, Fault, LinkName, ZONE_OUT_MS, draw};
+use super::facts::{
+    Config, Disturbance, Facts, NodeStart, Part, PlannedRestart, ServerStart, ZoneOut,
+};
+use super::faults::{Event, FAULTS_MS, Fault, LinkName, ZONE_OUT_MS};
+use super::plans::draw;
 use crate::callers::{Attempt, Outcome};
 use crate::operator::Operator;
 use crate::program::Signal;
@@ -51,7 +54,9 @@
     let system = System::start().await;
     system.wait_until_ready().await;
     let soak = Soak::new(&system).await;
-    let callers = system.start_callers(&mut StdRng::seed_from_u64(seed)).await;
+    let mut callers = system.start_callers(&mut StdRng::seed_from_u64(seed)).await;
+    let mut random = StdRng::seed_from_u64(!seed);
+    system.start_probers(&mut callers, &mut random).await;
     let events = draw(seed);
     let started_ms = system.ledger.now_ms();
     let faults = join_all(events.iter().map(|event| soak.play(event, started_ms)));
@@ -75,9 +80,10 @@
 
 impl<'a> Soak<'a> {
     async fn new(system: &'a System) -> Self {
-        let to = system.operator.lock().await.moved_to();
+        let operator = system.operator.lock().await;
         let facts = Facts {
-            moves: vec![Move { at_ms: 0, to }],
+            configs: vec![Config::of(&operator, 0, 0)],
+            node_starts: (0..PLACES.len()).map(first_start).collect(),
             ..Facts::default()
         };
         Self {
@@ -115,16 +121,18 @@
             if let Some(exit) = site.node.exit() {
                 self.facts().wrong_ends.push((host, exit));
                 site.start_node();
+                self.node_started(host);
             }
         }
     }
 
     fn gather(&self, attempts: Vec<Attempt>) {
-        let runs = self.system.ledger.runs();
+        let (runs, arrivals) = (self.system.ledger.runs(), self.system.ledger.arrivals());
         let now_ms = self.now_ms();
         let mut facts = self.facts();
         facts.attempts = attempts;
         facts.runs = runs;
+        facts.arrivals = arrivals;
         facts.now_ms = now_ms;
     }
 
@@ -195,7 +203,13 @@
             Fault::ServerBehaviour(behaviour) => {
                 self.misbehave(event.host, behaviour, length).await;
             }
-            Fault::RouteMove => self.move_route().await,
+            Fault::RouteMove => self.change(Operator::move_route).await,
+            Fault::RouteAddition => self.change(Operator::add_or_remove_route).await,
+            Fault::AllSilent { change_after_ms } => {
+                self.silence_all().await;
+                tokio::time::sleep(Duration::from_millis(change_after_ms)).await;
+                self.change(Operator::add_or_remove_route).await;
+            }
             Fault::ZoneOut => self.take_zone_out(PLACES[event.host].zone).await,
         }
     }
@@ -232,11 +246,20 @@
         self.facts().disturbances[index].to_ms = now_ms;
     }
 
+    fn node_started(&self, host: usize) {
+        let start = NodeStart {
+            at_ms: self.now_ms(),
+            ..first_start(host)
+        };
+        self.facts().node_starts.push(start);
+    }
+
     async fn kill(&self, host: usize) {
         let mut site = self.site(host).await;
         let disturbance = self.begun(Part::Node(host));
         site.node.signal(Signal::Kill);
         site.restart_node().await;
+        self.node_started(host);
         self.ended(disturbance);
     }
 
@@ -267,6 +290,7 @@
         let to_ms = self.now_ms();
         self.facts().restarts[index].to_ms = to_ms;
         site.start_node();
+        self.node_started(host);
         self.disturbed(Part::Node(host), to_ms);
     }
 
@@ -275,6 +299,7 @@
         let from_ms = self.now_ms();
         if site.hang_up().await.is_some() {
             site.start_node();
+            self.node_started(host);
             self.disturbed(Part::Node(host), from_ms);
         }
     }
@@ -317,11 +342,25 @@
         self.ended(disturbance);
     }
 
-    async fn move_route(&self) {
+    /// Lets the operator change the configuration.
+    async fn change(&self, change: impl FnOnce(&mut Operator, &Store)) {
         let mut operator = self.system.operator.lock().await;
-        operator.move_route(&self.system.store);
-        let (at_ms, to) = (self.now_ms(), operator.moved_to());
-        self.facts().moves.push(Move { at_ms, to });
+        let sent_ms = self.now_ms();
+        change(&mut operator, &self.system.store);
+        let config = Config::of(&operator, sent_ms, self.now_ms());
+        self.facts().configs.push(config);
+    }
+
+    /// Makes all connections silent that are open now: between nodes, to the log service and to
+    /// backend servers.
+    async fn silence_all(&self) {
+        let sites = join_all((0..PLACES.len()).map(|host| self.site(host))).await;
+        for (host, site) in sites.iter().enumerate() {
+            for link in LinkName::ALL {
+                proxy_of(site, link).inject(ConnectionFault::Silence);
+                self.disturbed(part_of(link, host), self.now_ms());
+            }
+        }
     }
 
     async fn take_zone_out(&self, zone: &'static str) {
@@ -344,6 +383,14 @@
     }
 }
 
+fn first_start(host: usize) -> NodeStart {
+    NodeStart {
+        host,
+        at_ms: 0,
+        service: PLACES[host].service,
+    }
+}
+
 fn part_of(link: LinkName, host: usize) -> Part {
     match link {
         LinkName::Server => Part::Server(host),
--- a/tests/host_processes/system.rs
+++ b/tests/host_processes/system.rs
@@ -14,7 +14,7 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::callers::{Attempt, Attempts, Caller, lock};
+use crate::callers::{Attempt, Attempts, CALLER_KINDS, Caller, Kind, PROBER_KINDS, lock};
 use crate::eventually::eventually_within;
 use crate::operator::Operator;
 use crate::site::{Place, Site};
@@ -84,34 +84,44 @@
 
     /// Starts callers on every host.
     pub async fn start_callers(&self, random: &mut StdRng) -> Callers {
-        let stop = CancellationToken::new();
-        let attempts = Attempts::default();
-        let mut tasks = Vec::new();
-        for (host, site) in self.sites.iter().enumerate() {
-            let node = site.lock().await.addresses.callers();
+        let mut callers = Callers::default();
+        for host in 0..self.sites.len() {
             for index in 0..CALLERS_PER_HOST {
-                let caller = Caller {
-                    host,
-                    index,
-                    node,
-                    ledger: self.ledger.clone(),
-                    seed: random.random(),
-                };
-                tasks.push(tokio::spawn(
-                    caller.run(Arc::clone(&attempts), stop.clone()),
-                ));
+                let caller = self.caller(host, index, &CALLER_KINDS, random).await;
+                callers.start(caller);
             }
         }
-        Callers {
-            stop,
-            tasks,
-            attempts,
+        callers
+    }
+
+    /// Starts one more caller on every host, which asks for routes that come and go.
+    pub async fn start_probers(&self, callers: &mut Callers, random: &mut StdRng) {
+        for host in 0..self.sites.len() {
+            let prober = self.caller(host, CALLERS_PER_HOST, &PROBER_KINDS, random);
+            callers.start(prober.await);
+        }
+    }
+
+    async fn caller(
+        &self,
+        host: usize,
+        index: usize,
+        kinds: &'static [Kind],
+        random: &mut StdRng,
+    ) -> Caller {
+        Caller {
+            host,
+            kinds,
+            index,
+            node: self.sites[host].lock().await.addresses.callers(),
+            ledger: self.ledger.clone(),
+            seed: random.random(),
         }
     }
 }
 
 /// Callers that run.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Callers {
     stop: CancellationToken,
     tasks: Vec<JoinHandle<()>>,
@@ -119,6 +129,11 @@
 }
 
 impl Callers {
+    fn start(&mut self, caller: Caller) {
+        let run = caller.run(Arc::clone(&self.attempts), self.stop.clone());
+        self.tasks.push(tokio::spawn(run));
+    }
+
     /// What they have sent so far.
     pub fn attempts(&self) -> Vec<Attempt> {
         lock(&self.attempts).clone()
