--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -77,6 +77,21 @@
     RouteAddition,
     /// All connections of all hosts go silent at once; a route changes after a while, in ms.
     AllSilent { change_after_ms: u64 },
+    /// The address of the backend server passes to one of the other service.
+    AddressPassed(NodeMeanwhile),
+}
+
+/// What the node does while the address of its backend server passes to another service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodeMeanwhile {
+    /// It runs on.
+    RunsOn,
+    /// It is restarted alone while no backend server is there, with its old settings.
+    RestartedBetween,
+    /// It is restarted alone when the other backend server is there.
+    RestartedAfter,
+    /// It ends with the backend server; the whole host is another one afterwards.
+    Replaced,
 }
 
 /// A fault in its time and place.
