--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -97,6 +97,12 @@
     terminated_while_starting(113);
     terminated_while_starting_again(127);
     terminated_while_starting_once_more(144);
+    // Runs at a replaced service, while hosts hear nothing of the log on a silent connection.
+    routes_move_after_all_connections_went_silent(2_001);
+    // 404 for a route that was added, while hosts hear nothing of the log on a silent connection.
+    routes_are_added_after_all_connections_went_silent(2_017);
+    // Runs at a service that no configuration names, after its address passed to another one.
+    requests_reach_their_service_after_an_address_passed(2_011);
 }
 
 /// Seeds that scripts/soak.sh asks for, one after the other; none without it.
