--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -11,6 +11,7 @@
 #[path = "../support/program.rs"]
 mod program;
 mod reused_address;
+mod silent_links;
 mod site;
 mod soak;
 mod system;
--- a/tests/host_processes/operator.rs
+++ b/tests/host_processes/operator.rs
@@ -23,8 +23,10 @@
 #[derive(Debug, Default)]
 pub struct Operator {
     moves: usize,
-    /// Times that a route was added or removed.
-    additions: usize,
+    /// Times that the route of [`Kind::Added`] was added or removed.
+    toggles: usize,
+    /// Routes that were added for good.
+    routes_added: usize,
 }
 
 impl Operator {
@@ -38,7 +40,7 @@
         match kind {
             Kind::History | Kind::Gate => Some(SERVICES[0]),
             Kind::Moved => Some(self.moved_to()),
-            Kind::Added => (self.additions % 2 == 1).then_some(SERVICES[1]),
+            Kind::Added => (self.toggles % 2 == 1).then_some(SERVICES[1]),
             Kind::NeverRouted => None,
         }
     }
@@ -51,10 +53,17 @@
 
     /// Writes a configuration that has one route more, or that one less.
     pub fn add_or_remove_route(&mut self, store: &Store) {
-        self.additions += 1;
+        self.toggles += 1;
         self.write_config(store);
     }
 
+    /// Writes a configuration with one more route; tells the prefix of its paths.
+    pub fn add_route(&mut self, store: &Store) -> String {
+        self.routes_added += 1;
+        self.write_config(store);
+        added_prefix(self.routes_added)
+    }
+
     /// Writes the configuration.
     pub fn write_config(&self, store: &Store) {
         let text = self.config().to_string();
@@ -68,14 +77,16 @@
     }
 
     fn config(&self) -> Value {
-        let changes = (self.moves + self.additions) as u64;
-        let routes = Kind::ALL.into_iter().filter_map(|kind| {
+        let changes = (self.moves + self.toggles + self.routes_added) as u64;
+        let of_kinds = Kind::ALL.into_iter().filter_map(|kind| {
             let service = self.target(kind)?;
-            Some(route(kind, service))
+            Some(route(kind.path_prefix(), kind, service))
         });
+        let added = (1..=self.routes_added)
+            .map(|number| route(&added_prefix(number), Kind::History, SERVICES[0]));
         json!({
             "version": 1 + changes * VERSION_STEP,
-            "routes": routes.collect::<Vec<_>>(),
+            "routes": of_kinds.chain(added).collect::<Vec<_>>(),
             "services": SERVICES.map(service),
             "limits": {
                 "head_bytes_max": 16_384, "body_bytes_max": 65_536,
@@ -85,14 +96,20 @@
     }
 }
 
-fn route(kind: Kind, service: &str) -> Value {
+/// Prefix of the paths of a route that was added later.
+fn added_prefix(number: usize) -> String {
+    format!("/added-{number}/")
+}
+
+/// A route whose requests are treated as those of a kind.
+fn route(path_prefix: &str, kind: Kind, service: &str) -> Value {
     let effect = if kind.is_idempotent() {
         "idempotent"
     } else {
         "non-idempotent"
     };
     json!({
-        "name": kind.path_prefix(), "host": HOST_NAME, "path_prefix": kind.path_prefix(),
+        "name": path_prefix, "host": HOST_NAME, "path_prefix": path_prefix,
         "effect": effect, "timeout_ms": 2_000, "objective_ms": 600, "rank": 1,
         "service": service, "servers_max": kind.servers_max(),
     })
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -37,11 +37,6 @@
     Store,
 }
 
-impl LinkName {
-    /// All links.
-    pub const ALL: [Self; 3] = [Self::Peers, Self::Server, Self::Store];
-}
-
 /// What goes wrong.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Fault {
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -10,7 +10,7 @@
 use standins::platform::backend_server::Behaviour;
 use standins::platform::names::OPERATOR_TOPIC;
 use standins::platform::store::{Store, StoreFaults};
-use standins::proxy::{ConnectionFault, LinkState, Proxy};
+use standins::proxy::{LinkState, Proxy};
 
 use super::checks::{Violation, violations};
 use super::facts::{
@@ -62,6 +62,9 @@
     let mut random = StdRng::seed_from_u64(!seed);
     system.start_probers(&mut callers, &mut random).await;
     let events = draw(seed);
+    for event in &events {
+        println!("seed {seed}: {event:?}");
+    }
     let started_ms = system.ledger.now_ms();
     let faults = join_all(events.iter().map(|event| soak.play(event, started_ms)));
     let all = async {
@@ -408,9 +411,9 @@
     async fn silence_all(&self) {
         let sites = join_all((0..PLACES.len()).map(|host| self.site(host))).await;
         for (host, site) in sites.iter().enumerate() {
-            for link in LinkName::ALL {
-                proxy_of(site, link).inject(ConnectionFault::Silence);
-                self.disturbed(part_of(link, host), self.now_ms());
+            site.silence();
+            for part in [Part::Node(host), Part::Server(host)] {
+                self.disturbed(part, self.now_ms());
             }
         }
     }
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -72,7 +72,7 @@
             }
             tokio::time::sleep(Duration::from_millis(POLL_MS)).await;
         }
-        panic!("the process did not end");
+        panic!("the process {} did not end", self.child.id());
     }
 }
 
