--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -14,4 +14,5 @@
 mod silent_links;
 mod site;
 mod soak;
+mod starting;
 mod system;
