--- a/tests/host_processes/reused_address.rs
+++ b/tests/host_processes/reused_address.rs
@@ -61,9 +61,13 @@
     }
     site.end_server(ServerEnd::Crash).await;
     if matches!(node, Node::RestartedBetween) {
+        site.close_server_address().await;
         restart_node(site).await;
     }
     tokio::time::sleep(GAP).await;
+    if matches!(node, Node::RestartedBetween) {
+        site.open_server_address().await;
+    }
     site.pass_address_to(NEW_SERVICE);
     site.start_server().await;
     if matches!(node, Node::RestartedAfter) {
@@ -112,6 +116,12 @@
     assert!(unserved.is_empty(), "{unserved:#?}");
     let instance = PLACES[HOST].instance(2);
     let own_requests = format!("{HOST}-");
+    let misnamed = runs.iter().find(|run| {
+        run.begun_ms >= calm_from_ms
+            && run.request_id.starts_with(&own_requests)
+            && run.caller_service != NEW_SERVICE
+    });
+    assert_eq!(misnamed, None, "requests begin at a host of {NEW_SERVICE}");
     let from_others = runs
         .iter()
         .filter(|run| run.instance == instance && !run.request_id.starts_with(&own_requests));
