Soak: close the address of a backend server until the other service has it; the host's service changes with it

The proxy took connections while no backend server was there, which a port without a listener does not.

--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -233,9 +233,12 @@
 fn is_as_sent(facts: &Facts, attempt: &Attempt, run: &Run) -> bool {
     run.method_and_target == attempt.method_and_target
         && run.body_bytes == attempt.body_bytes
-        && facts
-            .services_of(attempt.host, attempt.sent_ms, run.begun_ms)
-            .contains(&run.caller_service.as_str())
+        && facts.is_service_of(
+            &run.caller_service,
+            attempt.host,
+            attempt.sent_ms,
+            run.begun_ms,
+        )
 }
 
 /// Whether a configuration that was sent before a run names its service for its route.
--- a/tests/host_processes/soak/checks_find.rs
+++ b/tests/host_processes/soak/checks_find.rs
@@ -7,7 +7,7 @@
 
 use super::checks::{Violation, violations};
 use super::facts::{
-    Config, Disturbance, Facts, NodeStart, Part, PlannedRestart, ServerStart, ZoneOut,
+    Config, Disturbance, Facts, HostService, NodeStart, Part, PlannedRestart, ServerStart, ZoneOut,
 };
 use crate::callers::{Attempt, Kind, Outcome};
 use crate::site::Leave;
@@ -45,10 +45,12 @@
         attempts: vec![attempt],
         runs: vec![run],
         configs: vec![config(0, Some("herd"), None)],
-        node_starts: vec![NodeStart {
+        node_starts: vec![NodeStart { host: 0, at_ms: 0 }],
+        host_services: vec![HostService {
             host: 0,
-            at_ms: 0,
             service: "herd",
+            from_ms: 0,
+            to_ms: u64::MAX,
         }],
         now_ms: 60_000,
         ..Facts::default()
@@ -108,6 +110,17 @@
     facts.runs[1].begun_ms += 1_000;
 }
 
+/// The host's service changes; until a time, its node may name the earlier one.
+fn service_changes(facts: &mut Facts, until_ms: u64) {
+    facts.host_services[0].to_ms = until_ms;
+    facts.host_services.push(HostService {
+        host: 0,
+        service: "parlour",
+        from_ms: 15_000,
+        to_ms: u64::MAX,
+    });
+}
+
 /// Arrivals of each request at backend servers of a service.
 fn arrived(facts: &mut Facts, instances: &[&str]) {
     for attempt in &facts.attempts {
@@ -168,6 +181,11 @@
         => [Violation::NeverSent { .. }],
     a_wrong_caller: Kind::History, SERVED, |facts| facts.runs[0].caller_service = "parlour".into()
         => [Violation::NeverSent { .. }],
+    no_wrong_caller_in_a_change_of_the_service: Kind::History, SERVED, |facts| {
+        service_changes(facts, 20_010);
+    } => [],
+    a_caller_of_an_earlier_service: Kind::History, SERVED, |facts| service_changes(facts, 19_999)
+        => [Violation::NeverSent { .. }],
     a_service_never_named: Kind::History, SERVED, |facts| facts.runs[0].service = "parlour".into()
         => [Violation::WrongService { .. }],
     a_service_not_named_yet: Kind::Moved, SERVED, |facts| {
@@ -278,7 +296,7 @@
     } => [Violation::WentBack { host: 0, .. }],
     no_host_goes_back_by_a_restart: Kind::Moved, SERVED, |facts| {
         goes_back(facts);
-        facts.node_starts.push(NodeStart { host: 0, at_ms: 20_500, service: "herd" });
+        facts.node_starts.push(NodeStart { host: 0, at_ms: 20_500 });
     } => [],
     too_many_repeats: Kind::History, SERVED, |facts| {
         repeated(facts, 100);
--- a/tests/host_processes/soak/facts.rs
+++ b/tests/host_processes/soak/facts.rs
@@ -80,8 +80,15 @@
 pub struct NodeStart {
     pub host: usize,
     pub at_ms: u64,
-    /// Service of the host from then on.
+}
+
+/// Time in which the node of a host may name a service as that of the host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HostService {
+    pub host: usize,
     pub service: &'static str,
+    pub from_ms: u64,
+    pub to_ms: u64,
 }
 
 /// Start of a backend server.
@@ -107,6 +114,7 @@
     pub server_starts: Vec<ServerStart>,
     /// Starts of nodes, ordered by their time.
     pub node_starts: Vec<NodeStart>,
+    pub host_services: Vec<HostService>,
     /// Hosts whose node ended by itself, or otherwise than a shutdown ends, and how.
     pub wrong_ends: Vec<(usize, ExitStatus)>,
     pub now_ms: u64,
@@ -148,17 +156,12 @@
         may_be.take_while(move |config| config.sent_ms <= until_ms)
     }
 
-    /// Services of a host in a time, as its nodes were told.
-    pub fn services_of(&self, host: usize, from_ms: u64, to_ms: u64) -> Vec<&'static str> {
-        let starts: Vec<_> = self
-            .node_starts
-            .iter()
-            .filter(|start| start.host == host)
-            .collect();
-        let before = starts.iter().rposition(|start| start.at_ms <= from_ms);
-        let from = before.unwrap_or(0);
-        let in_time = starts[from..].iter().filter(|start| start.at_ms <= to_ms);
-        in_time.map(|start| start.service).collect()
+    /// Whether a service was one of a host's in a time.
+    pub fn is_service_of(&self, service: &str, host: usize, from_ms: u64, to_ms: u64) -> bool {
+        self.host_services.iter().any(|known| {
+            let in_time = known.from_ms <= to_ms && known.to_ms >= from_ms;
+            known.host == host && known.service == service && in_time
+        })
     }
 
     /// Whether a host's node, and its way to its backend server, were undisturbed.
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -14,7 +14,8 @@
 
 use super::checks::{Violation, violations};
 use super::facts::{
-    Config, Disturbance, Facts, NodeStart, Part, PlannedRestart, ServerStart, ZoneOut,
+    APPLY_MS, Config, Disturbance, Facts, HostService, NodeStart, Part, PlannedRestart,
+    ServerStart, ZoneOut,
 };
 use super::faults::{Event, FAULTS_MS, Fault, LinkName, NodeMeanwhile, ZONE_OUT_MS};
 use super::plans::draw;
@@ -95,6 +96,7 @@
         let facts = Facts {
             configs: vec![Config::of(&operator, 0, 0)],
             node_starts: (0..PLACES.len()).map(first_start).collect(),
+            host_services: (0..PLACES.len()).map(first_service).collect(),
             ..Facts::default()
         };
         Self {
@@ -133,7 +135,7 @@
             if let Some(exit) = site.node.exit() {
                 self.facts().wrong_ends.push((host, exit));
                 site.start_node();
-                self.node_started(host, &site);
+                self.node_started(host);
             }
         }
     }
@@ -263,13 +265,29 @@
         self.facts().disturbances[index].to_ms = now_ms;
     }
 
-    fn node_started(&self, host: usize, site: &Site) {
-        let start = NodeStart {
+    fn node_started(&self, host: usize) {
+        let at_ms = self.now_ms();
+        self.facts().node_starts.push(NodeStart { host, at_ms });
+    }
+
+    fn service_started(&self, host: usize, service: &'static str) {
+        let from_ms = self.now_ms();
+        self.facts().host_services.push(HostService {
             host,
-            at_ms: self.now_ms(),
-            service: site.service,
-        };
-        self.facts().node_starts.push(start);
+            service,
+            from_ms,
+            to_ms: u64::MAX,
+        });
+    }
+
+    /// Notes that the node of a host learns now of the service that started last.
+    fn service_announced(&self, host: usize) {
+        let learned_ms = self.now_ms() + APPLY_MS;
+        let mut facts = self.facts();
+        let of_host = facts.host_services.iter_mut().filter(|it| it.host == host);
+        for earlier in of_host.rev().skip(1) {
+            earlier.to_ms = earlier.to_ms.min(learned_ms);
+        }
     }
 
     async fn kill(&self, host: usize) {
@@ -280,7 +298,7 @@
         let disturbance = self.begun(Part::Node(host));
         site.node.signal(Signal::Kill);
         site.restart_node().await;
-        self.node_started(host, site);
+        self.node_started(host);
         self.ended(disturbance);
     }
 
@@ -311,7 +329,7 @@
         let to_ms = self.now_ms();
         self.facts().restarts[index].to_ms = to_ms;
         site.start_node();
-        self.node_started(host, &site);
+        self.node_started(host);
         self.disturbed(Part::Node(host), to_ms);
     }
 
@@ -320,7 +338,7 @@
         let from_ms = self.now_ms();
         if site.hang_up().await.is_some() {
             site.start_node();
-            self.node_started(host, &site);
+            self.node_started(host);
             self.disturbed(Part::Node(host), from_ms);
         }
     }
@@ -360,6 +378,7 @@
         let disturbance = self.begun(Part::Server(host));
         let node_away = (node == NodeMeanwhile::Replaced).then(|| self.begun(Part::Node(host)));
         site.hold_announcements(true);
+        site.close_server_address().await;
         if node == NodeMeanwhile::Replaced {
             site.node.signal(Signal::Kill);
         }
@@ -369,18 +388,22 @@
         }
         tokio::time::sleep(REUSED_AFTER).await;
         let other = SERVICES.into_iter().find(|name| *name != site.service);
-        site.pass_address_to(other.expect("there are two services"));
+        let other = other.expect("there are two services");
+        site.pass_address_to(other);
+        self.service_started(host, other);
         site.start_server().await;
+        site.open_server_address().await;
         match node {
             NodeMeanwhile::RestartedAfter => self.kill_node(host, &mut site).await,
             NodeMeanwhile::Replaced => {
                 site.restart_node().await;
-                self.node_started(host, &site);
+                self.node_started(host);
             }
             NodeMeanwhile::RunsOn | NodeMeanwhile::RestartedBetween => {}
         }
         tokio::time::sleep(unannounced).await;
         site.hold_announcements(false);
+        self.service_announced(host);
         self.ended(disturbance);
         if let Some(node_away) = node_away {
             self.ended(node_away);
@@ -439,10 +462,15 @@
 }
 
 fn first_start(host: usize) -> NodeStart {
-    NodeStart {
+    NodeStart { host, at_ms: 0 }
+}
+
+fn first_service(host: usize) -> HostService {
+    HostService {
         host,
-        at_ms: 0,
         service: PLACES[host].service,
+        from_ms: 0,
+        to_ms: u64::MAX,
     }
 }
 
