--- a/tests/host_processes/soak/budgets.rs
+++ b/tests/host_processes/soak/budgets.rs
@@ -5,7 +5,7 @@
 use standins::platform::ledger::Arrival;
 
 use super::checks::Violation;
-use super::facts::{Facts, Part, host_of};
+use super::facts::{Facts, Part};
 use crate::callers::Attempt;
 use crate::operator::SERVICES;
 use crate::site::{RETRY_RATIO, RETRY_SLACK, RETRY_WINDOW_S};
@@ -93,7 +93,7 @@
     let until_ms = attempt.ended_ms.max(arrival.at_ms);
     let mut leaves = facts.leaves.iter();
     let left = leaves.any(|leave| leave.instance == arrival.instance);
-    let host = host_of(&arrival.instance);
+    let host = facts.host_of(&arrival.instance);
     let calm = [Part::Server(host), Part::Node(host)]
         .iter()
         .all(|part| facts.is_calm(*part, attempt.sent_ms, until_ms));
--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -5,12 +5,11 @@
 
 use standins::platform::ledger::Run;
 
-use super::facts::{Config, Facts, Part, PlannedRestart, host_of};
+use super::facts::{Config, Facts, Part, PlannedRestart};
 use super::{budgets, refusals, regressions};
 use crate::callers::{Attempt, Outcome, WAIT_MS};
 use crate::operator::COLD_REQUESTS_PER_S;
 use crate::site::{COLD_MS, DRAIN_MS};
-use crate::system::PLACES;
 
 /// Statuses that promise that the request has not run.
 pub const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
@@ -184,7 +183,7 @@
 
 fn is_everything_calm(facts: &Facts, attempt: &Attempt) -> bool {
     let (from_ms, to_ms) = (attempt.sent_ms, attempt.ended_ms);
-    let hosts_calm = (0..PLACES.len()).all(|host| facts.is_host_calm(host, from_ms, to_ms));
+    let hosts_calm = (0..facts.places.len()).all(|host| facts.is_host_calm(host, from_ms, to_ms));
     let restarting =
         |restart: &PlannedRestart| restart.from_ms <= to_ms && restart.to_ms >= from_ms;
     hosts_calm && !facts.restarts.iter().any(restarting)
@@ -200,7 +199,7 @@
         return false;
     }
     let (from_ms, to_ms) = (attempt.sent_ms, attempt.ended_ms);
-    let hosts = runs.iter().map(|run| host_of(&run.instance));
+    let hosts = runs.iter().map(|run| facts.host_of(&run.instance));
     let calm = hosts
         .chain([attempt.host])
         .all(|host| facts.is_host_calm(host, from_ms, to_ms));
@@ -257,7 +256,7 @@
 
 /// Bytes that a disturbed link held back say nothing of the time at which they were sent.
 fn is_after_leave(facts: &Facts, run: &Run) -> bool {
-    let server = Part::Server(host_of(&run.instance));
+    let server = Part::Server(facts.host_of(&run.instance));
     let mut leaves = facts
         .leaves
         .iter()
@@ -269,11 +268,11 @@
 }
 
 fn is_after_zone_out(facts: &Facts, run: &Run) -> bool {
-    let host = host_of(&run.instance);
+    let host = facts.host_of(&run.instance);
     let mut out = facts
         .zones_out
         .iter()
-        .filter(|out| out.zone == PLACES[host].zone);
+        .filter(|out| out.zone == facts.places[host].zone);
     out.any(|out| {
         let late = run.begun_ms > out.from_ms + ZONE_OUT_MS && run.begun_ms < out.to_ms;
         late && facts.is_calm(Part::Store, out.from_ms, run.begun_ms)
@@ -323,7 +322,7 @@
     for attempt in given_up {
         let ends_by_ms = attempt.ended_ms + WORK_ENDS_MS;
         for run in runs.get(attempt.id.as_str()).into_iter().flatten() {
-            let hosts = [attempt.host, host_of(&run.instance)];
+            let hosts = [attempt.host, facts.host_of(&run.instance)];
             let calm = |host: &usize| facts.is_host_calm(*host, attempt.sent_ms, ends_by_ms);
             if facts.now_ms < ends_by_ms || !hosts.iter().all(calm) {
                 continue;
--- a/tests/host_processes/soak/checks_find.rs
+++ b/tests/host_processes/soak/checks_find.rs
@@ -11,6 +11,7 @@
 };
 use crate::callers::{Attempt, Kind, Outcome};
 use crate::site::Leave;
+use crate::system::PLACES;
 
 const SERVED: Outcome = Outcome::Answered {
     status: 200,
@@ -42,6 +43,7 @@
         ended_ms: Some(20_040),
     };
     Facts {
+        places: PLACES.to_vec(),
         attempts: vec![attempt],
         runs: vec![run],
         configs: vec![config(0, Some("herd"), None)],
--- a/tests/host_processes/soak/facts.rs
+++ b/tests/host_processes/soak/facts.rs
@@ -6,8 +6,7 @@
 
 use crate::callers::{Attempt, Kind};
 use crate::operator::Operator;
-use crate::site::Leave;
-use crate::system::PLACES;
+use crate::site::{Leave, Place};
 
 /// Time without disturbance after which a host counts as undisturbed, in ms.
 pub const CONTACT_MS: u64 = 3_000;
@@ -101,6 +100,8 @@
 /// All that was seen. Times are in ms of the ledger.
 #[derive(Debug, Clone, Default)]
 pub struct Facts {
+    /// Places of the hosts.
+    pub places: Vec<Place>,
     pub attempts: Vec<Attempt>,
     pub runs: Vec<Run>,
     /// Requests that reached a backend server, ordered by their time.
@@ -164,16 +165,16 @@
         })
     }
 
+    /// Host of a backend server.
+    pub fn host_of(&self, instance: &str) -> usize {
+        let name = instance.split('.').next().unwrap_or_default();
+        let host = self.places.iter().position(|place| place.name == name);
+        host.expect("backend servers are named for their hosts")
+    }
+
     /// Whether a host's node, and its way to its backend server, were undisturbed.
     pub fn is_host_calm(&self, host: usize, from_ms: u64, to_ms: u64) -> bool {
         let parts = [Part::Node(host), Part::Server(host)];
         parts.iter().all(|part| self.is_calm(*part, from_ms, to_ms))
     }
 }
-
-/// Host of a backend server.
-pub fn host_of(instance: &str) -> usize {
-    let name = instance.split('.').next().unwrap_or_default();
-    let host = PLACES.iter().position(|place| place.name == name);
-    host.expect("backend servers are named for their hosts")
-}
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -6,8 +6,6 @@
 use standins::platform::backend_server::Behaviour;
 use standins::proxy::{ConnectionFault, Direction, LinkState};
 
-use crate::system::PLACES;
-
 /// Time in which faults begin, in ms.
 pub const FAULTS_MS: u64 = 14_000;
 
@@ -99,7 +97,7 @@
 }
 
 /// Draws faults of all hosts at any times.
-pub fn draw_mixed(seed: u64) -> Vec<Event> {
+pub fn draw_mixed(seed: u64, hosts: usize) -> Vec<Event> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut events = Vec::new();
     for _ in 0..FAULTS {
@@ -107,22 +105,22 @@
         events.push(Event {
             at_ms: random.random_range(0..FAULTS_MS),
             for_ms: random.random_range(LENGTH_MS),
-            host: random.random_range(0..PLACES.len()),
+            host: random.random_range(0..hosts),
             fault,
         });
     }
-    events.extend(draw_behaviours(seed));
+    events.extend(draw_behaviours(seed, hosts));
     events
 }
 
 /// Drawn apart, so that the other faults of a seed stay the same.
-fn draw_behaviours(seed: u64) -> impl Iterator<Item = Event> {
+fn draw_behaviours(seed: u64, hosts: usize) -> impl Iterator<Item = Event> {
     let mut random = StdRng::seed_from_u64(!seed);
     (0..BEHAVIOUR_CHANGES).map(move |_| Event {
         fault: Fault::ServerBehaviour(draw_behaviour(&mut random)),
         at_ms: random.random_range(0..FAULTS_MS),
         for_ms: random.random_range(LENGTH_MS),
-        host: random.random_range(0..PLACES.len()),
+        host: random.random_range(0..hosts),
     })
 }
 
--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -19,18 +19,29 @@
 use checks::Violation;
 use run::soak;
 
+use crate::operator::SERVICES;
+use crate::site::Place;
+use crate::system::{PLACES, place};
+
 /// Variables that ask for further seeds: the first, and how many.
 const FIRST_SEED: &str = "BRONZELOCK_SOAK_FIRST";
 const SEEDS: &str = "BRONZELOCK_SOAK_SEEDS";
 
+/// Variable that asks for so many hosts in generated places.
+const HOSTS: &str = "BRONZELOCK_SOAK_HOSTS";
+
+/// Availability zones of generated places; of three hosts in each, one serves the second service.
+const ZONES: [&str; 3] = ["ratchaburi", "saraburi", "nakhon-pathom"];
+const SECOND_SERVICE_ONE_IN: usize = 3;
+
 /// Soaks that run at once, so that they do not take each other's processors.
 const AT_ONCE: usize = 3;
 
 static PLACES_TO_RUN: Semaphore = Semaphore::const_new(AT_ONCE);
 
-async fn check(seed: u64) {
+async fn check(seed: u64, places: &[Place]) {
     let _place = PLACES_TO_RUN.acquire().await.expect("never closed");
-    let report = soak(seed).await;
+    let report = soak(seed, places).await;
     let violations = &report.violations;
     assert!(
         violations.is_empty(),
@@ -75,12 +86,23 @@
     Some(text.parse().expect("a whole number"))
 }
 
+/// Places of so many hosts, spread evenly. Their names live as long as the test program.
+fn generated_places(count: u64) -> Vec<Place> {
+    let generated = |index: usize| {
+        let in_second = (index / ZONES.len()).is_multiple_of(SECOND_SERVICE_ONE_IN);
+        let service = SERVICES[usize::from(in_second)];
+        let name = format!("{service}-{index}").leak();
+        place(name, service, ZONES[index % ZONES.len()])
+    };
+    (0..count as usize).map(generated).collect()
+}
+
 macro_rules! seeds {
     ($($name:ident($seed:expr);)+) => {
         $(
             #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
             async fn $name() {
-                check($seed).await;
+                check($seed, &PLACES).await;
             }
         )+
     };
@@ -109,9 +131,10 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn seeds_asked_for() {
     let first = number(FIRST_SEED).unwrap_or(0);
+    let places = number(HOSTS).map_or(PLACES.to_vec(), generated_places);
     let mut failed = Vec::new();
     for seed in first..first + number(SEEDS).unwrap_or(0) {
-        let checked = AssertUnwindSafe(check(seed)).catch_unwind().await;
+        let checked = AssertUnwindSafe(check(seed, &places)).catch_unwind().await;
         if checked.is_err() {
             failed.push(seed);
         }
--- a/tests/host_processes/soak/plans.rs
+++ b/tests/host_processes/soak/plans.rs
@@ -7,7 +7,6 @@
 use rand::{Rng, SeedableRng};
 
 use super::faults::{Event, FAULTS_MS, Fault, LENGTH_MS, NodeMeanwhile, draw_fault, draw_mixed};
-use crate::system::PLACES;
 
 /// First seed with a plan other than mixed faults alone.
 const FIRST_SEED_OF_PLANS: u64 = 2_000;
@@ -78,20 +77,20 @@
 }
 
 /// Draws the faults of one soak, in the order of their times.
-pub fn draw(seed: u64) -> Vec<Event> {
+pub fn draw(seed: u64, hosts: usize) -> Vec<Event> {
     let mut events = match Plan::of(seed) {
-        Plan::Mixed => draw_mixed(seed),
+        Plan::Mixed => draw_mixed(seed, hosts),
         Plan::All => [
-            draw_mixed(seed),
+            draw_mixed(seed, hosts),
             changes(seed),
             silences(seed),
-            series(seed),
-            addresses(seed),
+            series(seed, hosts),
+            addresses(seed, hosts),
         ]
         .concat(),
         Plan::Silence => [changes(seed), silences(seed)].concat(),
-        Plan::Series => [changes(seed), series(seed)].concat(),
-        Plan::Addresses => [changes(seed), addresses(seed)].concat(),
+        Plan::Series => [changes(seed), series(seed, hosts)].concat(),
+        Plan::Addresses => [changes(seed), addresses(seed, hosts)].concat(),
     };
     events.sort_by_key(|event| event.at_ms);
     events
@@ -129,11 +128,11 @@
     SILENCES_MS.into_iter().map(silence).collect()
 }
 
-fn series(seed: u64) -> Vec<Event> {
+fn series(seed: u64, hosts: usize) -> Vec<Event> {
     let mut random = Class::Series.random(seed);
     let mut events = Vec::new();
     for within in SERIES_MS {
-        let host = random.random_range(0..PLACES.len());
+        let host = random.random_range(0..hosts);
         let mut at_ms = random.random_range(within);
         for _ in 0..SERIES_FAULTS {
             let for_ms = random.random_range(LENGTH_MS) / SERIES_FAULTS as u64;
@@ -149,11 +148,11 @@
     events
 }
 
-fn addresses(seed: u64) -> Vec<Event> {
+fn addresses(seed: u64, hosts: usize) -> Vec<Event> {
     let mut random = Class::Addresses.random(seed);
     let mut events = Vec::new();
     for there_and_back in PASSES_MS {
-        let host = random.random_range(0..PLACES.len());
+        let host = random.random_range(0..hosts);
         for within in there_and_back {
             events.push(Event {
                 at_ms: random.random_range(within),
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -23,8 +23,8 @@
 use crate::callers::{Attempt, Outcome};
 use crate::operator::{Operator, SERVICES};
 use crate::program::Signal;
-use crate::site::{ServerEnd, Site};
-use crate::system::{Callers, PLACES, System};
+use crate::site::{Place, ServerEnd, Site};
+use crate::system::{Callers, System};
 
 /// Time between two looks at what was seen.
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
@@ -55,14 +55,14 @@
 }
 
 /// Runs one soak.
-pub async fn soak(seed: u64) -> Report {
-    let system = System::start().await;
+pub async fn soak(seed: u64, places: &[Place]) -> Report {
+    let system = System::start_at(places).await;
     system.wait_until_ready().await;
-    let soak = Soak::new(&system).await;
+    let soak = Soak::new(&system, places).await;
     let mut callers = system.start_callers(&mut StdRng::seed_from_u64(seed)).await;
     let mut random = StdRng::seed_from_u64(!seed);
     system.start_probers(&mut callers, &mut random).await;
-    let events = draw(seed);
+    let events = draw(seed, places.len());
     for event in &events {
         println!("seed {seed}: {event:?}");
     }
@@ -87,20 +87,23 @@
 
 struct Soak<'a> {
     system: &'a System,
+    places: &'a [Place],
     facts: Mutex<Facts>,
 }
 
 impl<'a> Soak<'a> {
-    async fn new(system: &'a System) -> Self {
+    async fn new(system: &'a System, places: &'a [Place]) -> Self {
         let operator = system.operator.lock().await;
         let facts = Facts {
             configs: vec![Config::of(&operator, 0, 0)],
-            node_starts: (0..PLACES.len()).map(first_start).collect(),
-            host_services: (0..PLACES.len()).map(first_service).collect(),
+            places: places.to_vec(),
+            node_starts: (0..places.len()).map(first_start).collect(),
+            host_services: places.iter().enumerate().map(first_service).collect(),
             ..Facts::default()
         };
         Self {
             system,
+            places,
             facts: Mutex::new(facts),
         }
     }
@@ -160,7 +163,7 @@
             logs.push(site.log_file().display().to_string());
             let starts = site.server_starts_ms.iter().enumerate();
             let starts = starts.map(|(index, at_ms)| ServerStart {
-                instance: PLACES[host].instance(index + 1),
+                instance: self.places[host].instance(index + 1),
                 at_ms: *at_ms,
             });
             self.facts().server_starts.extend(starts);
@@ -229,7 +232,7 @@
                 self.change(Operator::add_or_remove_route).await;
             }
             Fault::AddressPassed(node) => self.pass_address(event.host, node, length).await,
-            Fault::ZoneOut => self.take_zone_out(PLACES[event.host].zone).await,
+            Fault::ZoneOut => self.take_zone_out(self.places[event.host].zone).await,
         }
     }
 
@@ -432,7 +435,7 @@
     /// Makes all connections silent that are open now: between nodes, to the log service and to
     /// backend servers.
     async fn silence_all(&self) {
-        let sites = join_all((0..PLACES.len()).map(|host| self.site(host))).await;
+        let sites = join_all((0..self.places.len()).map(|host| self.site(host))).await;
         for (host, site) in sites.iter().enumerate() {
             site.silence();
             for part in [Part::Node(host), Part::Server(host)] {
@@ -465,10 +468,10 @@
     NodeStart { host, at_ms: 0 }
 }
 
-fn first_service(host: usize) -> HostService {
+fn first_service((host, place): (usize, &Place)) -> HostService {
     HostService {
         host,
-        service: PLACES[host].service,
+        service: place.service,
         from_ms: 0,
         to_ms: u64::MAX,
     }
