--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -125,6 +125,11 @@
 
 /// Runs one request; `caller_gone` removes it from the queue but never interrupts a sent request.
 async fn execute(host: &Arc<Host>, work: &HostWork, caller_gone: &CancellationToken) -> Outcome {
+    if let Err(reason) = host.gate.with(|gate| gate.check_service(&work.service)) {
+        let failure = RequestFailure::not_sent(reason);
+        log_failure(host, work, Step::Admit, &failure);
+        return Outcome::failed(failure);
+    }
     let tracked = match TrackedRun::begin(host, work) {
         Ok(tracked) => tracked,
         Err(failure) => {
@@ -227,7 +232,7 @@
         let instance = match clearance {
             Ok(instance) => instance,
             Err(reason) => {
-                host.server_connections.release(pooled.connection);
+                host.server_connections.release(pooled);
                 return Err(RequestFailure::not_sent(reason));
             }
         };
@@ -241,7 +246,7 @@
             Ok(response) => {
                 let answer_facts = answers::decode_facts(&response);
                 observe_load_report(host, &answer_facts);
-                host.server_connections.release(pooled.connection);
+                host.server_connections.release(pooled);
                 let answer = check_answer(host, &answer_facts, response)?;
                 if answer.head.status < SERVER_ERROR_MIN {
                     admitted.usual_run_us =
