--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -125,6 +125,8 @@
     routes_are_added_after_all_connections_went_silent(2_017);
     // Runs at a service that no configuration names, after its address passed to another one.
     requests_reach_their_service_after_an_address_passed(2_011);
+    // 502 for the first request on a link between nodes that has been silent for 5 s.
+    requests_are_answered_after_all_connections_went_silent(2_061);
 }
 
 /// Seeds that scripts/soak.sh asks for, one after the other; none without it.
