--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Runs the fault soak: soak.sh FIRST_SEED COUNT
+# Runs the fault soak: soak.sh FIRST_SEED COUNT; on so many hosts as BRONZELOCK_SOAK_HOSTS says, else on five
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
