--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -16,4 +16,5 @@
 mod silent_links;
 mod site;
 mod soak;
+mod starting;
 mod system;
--- a/tests/host_processes/operator.rs
+++ b/tests/host_processes/operator.rs
@@ -23,6 +23,9 @@
 #[derive(Debug, Default)]
 pub struct Operator {
     moves: usize,
+    /// Times that the route of [`Kind::Added`] was added or removed.
+    toggles: usize,
+    /// Routes that were added for good.
     routes_added: usize,
 }
 
@@ -32,12 +35,28 @@
         SERVICES[self.moves % SERVICES.len()]
     }
 
+    /// Service that the route of a kind leads to now, if there is such a route.
+    pub fn target(&self, kind: Kind) -> Option<&'static str> {
+        match kind {
+            Kind::History | Kind::Gate => Some(SERVICES[0]),
+            Kind::Moved => Some(self.moved_to()),
+            Kind::Added => (self.toggles % 2 == 1).then_some(SERVICES[1]),
+            Kind::NeverRouted => None,
+        }
+    }
+
     /// Writes a configuration that moves one route to the other service.
     pub fn move_route(&mut self, store: &Store) {
         self.moves += 1;
         self.write_config(store);
     }
 
+    /// Writes a configuration that has one route more, or that one less.
+    pub fn add_or_remove_route(&mut self, store: &Store) {
+        self.toggles += 1;
+        self.write_config(store);
+    }
+
     /// Writes a configuration with one more route; tells the prefix of its paths.
     pub fn add_route(&mut self, store: &Store) -> String {
         self.routes_added += 1;
@@ -47,8 +66,7 @@
 
     /// Writes the configuration.
     pub fn write_config(&self, store: &Store) {
-        let config = self.config();
-        let text = config.to_string();
+        let text = self.config().to_string();
         store.put(OPERATOR_TOPIC, "config", Some(text.as_bytes()));
     }
 
@@ -59,18 +77,17 @@
     }
 
     fn config(&self) -> Value {
-        let changes = self.moves + self.routes_added;
+        let changes = (self.moves + self.toggles + self.routes_added) as u64;
+        let of_kinds = Kind::ALL.into_iter().filter_map(|kind| {
+            let service = self.target(kind)?;
+            Some(route(kind.path_prefix(), kind, service))
+        });
         let added = (1..=self.routes_added)
-            .map(|number| route(&added_prefix(number), "idempotent", SERVICES[0]));
-        let routes = [
-            route(Kind::History.path_prefix(), "idempotent", SERVICES[0]),
-            route(Kind::Gate.path_prefix(), "non-idempotent", SERVICES[0]),
-            route(Kind::Moved.path_prefix(), "idempotent", self.moved_to()),
-        ];
+            .map(|number| route(&added_prefix(number), Kind::History, SERVICES[0]));
         json!({
-            "version": 1 + changes as u64 * VERSION_STEP,
-            "routes": routes.into_iter().chain(added).collect::<Vec<_>>(),
-            "services": SERVICES.iter().map(service).collect::<Vec<_>>(),
+            "version": 1 + changes * VERSION_STEP,
+            "routes": of_kinds.chain(added).collect::<Vec<_>>(),
+            "services": SERVICES.map(service),
             "limits": {
                 "head_bytes_max": 16_384, "body_bytes_max": 65_536,
                 "head_timeout_ms": 5_000, "idle_timeout_ms": 10_000,
@@ -84,15 +101,21 @@
     format!("/added-{number}/")
 }
 
-fn route(path_prefix: &str, effect: &str, service: &str) -> Value {
+/// A route whose requests are treated as those of a kind.
+fn route(path_prefix: &str, kind: Kind, service: &str) -> Value {
+    let effect = if kind.is_idempotent() {
+        "idempotent"
+    } else {
+        "non-idempotent"
+    };
     json!({
         "name": path_prefix, "host": HOST_NAME, "path_prefix": path_prefix,
         "effect": effect, "timeout_ms": 2_000, "objective_ms": 600, "rank": 1,
-        "service": service, "servers_max": 3,
+        "service": service, "servers_max": kind.servers_max(),
     })
 }
 
-fn service(name: &&str) -> Value {
+fn service(name: &str) -> Value {
     json!({
         "name": name, "health_path": HEALTH_PATH, "connections_max": 200,
         "cold_requests_per_s": COLD_REQUESTS_PER_S,
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -6,8 +6,6 @@
 use standins::platform::backend_server::Behaviour;
 use standins::proxy::{ConnectionFault, Direction, LinkState};
 
-use crate::system::PLACES;
-
 /// Time in which faults begin, in ms.
 pub const FAULTS_MS: u64 = 14_000;
 
@@ -18,7 +16,7 @@
 const BEHAVIOUR_CHANGES: usize = 4;
 
 /// Shortest and longest fault, in ms.
-const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
+pub const LENGTH_MS: std::ops::Range<u64> = 200..3_500;
 
 /// Length of a zone's absence, longer than the time in which it must get no more requests, in ms.
 pub const ZONE_OUT_MS: u64 = 8_000;
@@ -68,6 +66,25 @@
     RouteMove,
     /// The availability zone of the host is taken out.
     ZoneOut,
+    /// A route is added, or removed.
+    RouteAddition,
+    /// All connections of all hosts go silent at once; a route changes after a while, in ms.
+    AllSilent { change_after_ms: u64 },
+    /// The address of the backend server passes to one of the other service.
+    AddressPassed(NodeMeanwhile),
+}
+
+/// What the node does while the address of its backend server passes to another service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NodeMeanwhile {
+    /// It runs on.
+    RunsOn,
+    /// It is restarted alone while no backend server is there, with its old settings.
+    RestartedBetween,
+    /// It is restarted alone when the other backend server is there.
+    RestartedAfter,
+    /// It ends with the backend server; the whole host is another one afterwards.
+    Replaced,
 }
 
 /// A fault in its time and place.
@@ -79,8 +96,8 @@
     pub fault: Fault,
 }
 
-/// Draws the faults of one soak.
-pub fn draw(seed: u64) -> Vec<Event> {
+/// Draws faults of all hosts at any times.
+pub fn draw_mixed(seed: u64, hosts: usize) -> Vec<Event> {
     let mut random = StdRng::seed_from_u64(seed);
     let mut events = Vec::new();
     for _ in 0..FAULTS {
@@ -88,23 +105,22 @@
         events.push(Event {
             at_ms: random.random_range(0..FAULTS_MS),
             for_ms: random.random_range(LENGTH_MS),
-            host: random.random_range(0..PLACES.len()),
+            host: random.random_range(0..hosts),
             fault,
         });
     }
-    events.extend(draw_behaviours(seed));
-    events.sort_by_key(|event| event.at_ms);
+    events.extend(draw_behaviours(seed, hosts));
     events
 }
 
 /// Drawn apart, so that the other faults of a seed stay the same.
-fn draw_behaviours(seed: u64) -> impl Iterator<Item = Event> {
+fn draw_behaviours(seed: u64, hosts: usize) -> impl Iterator<Item = Event> {
     let mut random = StdRng::seed_from_u64(!seed);
     (0..BEHAVIOUR_CHANGES).map(move |_| Event {
         fault: Fault::ServerBehaviour(draw_behaviour(&mut random)),
         at_ms: random.random_range(0..FAULTS_MS),
         for_ms: random.random_range(LENGTH_MS),
-        host: random.random_range(0..PLACES.len()),
+        host: random.random_range(0..hosts),
     })
 }
 
@@ -119,7 +135,7 @@
     }
 }
 
-fn draw_fault(random: &mut StdRng) -> Fault {
+pub fn draw_fault(random: &mut StdRng) -> Fault {
     match random.random_range(0..16) {
         0 => Fault::Kill,
         1 => Fault::Pause,
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -9,17 +9,22 @@
 use standins::log_service::DownMode;
 use standins::platform::backend_server::Behaviour;
 use standins::platform::names::OPERATOR_TOPIC;
-use standins::platform::store::StoreFaults;
+use standins::platform::store::{Store, StoreFaults};
 use standins::proxy::{LinkState, Proxy};
 
 use super::checks::{Violation, violations};
-use super::facts::{Disturbance, Facts, Move, Part, PlannedRestart, ServerStart, ZoneOut};
-use super::faults::{Event, FAULTS_MS, Fault, LinkName, ZONE_OUT_MS, draw};
+use super::facts::{
+    APPLY_MS, Config, Disturbance, Facts, HostService, NodeStart, Part, PlannedRestart,
+    ServerStart, ZoneOut,
+};
+use super::faults::{Event, FAULTS_MS, Fault, LinkName, NodeMeanwhile, ZONE_OUT_MS};
+use super::plans::draw;
+use super::refusals::all_in_force_allow;
 use crate::callers::{Attempt, Outcome};
-use crate::operator::Operator;
+use crate::operator::{Operator, SERVICES};
 use crate::program::Signal;
-use crate::site::{ServerEnd, Site};
-use crate::system::{Callers, PLACES, System};
+use crate::site::{Place, ServerEnd, Site};
+use crate::system::{Callers, System};
 
 /// Time between two looks at what was seen.
 const LOOK_PERIOD: Duration = Duration::from_millis(500);
@@ -33,6 +38,9 @@
 /// Time that a crashed backend server is away.
 const SERVER_AWAY: Duration = Duration::from_millis(400);
 
+/// Shortest time after which the address of a backend server serves another service.
+const REUSED_AFTER: Duration = Duration::from_secs(2);
+
 /// What a soak showed.
 #[derive(Debug)]
 pub struct Report {
@@ -47,12 +55,17 @@
 }
 
 /// Runs one soak.
-pub async fn soak(seed: u64) -> Report {
-    let system = System::start().await;
+pub async fn soak(seed: u64, places: &[Place]) -> Report {
+    let system = System::start_at(places).await;
     system.wait_until_ready().await;
-    let soak = Soak::new(&system).await;
-    let callers = system.start_callers(&mut StdRng::seed_from_u64(seed)).await;
-    let events = draw(seed);
+    let soak = Soak::new(&system, places).await;
+    let mut callers = system.start_callers(&mut StdRng::seed_from_u64(seed)).await;
+    let mut random = StdRng::seed_from_u64(!seed);
+    system.start_probers(&mut callers, &mut random).await;
+    let events = draw(seed, places.len());
+    for event in &events {
+        println!("seed {seed}: {event:?}");
+    }
     let started_ms = system.ledger.now_ms();
     let faults = join_all(events.iter().map(|event| soak.play(event, started_ms)));
     let all = async {
@@ -60,28 +73,37 @@
         tokio::join!(faults, end_of_faults);
         tokio::time::sleep(QUIET).await;
     };
-    tokio::select! {
-        () = all => {}
-        () = soak.watch(&callers) => {}
-    }
+    let found = tokio::select! {
+        () = all => Vec::new(),
+        found = soak.watch(&callers) => found,
+    };
     let attempts = callers.finish().await;
-    soak.report(attempts, events).await
+    let mut report = soak.report(attempts, events).await;
+    if !found.is_empty() {
+        report.violations = found;
+    }
+    report
 }
 
 struct Soak<'a> {
     system: &'a System,
+    places: &'a [Place],
     facts: Mutex<Facts>,
 }
 
 impl<'a> Soak<'a> {
-    async fn new(system: &'a System) -> Self {
-        let to = system.operator.lock().await.moved_to();
+    async fn new(system: &'a System, places: &'a [Place]) -> Self {
+        let operator = system.operator.lock().await;
         let facts = Facts {
-            moves: vec![Move { at_ms: 0, to }],
+            configs: vec![Config::of(&operator, 0, 0)],
+            places: places.to_vec(),
+            node_starts: (0..places.len()).map(first_start).collect(),
+            host_services: places.iter().enumerate().map(first_service).collect(),
             ..Facts::default()
         };
         Self {
             system,
+            places,
             facts: Mutex::new(facts),
         }
     }
@@ -94,14 +116,15 @@
         self.system.ledger.now_ms()
     }
 
-    /// Ends at the first violation.
-    async fn watch(&self, callers: &Callers) {
+    /// Ends at the first violations and tells them, also if later facts would hide them.
+    async fn watch(&self, callers: &Callers) -> Vec<Violation> {
         loop {
             tokio::time::sleep(LOOK_PERIOD).await;
             self.restart_those_that_ended();
-            self.gather(callers.attempts());
-            if !violations(&self.facts()).is_empty() {
-                return;
+            self.gather(|| callers.attempts());
+            let found = violations(&self.facts());
+            if !found.is_empty() {
+                return found;
             }
         }
     }
@@ -115,38 +138,44 @@
             if let Some(exit) = site.node.exit() {
                 self.facts().wrong_ends.push((host, exit));
                 site.start_node();
+                self.node_started(host);
             }
         }
     }
 
-    fn gather(&self, attempts: Vec<Attempt>) {
-        let runs = self.system.ledger.runs();
+    /// Runs are read before requests, so that each run has its request.
+    fn gather(&self, attempts: impl FnOnce() -> Vec<Attempt>) {
+        let (runs, arrivals) = (self.system.ledger.runs(), self.system.ledger.arrivals());
+        let attempts = attempts();
         let now_ms = self.now_ms();
         let mut facts = self.facts();
         facts.attempts = attempts;
         facts.runs = runs;
+        facts.arrivals = arrivals;
         facts.now_ms = now_ms;
     }
 
     async fn report(&self, attempts: Vec<Attempt>, events: Vec<Event>) -> Report {
-        self.gather(attempts);
+        self.gather(|| attempts);
         let mut logs = Vec::new();
         for (host, site) in self.system.sites.iter().enumerate() {
             let site = site.lock().await;
             logs.push(site.log_file().display().to_string());
             let starts = site.server_starts_ms.iter().enumerate();
             let starts = starts.map(|(index, at_ms)| ServerStart {
-                instance: PLACES[host].instance(index + 1),
+                instance: self.places[host].instance(index + 1),
                 at_ms: *at_ms,
             });
             self.facts().server_starts.extend(starts);
         }
         let facts = self.facts().clone();
         let since_ms = facts.now_ms.saturating_sub(SERVED_AGAIN_MS);
-        let at_end = facts
-            .attempts
-            .iter()
-            .filter(|attempt| attempt.sent_ms >= since_ms && attempt.outcome != Outcome::GivenUp);
+        let is_owed = |attempt: &&Attempt| {
+            attempt.sent_ms >= since_ms
+                && attempt.outcome != Outcome::GivenUp
+                && all_in_force_allow(&facts, attempt)
+        };
+        let at_end = facts.attempts.iter().filter(is_owed);
         let at_end: Vec<Outcome> = at_end.map(|attempt| attempt.outcome).collect();
         let served = |outcome: &&Outcome| matches!(outcome, Outcome::Answered { status: 200, .. });
         Report {
@@ -195,8 +224,15 @@
             Fault::ServerBehaviour(behaviour) => {
                 self.misbehave(event.host, behaviour, length).await;
             }
-            Fault::RouteMove => self.move_route().await,
-            Fault::ZoneOut => self.take_zone_out(PLACES[event.host].zone).await,
+            Fault::RouteMove => self.change(Operator::move_route).await,
+            Fault::RouteAddition => self.change(Operator::add_or_remove_route).await,
+            Fault::AllSilent { change_after_ms } => {
+                self.silence_all().await;
+                tokio::time::sleep(Duration::from_millis(change_after_ms)).await;
+                self.change(Operator::add_or_remove_route).await;
+            }
+            Fault::AddressPassed(node) => self.pass_address(event.host, node, length).await,
+            Fault::ZoneOut => self.take_zone_out(self.places[event.host].zone).await,
         }
     }
 
@@ -232,11 +268,40 @@
         self.facts().disturbances[index].to_ms = now_ms;
     }
 
+    fn node_started(&self, host: usize) {
+        let at_ms = self.now_ms();
+        self.facts().node_starts.push(NodeStart { host, at_ms });
+    }
+
+    fn service_started(&self, host: usize, service: &'static str) {
+        let from_ms = self.now_ms();
+        self.facts().host_services.push(HostService {
+            host,
+            service,
+            from_ms,
+            to_ms: u64::MAX,
+        });
+    }
+
+    /// Notes that the node of a host learns now of the service that started last.
+    fn service_announced(&self, host: usize) {
+        let learned_ms = self.now_ms() + APPLY_MS;
+        let mut facts = self.facts();
+        let of_host = facts.host_services.iter_mut().filter(|it| it.host == host);
+        for earlier in of_host.rev().skip(1) {
+            earlier.to_ms = earlier.to_ms.min(learned_ms);
+        }
+    }
+
     async fn kill(&self, host: usize) {
-        let mut site = self.site(host).await;
+        self.kill_node(host, &mut *self.site(host).await).await;
+    }
+
+    async fn kill_node(&self, host: usize, site: &mut Site) {
         let disturbance = self.begun(Part::Node(host));
         site.node.signal(Signal::Kill);
         site.restart_node().await;
+        self.node_started(host);
         self.ended(disturbance);
     }
 
@@ -267,6 +332,7 @@
         let to_ms = self.now_ms();
         self.facts().restarts[index].to_ms = to_ms;
         site.start_node();
+        self.node_started(host);
         self.disturbed(Part::Node(host), to_ms);
     }
 
@@ -275,6 +341,7 @@
         let from_ms = self.now_ms();
         if site.hang_up().await.is_some() {
             site.start_node();
+            self.node_started(host);
             self.disturbed(Part::Node(host), from_ms);
         }
     }
@@ -307,6 +374,45 @@
         }
     }
 
+    /// Ends the backend server; later, one of the other service has its address, and is announced
+    /// after a while.
+    async fn pass_address(&self, host: usize, node: NodeMeanwhile, unannounced: Duration) {
+        let mut site = self.site(host).await;
+        let disturbance = self.begun(Part::Server(host));
+        let node_away = (node == NodeMeanwhile::Replaced).then(|| self.begun(Part::Node(host)));
+        site.hold_announcements(true);
+        site.close_server_address().await;
+        if node == NodeMeanwhile::Replaced {
+            site.node.signal(Signal::Kill);
+        }
+        site.end_server(ServerEnd::Crash).await;
+        if node == NodeMeanwhile::RestartedBetween {
+            self.kill_node(host, &mut site).await;
+        }
+        tokio::time::sleep(REUSED_AFTER).await;
+        let other = SERVICES.into_iter().find(|name| *name != site.service);
+        let other = other.expect("there are two services");
+        site.pass_address_to(other);
+        self.service_started(host, other);
+        site.start_server().await;
+        site.open_server_address().await;
+        match node {
+            NodeMeanwhile::RestartedAfter => self.kill_node(host, &mut site).await,
+            NodeMeanwhile::Replaced => {
+                site.restart_node().await;
+                self.node_started(host);
+            }
+            NodeMeanwhile::RunsOn | NodeMeanwhile::RestartedBetween => {}
+        }
+        tokio::time::sleep(unannounced).await;
+        site.hold_announcements(false);
+        self.service_announced(host);
+        self.ended(disturbance);
+        if let Some(node_away) = node_away {
+            self.ended(node_away);
+        }
+    }
+
     async fn misbehave(&self, host: usize, behaviour: Behaviour, length: Duration) {
         let disturbance = self.begun(Part::Server(host));
         let shared = Arc::clone(&self.site(host).await.behaviour);
@@ -317,11 +423,25 @@
         self.ended(disturbance);
     }
 
-    async fn move_route(&self) {
+    /// Lets the operator change the configuration.
+    async fn change(&self, change: impl FnOnce(&mut Operator, &Store)) {
         let mut operator = self.system.operator.lock().await;
-        operator.move_route(&self.system.store);
-        let (at_ms, to) = (self.now_ms(), operator.moved_to());
-        self.facts().moves.push(Move { at_ms, to });
+        let sent_ms = self.now_ms();
+        change(&mut operator, &self.system.store);
+        let config = Config::of(&operator, sent_ms, self.now_ms());
+        self.facts().configs.push(config);
+    }
+
+    /// Makes all connections silent that are open now: between nodes, to the log service and to
+    /// backend servers.
+    async fn silence_all(&self) {
+        let sites = join_all((0..self.places.len()).map(|host| self.site(host))).await;
+        for (host, site) in sites.iter().enumerate() {
+            site.silence();
+            for part in [Part::Node(host), Part::Server(host)] {
+                self.disturbed(part, self.now_ms());
+            }
+        }
     }
 
     async fn take_zone_out(&self, zone: &'static str) {
@@ -344,6 +464,19 @@
     }
 }
 
+fn first_start(host: usize) -> NodeStart {
+    NodeStart { host, at_ms: 0 }
+}
+
+fn first_service((host, place): (usize, &Place)) -> HostService {
+    HostService {
+        host,
+        service: place.service,
+        from_ms: 0,
+        to_ms: u64::MAX,
+    }
+}
+
 fn part_of(link: LinkName, host: usize) -> Part {
     match link {
         LinkName::Server => Part::Server(host),
