--- a/tests/host/connection_pool.rs
+++ b/tests/host/connection_pool.rs
@@ -1,10 +1,16 @@
-<<<<<<< HEAD
-//! Connections to the backend server that are kept for reuse.
+//! Connections to the backend server that are kept for further requests.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
 
 use bronzelock::host::connection_pool::ConnectionPool;
 use bronzelock::model::request::Effect;
+use standins::proxy::{ConnectionFault, Proxy};
 use tokio::net::TcpListener;
 
+/// Time after a disruption from which hosts are in touch again: the users' `contact-s`.
+const CONTACT: Duration = Duration::from_secs(3);
+
 /// Guards against requests on a connection to a backend server that another one has replaced.
 #[tokio::test]
 async fn a_connection_in_use_while_all_are_closed_is_not_reused() {
@@ -21,19 +27,7 @@
         let next = pool.acquire(Effect::Idempotent).await;
         assert_eq!(next.expect("a connection").reused, expected_reuse);
     }
-=======
-//! Connections to the backend server that are kept for further requests.
-
-use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
-
-use bronzelock::host::connection_pool::ConnectionPool;
-use bronzelock::model::request::Effect;
-use standins::proxy::{ConnectionFault, Proxy};
-use tokio::net::TcpListener;
-
-/// Time after a disruption from which hosts are in touch again: the users' `contact-s`.
-const CONTACT: Duration = Duration::from_secs(3);
+}
 
 /// Guards against requests that wait on connections to the backend server that have gone silent.
 #[tokio::test]
@@ -45,10 +39,9 @@
     let pool = ConnectionPool::new(proxy.address());
     let (opened, accepted) = tokio::join!(pool.acquire(Effect::Idempotent), server.accept());
     let _open = accepted.expect("a connection");
-    pool.release(opened.expect("a connection").connection);
+    pool.release(opened.expect("a connection"));
     proxy.inject(ConnectionFault::Silence);
     tokio::time::sleep(CONTACT).await;
     let next = pool.acquire(Effect::Idempotent).await;
     assert!(!next.expect("a connection").reused);
->>>>>>> inc-silence
 }
