--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -56,6 +56,8 @@
     AppendAnswersLost,
     /// The log service keeps the newest records alone.
     Compaction,
+    /// The log service comes back from a copy of itself.
+    OlderCopy,
     /// The backend server crashes and another one starts.
     ServerCrash,
     /// The backend server leaves and another one starts.
--- a/tests/host_processes/soak/plans.rs
+++ b/tests/host_processes/soak/plans.rs
@@ -11,6 +11,15 @@
 /// First seed with a plan other than mixed faults alone.
 const FIRST_SEED_OF_PLANS: u64 = 2_000;
 
+/// First seed from which on every second one returns to older copies of the log.
+const FIRST_SEED_OF_COPIES: u64 = 4_000;
+
+/// Times at which the log service is copied: two returns in a row, and one later.
+const COPIES_MS: [Range<u64>; 3] = [0..2_000, 2_000..5_000, 9_000..11_000];
+
+/// Age of a copy when the log service returns to it, in ms.
+const COPY_AGE_MS: Range<u64> = 200..3_000;
+
 /// Changes of routes, and the time in which they are made; some come after all faults, in ms.
 const CHANGES: usize = 7;
 const CHANGES_MS: Range<u64> = 0..FAULTS_MS + 3_000;
@@ -45,6 +54,8 @@
     Series,
     /// Addresses pass to other services, and routes change.
     Addresses,
+    /// The log service comes back from older copies, and routes change.
+    Copies,
 }
 
 /// Classes of faults; a later class takes the next number.
@@ -54,6 +65,7 @@
     Silences = 2,
     Series = 3,
     Addresses = 4,
+    Copies = 5,
 }
 
 impl Class {
@@ -67,6 +79,9 @@
         if seed < FIRST_SEED_OF_PLANS {
             return Self::Mixed;
         }
+        if seed >= FIRST_SEED_OF_COPIES && seed.is_multiple_of(2) {
+            return Self::Copies;
+        }
         match seed % 4 {
             0 => Self::All,
             1 => Self::Silence,
@@ -91,6 +106,7 @@
         Plan::Silence => [changes(seed), silences(seed)].concat(),
         Plan::Series => [changes(seed), series(seed, hosts)].concat(),
         Plan::Addresses => [changes(seed), addresses(seed, hosts)].concat(),
+        Plan::Copies => [changes(seed), copies(seed), series(seed, hosts)].concat(),
     };
     events.sort_by_key(|event| event.at_ms);
     events
@@ -165,6 +181,17 @@
     events
 }
 
+fn copies(seed: u64) -> Vec<Event> {
+    let mut random = Class::Copies.random(seed);
+    let copy = |within: Range<u64>| Event {
+        at_ms: random.random_range(within),
+        for_ms: random.random_range(COPY_AGE_MS),
+        host: 0,
+        fault: Fault::OlderCopy,
+    };
+    COPIES_MS.into_iter().map(copy).collect()
+}
+
 fn draw_node(random: &mut StdRng) -> NodeMeanwhile {
     match random.random_range(0..4) {
         0 => NodeMeanwhile::RunsOn,
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -35,6 +35,9 @@
 /// Part of the quiet time, at its end, in which requests must be served again, in ms.
 const SERVED_AGAIN_MS: u64 = 3_000;
 
+/// Time after which operators write again what the log service has lost.
+const REWRITTEN_AFTER: Duration = Duration::from_millis(700);
+
 /// Time that a crashed backend server is away.
 const SERVER_AWAY: Duration = Duration::from_millis(400);
 
@@ -218,6 +221,7 @@
                 };
                 self.degrade_store(faults, length).await;
             }
+            Fault::OlderCopy => self.return_to_copy(length).await,
             Fault::Compaction => self.system.store.compact(OPERATOR_TOPIC),
             Fault::ServerCrash => self.replace_server(event.host, ServerEnd::Crash).await,
             Fault::ServerLeave => self.replace_server(event.host, ServerEnd::Leave).await,
@@ -444,6 +448,23 @@
         }
     }
 
+    /// Lets the log service return to a copy; operators then write again what was lost.
+    async fn return_to_copy(&self, age: Duration) {
+        let store = &self.system.store;
+        let copy = store.copy();
+        tokio::time::sleep(age).await;
+        let disturbance = self.begun(Part::Store);
+        store.restore(copy);
+        tokio::time::sleep(REWRITTEN_AFTER).await;
+        self.system.operator.lock().await.write_config(store);
+        let zones_out = self.facts().zones_out.clone();
+        for place in self.places {
+            let is_out = |out: &ZoneOut| out.zone == place.zone && out.to_ms == u64::MAX;
+            Operator::set_zone_out(store, place.zone, zones_out.iter().any(is_out));
+        }
+        self.ended(disturbance);
+    }
+
     async fn take_zone_out(&self, zone: &'static str) {
         Operator::set_zone_out(&self.system.store, zone, true);
         let from_ms = self.now_ms();
