Check a connection to another node before a request if nothing was heard on it lately

Cause: a silent connection showed itself only by the loss of a request. Now a connection on which nothing was heard for 2.5 s is asked for a ping first (0.25 s); if none comes, the request goes over a new connection, so nothing was sent on the silent one. Connections in use are not checked, so a busy pair of nodes pays nothing.

Evidence: peer_client::a_connection_that_was_long_unheard_is_checked_before_a_request failed before (no new connection) and passes now.

--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -38,6 +38,14 @@
 /// Time without an answer before the connection is checked with a ping.
 const PING_PERIOD: Duration = Duration::from_millis(600);
 
+/// Time without an answer after which a connection is checked before a request is sent on it.
+///
+/// Shorter than the time after which nodes count as reachable again.
+const CHECK_AFTER: Duration = Duration::from_millis(2_500);
+
+/// Timeout of that check.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Time without an answer after which a connection is dropped once another one proved silent.
 ///
 /// A network that silences one connection often silences others with it.
@@ -60,8 +68,12 @@
         }
     }
 
-    fn is_unheard(&self) -> bool {
-        lock(&self.last_heard).elapsed() > UNHEARD_TIME_MAX
+    fn is_unheard_for(&self, time: Duration) -> bool {
+        lock(&self.last_heard).elapsed() > time
+    }
+
+    fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.last_heard, &other.last_heard)
     }
 }
 
@@ -96,7 +108,8 @@
 
     /// Forwards a request; `time_left` is the time until its deadline.
     ///
-    /// While the answer is awaited, pings check the connection.
+    /// While the answer is awaited, pings check the connection. One on which nothing was heard
+    /// lately is checked before, so that no request is lost on a silent connection.
     ///
     /// # Errors
     /// Returns [`PeerError`], which says whether the request may have been sent.
@@ -106,7 +119,7 @@
         work: WireWork,
         time_left: Duration,
     ) -> Result<WireOutcome, PeerError> {
-        let connection = self.connection(address).await?;
+        let connection = self.checked_connection(address).await?;
         let call = connection
             .client
             .run(context(time_left + REPLY_GRACE), work);
@@ -222,7 +235,9 @@
     ) -> Result<T, PeerError> {
         connection.hear(&answered);
         let finished = answered.map_err(|error| self.call_error(address, &error));
-        if matches!(finished, Err(PeerError::Lost(_))) && connection.is_unheard() {
+        if matches!(finished, Err(PeerError::Lost(_)))
+            && connection.is_unheard_for(UNHEARD_TIME_MAX)
+        {
             self.forget_unheard();
         }
         finished
@@ -237,7 +252,9 @@
                 // It is being opened.
                 return true;
             };
-            !open.as_ref().is_some_and(Connection::is_unheard)
+            !open
+                .as_ref()
+                .is_some_and(|open| open.is_unheard_for(UNHEARD_TIME_MAX))
         });
     }
 
@@ -252,6 +269,26 @@
         }
     }
 
+    /// Returns a connection that works: one that was heard lately or answers a ping, or a new one.
+    async fn checked_connection(&self, address: SocketAddr) -> Result<Connection, PeerError> {
+        let connection = self.connection(address).await?;
+        if !connection.is_unheard_for(CHECK_AFTER) {
+            return Ok(connection);
+        }
+        let pinged = connection.client.ping(context(CHECK_TIMEOUT)).await;
+        connection.hear(&pinged);
+        if pinged.is_ok() {
+            return Ok(connection);
+        }
+        let current = self.connection(address).await?;
+        if !current.is_same(&connection) {
+            return Ok(current);
+        }
+        self.forget(address);
+        self.forget_unheard();
+        self.connection(address).await
+    }
+
     /// Returns the open connection, or opens one.
     async fn connection(&self, address: SocketAddr) -> Result<Connection, PeerError> {
         let slot = Arc::clone(lock(&self.slots).entry(address).or_default());
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -3,8 +3,12 @@
 use std::time::Duration;
 
 use bronzelock::host::peer_client::{PeerClients, PeerError};
+use bronzelock::host::peer_rpc::WireWork;
 use bronzelock::kernel::tasks::Tasks;
+use bronzelock::model::host_request::{HostWork, Timing};
 use bronzelock::model::ids::Incarnation;
+use bronzelock::model::names::ServiceName;
+use bronzelock::model::request::Effect;
 use tokio::net::TcpListener;
 
 /// Guards against requests lost in a rolling restart.
@@ -66,3 +70,41 @@
     );
     assert!(matches!(opened, Ok(Ok(_))), "no new connection");
 }
+
+/// Guards against requests that are lost on a connection that went silent seconds before.
+#[tokio::test]
+async fn a_connection_that_was_long_unheard_is_checked_before_a_request() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let clients = PeerClients::new(Tasks::default());
+    let (_unanswered, _silent) = tokio::join!(clients.known_hosts(address), listener.accept());
+    // Nodes count as reachable again 3 s after a disruption.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let time_left = Duration::from_secs(1);
+    let run = tokio::time::timeout(time_left, clients.run(address, work(), time_left));
+    let opened = tokio::time::timeout(Duration::from_millis(500), listener.accept());
+    let (_unanswered, opened) = tokio::join!(run, opened);
+    assert!(matches!(opened, Ok(Ok(_))), "no new connection");
+}
+
+fn work() -> WireWork {
+    let work = HostWork {
+        id: "7".into(),
+        service: ServiceName::new("herd").expect("valid name"),
+        effect: Effect::NonIdempotent,
+        rank: 0,
+        nested_call: false,
+        is_retry: false,
+        timing: Timing {
+            usual_run_us: 1_000.0,
+            objective_at_us: 500_000,
+            deadline_us: 1_000_000,
+            other_finish_us: f64::INFINITY,
+        },
+        method: "POST".to_owned(),
+        target: "/gate/7".to_owned(),
+        headers: Vec::new(),
+        body: bytes::Bytes::new(),
+    };
+    WireWork::new(work, 0)
+}
