Hold no shared answer memory for outcomes that were delivered

What callers could see (found by the review, by reading): 502 in place of answers above 64 KiB, once outcomes of earlier non-idempotent requests, retained for 5 s each, had reserved all memory for answers.

Outcomes with a body above 64 KiB are no longer retained after they were delivered; a sender that lost the connection then hears that the answer is no longer held.

Evidence: backend_answers::a_long_answer_to_a_non_idempotent_request_holds_no_memory_once_delivered failed before (held after 1 s) and passes now.

--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -36,6 +36,11 @@
 /// Retention time of the outcome of a non-idempotent request after its end.
 const OUTCOME_RETENTION: Duration = Duration::from_secs(5);
 
+/// Body length above which an outcome is not retained, in bytes.
+///
+/// Longer bodies occupy memory that the answers of all requests share.
+const RETAINED_BODY_BYTES_MAX: usize = 64 << 10;
+
 /// Age of the slowness above which it is refreshed before a request is sent, in µs.
 const SLOWNESS_AGE_MAX_US: u64 = 20_000;
 
@@ -108,12 +113,13 @@
         {
             lock(&task_host.claims).withdraw(&work.id);
         }
+        let retention = retention_of(&outcome);
         sender.send_replace(Some(outcome));
         let remover_host = Arc::clone(&task_host);
         task_host.tasks.spawn(async move {
             tokio::select! {
                 () = remover_host.stop.stopped() => {}
-                () = tokio::time::sleep(OUTCOME_RETENTION) => {}
+                () = tokio::time::sleep(retention) => {}
             }
             lock(&remover_host.executions.running).remove(&work.id);
         });
@@ -121,6 +127,14 @@
     await_outcome(receiver).await
 }
 
+/// Returns how long an outcome is retained for a sender that lost the connection.
+fn retention_of(outcome: &Outcome) -> Duration {
+    match &outcome.result {
+        Ok(answer) if answer.body.len() > RETAINED_BODY_BYTES_MAX => Duration::ZERO,
+        Ok(_) | Err(_) => OUTCOME_RETENTION,
+    }
+}
+
 /// Waits for the outcome of a detached request.
 async fn await_outcome(mut receiver: OutcomeReceiver) -> Outcome {
     let outcome = receiver.wait_for(Option::is_some).await;
--- a/tests/host/backend_answers.rs
+++ b/tests/host/backend_answers.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::{Arc, LazyLock};
+use std::time::Duration;
 
 use bronzelock::host::context::Host;
 use bronzelock::host::executor;
@@ -230,3 +231,31 @@
     }
     assert_eq!(host.server_connections.opened_count(), 2);
 }
+
+/// Guards against answers replaced by 502 while the outcomes of earlier requests hold the memory.
+#[tokio::test]
+async fn a_long_answer_to_a_non_idempotent_request_holds_no_memory_once_delivered() {
+    let body = "x".repeat(1 << 20);
+    let length = body.len();
+    let headers = format!("{}{}", *SIGNED, *OWN_ID);
+    let answer = format!("HTTP/1.1 200 OK\r\n{headers}Content-Length: {length}\r\n\r\n{body}");
+    let host = host_beside(answer).await;
+    let work = HostWork {
+        effect: Effect::NonIdempotent,
+        ..work(&host)
+    };
+    let outcome = executor::run(&host, work).await;
+    assert!(
+        outcome
+            .result
+            .is_ok_and(|answer| answer.body.len() == length)
+    );
+    let limit = tokio::time::Instant::now() + Duration::from_secs(1);
+    while host.server_connections.answer_memory_bytes() > 0 {
+        assert!(
+            tokio::time::Instant::now() < limit,
+            "the memory is still held"
+        );
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
