--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -82,8 +82,10 @@
 impl HostGate {
     /// Creates a gate that refuses all requests until the backend server is known.
     ///
-    /// `service` is that of the settings, `drain_us` is how long a backend server keeps serving after its announcement that it is
-    /// leaving was acknowledged, and `allowance` is what it bears above its cold rate.
+    /// - `service`: service of the settings.
+    /// - `drain_us`: how long a backend server keeps serving after its announcement that it is leaving
+    ///   was acknowledged, in µs.
+    /// - `allowance`: what it bears above its cold rate.
     pub fn new(
         incarnation: Incarnation,
         service: ServiceName,
--- a/src/decision/host/keyed_state.rs
+++ b/src/decision/host/keyed_state.rs
@@ -139,7 +139,8 @@
 
     /// Adds a record of this era if it is newer than what is known; returns whether it is.
     ///
-    /// A key without a known record was deleted, or never written, before the end.
+    /// An unknown key was deleted before the end; an older answer that still has it must not bring it
+    /// back.
     fn insert(&mut self, record: KeyedRecord) -> bool {
         let is_newer = match self.records.get(&record.key) {
             Some(known) => record.position > known.position,
--- a/src/decision/host/known_server.rs
+++ b/src/decision/host/known_server.rs
@@ -21,7 +21,7 @@
         healthy_seen: bool,
     },
     /// Its service is unknown until it announces itself.
-    Unidentified,
+    OfUnknownService,
     /// It announced itself.
     Announced(Announcement),
 }
@@ -36,7 +36,7 @@
     /// Instance that answered last, since the last new start was applied.
     answering: Option<Arc<str>>,
     /// Instance and start time of the announcement that was replaced by one of an earlier time.
-    displaced: Option<(Arc<str>, u64)>,
+    replaced_by_earlier_start: Option<(Arc<str>, u64)>,
 }
 
 impl KnownServer {
@@ -47,7 +47,7 @@
             service_changes: 0,
             process: Process::Unknown,
             answering: None,
-            displaced: None,
+            replaced_by_earlier_start: None,
         }
     }
 
@@ -65,7 +65,7 @@
     pub fn announcement(&self) -> Option<&Announcement> {
         match &self.process {
             Process::Announced(announcement) => Some(announcement),
-            Process::Unknown | Process::Answered { .. } | Process::Unidentified => None,
+            Process::Unknown | Process::Answered { .. } | Process::OfUnknownService => None,
         }
     }
 
@@ -77,7 +77,7 @@
                 healthy_seen: true,
             } => Some(instance),
             Process::Announced(announcement) => Some(&announcement.instance),
-            Process::Unknown | Process::Answered { .. } | Process::Unidentified => None,
+            Process::Unknown | Process::Answered { .. } | Process::OfUnknownService => None,
         }
     }
 
@@ -114,10 +114,10 @@
                 true
             }
             Process::Answered { .. } => {
-                self.process = Process::Unidentified;
+                self.process = Process::OfUnknownService;
                 false
             }
-            Process::Unidentified => false,
+            Process::OfUnknownService => false,
             Process::Announced(known) => *known.instance == *instance,
         }
     }
@@ -127,8 +127,8 @@
     /// The next one that does may be of another service than the settings say.
     pub fn observe_no_listener(&mut self) {
         match self.process {
-            Process::Unknown | Process::Answered { .. } => self.process = Process::Unidentified,
-            Process::Unidentified | Process::Announced(_) => {}
+            Process::Unknown | Process::Answered { .. } => self.process = Process::OfUnknownService,
+            Process::OfUnknownService | Process::Announced(_) => {}
         }
     }
 
@@ -143,7 +143,9 @@
             Freshness::Stale if answers && !self.is_announced(&announcement.instance) => {
                 Freshness::NewStart
             }
-            Freshness::NewStart if !answers && self.is_displaced(announcement) => Freshness::Stale,
+            Freshness::NewStart if !answers && self.was_replaced_by_earlier_start(announcement) => {
+                Freshness::Stale
+            }
             Freshness::NewStart | Freshness::Newer | Freshness::Stale => by_time,
         }
     }
@@ -155,11 +157,12 @@
             Freshness::Stale => return freshness,
             Freshness::Newer => {}
             Freshness::NewStart => {
-                let displaced = self
+                let replaced_by_earlier_start = self
                     .announcement()
                     .filter(|known| known.start_time_ms > announcement.start_time_ms)
                     .map(|known| (Arc::clone(&known.instance), known.start_time_ms));
-                self.displaced = displaced.or(self.displaced.take());
+                self.replaced_by_earlier_start =
+                    replaced_by_earlier_start.or(self.replaced_by_earlier_start.take());
                 // What answered before may have been another process.
                 self.answering = None;
             }
@@ -178,7 +181,7 @@
             Process::Answered { instance, .. } if *instance != departure.instance => None,
             Process::Unknown
             | Process::Answered { .. }
-            | Process::Unidentified
+            | Process::OfUnknownService
             | Process::Announced(_) => departure.announcement(self.announcement(), &self.service),
         }
     }
@@ -188,9 +191,9 @@
         known.is_some_and(|known| known.instance == *instance)
     }
 
-    fn is_displaced(&self, announcement: &Announcement) -> bool {
-        let displaced = self.displaced.as_ref();
-        displaced.is_some_and(|(instance, start_time_ms)| {
+    fn was_replaced_by_earlier_start(&self, announcement: &Announcement) -> bool {
+        let replaced_by_earlier_start = self.replaced_by_earlier_start.as_ref();
+        replaced_by_earlier_start.is_some_and(|(instance, start_time_ms)| {
             *instance == announcement.instance && *start_time_ms == announcement.start_time_ms
         })
     }
--- a/src/decision/host/refusals.rs
+++ b/src/decision/host/refusals.rs
@@ -2,7 +2,7 @@
 
 use crate::model::reasons::RefusalReason;
 
-/// Number of hosts that may refuse a request before the caller gets the refusal.
+/// Number of hosts of the service that may refuse a request before the caller gets the refusal.
 const REFUSING_HOSTS_MAX: u32 = 3;
 
 /// Hosts that refused a request, as far as they count.
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -27,9 +27,6 @@
 /// Retry-After if the failure states none, in µs.
 const RETRY_AFTER_DEFAULT_US: u64 = 200_000;
 
-/// Body of the response to a request without an identifier.
-const NO_IDENTIFIER: &str = "the request bears no identifier\n";
-
 /// Assumed waiting time of a caller that states none, in ms.
 const WAIT_MS_DEFAULT: u64 = 60_000;
 
@@ -56,12 +53,9 @@
     async fn answer(self: Arc<Self>, request: Request, caller: SocketAddr) -> Response {
         let arrived_us = self.0.now_us();
         let _open_request = self.0.events.open_request();
-        if requests::id_of(&request.head).is_none() {
-            return without_identifier(&self.0, &request, caller);
-        }
         match requests::decode(request) {
-            Some(request) => answer(&self.0, request, arrived_us).await,
-            None => Response::new(400, Vec::new(), NO_IDENTIFIER),
+            Ok(request) => answer(&self.0, request, arrived_us).await,
+            Err(request) => without_identifier(&self.0, &request, caller),
         }
     }
 
@@ -112,7 +106,7 @@
         answered: true,
         config: host.config_age(),
     });
-    Response::new(400, Vec::new(), NO_IDENTIFIER)
+    Response::new(400, Vec::new(), "the request bears no identifier\n")
 }
 
 async fn answer(host: &Arc<Host>, request: CallerRequest, arrived_us: u64) -> Response {
--- a/src/model/ids.rs
+++ b/src/model/ids.rs
@@ -6,6 +6,9 @@
 use serde::{Deserialize, Serialize};
 
 /// Identifies one run of a node process; chosen at random when it starts.
+///
+/// On a host of the users' platform the run takes the lower 32 bits, and the bits above count the
+/// changes of the host's service during it.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
 )]
@@ -14,7 +17,6 @@
 /// Bits of an incarnation that identify the run of a host's node.
 const RUN_BITS: u32 = 32;
 
-/// A host's node counts the changes of its service in the bits above those of its run.
 impl Incarnation {
     /// Returns the incarnation after so many changes of the service.
     #[must_use]
--- a/tests/host/platform.rs
+++ b/tests/host/platform.rs
@@ -124,7 +124,7 @@
 
 #[test]
 fn a_request_without_an_identifier_is_not_decoded() {
-    assert!(requests::decode(caller_request(&[("Host", "a")])).is_none());
+    assert!(requests::decode(caller_request(&[("Host", "a")])).is_err());
 }
 
 #[test]
