Log each transfer of the operators' log between nodes, and what a configuration costs to decode

The logs of the incident do not say which node was asked for records, for how long, how many bytes came and why a request failed, so a congested source, a node that does not answer and slow decoding look alike. relay-received and relay-failed say it; config has the size and the decoding time.

--- a/src/decision/host/keyed_state.rs
+++ b/src/decision/host/keyed_state.rs
@@ -49,6 +49,15 @@
     pub lost: Vec<LostRecord>,
 }
 
+impl Snapshot {
+    /// Size of all values, in bytes.
+    pub fn value_bytes(&self) -> usize {
+        let logged = self.records.iter().map(|record| &record.value);
+        let lost = self.lost.iter().map(|lost| &lost.value);
+        logged.chain(lost).flatten().map(Bytes::len).sum()
+    }
+}
+
 /// Effect of records on the state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Applied {
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -6,8 +6,10 @@
 use std::time::Duration;
 
 use super::context::Host;
+use super::peer_client::PeerError;
 use crate::decision::host::keyed_state::{Applied, KeyedRecord, KeyedState, Snapshot};
 use crate::decision::host::log_reader::{LogReader, NextRead, ReadOutcome, ReadRole};
+use crate::decision::host::peers::Peer;
 use crate::decision::host::poll_schedule::PollSchedule;
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
@@ -183,43 +185,87 @@
         } else {
             tokio::time::sleep(PEER_RETRY_PAUSE).await;
         }
-        let Some((ip, knows_eras)) = peer_ahead(host, &failed) else {
+        let Some(source) = peer_ahead(host, &failed) else {
             failed.clear();
             continue;
         };
-        let address = host.peer_address(ip);
+        let started_us = host.now_us();
+        let address = host.peer_address(source.address);
         let state = host
             .peer_clients
-            .operator_log(address, knows_eras, host.now_us());
+            .operator_log(address, source.knows_eras, started_us);
         match state.await {
             Ok(snapshot) => {
                 failed.clear();
-                host.learn_times.operator_log.record(host.now_us());
+                let now_us = host.now_us();
+                host.learn_times.operator_log.record(now_us);
+                log_relay(host, &source, started_us, Ok(snapshot.value_bytes()));
                 apply(host, Update::Snapshot(snapshot));
             }
             Err(error) => {
-                log::debug!("operator log: failed to get records from a peer: {error:?}");
-                failed.push(ip);
+                log_relay(host, &source, started_us, Err(&error));
+                failed.push(source.address);
             }
         }
     }
 }
 
-/// Returns a live peer that knows more of the log, preferably of the same zone, and whether its
-/// release knows eras.
+/// Logs a request to a peer for its records, with the bytes received or the error.
+fn log_relay(
+    host: &Host,
+    source: &RelaySource,
+    started_us: u64,
+    result: Result<usize, &PeerError>,
+) {
+    let mut fields = serde_json::json!({
+        "peer": source.address, "same_zone": source.same_zone, "peers_ahead": source.peers_ahead,
+        "took_ms": (host.now_us() - started_us) / US_PER_MS,
+    });
+    let event = match result {
+        Ok(bytes) => {
+            fields["bytes"] = bytes.into();
+            "relay-received"
+        }
+        Err(error) => {
+            fields["error"] = error.to_string().into();
+            "relay-failed"
+        }
+    };
+    host.events.state_changed(event, fields);
+}
+
+/// A peer that can relay records of the log.
+struct RelaySource {
+    address: IpAddr,
+    same_zone: bool,
+    /// Whether its release knows eras.
+    knows_eras: bool,
+    /// Number of live peers that know more of the log, including those that failed.
+    peers_ahead: usize,
+}
+
+/// Returns a live peer that knows more of the log, preferably of the same zone.
 ///
 /// The peers in `failed` are left out.
-fn peer_ahead(host: &Host, failed: &[IpAddr]) -> Option<(IpAddr, bool)> {
+fn peer_ahead(host: &Host, failed: &[IpAddr]) -> Option<RelaySource> {
     let now_us = host.now_us();
     let zone = &host.settings.host.zone;
     let peers = lock(&host.peers);
     let state = lock(&host.operator_state);
-    let ahead = peers
+    let ahead: Vec<&Peer> = peers
         .iter()
         .filter(|peer| peer.log_view.is_ahead_of(&state) && peer.is_live(now_us))
+        .collect();
+    let untried = ahead
+        .iter()
         .filter(|peer| !failed.contains(&peer.introduction.address));
-    let best = ahead.max_by_key(|peer| (peer.introduction.zone == *zone, peer.log_view.end));
-    best.map(|peer| (peer.introduction.address, peer.log_view.knows_eras))
+    let best = untried.max_by_key(|peer| (peer.introduction.zone == *zone, peer.log_view.end));
+    best.map(|peer| RelaySource {
+        address: peer.introduction.address,
+        same_zone: peer.introduction.zone == *zone,
+        knows_eras: peer.log_view.knows_eras,
+        peers_ahead: ahead.len(),
+    })
 }
 
 /// Puts the records of the log in force when lost ones cease to be.
@@ -328,6 +374,7 @@
 
 /// Applies a configuration unless the same or a newer version is in force.
 fn apply_config(host: &Host, value: &[u8]) {
+    let started_us = host.now_us();
     let config = match operator::decode_config(value) {
         Ok(config) => config,
         Err(error) => {
@@ -346,6 +393,7 @@
         "config",
         serde_json::json!({
             "version": config.version, "before": current, "routes": config.route_count(),
+            "bytes": value.len(), "decode_ms": (host.now_us() - started_us) / US_PER_MS,
         }),
     );
     set_cold_rate(host, &config);
--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -5,6 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
+use displaydoc::Display;
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::tokio_serde::formats::Bincode;
@@ -80,13 +81,13 @@
 type ConnectionSlot = Arc<AsyncMutex<Option<Connection>>>;
 
 /// Why a call to a peer failed.
-#[derive(Debug)]
+#[derive(Debug, Display)]
 pub enum PeerError {
-    /// No connection could be opened; nothing was sent.
+    /// no connection: {0}
     NotSent(StepError),
-    /// The connection failed or the peer stopped responding after the call was handed over.
+    /// connection lost after the call was handed over: {0}
     Lost(StepError),
-    /// The deadline passed.
+    /// the deadline passed
     Deadline,
 }
 
