Failing test: many routes on hosts with slow links

Twenty hosts of one zone behind links of 10 Mbit/s get a configuration of 4,200 routes (0.8 MB). Two seconds after its acknowledgement, hosts that do not read the log themselves answer 404: all ask the same node at the same moment, its link takes 10 s for what they ask, and each gives up after 1 s. The proxy of the tests can limit the bytes of a link.

--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -1,7 +1,7 @@
 //! Loopback proxy that disturbs the TCP connections that pass through it.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
 use socket2::{SockFilter, SockRef};
@@ -9,6 +9,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -31,6 +32,8 @@
     Open,
     /// Each piece is late by so many ms.
     Late(u64),
+    /// So many bytes pass in a second on each way, of all connections together.
+    Narrow(u64),
     /// Nothing passes, and no side whose bytes are stopped gets an acknowledgement; connections that
     /// are not given up go on when the state ends.
     Cut(Direction),
@@ -55,9 +58,38 @@
     fn lateness(self) -> Duration {
         match self {
             Self::Late(ms) => Duration::from_millis(ms),
-            Self::Open | Self::Cut(_) => Duration::ZERO,
+            Self::Open | Self::Narrow(_) | Self::Cut(_) => Duration::ZERO,
         }
     }
+
+    /// Time that a piece occupies the link.
+    fn transfer_time(self, bytes: usize) -> Duration {
+        match self {
+            Self::Narrow(bytes_per_s) => {
+                Duration::from_secs_f64(bytes as f64 / bytes_per_s.max(1) as f64)
+            }
+            Self::Open | Self::Late(_) | Self::Cut(_) => Duration::ZERO,
+        }
+    }
+}
+
+/// When one way of a link is free for the next piece.
+#[derive(Debug)]
+struct Occupancy(Mutex<Instant>);
+
+impl Occupancy {
+    /// Puts a piece behind those that are on their way; returns when it has passed.
+    fn enqueue(&self, transfer_time: Duration) -> Instant {
+        let mut free_at = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        *free_at = Instant::now().max(*free_at) + transfer_time;
+        *free_at
+    }
+}
+
+impl Default for Occupancy {
+    fn default() -> Self {
+        Self(Mutex::new(Instant::now()))
+    }
 }
 
 /// How the connections that are open now fail for good.
@@ -81,6 +113,8 @@
 struct Link {
     server: SocketAddr,
     state: watch::Sender<LinkState>,
+    forward: Occupancy,
+    back: Occupancy,
     /// How many faults were injected, and the last, which struck the connections that were open then.
     faulted: watch::Sender<(u64, ConnectionFault)>,
 }
@@ -96,6 +130,8 @@
         let link = Arc::new(Link {
             server,
             state: watch::Sender::default(),
+            forward: Occupancy::default(),
+            back: Occupancy::default(),
             faulted: watch::Sender::new((0, ConnectionFault::Reset)),
         });
         let stop = CancellationToken::new();
@@ -171,14 +207,8 @@
     };
     let (mut from_opener, mut to_opener) = opened.into_split();
     let (mut from_acceptor, mut to_acceptor) = accepted.into_split();
-    let state = || link.state.subscribe();
-    let forward = copy(
-        &mut from_opener,
-        &mut to_acceptor,
-        state(),
-        Direction::Forward,
-    );
-    let back = copy(&mut from_acceptor, &mut to_opener, state(), Direction::Back);
+    let forward = copy(link, &mut from_opener, &mut to_acceptor, Direction::Forward);
+    let back = copy(link, &mut from_acceptor, &mut to_opener, Direction::Back);
     let fault = tokio::select! {
         ended = async { tokio::try_join!(forward, back) } => {
             ended.err().map(|_broken| ConnectionFault::Reset)
@@ -203,11 +233,16 @@
 
 /// Passes one way on until its end, which is passed on, too.
 async fn copy(
+    link: &Link,
     from: &mut OwnedReadHalf,
     to: &mut OwnedWriteHalf,
-    mut state: watch::Receiver<LinkState>,
     way: Direction,
 ) -> std::io::Result<()> {
+    let mut state = link.state.subscribe();
+    let occupancy = match way {
+        Direction::Forward => &link.forward,
+        Direction::Back | Direction::Both => &link.back,
+    };
     let mut chunk = vec![0; CHUNK_BYTES];
     loop {
         hold_while_cut(from.as_ref(), &mut state, way).await;
@@ -216,8 +251,9 @@
             Ok(()) = state.changed() => continue,
         };
         hold_while_cut(from.as_ref(), &mut state, way).await;
-        let lateness = state.borrow().lateness();
-        tokio::time::sleep(lateness).await;
+        let current = *state.borrow();
+        tokio::time::sleep(current.lateness()).await;
+        tokio::time::sleep_until(occupancy.enqueue(current.transfer_time(count))).await;
         if count == 0 {
             return to.shutdown().await;
         }
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -5,6 +5,7 @@
 mod endless_answers;
 #[path = "../support/eventually.rs"]
 mod eventually;
+mod large_configuration;
 mod log_copy;
 #[path = "../support/loopback.rs"]
 mod loopback;
--- a/tests/host_processes/operator.rs
+++ b/tests/host_processes/operator.rs
@@ -1,5 +1,7 @@
 //! What operators write to the log service.
 
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use serde_json::{Value, json};
 use standins::platform::backend_server::HEALTH_PATH;
 use standins::platform::names::OPERATOR_TOPIC;
@@ -59,7 +61,12 @@
 
     /// Writes a configuration with one more route; tells the prefix of its paths.
     pub fn add_route(&mut self, store: &Store) -> String {
-        self.routes_added += 1;
+        self.add_routes(store, 1)
+    }
+
+    /// Writes a configuration with more routes; tells the prefix of the last one's paths.
+    pub fn add_routes(&mut self, store: &Store, count: usize) -> String {
+        self.routes_added += count;
         self.write_config(store);
         added_prefix(self.routes_added)
     }
@@ -96,9 +103,10 @@
     }
 }
 
-/// Prefix of the paths of a route that was added later.
+/// Prefix of the paths of a route that was added later; most of it is random.
 fn added_prefix(number: usize) -> String {
-    format!("/added-{number}/")
+    let random: u64 = StdRng::seed_from_u64(number as u64).random();
+    format!("/added-{number}-{random:016x}/")
 }
 
 /// A route whose requests are treated as those of a kind.
