Relay large records between nodes in compressed pieces, from sources chosen at random

Callers saw requests handled by a configuration up to 7 s old on hosts of one availability zone. Cause: nodes that miss the same record chose its source in the same order and asked for all records at once, within 1 s in total. At 4,221 routes (0.73 MB) twenty such answers need 12 s on a link of 10 Mbit/s. None was complete in time, each was thrown away, and all met again at the next node. Now each node chooses at random among those that have the latest records. Only a piece has a time limit, what arrived is kept across sources, and a node relays large values to three others at a time, so that the first ones become sources soon. Class: work that many do at once against one limit of total time, which throws away its progress.

--- a/src/decision/host/keyed_state.rs
+++ b/src/decision/host/keyed_state.rs
@@ -118,6 +118,14 @@
         }
     }
 
+    /// Value that a key got by the record at a position.
+    pub fn value_at(&self, key: &str, position: LogPosition) -> Option<&Bytes> {
+        let record = self.records.get(key);
+        record
+            .filter(|record| record.position == position)
+            .and_then(|record| record.value.as_ref())
+    }
+
     /// All records, including those of deleted keys.
     pub fn records(&self) -> impl Iterator<Item = &KeyedRecord> {
         self.records.values()
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -15,6 +15,8 @@
 pub mod poll_schedule;
 pub mod refusals;
 pub mod registration;
+pub mod relay_limiter;
+pub mod relay_sources;
 pub mod report_schedule;
 pub mod report_targets;
 pub mod run_times;
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -8,6 +8,7 @@
 use super::keyed_state::KeyedState;
 use super::placement::Candidate;
 use super::poll_schedule::FollowerTurn;
+use super::relay_sources::RelaySource;
 use super::report_targets::KnownHost;
 use crate::decision::routing::{AttemptOutcome, Health};
 use crate::model::ids::Incarnation;
@@ -49,6 +50,18 @@
     }
 }
 
+/// How a node relays the operators' log, which depends on its release.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum RelayProtocol {
+    /// All records at once, without the era of the log.
+    #[default]
+    Records,
+    /// All records at once, with the era.
+    Log,
+    /// An index of the records, and large values in pieces.
+    Index,
+}
+
 /// What a node knows of the operators' log, according to its load reports.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct LogView {
@@ -58,8 +71,8 @@
     pub follows: bool,
     /// Whether it retains records that the log has lost.
     pub has_lost_records: bool,
-    /// Whether its release knows that the log may come back from an older copy.
-    pub knows_eras: bool,
+    /// How it relays the log.
+    pub protocol: RelayProtocol,
 }
 
 impl LogView {
@@ -191,6 +204,24 @@
         }
     }
 
+    /// Live nodes that know more of the operators' log than `state`; `own_zone` is that of this node.
+    pub fn relay_sources<'a>(
+        &'a self,
+        state: &'a KeyedState,
+        own_zone: &'a ZoneName,
+        now_us: u64,
+    ) -> impl Iterator<Item = RelaySource> + 'a {
+        let ahead = self
+            .peers
+            .values()
+            .filter(move |peer| peer.log_view.is_ahead_of(state) && peer.is_live(now_us));
+        ahead.map(move |peer| RelaySource {
+            address: peer.introduction.address,
+            same_zone: peer.introduction.zone == *own_zone,
+            end: peer.log_view.end,
+        })
+    }
+
     /// Whether the host at `own` should follow the operators' log.
     ///
     /// The first few live hosts of each availability zone that can reach the log do so, and pass on
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -14,6 +14,7 @@
 use super::knowledge::{ConfigAge, LearnTimes};
 use super::log_writer::StandardOutput;
 use super::peer_client::PeerClients;
+use super::relayed_values::RelayedValues;
 use super::shared_gate::SharedGate;
 use crate::decision::host::claims::Claims;
 use crate::decision::host::cold_rate_limiter::ColdAllowance;
@@ -61,6 +62,8 @@
     pub learn_times: LearnTimes,
     /// Latest record of each key in the operators' log.
     pub operator_state: Mutex<KeyedState>,
+    /// Large values of the operators' log, as relayed to other nodes.
+    pub relayed_values: Mutex<RelayedValues>,
     /// Whether this node follows the operators' log and the log service answers.
     pub follows_log: AtomicBool,
     /// Notified when a peer has seen more of the operators' log than this node.
@@ -115,6 +118,7 @@
             config: ArcSwapOption::empty(),
             learn_times: LearnTimes::default(),
             operator_state: Mutex::default(),
+            relayed_values: Mutex::default(),
             follows_log: AtomicBool::new(false),
             operator_log_behind: Notify::new(),
             lost_records_changed: Notify::new(),
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -15,7 +15,7 @@
 
 use super::context::Host;
 use super::peer_rpc::WireIntroduction;
-use crate::decision::host::peers::{Introduction, LogView};
+use crate::decision::host::peers::{Introduction, LogView, RelayProtocol};
 use crate::decision::host::report_schedule::{ReportSchedule, ReportTrigger};
 use crate::decision::host::report_targets::{Introductions, KnownHost, ReportTargets};
 use crate::kernel::shards::lock;
@@ -62,19 +62,39 @@
     has_lost_records: bool,
 }
 
+/// What follows the extension; earlier releases send nothing and pass over it.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct RelayExtension {
+    /// Version of the calls with which the sender relays the operators' log.
+    relay_version: u8,
+}
+
+/// Version of the calls that relay an index and large values in pieces.
+const RELAY_VERSION_INDEX: u8 = 1;
+
 /// Decodes a datagram and what follows it.
 fn decode(bytes: &[u8]) -> Option<(Datagram, LogView)> {
     let (datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes).ok()?;
     if datagram.version != WIRE_VERSION {
         return None;
     }
-    let extension = postcard::from_bytes::<DatagramExtension>(rest).ok();
+    let (extension, rest) = match postcard::take_from_bytes::<DatagramExtension>(rest) {
+        Ok((extension, rest)) => (Some(extension), rest),
+        Err(_absent) => (None, rest),
+    };
+    let relay = postcard::from_bytes::<RelayExtension>(rest).ok();
     let era = extension.map_or(0, |extension| extension.operator_era);
     let view = LogView {
         end: LogPosition::new(era, datagram.operator_end),
         follows: datagram.follows_log,
         has_lost_records: extension.is_some_and(|extension| extension.has_lost_records),
-        knows_eras: extension.is_some(),
+        protocol: match (extension, relay) {
+            (None, _) => RelayProtocol::Records,
+            (Some(_), Some(relay)) if relay.relay_version >= RELAY_VERSION_INDEX => {
+                RelayProtocol::Index
+            }
+            (Some(_), _) => RelayProtocol::Log,
+        },
     };
     Some((datagram, view))
 }
@@ -181,7 +201,10 @@
             operator_era: end.era,
             has_lost_records,
         };
-        postcard::to_stdvec(&(datagram, extension)).unwrap_or_default()
+        let relay = RelayExtension {
+            relay_version: RELAY_VERSION_INDEX,
+        };
+        postcard::to_stdvec(&(datagram, extension, relay)).unwrap_or_default()
     }
 
     async fn send_to(&self, ip: IpAddr, datagram: &[u8]) {
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -1,15 +1,13 @@
 //! Follows the operators' log and applies its records.
 
-use std::net::IpAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use super::context::Host;
-use super::peer_client::PeerError;
+use super::log_relay::receive_records;
 use crate::decision::host::keyed_state::{Applied, KeyedRecord, KeyedState, Snapshot};
 use crate::decision::host::log_reader::{LogReader, NextRead, ReadOutcome, ReadRole};
-use crate::decision::host::peers::Peer;
 use crate::decision::host::poll_schedule::PollSchedule;
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
@@ -33,12 +31,6 @@
 /// Load reports tell it when other hosts have seen more of the log.
 const READ_INTERVAL_MAX_US: u64 = 120 * US_PER_S;
 
-/// Pause between a failed request to a peer and the next one.
-const PEER_RETRY_PAUSE: Duration = Duration::from_millis(100);
-
-/// Delay that lets this node's own read come before a request to a peer.
-const PEER_QUERY_DELAY: Duration = Duration::from_millis(250);
-
 /// Maximum number of keys that the line of a new era names.
 const LOGGED_KEYS_MAX: usize = 20;
 
@@ -47,7 +39,7 @@
     tokio::select! {
         () = host.stop.stopped() => {}
         () = read_continuously(&host) => {}
-        () = query_peers(&host) => {}
+        () = receive_records(&host) => {}
         () = expire_lost_records(&host) => {}
     }
 }
@@ -169,105 +161,6 @@
     lock(&host.peers).should_follow_log(own.ip, &own.zone, host.now_us())
 }
 
-/// Requests records from a peer that has seen more of the log.
-///
-/// A node that follows the log first waits for [`PEER_QUERY_DELAY`], in which its own read may
-/// catch up. After a failure it asks the other peers that have seen more, without waiting for
-/// another report.
-async fn query_peers(host: &Host) {
-    let mut failed = Vec::new();
-    loop {
-        if failed.is_empty() {
-            host.operator_log_behind.notified().await;
-            if host.follows_log.load(Ordering::Relaxed) {
-                tokio::time::sleep(PEER_QUERY_DELAY).await;
-            }
-        } else {
-            tokio::time::sleep(PEER_RETRY_PAUSE).await;
-        }
-        let Some(source) = peer_ahead(host, &failed) else {
-            failed.clear();
-            continue;
-        };
-        let started_us = host.now_us();
-        let address = host.peer_address(source.address);
-        let state = host
-            .peer_clients
-            .operator_log(address, source.knows_eras, started_us);
-        match state.await {
-            Ok(snapshot) => {
-                failed.clear();
-                let now_us = host.now_us();
-                host.learn_times.operator_log.record(now_us);
-                log_relay(host, &source, started_us, Ok(snapshot.value_bytes()));
-                apply(host, Update::Snapshot(snapshot));
-            }
-            Err(error) => {
-                log_relay(host, &source, started_us, Err(&error));
-                failed.push(source.address);
-            }
-        }
-    }
-}
-
-/// Logs a request to a peer for its records, with the bytes received or the error.
-fn log_relay(
-    host: &Host,
-    source: &RelaySource,
-    started_us: u64,
-    result: Result<usize, &PeerError>,
-) {
-    let mut fields = serde_json::json!({
-        "peer": source.address, "same_zone": source.same_zone, "peers_ahead": source.peers_ahead,
-        "took_ms": (host.now_us() - started_us) / US_PER_MS,
-    });
-    let event = match result {
-        Ok(bytes) => {
-            fields["bytes"] = bytes.into();
-            "relay-received"
-        }
-        Err(error) => {
-            fields["error"] = error.to_string().into();
-            "relay-failed"
-        }
-    };
-    host.events.state_changed(event, fields);
-}
-
-/// A peer that can relay records of the log.
-struct RelaySource {
-    address: IpAddr,
-    same_zone: bool,
-    /// Whether its release knows eras.
-    knows_eras: bool,
-    /// Number of live peers that know more of the log, including those that failed.
-    peers_ahead: usize,
-}
-
-/// Returns a live peer that knows more of the log, preferably of the same zone.
-///
-/// The peers in `failed` are left out.
-fn peer_ahead(host: &Host, failed: &[IpAddr]) -> Option<RelaySource> {
-    let now_us = host.now_us();
-    let zone = &host.settings.host.zone;
-    let peers = lock(&host.peers);
-    let state = lock(&host.operator_state);
-    let ahead: Vec<&Peer> = peers
-        .iter()
-        .filter(|peer| peer.log_view.is_ahead_of(&state) && peer.is_live(now_us))
-        .collect();
-    let untried = ahead
-        .iter()
-        .filter(|peer| !failed.contains(&peer.introduction.address));
-    let best = untried.max_by_key(|peer| (peer.introduction.zone == *zone, peer.log_view.end));
-    best.map(|peer| RelaySource {
-        address: peer.introduction.address,
-        same_zone: peer.introduction.zone == *zone,
-        knows_eras: peer.log_view.knows_eras,
-        peers_ahead: ahead.len(),
-    })
-}
-
 /// Puts the records of the log in force when lost ones cease to be.
 async fn expire_lost_records(host: &Host) {
     loop {
@@ -295,6 +188,11 @@
     Expiry,
 }
 
+/// Applies a snapshot from another node and the changes that follow from it.
+pub fn apply_snapshot(host: &Host, snapshot: Snapshot) {
+    apply(host, Update::Snapshot(snapshot));
+}
+
 /// Applies an update and the changes that follow from it.
 fn apply(host: &Host, update: Update) {
     let now_us = host.now_us();
--- a/src/host/peer_client.rs
+++ b/src/host/peer_client.rs
@@ -13,13 +13,17 @@
 use tokio_util::sync::CancellationToken;
 
 use super::peer_rpc::{PeerHostClient, WireOutcome, WireWork};
+use super::relay_rpc::{WireLogIndex, WirePiece};
+use super::relayed_values::ValueDigest;
 use crate::decision::host::keyed_state::Snapshot;
+use crate::decision::host::peers::RelayProtocol;
 use crate::edge::http1::client::{KeepAlive, connect};
 use crate::edge::peer_client::frame_codec;
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::kernel::tasks::Tasks;
 use crate::model::ids::Incarnation;
+use crate::model::log_position::LogPosition;
 
 /// Maximum size of a message between nodes, in bytes.
 pub const MESSAGE_BYTES_MAX: usize = 80 << 20;
@@ -33,9 +37,12 @@
 /// Timeout of calls that run no request, such as a ping.
 const CONTROL_CALL_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Timeout for the transfer of a peer's records; another peer can be asked after it.
+/// Timeout for the transfer of all records of a peer of an earlier release.
 const RECORDS_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Timeout of a call that relays an index or one piece; another peer can be asked after it.
+const RELAY_CALL_TIMEOUT: Duration = Duration::from_millis(600);
+
 /// Time without an answer before the connection is checked with a ping.
 const PING_PERIOD: Duration = Duration::from_millis(600);
 
@@ -148,9 +155,8 @@
         self.await_with_pings(address, &connection, call).await
     }
 
-    /// Returns the state of the operators' log that the peer holds, at the receiver's time `now_us`.
-    ///
-    /// A peer of a release without eras (`knows_eras` is false) is asked for its records only.
+    /// Returns the state of the operators' log that a peer of an earlier release holds, at the
+    /// receiver's time `now_us`.
     ///
     /// Opens a new connection, since an open one may be silent without having ended.
     ///
@@ -159,22 +165,39 @@
     pub async fn operator_log(
         &self,
         address: SocketAddr,
-        knows_eras: bool,
+        protocol: RelayProtocol,
         now_us: u64,
     ) -> Result<Snapshot, PeerError> {
         self.forget(address);
         let connection = self.connection(address).await?;
         let context = context(RECORDS_TIMEOUT);
-        let state = if knows_eras {
-            let state = connection.client.operator_log(context).await;
-            state.map(|wire| wire.into_snapshot(now_us))
-        } else {
-            let records = connection.client.operator_records(context).await;
-            records.map(Snapshot::from)
+        let state = match protocol {
+            RelayProtocol::Records => {
+                let records = connection.client.operator_records(context).await;
+                records.map(Snapshot::from)
+            }
+            RelayProtocol::Log | RelayProtocol::Index => {
+                let state = connection.client.operator_log(context).await;
+                state.map(|wire| wire.into_snapshot(now_us))
+            }
         };
         self.finish(address, &connection, state)
     }
 
+    /// Opens a connection that only relays the operators' log.
+    ///
+    /// An open one may be silent without having ended, and requests must not wait behind records.
+    ///
+    /// # Errors
+    /// Returns [`PeerError::NotSent`] if it cannot be opened.
+    pub async fn open_relay(&self, address: SocketAddr) -> Result<RelayConnection, PeerError> {
+        let connection = self.open(address).await?;
+        Ok(RelayConnection {
+            address,
+            client: connection.client,
+        })
+    }
+
     /// Returns the hosts that the peer knows.
     ///
     /// # Errors
@@ -298,6 +321,13 @@
         if let Some(known) = open.as_ref().filter(|known| !known.ended.is_cancelled()) {
             return Ok(known.clone());
         }
+        let connection = self.open(address).await?;
+        *open = Some(connection.clone());
+        Ok(connection)
+    }
+
+    /// Opens a connection.
+    async fn open(&self, address: SocketAddr) -> Result<Connection, PeerError> {
         let connected = connect(address, CONNECT_TIMEOUT, KeepAlive::Seldom).await;
         let stream = connected
             .map_err(|error| PeerError::NotSent(StepError::with_peer("connect", address, error)))?;
@@ -312,13 +342,51 @@
                 log::debug!("peer client: connection to {address} closed: {error}");
             }
         });
-        let connection = Connection {
+        Ok(Connection {
             client: new_client.client,
             ended,
             last_heard: Arc::new(Mutex::new(Instant::now())),
-        };
-        *open = Some(connection.clone());
-        Ok(connection)
+        })
+    }
+}
+
+/// A connection to a peer that relays the operators' log; it closes when dropped.
+#[derive(Debug)]
+pub struct RelayConnection {
+    address: SocketAddr,
+    client: PeerHostClient,
+}
+
+impl RelayConnection {
+    /// Returns the records of the log since the position `known`, without large values.
+    ///
+    /// # Errors
+    /// Returns [`PeerError`] if the call fails.
+    pub async fn log_index(&self, known: LogPosition) -> Result<WireLogIndex, PeerError> {
+        let context = context(RELAY_CALL_TIMEOUT);
+        let index = self.client.log_index(context, known.into()).await;
+        index.map_err(|error| self.error(error))
+    }
+
+    /// Returns the piece of a large value that begins at `offset`.
+    ///
+    /// # Errors
+    /// Returns [`PeerError`] if the call fails.
+    pub async fn value_piece(
+        &self,
+        digest: ValueDigest,
+        offset: u64,
+    ) -> Result<WirePiece, PeerError> {
+        let context = context(RELAY_CALL_TIMEOUT);
+        let piece = self.client.value_piece(context, digest, offset).await;
+        piece.map_err(|error| self.error(error))
+    }
+
+    fn error(&self, error: RpcError) -> PeerError {
+        match error {
+            RpcError::DeadlineExceeded => PeerError::Deadline,
+            error => PeerError::Lost(StepError::with_peer("relay the log", self.address, error)),
+        }
     }
 }
 
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::outcome::{Outcome, RequestFailure, RunMeasurement};
+use super::relay_rpc::{WireLogIndex, WireLogPosition, WirePiece};
+use super::relayed_values::ValueDigest;
 use crate::decision::host::keyed_state::{KeyedRecord, KeyedState, LostRecord, Snapshot};
 use crate::decision::host::peers::Introduction;
 use crate::model::header::Header;
@@ -35,6 +37,10 @@
     async fn known_hosts() -> Vec<WireIntroduction>;
     /// Returns the state of the operators' log as the node knows it.
     async fn operator_log() -> WireOperatorLog;
+    /// Returns the records of the operators' log since a position, without large values.
+    async fn log_index(known: WireLogPosition) -> WireLogIndex;
+    /// Returns a piece of a large value that an index named.
+    async fn value_piece(digest: ValueDigest, offset: u64) -> WirePiece;
 }
 
 /// Wire form of a header.
--- a/src/host/peer_server.rs
+++ b/src/host/peer_server.rs
@@ -1,5 +1,6 @@
 //! RPC listener for the nodes on other hosts.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +17,8 @@
 use super::peer_rpc::{
     PeerHost, WireIntroduction, WireOperatorLog, WireOperatorRecords, WireOutcome, WireWork,
 };
+use super::relay_rpc::{WireLogIndex, WireLogPosition, WirePiece};
+use super::relayed_values::ValueDigest;
 use crate::edge::http1::client::{KeepAlive, enable_dead_peer_detection};
 use crate::edge::peer_client::frame_codec;
 use crate::kernel::shards::lock;
@@ -41,7 +44,7 @@
                     log::warn!("peer server: failed to set socket options (peer {peer}): {error}");
                 }
                 host.tasks
-                    .spawn(serve_connection(Arc::clone(&host), stream));
+                    .spawn(serve_connection(Arc::clone(&host), stream, peer));
             }
             Err(error) => {
                 log::warn!("peer server: accept failed: {error}");
@@ -54,12 +57,13 @@
 /// Serves one peer connection.
 ///
 /// tarpc drops the future of a request that the peer cancels, which cancels the request.
-async fn serve_connection(host: Arc<Host>, stream: TcpStream) {
+async fn serve_connection(host: Arc<Host>, stream: TcpStream, peer: SocketAddr) {
     let framed = frame_codec(MESSAGE_BYTES_MAX).new_framed(stream);
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let channel = BaseChannel::with_defaults(transport);
     let service = Service {
         host: Arc::clone(&host),
+        peer,
     };
     let requests = channel.execute(service.serve());
     let served = requests.for_each_concurrent(CONCURRENT_REQUESTS_MAX, |request| request);
@@ -73,6 +77,8 @@
 #[derive(Debug, Clone)]
 struct Service {
     host: Arc<Host>,
+    /// Address from which the peer has connected.
+    peer: SocketAddr,
 }
 
 impl PeerHost for Service {
@@ -106,6 +112,18 @@
         WireOperatorLog::new(&lock(&self.host.operator_state), self.host.now_us())
     }
 
+    async fn log_index(self, _context: Context, known: WireLogPosition) -> WireLogIndex {
+        let now_us = self.host.now_us();
+        let state = lock(&self.host.operator_state);
+        let mut values = lock(&self.host.relayed_values);
+        WireLogIndex::new(&state, known.into(), &mut values, now_us)
+    }
+
+    async fn value_piece(self, _context: Context, digest: ValueDigest, offset: u64) -> WirePiece {
+        let now_us = self.host.now_us();
+        lock(&self.host.relayed_values).piece(&digest, offset, self.peer, now_us)
+    }
+
     async fn known_hosts(self, _context: Context) -> Vec<WireIntroduction> {
         let peers = lock(&self.host.peers);
         let introductions = peers.iter().map(|peer| peer.introduction.clone());
--- a/tests/host/log_eras.rs
+++ b/tests/host/log_eras.rs
@@ -1,8 +1,12 @@
 //! State of a log that comes back from older copies of itself.
 
+use std::collections::HashMap;
+
 use bronzelock::decision::host::keyed_state::{
     Applied, KeyedRecord, KeyedState, LOST_RECORD_RETENTION_US, Snapshot,
 };
+use bronzelock::host::relay_rpc::WireLogIndex;
+use bronzelock::host::relayed_values::RelayedValues;
 use bronzelock::model::log_position::LogPosition;
 use bytes::Bytes;
 use rand::rngs::StdRng;
@@ -254,6 +258,8 @@
 /// What a node is told of the log.
 enum Answer {
     Snapshot(Snapshot),
+    /// Index from a peer, without the records that the node had when it asked.
+    Index(WireLogIndex),
     Records(Vec<KeyedRecord>),
 }
 
@@ -271,6 +277,12 @@
             Answer::Snapshot(snapshot) => {
                 self.state.apply_snapshot(snapshot, now_us);
             }
+            Answer::Index(index) => {
+                // Without a record that it lacks, the node asks again.
+                if let Some(snapshot) = index.into_snapshot(&self.state, &HashMap::new(), now_us) {
+                    self.state.apply_snapshot(snapshot, now_us);
+                }
+            }
             Answer::Records(records) => {
                 for record in records {
                     self.state.apply(record);
@@ -369,7 +381,14 @@
 
     fn relay(&mut self, node: usize) {
         let from = self.random.random_range(0..NODES);
-        let answer = Answer::Snapshot(self.nodes[from].relay());
+        let answer = if self.random.random() {
+            Answer::Snapshot(self.nodes[from].relay())
+        } else {
+            let known = self.nodes[node].state.end();
+            let mut values = RelayedValues::default();
+            let state = &self.nodes[from].state;
+            Answer::Index(WireLogIndex::new(state, known, &mut values, self.now_us))
+        };
         self.hand_over(node, answer);
     }
 
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -14,6 +14,7 @@
 mod latency;
 mod log_eras;
 mod log_reader;
+mod log_relay;
 mod nested_calls;
 mod peer_client;
 mod peers;
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bronzelock::decision::host::peers::RelayProtocol;
 use bronzelock::host::peer_client::{PeerClients, PeerError};
 use bronzelock::host::peer_rpc::WireWork;
 use bronzelock::kernel::tasks::Tasks;
@@ -45,7 +46,24 @@
     let (unanswered, silent) = tokio::join!(first, listener.accept());
     assert!(unanswered.is_err() && silent.is_ok(), "{unanswered:?}");
     let limit = Duration::from_secs(1);
-    let second = tokio::time::timeout(limit, clients.operator_log(address, true, 0));
+    let second = tokio::time::timeout(limit, clients.open_relay(address));
+    let (relay, opened) = tokio::join!(second, tokio::time::timeout(limit, listener.accept()));
+    assert!(matches!(opened, Ok(Ok(_))), "no new connection");
+    assert!(matches!(relay, Ok(Ok(_))), "{relay:?}");
+}
+
+/// Guards against the same at a node of an earlier release.
+#[tokio::test]
+async fn all_records_are_requested_over_a_new_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let clients = PeerClients::new(Tasks::default());
+    let first = clients.known_hosts(address);
+    let (unanswered, silent) = tokio::join!(first, listener.accept());
+    assert!(unanswered.is_err() && silent.is_ok(), "{unanswered:?}");
+    let limit = Duration::from_secs(1);
+    let records = clients.operator_log(address, RelayProtocol::Log, 0);
+    let second = tokio::time::timeout(limit, records);
     let (_unanswered, opened) =
         tokio::join!(second, tokio::time::timeout(limit, listener.accept()));
     assert!(matches!(opened, Ok(Ok(_))), "no new connection");
