Let a long answer of the log service take its time while it arrives

The limit held for the whole answer. A configuration of 4,221 routes is 0.97 MB in Base64; over 10 Mbit/s, beside the node's other traffic, that takes longer, and each failed read began again from nothing. Test store_client::a_long_answer_may_take_its_time_while_it_arrives failed before (deadline has elapsed); a_long_answer_that_stops_arriving_fails_soon passed before and does so now.

--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use super::reader::{MessageLimits, MessageReader, ReadError, Received};
+use super::reader::{LastReceipt, MessageLimits, MessageReader, ReadError, Received};
 use super::{BodyBudget, Response, ResponseHead};
 
 /// Time after which a connection with unacknowledged sent data is closed.
@@ -124,6 +124,13 @@
         self
     }
 
+    /// Returns where the time of the last receipt of the next exchange is recorded.
+    pub fn track_receipt(&mut self) -> LastReceipt {
+        let last_receipt = LastReceipt::default();
+        self.reader.last_receipt = Some(last_receipt.clone());
+        last_receipt
+    }
+
     /// Whether another request may be sent: the last exchange left the connection usable, no unread
     /// data is pending and the server has not closed it.
     pub fn is_reusable(&self) -> bool {
--- a/src/edge/http1/mod.rs
+++ b/src/edge/http1/mod.rs
@@ -15,7 +15,7 @@
 pub use body::BodyError;
 pub use budget::BodyBudget;
 pub use head::{RequestHead, ResponseHead, end_to_end_headers, write_request, write_response};
-pub use reader::{MessageLimits, MessageReader, ReadError, Received};
+pub use reader::{LastReceipt, MessageLimits, MessageReader, ReadError, Received};
 
 use bytes::Bytes;
 
--- a/src/edge/http1/reader.rs
+++ b/src/edge/http1/reader.rs
@@ -2,15 +2,17 @@
 //!
 //! Reads are cancel safe: dropping a pending read loses no bytes.
 
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use tokio::io::{AsyncRead, AsyncReadExt};
+use tokio::time::Instant;
 
 use super::body::{BodyCollector, BodyError, Framing};
 use super::budget::BodyBudget;
 use super::head::{Head, HeadError};
+use crate::kernel::shards::lock;
 
 /// Minimum free buffer space before each read, in bytes.
 const READ_BYTES_MIN: usize = 4_096;
@@ -84,6 +86,23 @@
     pub bodiless: bool,
     /// Memory that the bodies are taken from, if it is limited.
     pub body_budget: Option<Arc<BodyBudget>>,
+    /// Where the time of the last receipt is recorded, if someone needs it.
+    pub last_receipt: Option<LastReceipt>,
+}
+
+/// Time at which bytes were last received, shared with a reader.
+#[derive(Debug, Clone, Default)]
+pub struct LastReceipt(Arc<Mutex<Option<Instant>>>);
+
+impl LastReceipt {
+    /// Returns the time, or `None` if nothing was received.
+    pub fn get(&self) -> Option<Instant> {
+        *lock(&self.0)
+    }
+
+    fn record(&self) {
+        *lock(&self.0) = Some(Instant::now());
+    }
 }
 
 impl<H> Default for MessageReader<H> {
@@ -93,6 +112,7 @@
             state: State::Head,
             bodiless: false,
             body_budget: None,
+            last_receipt: None,
         }
     }
 }
@@ -153,7 +173,11 @@
             READ_BYTES_MIN
         });
         let count = stream.read_buf(&mut self.buffer).await;
-        Ok(count.map_err(ReadError::Io)? > 0)
+        let received = count.map_err(ReadError::Io)? > 0;
+        if let Some(last_receipt) = self.last_receipt.as_ref().filter(|_last| received) {
+            last_receipt.record();
+        }
+        Ok(received)
     }
 
     /// Parses the bytes read so far; returns `None` if more are needed.
--- a/tests/host/store_client.rs
+++ b/tests/host/store_client.rs
@@ -1,11 +1,11 @@
 //! Calls to the log service while connections to it fail.
 
 use std::net::{Ipv4Addr, SocketAddr};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bronzelock::platform::store::StoreClient;
 use standins::platform::store::Store;
-use standins::proxy::{ConnectionFault, Proxy};
+use standins::proxy::{ConnectionFault, LinkState, Proxy};
 
 const TOPIC: &str = "keyed.op";
 
@@ -37,3 +37,50 @@
         "{second:?}"
     );
 }
+
+/// Guards against nodes that start without a configuration behind a slow link.
+///
+/// An answer had to be complete within a time limit, however long it was, and each failed read began
+/// again from nothing.
+#[tokio::test]
+async fn a_long_answer_may_take_its_time_while_it_arrives() {
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let store = Store::start(loopback).await.expect("the store starts");
+    let proxy = Proxy::start(loopback, store.address())
+        .await
+        .expect("a proxy");
+    let value = vec![b'x'; 600_000];
+    store.put(TOPIC, "config", Some(&value));
+    // The answer, in Base64, passes in 3.2 s.
+    proxy.set_state(LinkState::Narrow(250_000));
+    let mut client = StoreClient::new(proxy.address());
+    let read = client.read_newest(TOPIC).await;
+    let length = read.map(|snapshot| snapshot.value_bytes());
+    assert!(matches!(length, Ok(600_000)), "{length:?}");
+}
+
+/// Guards against waiting for an answer that has stopped arriving.
+#[tokio::test]
+async fn a_long_answer_that_stops_arriving_fails_soon() {
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let store = Store::start(loopback).await.expect("the store starts");
+    let proxy = Proxy::start(loopback, store.address())
+        .await
+        .expect("a proxy");
+    let value = vec![b'x'; 600_000];
+    store.put(TOPIC, "config", Some(&value));
+    proxy.set_state(LinkState::Narrow(250_000));
+    let mut client = StoreClient::new(proxy.address());
+    let silence = async {
+        tokio::time::sleep(PAUSE).await;
+        proxy.inject(ConnectionFault::Silence);
+    };
+    let started = Instant::now();
+    let (read, ()) = tokio::join!(client.read_newest(TOPIC), silence);
+    assert!(read.is_err(), "{read:?}");
+    assert!(
+        started.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        started.elapsed()
+    );
+}
