Log the request rate that a backend server names in its answers

Whether a limit was named, which one and until when is in no log, so a limit that no node knows looks like one that is outweighed. limit-named, limit-ended and limit-refused say it. Nothing acts on the limit yet.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -11,6 +11,7 @@
 use super::cold_start::ColdStart;
 use super::known_server::KnownServer;
 use super::run_times::AverageRun;
+use super::server_limit::{LimitChange, ServerLimit};
 use super::slowness::Slowness;
 use super::start_limit::StartLimits;
 use super::wait_queue::{QueueOrder, WaitQueue, WaitingRequest};
@@ -18,6 +19,7 @@
     GateRefusal, HealthCheckResult, LoadSummary, ServerReport, SlowPhaseAction, Timing, Verdict,
     Work, WorkId,
 };
+use crate::model::host_request::LimitStatement;
 use crate::model::ids::Incarnation;
 use crate::model::load::{HostLoad, ServerState};
 use crate::model::names::ServiceName;
@@ -69,6 +71,7 @@
     server: KnownServer,
     close_times: CloseTimes,
     cold_start: ColdStart,
+    server_limit: ServerLimit,
     slots: u32,
     slowness: Slowness,
     average_run: AverageRun,
@@ -99,6 +102,7 @@
             server: KnownServer::new(service),
             close_times: CloseTimes::default(),
             cold_start: ColdStart::new(allowance),
+            server_limit: ServerLimit::default(),
             slots: 1,
             slowness: Slowness::default(),
             average_run: AverageRun::default(),
@@ -118,6 +122,7 @@
             Freshness::Stale => return freshness,
             Freshness::NewStart => {
                 self.close_times.set(CloseReason::ServerLeaving, false);
+                self.server_limit.reset();
                 self.slowness = Slowness::default();
             }
             Freshness::Newer => {}
@@ -170,6 +175,29 @@
         }
     }
 
+    /// Applies what an answer of the instance says of the request rate that it takes.
+    ///
+    /// `answers_request` is false for an answer to a health check.
+    pub fn observe_limit(
+        &mut self,
+        instance: &str,
+        statement: &LimitStatement,
+        answers_request: bool,
+        now_us: u64,
+    ) -> LimitChange {
+        if !self.is_target(instance) {
+            return LimitChange::Unchanged;
+        }
+        self.server_limit
+            .observe(statement, answers_request, now_us)
+    }
+
+    /// Whether requests are meant for this instance.
+    fn is_target(&self, instance: &str) -> bool {
+        let target = self.server.target();
+        target.is_some_and(|target| **target == *instance)
+    }
+
     /// Applies the result of a health check.
     ///
     /// A `healthy` result also means that the backend server is not leaving.
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -20,6 +20,7 @@
 pub mod report_schedule;
 pub mod report_targets;
 pub mod run_times;
+pub mod server_limit;
 pub mod shared_retry_budget;
 pub mod slowness;
 pub mod start_limit;
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -341,6 +341,26 @@
         );
     }
 
+    /// Logs and counts a request rate that a backend server names in its answers.
+    pub fn limit_named(&self, instance: &str, per_s: f64) {
+        self.count("server_limits_named");
+        let fields = serde_json::json!({"instance": instance, "per_s": per_s});
+        self.write(LinePriority::Notable, "limit-named", fields);
+    }
+
+    /// Logs that a backend server no longer names a request rate.
+    pub fn limit_ended(&self, instance: &str) {
+        let fields = serde_json::json!({"instance": instance});
+        self.write(LinePriority::Notable, "limit-ended", fields);
+    }
+
+    /// Logs and counts a text that a backend server names as its request rate, but is none.
+    pub fn limit_refused(&self, instance: &str, text: &str) {
+        self.count("server_limits_refused");
+        let fields = serde_json::json!({"instance": instance, "text": shortened(text)});
+        self.write(LinePriority::Notable, "limit-refused", fields);
+    }
+
     /// Logs an announcement that changed the state of the gate.
     pub fn announced(&self, announcement: &Announcement, freshness: Freshness, state: ServerState) {
         self.write(
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -23,10 +23,11 @@
 use crate::decision::host::claims::{ClaimError, ClaimState};
 use crate::decision::host::gate::{HostGate, SlowPhaseAction, Work};
 use crate::decision::host::run_times::usual_us;
+use crate::decision::host::server_limit::LimitChange;
 use crate::edge::http1::client::ExchangeError;
 use crate::edge::http1::{ReadError, Response};
 use crate::kernel::shards::lock;
-use crate::model::host_request::{AnswerFacts, HostWork, SERVER_ERROR_MIN};
+use crate::model::host_request::{AnswerFacts, HostWork, LimitStatement, SERVER_ERROR_MIN};
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 use crate::model::request::Effect;
@@ -299,6 +300,7 @@
             Ok(response) => {
                 let answer_facts = answer_facts.unwrap_or_default();
                 observe_load_report(host, &answer_facts);
+                observe_limit(host, instance, &answer_facts, answer_facts.signed);
                 let checked = check_answer(host, work, &answer_facts, response);
                 // Later bytes on a connection with a broken answer belong to no request.
                 if checked
@@ -421,6 +423,23 @@
         .with(|gate| gate.observe_report(facts.report, now_us));
 }
 
+/// Passes what an answer of `instance` says of its limit to the gate, and logs a change.
+pub fn observe_limit(host: &Host, instance: &str, facts: &AnswerFacts, answers_request: bool) {
+    if let LimitStatement::Unreadable(text) = &facts.limit {
+        host.events.limit_refused(instance, text);
+    }
+    let now_us = host.now_us();
+    let change = host
+        .gate
+        .with(|gate| gate.observe_limit(instance, &facts.limit, answers_request, now_us));
+    match change {
+        LimitChange::Unchanged => return,
+        LimitChange::Named(per_s) => host.events.limit_named(instance, per_s),
+        LimitChange::Ended => host.events.limit_ended(instance),
+    }
+    host.gate.urgent_change.notify_one();
+}
+
 /// Checks that a response is the complete answer of the backend server to the request.
 ///
 /// An answer needs a status that HTTP defines, the backend server's signature, the request
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -99,6 +99,7 @@
     executor::observe_load_report(host, &facts);
     let now_us = host.now_us();
     if let Some(instance) = &facts.instance {
+        executor::observe_limit(host, instance, &facts, false);
         let health = HealthCheckResult {
             instance,
             healthy: response.head.status == 200,
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -99,8 +99,20 @@
     pub cold_left_us: Option<u64>,
 }
 
+/// What an answer says of the request rate that its backend server takes from all hosts together.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub enum LimitStatement {
+    /// Nothing.
+    #[default]
+    Unstated,
+    /// Requests per second; zero or more.
+    PerSecond(f64),
+    /// Something that is no rate.
+    Unreadable(String),
+}
+
 /// Metadata from the headers of a backend server's answer.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFacts {
     /// Status code.
     pub status: u16,
@@ -116,4 +128,8 @@
     pub instance: Option<String>,
     /// Reported load and warmth.
     pub report: ServerReport,
+    /// Request rate that the backend server takes.
+    pub limit: LimitStatement,
+    /// Whether the backend server says that it is leaving.
+    pub leaving: bool,
 }
