Failing tests: a named limit, and a backend server that says in answers that it leaves

Callers press on five hosts; one backend server names a limit of 4 a second and gets 259 requests in 4 s where 29 are allowed, 228 when the node beside it is killed meanwhile. Another one says in its answers that it leaves and gets 149 requests after the drain time, 137 from a new run of its node. The stand-in says both in all its answers.

--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -14,6 +14,7 @@
 #[path = "../support/program.rs"]
 mod program;
 mod reused_address;
+mod server_statements;
 mod silent_links;
 mod site;
 mod soak;
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -12,7 +12,9 @@
 
 use serde_json::json;
 use standins::platform::announcer::{Announcer, ServerStatus};
-use standins::platform::backend_server::{BackendServer, BackendServerSettings, SharedBehaviour};
+use standins::platform::backend_server::{
+    BackendServer, BackendServerSettings, SharedBehaviour, SharedStatements,
+};
 use standins::platform::ledger::Ledger;
 use standins::proxy::{ConnectionFault, Proxy};
 use tokio::sync::oneshot;
@@ -86,6 +88,8 @@
     pub node: Program,
     /// How the backend server treats requests.
     pub behaviour: SharedBehaviour,
+    /// What the backend server says of itself in its answers.
+    pub statements: SharedStatements,
     node_started: Instant,
     /// Service of the backend servers that are started next.
     pub service: &'static str,
@@ -149,6 +153,7 @@
             server_link: proxy(addresses.server(), addresses.inner_server()).await,
             node: spawn_logging(&settings, &log),
             behaviour: SharedBehaviour::default(),
+            statements: SharedStatements::default(),
             node_started: Instant::now(),
             service: place.service,
             announcements_held: Arc::default(),
@@ -226,8 +231,13 @@
             settings.service.clone(),
             self.place.zone.to_owned(),
         );
-        let server =
-            BackendServer::start(settings, self.ledger.clone(), Arc::clone(&self.behaviour)).await;
+        let server = BackendServer::start(
+            settings,
+            self.ledger.clone(),
+            Arc::clone(&self.behaviour),
+            Arc::clone(&self.statements),
+        )
+        .await;
         let server = server.expect("the backend server starts");
         let (end, ended) = oneshot::channel();
         let held = Arc::clone(&self.announcements_held);
