Hold the request rate that a backend server names, at the gate beside it

A backend server in need named a limit in its answers and got as many requests as before: 178 in 4 s where 49 are allowed. Every request for a backend server goes through one gate, so the limit holds there, exactly: the token bucket of cold starts now serves both uses (decision/host/rate_limiter, start_rate). Load reports carry the pace at which requests start, so other nodes place work elsewhere before it waits. Requests that were dispatched but not sent when the limit is named count against it. While a limit holds, health checks come once a second. A node that has just started asks the backend server for a health answer before it accepts the first announcement, since a previous run may have known of a limit. Class: state that an answer carries for the whole system ended at the node that passed it on.

--- a/src/decision/host/cold_start.rs
+++ b/src/decision/host/cold_start.rs
@@ -1,6 +1,32 @@
 //! Cold start of the backend server: whether it is cold, and how much work it gets then.
 
-use super::cold_rate_limiter::{ColdAllowance, ColdRateLimiter};
+use super::rate_limiter::RateLimiter;
+
+/// Factor on the rate, for requests sent further than a second apart that arrive within one.
+const ARRIVAL_JITTER_FACTOR: f64 = 1.0 / 1.1;
+
+/// Rate for a backend server whose service is not configured, per second.
+const DEFAULT_RATE_PER_S: f64 = 2.0;
+
+/// Allowance above the rate that a cold backend server states.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdAllowance {
+    /// Factor on the stated rate.
+    pub overage: f64,
+    /// Additional requests in any second.
+    pub slack: f64,
+}
+
+impl ColdAllowance {
+    /// Rate of requests to send to a backend server that states a rate, per second.
+    fn rate_per_s(&self, stated_per_s: f64) -> f64 {
+        stated_per_s.max(1.0) * self.overage * ARRIVAL_JITTER_FACTOR
+    }
+
+    fn burst(&self) -> f64 {
+        (self.slack - 1.0).max(1.0)
+    }
+}
 
 /// What is known about the cold start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -15,7 +41,8 @@
 #[derive(Debug)]
 pub struct ColdStart {
     warm_up: WarmUp,
-    limiter: ColdRateLimiter,
+    allowance: ColdAllowance,
+    limiter: RateLimiter,
 }
 
 impl ColdStart {
@@ -23,7 +50,12 @@
     pub fn new(allowance: ColdAllowance) -> Self {
         Self {
             warm_up: WarmUp::Unknown,
-            limiter: ColdRateLimiter::new(allowance),
+            allowance,
+            limiter: RateLimiter::new(
+                allowance.rate_per_s(DEFAULT_RATE_PER_S),
+                allowance.burst(),
+                0,
+            ),
         }
     }
 
@@ -39,7 +71,8 @@
 
     /// Sets the request rate that the backend server states for its cold start, per second.
     pub fn set_rate(&mut self, stated_per_s: f64, now_us: u64) {
-        self.limiter.set_rate(stated_per_s, now_us);
+        let rate_per_s = self.allowance.rate_per_s(stated_per_s);
+        self.limiter.set(rate_per_s, self.allowance.burst(), now_us);
     }
 
     /// Whether the backend server is cold or may be.
@@ -55,7 +88,7 @@
         !self.is_cold(now_us) || self.limiter.allows(now_us)
     }
 
-    /// Counts a request that is dispatched now.
+    /// Counts a request that is dispatched now; a warm backend server may have turned cold unnoticed.
     pub fn dispatched(&mut self, now_us: u64) {
         self.limiter.reserve(now_us);
     }
--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -7,13 +7,13 @@
 
 use super::announcement::{AnnouncedState, Announcement, Departure, Freshness};
 use super::close_reasons::{CloseReason, CloseTimes};
-use super::cold_rate_limiter::ColdAllowance;
-use super::cold_start::ColdStart;
+use super::cold_start::ColdAllowance;
 use super::known_server::KnownServer;
 use super::run_times::AverageRun;
-use super::server_limit::{LimitChange, ServerLimit};
+use super::server_limit::LimitChange;
 use super::slowness::Slowness;
 use super::start_limit::StartLimits;
+use super::start_rate::StartRate;
 use super::wait_queue::{QueueOrder, WaitQueue, WaitingRequest};
 pub use super::work::{
     GateRefusal, HealthCheckResult, LoadSummary, ServerReport, SlowPhaseAction, Timing, Verdict,
@@ -21,7 +21,7 @@
 };
 use crate::model::host_request::LimitStatement;
 use crate::model::ids::Incarnation;
-use crate::model::load::{HostLoad, ServerState};
+use crate::model::load::{HostLoad, ServerState, StartPace};
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 use crate::model::units::US_PER_MS;
@@ -70,8 +70,7 @@
     report_sequence: u64,
     server: KnownServer,
     close_times: CloseTimes,
-    cold_start: ColdStart,
-    server_limit: ServerLimit,
+    start_rate: StartRate,
     slots: u32,
     slowness: Slowness,
     average_run: AverageRun,
@@ -101,8 +100,7 @@
             report_sequence: 0,
             server: KnownServer::new(service),
             close_times: CloseTimes::default(),
-            cold_start: ColdStart::new(allowance),
-            server_limit: ServerLimit::default(),
+            start_rate: StartRate::new(allowance),
             slots: 1,
             slowness: Slowness::default(),
             average_run: AverageRun::default(),
@@ -117,12 +115,14 @@
     pub fn observe_announcement(&mut self, announcement: Announcement, now_us: u64) -> Freshness {
         let (state, slots) = (announcement.state, announcement.slots);
         let cold_left_us = announcement.cold_left_us;
+        let was_answering = self.server.is_unannounced(&announcement.instance);
         let freshness = self.server.apply(announcement);
         match freshness {
             Freshness::Stale => return freshness,
             Freshness::NewStart => {
-                self.close_times.set(CloseReason::ServerLeaving, false);
-                self.server_limit.reset();
+                if !was_answering {
+                    self.forget_statements();
+                }
                 self.slowness = Slowness::default();
             }
             Freshness::Newer => {}
@@ -141,7 +141,9 @@
         }
         self.slots = slots.max(1);
         self.close_times.set(CloseReason::Unreachable, false);
-        self.cold_start.set_cold_until(now_us + cold_left_us);
+        self.start_rate
+            .cold_start
+            .set_cold_until(now_us + cold_left_us);
         freshness
     }
 
@@ -167,7 +169,7 @@
             self.slots = slots.max(1);
         }
         if let Some(left_us) = report.cold_left_us {
-            self.cold_start.set_cold_until(now_us + left_us);
+            self.start_rate.cold_start.set_cold_until(now_us + left_us);
         }
         if let Some(percent) = report.slowness_percent {
             let cold = self.is_cold(now_us);
@@ -175,6 +177,12 @@
         }
     }
 
+    /// Forgets what the answers of a process said: another one serves now.
+    fn forget_statements(&mut self) {
+        self.close_times.set(CloseReason::ServerLeaving, false);
+        self.start_rate.reset_limit();
+    }
+
     /// Applies what an answer of the instance says of the request rate that it takes.
     ///
     /// `answers_request` is false for an answer to a health check.
@@ -185,17 +193,15 @@
         answers_request: bool,
         now_us: u64,
     ) -> LimitChange {
-        if !self.is_target(instance) {
+        if !self.server.is_known(instance) {
             return LimitChange::Unchanged;
         }
-        self.server_limit
-            .observe(statement, answers_request, now_us)
-    }
-
-    /// Whether requests are meant for this instance.
-    fn is_target(&self, instance: &str) -> bool {
-        let target = self.server.target();
-        target.is_some_and(|target| **target == *instance)
+        let dispatched = self.running.values();
+        let dispatched_count = dispatched
+            .filter(|state| **state == Running::Dispatched)
+            .count();
+        self.start_rate
+            .observe_limit(statement, answers_request, dispatched_count, now_us)
     }
 
     /// Applies the result of a health check.
@@ -210,7 +216,9 @@
             // Another process answers at the address; its announcement has not arrived yet.
             self.suspect_restart();
         } else if self.server.announcement().is_some() {
-            self.cold_start.set_cold_until(now_us + result.cold_left_us);
+            self.start_rate
+                .cold_start
+                .set_cold_until(now_us + result.cold_left_us);
         }
     }
 
@@ -227,7 +235,7 @@
 
     /// Records that the backend server may have restarted.
     pub fn suspect_restart(&mut self) {
-        self.cold_start.suspect_restart();
+        self.start_rate.cold_start.suspect_restart();
     }
 
     /// Records whether connections to the backend server fail; returns whether that changed.
@@ -247,7 +255,7 @@
 
     /// Sets the request rate that the backend server states for its cold start.
     pub fn set_cold_rate(&mut self, requests_per_s: f64, now_us: u64) {
-        self.cold_start.set_rate(requests_per_s, now_us);
+        self.start_rate.cold_start.set_rate(requests_per_s, now_us);
     }
 
     /// Current slowness: run time of work relative to its usual run time.
@@ -260,6 +268,16 @@
         self.slowness.age_us(now_us)
     }
 
+    /// Whether the backend server names a limit of the requests that it takes.
+    pub fn is_limited(&self) -> bool {
+        self.start_rate.is_limited()
+    }
+
+    /// Pace at which other hosts can expect requests to start, if the backend server names a limit.
+    pub fn pace(&self, now_us: u64) -> Option<StartPace> {
+        self.start_rate.pace(self.waiting.len(), now_us)
+    }
+
     /// Decides whether to send, hold or reroute an admitted request at the current slowness.
     pub fn slow_phase_action(&self, timing: &Timing, now_us: u64) -> SlowPhaseAction {
         let run_us = timing.usual_run_us;
@@ -338,7 +356,7 @@
     pub fn finished(&mut self, id: WorkId, usual_run_us: Option<f64>, now_us: u64) {
         match self.running.remove(&id) {
             None => return,
-            Some(Running::Dispatched) => self.cold_start.cancelled(now_us),
+            Some(Running::Dispatched) => self.start_rate.cancelled(now_us),
             Some(Running::Sent) => {}
         }
         if let Some(usual_us) = usual_run_us {
@@ -379,10 +397,10 @@
         let limits = self.start_limits(now_us);
         let refused_at_us = |waiting: &WaitingRequest| limits.of(&waiting.work).at_us;
         let next_refusal_us = self.waiting.iter().map(refused_at_us).min()?;
-        let cold_wait_us = self.cold_start.wait_us(0, now_us).ceil() as u64;
-        let next_cold_dispatch_us = (cold_wait_us > 0).then_some(now_us + cold_wait_us);
+        let rate_wait_us = self.start_rate.wait_us(0, now_us).ceil() as u64;
+        let next_by_rate_us = (rate_wait_us > 0).then_some(now_us + rate_wait_us);
         let next_close_us = self.close_times.next_close_us(now_us);
-        [Some(next_refusal_us), next_cold_dispatch_us, next_close_us]
+        [Some(next_refusal_us), next_by_rate_us, next_close_us]
             .into_iter()
             .flatten()
             .min()
@@ -423,14 +441,12 @@
         // A request is sent again if its connection was closed before the first byte.
         let is_sent_again = self.running.get(&id) == Some(&Running::Sent);
         if is_sent_again {
-            if !self.cold_start.allows(now_us) {
+            if !self.start_rate.allows(now_us) {
                 return Err(RefusalReason::ColdStart);
             }
-            self.cold_start.dispatched(now_us);
-        }
-        if !self.cold_start.record_sent(now_us) {
-            return Err(RefusalReason::ColdStart);
+            self.start_rate.dispatched(now_us);
         }
+        self.start_rate.record_sent(now_us)?;
         self.running.insert(id, Running::Sent);
         Ok(target)
     }
@@ -442,6 +458,7 @@
         LoadSummary {
             state: self.state(now_us),
             slowness_step: self.slowness(now_us).log(SLOWNESS_STEP_RATIO).round() as i32,
+            limit_per_s: self.start_rate.limit_per_s().map(f64::round),
             full: occupied >= limit,
             occupancy_step: occupied * OCCUPANCY_STEPS / limit,
         }
@@ -498,7 +515,7 @@
 
     /// Whether the backend server is cold or may be.
     pub fn is_cold(&self, now_us: u64) -> bool {
-        self.cold_start.is_cold(now_us)
+        self.start_rate.cold_start.is_cold(now_us)
     }
 
     /// Usual run time of a request, in µs.
@@ -515,17 +532,17 @@
     /// Number of requests in flight that can be sustained now, for the load reports.
     fn sustained_limit(&self, now_us: u64) -> u32 {
         let run_us = self.average_run_us() * self.slowness(now_us);
-        let by_rate = self.cold_start.sustained_concurrency(run_us, now_us);
+        let by_rate = self.start_rate.sustained_concurrency(run_us, now_us);
         f64::from(self.limit()).min(by_rate).max(1.0) as u32
     }
 
     fn has_capacity(&mut self, now_us: u64) -> bool {
         let below_limit = self.running.len() < self.limit() as usize;
-        below_limit && self.cold_start.allows(now_us)
+        below_limit && self.start_rate.allows(now_us)
     }
 
     fn dispatch(&mut self, id: WorkId, now_us: u64) {
-        self.cold_start.dispatched(now_us);
+        self.start_rate.dispatched(now_us);
         self.running.insert(id, Running::Dispatched);
     }
 
@@ -548,7 +565,7 @@
         let runs_before = (ahead + 1).saturating_sub(free);
         let run_us = self.average_run_us() * self.slowness(now_us);
         let slot_wait_us = runs_before as f64 * run_us / limit as f64;
-        slot_wait_us.max(self.cold_start.wait_us(ahead, now_us))
+        slot_wait_us.max(self.start_rate.wait_us(ahead, now_us))
     }
 
     fn start_limits(&self, now_us: u64) -> StartLimits {
--- a/src/decision/host/known_server.rs
+++ b/src/decision/host/known_server.rs
@@ -81,6 +81,27 @@
         }
     }
 
+    /// Whether no process has answered or announced itself.
+    pub fn is_unknown(&self) -> bool {
+        matches!(self.process, Process::Unknown)
+    }
+
+    /// Whether an instance is the known process.
+    pub fn is_known(&self, instance: &str) -> bool {
+        match &self.process {
+            Process::Answered {
+                instance: known, ..
+            } => **known == *instance,
+            Process::Announced(known) => *known.instance == *instance,
+            Process::Unknown | Process::OfUnknownService => false,
+        }
+    }
+
+    /// Whether an instance has answered but not announced itself.
+    pub fn is_unannounced(&self, instance: &str) -> bool {
+        self.announcement().is_none() && self.is_known(instance)
+    }
+
     /// Checks that the host serves a service.
     ///
     /// # Errors
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -12,7 +12,7 @@
 use super::report_targets::KnownHost;
 use crate::decision::routing::{AttemptOutcome, Health};
 use crate::model::ids::Incarnation;
-use crate::model::load::HostLoad;
+use crate::model::load::{HostLoad, StartPace};
 use crate::model::log_position::LogPosition;
 use crate::model::names::{ServiceName, ZoneName};
 use crate::model::units::US_PER_S;
@@ -93,6 +93,7 @@
     /// Whether the host has changed its service and has not introduced itself since.
     service_changed: bool,
     load: Option<HostLoad>,
+    pace: Option<StartPace>,
     load_received_us: u64,
     last_heard_us: Option<u64>,
     known_since_us: u64,
@@ -144,6 +145,7 @@
                     service_changed: false,
                     known_since_us: now_us,
                     load: None,
+                    pace: None,
                     load_received_us: 0,
                     last_heard_us,
                     outstanding: 0,
@@ -196,6 +198,13 @@
         }
     }
 
+    /// Records the pace at which requests start at a host; `None` if no limit holds there.
+    pub fn set_pace(&mut self, address: IpAddr, pace: Option<StartPace>) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.pace = pace;
+        }
+    }
+
     /// Records what a host knows of the operators' log; its position never goes back.
     pub fn set_log_view(&mut self, address: IpAddr, view: LogView) {
         if let Some(peer) = self.peers.get_mut(&address) {
@@ -355,6 +364,7 @@
             sent_since_report: self.sent_since_report,
             failure_share: self.health.failure_share(now_us),
             avoided: !self.health.admits(self.outstanding, now_us),
+            pace: self.pace,
         }
     }
 }
--- a/src/decision/host/placement.rs
+++ b/src/decision/host/placement.rs
@@ -4,7 +4,7 @@
 
 use super::gate::FINISH_SAFETY_FACTOR;
 use crate::decision::splitmix64::SplitMix64;
-use crate::model::load::HostLoad;
+use crate::model::load::{HostLoad, StartPace};
 use crate::model::units::US_PER_MS;
 
 /// Round-trip time between nodes of one availability zone, in µs.
@@ -50,6 +50,8 @@
     pub failure_share: f64,
     /// Whether to avoid the host because of recent failures.
     pub avoided: bool,
+    /// Pace at which requests start there, if its backend server names a limit.
+    pub pace: Option<StartPace>,
 }
 
 /// The chosen host and its expected finish time.
@@ -96,7 +98,18 @@
             (Some(_), true) => SAME_ZONE_HOP_US,
             (Some(_), false) => CROSS_ZONE_HOP_US + usual_run_us * CROSS_ZONE_RUN_FRACTION,
         };
-        run_us + self.queue_wait_us(slowness) + hop_us
+        run_us + self.queue_wait_us(slowness).max(self.pace_wait_us()) + hop_us
+    }
+
+    /// Time until the request may start by the limit that the backend server names, in µs.
+    fn pace_wait_us(&self) -> f64 {
+        let Some(pace) = self.pace else {
+            return 0.0;
+        };
+        let wait_us = u64::from(pace.wait_ms) * US_PER_MS;
+        let sent_since_us =
+            u64::from(self.sent_since_report) * u64::from(pace.interval_ms) * US_PER_MS;
+        (wait_us + sent_since_us).saturating_sub(self.load_age_us) as f64
     }
 
     /// Delay of the request if the host holds it until a slow phase ends, in µs.
--- a/src/decision/host/cold_rate_limiter.rs
+++ b/src/decision/host/rate_limiter.rs
@@ -1,4 +1,4 @@
-//! Rate limit of requests to a backend server in its cold start.
+//! Rate limit of requests to a backend server.
 //!
 //! A token bucket: a request needs a token, tokens come at a steady rate, and the bucket holds a
 //! limited burst. A token is taken when a request is dispatched and used when its first byte is
@@ -7,52 +7,35 @@
 
 use crate::model::units::US_PER_S;
 
-/// Factor on the rate, for requests sent further than a second apart that arrive within one.
-const ARRIVAL_JITTER_FACTOR: f64 = 1.0 / 1.1;
-
-/// Rate for a backend server whose service is not configured, per second.
-const DEFAULT_RATE_PER_S: f64 = 2.0;
-
-/// Allowance above the rate that a cold backend server states.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ColdAllowance {
-    /// Factor on the stated rate.
-    pub overage: f64,
-    /// Additional requests in any second.
-    pub slack: f64,
-}
-
 /// Token bucket of one backend server.
 #[derive(Debug, Clone)]
-pub struct ColdRateLimiter {
-    allowance: ColdAllowance,
+pub struct RateLimiter {
     rate_per_s: f64,
+    /// Most tokens that the bucket holds; one or more.
+    burst: f64,
     tokens: f64,
     /// Tokens that were taken but not used yet.
     reserved: u32,
     refilled_us: u64,
 }
 
-impl ColdRateLimiter {
-    /// Creates an empty bucket at time zero, the start of the node.
-    ///
-    /// A previous run of the node may have sent requests right before.
-    pub fn new(allowance: ColdAllowance) -> Self {
-        let mut limiter = Self {
-            allowance,
-            rate_per_s: 0.0,
+impl RateLimiter {
+    /// Creates an empty bucket, since requests may have been sent right before.
+    pub fn new(rate_per_s: f64, burst: f64, now_us: u64) -> Self {
+        Self {
+            rate_per_s,
+            burst,
             tokens: 0.0,
             reserved: 0,
-            refilled_us: 0,
-        };
-        limiter.set_rate(DEFAULT_RATE_PER_S, 0);
-        limiter
+            refilled_us: now_us,
+        }
     }
 
-    /// Sets the rate that the backend server states, per second.
-    pub fn set_rate(&mut self, stated_per_s: f64, now_us: u64) {
+    /// Sets the rate, per second, and the burst.
+    pub fn set(&mut self, rate_per_s: f64, burst: f64, now_us: u64) {
         self.refill(now_us);
-        self.rate_per_s = stated_per_s.max(1.0) * self.allowance.overage * ARRIVAL_JITTER_FACTOR;
+        self.rate_per_s = rate_per_s;
+        self.burst = burst;
     }
 
     /// Whether another request may be dispatched now.
@@ -63,8 +46,8 @@
 
     /// Takes a token for a request that is dispatched now.
     ///
-    /// Requests to a warm backend server take one whether or not there is one, since it may have
-    /// turned cold unnoticed. They leave a deficit of at most one second.
+    /// It is taken whether or not there is one: the limit may bind although nobody knew it yet. The
+    /// deficit is at most that of one second.
     pub fn reserve(&mut self, now_us: u64) {
         self.refill(now_us);
         self.tokens = (self.tokens - 1.0).max(-self.rate_per_s);
@@ -96,6 +79,11 @@
         missing.max(0.0) / self.rate_per_s * US_PER_S as f64
     }
 
+    /// Time between two requests at the steady rate, in µs.
+    pub fn interval_us(&self) -> f64 {
+        US_PER_S as f64 / self.rate_per_s
+    }
+
     /// Concurrency at which requests that take `run_us` use up the rate.
     pub fn sustained_concurrency(&self, run_us: f64) -> f64 {
         self.rate_per_s * run_us / US_PER_S as f64
@@ -114,7 +102,6 @@
 
     /// Most tokens that the bucket holds beside the reserved ones.
     fn tokens_max(&self) -> f64 {
-        let burst = (self.allowance.slack - 1.0).max(1.0);
-        burst - f64::from(self.reserved)
+        self.burst - f64::from(self.reserved)
     }
 }
--- a/src/decision/host/work.rs
+++ b/src/decision/host/work.rs
@@ -60,12 +60,14 @@
 }
 
 /// Coarse summary of the gate's load.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct LoadSummary {
     /// State of the backend server, which tells whether it accepts new work.
     pub state: ServerState,
     /// Slowness on a logarithmic scale.
     pub slowness_step: i32,
+    /// Requests per second that the backend server takes, if it names a limit.
+    pub limit_per_s: Option<f64>,
     /// Whether new work would wait.
     pub full: bool,
     /// Running and waiting requests, in steps of a fraction of the limit.
--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -7,6 +7,7 @@
 use super::context::Host;
 use super::events::time_of_day_ms;
 use super::operator_log::set_cold_rate;
+use super::probe;
 use crate::decision::host::announcement::{Announcement, Departure, Freshness};
 use crate::decision::host::gate::HostGate;
 use crate::edge::http1::server::{Handler, ServerLimits};
@@ -46,6 +47,9 @@
                 return Response::new(400, Vec::new(), error.to_string());
             }
             Ok(Message::Heartbeat(announcement)) => {
+                if host.gate.with(|gate| gate.server().is_unknown()) {
+                    probe::first_answer(host).await;
+                }
                 let now_us = host.now_us();
                 apply(host, |gate| {
                     let freshness = gate.observe_announcement(announcement.clone(), now_us);
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -180,7 +180,7 @@
     fn place_next(&self) -> Option<Placement> {
         let host = self.host;
         let now_us = host.now_us();
-        let own_candidate = self.own_candidate();
+        let own_candidate = self.own_candidate(now_us);
         let peers = lock(&host.peers);
         let peer_candidates = peers.candidates(self.service, &host.settings.host.zone, now_us);
         let candidates = own_candidate.into_iter().chain(peer_candidates);
@@ -192,7 +192,7 @@
     }
 
     /// Returns this host as a candidate if it serves the service and accepts work.
-    fn own_candidate(&self) -> Option<Candidate> {
+    fn own_candidate(&self, now_us: u64) -> Option<Candidate> {
         let host = self.host;
         let load = host.gate.load();
         let serves_service = host.service() == *self.service;
@@ -204,6 +204,7 @@
             sent_since_report: 0,
             failure_share: 0.0,
             avoided: false,
+            pace: host.gate.with(|gate| gate.pace(now_us)),
         })
     }
 
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -17,7 +17,7 @@
 use super::relayed_values::RelayedValues;
 use super::shared_gate::SharedGate;
 use crate::decision::host::claims::Claims;
-use crate::decision::host::cold_rate_limiter::ColdAllowance;
+use crate::decision::host::cold_start::ColdAllowance;
 use crate::decision::host::keyed_state::KeyedState;
 use crate::decision::host::nested_calls::NestedCalls;
 use crate::decision::host::peers::{Introduction, Peers};
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -300,7 +300,7 @@
             Ok(response) => {
                 let answer_facts = answer_facts.unwrap_or_default();
                 observe_load_report(host, &answer_facts);
-                observe_limit(host, instance, &answer_facts, answer_facts.signed);
+                observe_statements(host, instance, &answer_facts, answer_facts.signed);
                 let checked = check_answer(host, work, &answer_facts, response);
                 // Later bytes on a connection with a broken answer belong to no request.
                 if checked
@@ -424,15 +424,17 @@
 }
 
 /// Passes what an answer of `instance` says of its limit to the gate, and logs a change.
-pub fn observe_limit(host: &Host, instance: &str, facts: &AnswerFacts, answers_request: bool) {
+///
+/// `answers_request` is false for an answer to a health check.
+pub fn observe_statements(host: &Host, instance: &str, facts: &AnswerFacts, answers_request: bool) {
     if let LimitStatement::Unreadable(text) = &facts.limit {
         host.events.limit_refused(instance, text);
     }
     let now_us = host.now_us();
-    let change = host
+    let limit = host
         .gate
         .with(|gate| gate.observe_limit(instance, &facts.limit, answers_request, now_us));
-    match change {
+    match limit {
         LimitChange::Unchanged => return,
         LimitChange::Named(per_s) => host.events.limit_named(instance, per_s),
         LimitChange::Ended => host.events.limit_ended(instance),
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -19,7 +19,7 @@
 use crate::decision::host::report_schedule::{ReportSchedule, ReportTrigger};
 use crate::decision::host::report_targets::{Introductions, KnownHost, ReportTargets};
 use crate::kernel::shards::lock;
-use crate::model::load::HostLoad;
+use crate::model::load::{HostLoad, StartPace};
 use crate::model::log_position::LogPosition;
 
 /// Minimum interval between two reports.
@@ -72,19 +72,28 @@
 /// Version of the calls that relay an index and large values in pieces.
 const RELAY_VERSION_INDEX: u8 = 1;
 
+/// What follows the relay extension: the pace of the sender's backend server, if it names a limit.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct PaceExtension(Option<StartPace>);
+
+/// A received datagram and what follows it.
+struct Report {
+    datagram: Datagram,
+    log_view: LogView,
+    pace: Option<StartPace>,
+}
+
 /// Decodes a datagram and what follows it.
-fn decode(bytes: &[u8]) -> Option<(Datagram, LogView)> {
-    let (datagram, rest) = postcard::take_from_bytes::<Datagram>(bytes).ok()?;
+fn decode(bytes: &[u8]) -> Option<Report> {
+    let (datagram, mut rest) = postcard::take_from_bytes::<Datagram>(bytes).ok()?;
     if datagram.version != WIRE_VERSION {
         return None;
     }
-    let (extension, rest) = match postcard::take_from_bytes::<DatagramExtension>(rest) {
-        Ok((extension, rest)) => (Some(extension), rest),
-        Err(_absent) => (None, rest),
-    };
-    let relay = postcard::from_bytes::<RelayExtension>(rest).ok();
+    let extension = take::<DatagramExtension>(&mut rest);
+    let relay = take::<RelayExtension>(&mut rest);
+    let pace = take::<PaceExtension>(&mut rest);
     let era = extension.map_or(0, |extension| extension.operator_era);
-    let view = LogView {
+    let log_view = LogView {
         end: LogPosition::new(era, datagram.operator_end),
         follows: datagram.follows_log,
         has_lost_records: extension.is_some_and(|extension| extension.has_lost_records),
@@ -96,7 +105,18 @@
             (Some(_), _) => RelayProtocol::Log,
         },
     };
-    Some((datagram, view))
+    Some(Report {
+        datagram,
+        log_view,
+        pace: pace.and_then(|pace| pace.0),
+    })
+}
+
+/// Takes an extension from the rest of a datagram; earlier releases send none.
+fn take<'a, T: Deserialize<'a>>(rest: &mut &'a [u8]) -> Option<T> {
+    let (extension, after) = postcard::take_from_bytes(rest).ok()?;
+    *rest = after;
+    Some(extension)
 }
 
 /// Sends and receives reports until the node stops.
@@ -204,7 +224,8 @@
         let relay = RelayExtension {
             relay_version: RELAY_VERSION_INDEX,
         };
-        postcard::to_stdvec(&(datagram, extension, relay)).unwrap_or_default()
+        let pace = PaceExtension(self.host.gate.with(|gate| gate.pace(self.host.now_us())));
+        postcard::to_stdvec(&(datagram, extension, relay, pace)).unwrap_or_default()
     }
 
     async fn send_to(&self, ip: IpAddr, datagram: &[u8]) {
@@ -226,15 +247,20 @@
                 continue;
             };
             match decode(&buffer[..length]) {
-                Some((datagram, log_view)) => self.handle(from.ip(), datagram, log_view).await,
+                Some(report) => self.handle(from.ip(), report).await,
                 None => self.host.events.count("datagrams_refused"),
             }
         }
     }
 
     /// Applies a datagram and replies with an introduction if one is needed.
-    async fn handle(&self, from: IpAddr, datagram: Datagram, log_view: LogView) {
+    async fn handle(&self, from: IpAddr, report: Report) {
         let host = &self.host;
+        let Report {
+            datagram,
+            log_view,
+            pace,
+        } = report;
         let now_us = host.now_us();
         let mut reply_wanted = false;
         if let Message::Hello {
@@ -270,6 +296,7 @@
             let mut peers = lock(&host.peers);
             peers.record_load(from, datagram.load, now_us);
             peers.set_log_view(from, log_view);
+            peers.set_pace(from, pace);
         }
         if log_view.is_ahead_of(&lock(&host.operator_state)) {
             host.operator_log_behind.notify_one();
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -17,6 +17,12 @@
 /// Age of the load figures at which a probe is due, in µs.
 const LOAD_AGE_MAX_US: u64 = 80 * US_PER_MS;
 
+/// The same age for a backend server that names a limit of the requests that it takes.
+const LIMITED_LOAD_AGE_MAX_US: u64 = US_PER_S;
+
+/// Interval of checks whether the path of the health check is known.
+const PATH_POLL_PERIOD: Duration = Duration::from_millis(25);
+
 /// Timeout of a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -49,8 +55,33 @@
 
 /// Returns whether the load figures are recent and the backend server is warm.
 fn is_load_fresh(host: &Host, now_us: u64) -> bool {
-    host.gate
-        .with(|gate| gate.slowness_age_us(now_us) < LOAD_AGE_MAX_US && !gate.is_cold(now_us))
+    host.gate.with(|gate| {
+        let age_max_us = if gate.is_limited() {
+            LIMITED_LOAD_AGE_MAX_US
+        } else {
+            LOAD_AGE_MAX_US
+        };
+        gate.slowness_age_us(now_us) < age_max_us && !gate.is_cold(now_us)
+    })
+}
+
+/// Asks a backend server of which nothing is known what it says of itself, with a timeout.
+///
+/// A previous run of this node may have known that it leaves, or that it names a limit.
+pub async fn first_answer(host: &Arc<Host>) {
+    let asked = async {
+        while health_path(host).is_none() {
+            tokio::time::sleep(PATH_POLL_PERIOD).await;
+        }
+        check_health(host).await
+    };
+    match tokio::time::timeout(PROBE_TIMEOUT, asked).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => host.record_server_unreachable(&error),
+        Err(_elapsed) => {
+            log::warn!("probe: the backend server did not answer a first health check")
+        }
+    }
 }
 
 /// Returns the health check path of the local service, if the configuration has it.
@@ -99,13 +130,13 @@
     executor::observe_load_report(host, &facts);
     let now_us = host.now_us();
     if let Some(instance) = &facts.instance {
-        executor::observe_limit(host, instance, &facts, false);
         let health = HealthCheckResult {
             instance,
             healthy: response.head.status == 200,
             cold_left_us: facts.report.cold_left_us.unwrap_or(0),
         };
         host.gate.with(|gate| gate.observe_health(&health, now_us));
+        executor::observe_statements(host, instance, &facts, false);
     }
     host.server_connections.release(pooled);
     Ok(())
--- a/src/host/shared_gate.rs
+++ b/src/host/shared_gate.rs
@@ -6,7 +6,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use super::outcome::RequestFailure;
-use crate::decision::host::cold_rate_limiter::ColdAllowance;
+use crate::decision::host::cold_start::ColdAllowance;
 use crate::decision::host::gate::{HostGate, LoadSummary, Verdict, Work, WorkId};
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -75,3 +75,12 @@
     /// State of the backend server.
     pub state: ServerState,
 }
+
+/// Pace at which requests start at a backend server that names a limit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StartPace {
+    /// Time between two requests, in ms.
+    pub interval_ms: u32,
+    /// Time until the next further request may start, in ms.
+    pub wait_ms: u32,
+}
--- a/tests/host/cold_start.rs
+++ b/tests/host/cold_start.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use bronzelock::decision::host::announcement::{AnnouncedState, Announcement};
-use bronzelock::decision::host::cold_rate_limiter::ColdAllowance;
+use bronzelock::decision::host::cold_start::ColdAllowance;
 use bronzelock::decision::host::gate::{
     HostGate, ServerReport, SlowPhaseAction, Timing, Verdict, Work, WorkId,
 };
@@ -108,26 +108,34 @@
 
 /// Largest number of arrivals in any second.
 fn most_in_a_second(arrived_us: &[u64]) -> usize {
+    most_within(arrived_us, S)
+}
+
+/// Largest number of arrivals in any span of that length.
+pub fn most_within(arrived_us: &[u64], span_us: u64) -> usize {
     let counts = arrived_us.iter().map(|from_us| {
         let within = arrived_us
             .iter()
-            .filter(|at| (*from_us..from_us + S).contains(*at));
+            .filter(|at| (*from_us..from_us + span_us).contains(*at));
         within.count()
     });
     counts.max().unwrap_or(0)
 }
 
+/// One request that is offered to a gate.
 #[derive(Debug, Clone, Copy)]
-struct Arrival {
-    after_us: u64,
+pub struct Arrival {
+    /// Time since the one before.
+    pub after_us: u64,
     /// Time from dispatch to the first byte, for example to open a connection.
-    held_us: u64,
+    pub held_us: u64,
     /// Time from the first byte to the end.
-    run_us: u64,
-    cancelled: bool,
+    pub run_us: u64,
+    /// Whether its caller leaves before the first byte.
+    pub cancelled: bool,
 }
 
-fn arrival() -> impl Strategy<Value = Arrival> {
+pub fn arrival() -> impl Strategy<Value = Arrival> {
     let held_us = prop_oneof![Just(0), 0..600 * MS];
     let fields = (0..60 * MS, held_us, 0..200 * MS, prop::bool::weighted(0.1));
     fields.prop_map(|(after_us, held_us, run_us, cancelled)| Arrival {
@@ -139,7 +147,7 @@
 }
 
 /// Sends what the gate allows; returns when each request reached the backend server.
-fn play(gate: &mut HostGate, arrivals: &[Arrival], from_us: u64) -> Vec<u64> {
+pub fn play(gate: &mut HostGate, arrivals: &[Arrival], from_us: u64) -> Vec<u64> {
     let mut now_us = from_us;
     let mut held: VecDeque<(u64, WorkId, Arrival)> = VecDeque::new();
     let mut running: Vec<(u64, WorkId)> = Vec::new();
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -3,7 +3,7 @@
 use bronzelock::decision::host::announcement::{
     AnnouncedState, Announcement, Departure, Freshness,
 };
-use bronzelock::decision::host::cold_rate_limiter::ColdAllowance;
+use bronzelock::decision::host::cold_start::ColdAllowance;
 use bronzelock::decision::host::gate::{
     HealthCheckResult, HostGate, ServerReport, SlowPhaseAction, Timing, Verdict, Work, WorkId,
 };
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -30,5 +30,6 @@
 mod request_reading;
 mod routes;
 mod run_times;
+mod server_limit;
 mod shared_retry_budget;
 mod store_client;
--- a/tests/host/placement.rs
+++ b/tests/host/placement.rs
@@ -4,7 +4,7 @@
 
 use bronzelock::decision::host::placement::{Candidate, RequestTiming, choose};
 use bronzelock::model::ids::Incarnation;
-use bronzelock::model::load::{HostLoad, ServerState};
+use bronzelock::model::load::{HostLoad, ServerState, StartPace};
 
 const TIMING: RequestTiming = RequestTiming {
     usual_run_us: 200_000.0,
@@ -36,6 +36,7 @@
         sent_since_report: 0,
         failure_share: 0.0,
         avoided: false,
+        pace: None,
     }
 }
 
@@ -127,3 +128,24 @@
     assert_eq!(second.candidate.address, Some(ip(2)));
     assert!(choose(two.into_iter(), &[Some(ip(1)), Some(ip(2))], TIMING, 7).is_none());
 }
+
+/// Pattern: one backend server names a limit, and many hosts choose at the same time.
+#[test]
+fn a_host_whose_backend_server_names_a_limit_gets_what_it_starts_soon() {
+    let paced = |wait_ms, sent_since_report| Candidate {
+        pace: Some(StartPace {
+            interval_ms: 130,
+            wait_ms,
+        }),
+        sent_since_report,
+        ..candidate(Some(ip(1)), true)
+    };
+    let busier = with_load(candidate(Some(ip(2)), true), |load| load.in_flight = 5);
+    assert_eq!(chosen(&[paced(0, 0), busier]), Some(ip(1)), "it can start");
+    assert_eq!(
+        chosen(&[paced(130, 0), busier]),
+        Some(ip(2)),
+        "it must wait"
+    );
+    assert_eq!(chosen(&[paced(0, 2), busier]), Some(ip(2)), "two were sent");
+}
