Take the word of a backend server's answers that it leaves

A backend server that leaves says so in all its answers, at times before or without an announcement. The gate now treats the first such answer as an announcement: it takes work until the drain time after it, less the usual margin. Later announcements neither extend the time nor take it back; another process at the address is free of it. If the process was leaving when it was first heard, as after a restart of its node, it gets nothing.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -71,6 +71,8 @@
     server: KnownServer,
     close_times: CloseTimes,
     start_rate: StartRate,
+    /// Whether an answer of the known process did not say that it is leaving.
+    heard_not_leaving: bool,
     slots: u32,
     slowness: Slowness,
     average_run: AverageRun,
@@ -101,6 +103,7 @@
             server: KnownServer::new(service),
             close_times: CloseTimes::default(),
             start_rate: StartRate::new(allowance),
+            heard_not_leaving: false,
             slots: 1,
             slowness: Slowness::default(),
             average_run: AverageRun::default(),
@@ -181,6 +184,33 @@
     fn forget_statements(&mut self) {
         self.close_times.set(CloseReason::ServerLeaving, false);
         self.start_rate.reset_limit();
+        self.heard_not_leaving = false;
+    }
+
+    /// Applies whether an answer of the instance says that it is leaving.
+    ///
+    /// It is then treated as one that announced it. One that was leaving when it was first heard may
+    /// have started long ago, for example if this node restarted since. Returns whether this is new.
+    pub fn observe_leaving(&mut self, instance: &str, leaving: bool, now_us: u64) -> bool {
+        if !self.server.is_known(instance) {
+            return false;
+        }
+        if !leaving {
+            self.heard_not_leaving = true;
+            return false;
+        }
+        let is_new = self
+            .close_times
+            .closes_at_us(CloseReason::ServerLeaving)
+            .is_none();
+        let drain_left_us = if self.heard_not_leaving {
+            self.drain_us.saturating_sub(DRAIN_MARGIN_US)
+        } else {
+            0
+        };
+        self.close_times
+            .close_at(CloseReason::ServerLeaving, now_us + drain_left_us);
+        is_new
     }
 
     /// Applies what an answer of the instance says of the request rate that it takes.
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -423,7 +423,8 @@
         .with(|gate| gate.observe_report(facts.report, now_us));
 }
 
-/// Passes what an answer of `instance` says of its limit to the gate, and logs a change.
+/// Passes what an answer of `instance` says of its limit, and whether it leaves, to the gate, and
+/// logs changes.
 ///
 /// `answers_request` is false for an answer to a health check.
 pub fn observe_statements(host: &Host, instance: &str, facts: &AnswerFacts, answers_request: bool) {
@@ -431,9 +432,14 @@
         host.events.limit_refused(instance, text);
     }
     let now_us = host.now_us();
-    let limit = host
-        .gate
-        .with(|gate| gate.observe_limit(instance, &facts.limit, answers_request, now_us));
+    let (limit, starts_leaving) = host.gate.with(|gate| {
+        let limit = gate.observe_limit(instance, &facts.limit, answers_request, now_us);
+        (limit, gate.observe_leaving(instance, facts.leaving, now_us))
+    });
+    if starts_leaving {
+        host.events
+            .state_changed("server-leaving", serde_json::json!({"instance": instance}));
+    }
     match limit {
         LimitChange::Unchanged => return,
         LimitChange::Named(per_s) => host.events.limit_named(instance, per_s),
--- a/tests/host/server_limit.rs
+++ b/tests/host/server_limit.rs
@@ -1,4 +1,4 @@
-//! What a gate does when its backend server names a limit of requests.
+//! What a gate does when its backend server names a limit of requests, or says that it leaves.
 
 use bronzelock::decision::host::announcement::{AnnouncedState, Announcement};
 use bronzelock::decision::host::cold_start::ColdAllowance;
@@ -24,6 +24,9 @@
 /// Instance of the announced backend server.
 const INSTANCE: &str = "i-1";
 
+/// Time for which a leaving backend server keeps serving.
+const DRAIN_US: u64 = 2 * S;
+
 /// Length of the windows in which the users count requests against a limit.
 const WINDOW_US: u64 = 4 * S;
 
@@ -41,7 +44,7 @@
         overage: 1.5,
         slack: 5.0,
     };
-    HostGate::new(Incarnation(1), service(), 2 * S, allowance)
+    HostGate::new(Incarnation(1), service(), DRAIN_US, allowance)
 }
 
 fn announcement(instance: &str, start_time_ms: u64, state: AnnouncedState) -> Announcement {
@@ -285,6 +288,45 @@
     }
 }
 
+fn is_refused(gate: &mut HostGate, now_us: u64) -> bool {
+    let (_id, verdict) = offer(gate, work(1, now_us, 400 * MS), now_us);
+    matches!(verdict, Some(Verdict::Refuse(_)))
+}
+
+#[test]
+fn a_backend_server_that_says_that_it_leaves_gets_work_until_its_drain_time_ends() {
+    let mut gate = warm_gate();
+    assert!(!gate.observe_leaving(INSTANCE, false, S));
+    assert!(!gate.observe_leaving("i-0", true, S), "another process");
+    assert!(gate.observe_leaving(INSTANCE, true, 2 * S), "new");
+    assert!(!gate.observe_leaving(INSTANCE, true, 3 * S), "known");
+    assert!(!is_refused(&mut gate, 2 * S + 100 * MS));
+    // A later announcement of the leave must not extend the time.
+    let mut draining = announcement(INSTANCE, 1, AnnouncedState::Draining);
+    draining.sequence = 2;
+    gate.observe_announcement(draining, 3 * S);
+    assert!(is_refused(&mut gate, 2 * S + DRAIN_US));
+    let mut ready = announcement(INSTANCE, 1, AnnouncedState::Ready);
+    ready.sequence = 3;
+    gate.observe_announcement(ready, 5 * S);
+    assert!(is_refused(&mut gate, 6 * S), "it does not come back");
+    gate.observe_announcement(announcement("i-2", 2, AnnouncedState::Ready), 7 * S);
+    assert!(
+        !is_refused(&mut gate, 8 * S),
+        "a later process is free of it"
+    );
+}
+
+/// It may have been leaving for long when the node started.
+#[test]
+fn a_backend_server_that_leaves_when_it_is_first_heard_gets_nothing() {
+    let mut gate = new_gate();
+    gate.observe_health(&health(false), S);
+    gate.observe_leaving(INSTANCE, true, S);
+    gate.observe_announcement(announcement(INSTANCE, 1, AnnouncedState::Ready), S);
+    assert!(is_refused(&mut gate, S + 10 * MS));
+}
+
 fn check_limit(values: &[&str], expected: &LimitStatement) {
     let headers = values
         .iter()
