--- a/src/decision/host/server_limit.rs
+++ b/src/decision/host/server_limit.rs
@@ -111,7 +111,7 @@
         };
         named.last_named_us = now_us;
         named.unstated_answers = 0;
-        if named.per_s == per_s {
+        if named.per_s.total_cmp(&per_s).is_eq() {
             return LimitChange::Unchanged;
         }
         named.per_s = per_s;
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -27,7 +27,9 @@
 use crate::edge::http1::client::ExchangeError;
 use crate::edge::http1::{ReadError, Response};
 use crate::kernel::shards::lock;
-use crate::model::host_request::{AnswerFacts, HostWork, LimitStatement, SERVER_ERROR_MIN};
+use crate::model::host_request::{
+    AnswerFacts, HostWork, LimitStatement, SERVER_ERROR_MIN, ServerStatements,
+};
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 use crate::model::request::Effect;
@@ -300,7 +302,12 @@
             Ok(response) => {
                 let answer_facts = answer_facts.unwrap_or_default();
                 observe_load_report(host, &answer_facts);
-                observe_statements(host, instance, &answer_facts, answer_facts.signed);
+                observe_statements(
+                    host,
+                    instance,
+                    &answer_facts.statements,
+                    answer_facts.signed,
+                );
                 let checked = check_answer(host, work, &answer_facts, response);
                 // Later bytes on a connection with a broken answer belong to no request.
                 if checked
@@ -427,14 +434,19 @@
 /// logs changes.
 ///
 /// `answers_request` is false for an answer to a health check.
-pub fn observe_statements(host: &Host, instance: &str, facts: &AnswerFacts, answers_request: bool) {
-    if let LimitStatement::Unreadable(text) = &facts.limit {
+pub fn observe_statements(
+    host: &Host,
+    instance: &str,
+    said: &ServerStatements,
+    answers_request: bool,
+) {
+    if let LimitStatement::Unreadable(text) = &said.limit {
         host.events.limit_refused(instance, text);
     }
     let now_us = host.now_us();
     let (limit, starts_leaving) = host.gate.with(|gate| {
-        let limit = gate.observe_limit(instance, &facts.limit, answers_request, now_us);
-        (limit, gate.observe_leaving(instance, facts.leaving, now_us))
+        let limit = gate.observe_limit(instance, &said.limit, answers_request, now_us);
+        (limit, gate.observe_leaving(instance, said.leaving, now_us))
     });
     if starts_leaving {
         host.events
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -79,7 +79,7 @@
         Ok(Ok(())) => {}
         Ok(Err(error)) => host.record_server_unreachable(&error),
         Err(_elapsed) => {
-            log::warn!("probe: the backend server did not answer a first health check")
+            log::warn!("probe: the backend server did not answer a first health check");
         }
     }
 }
@@ -136,7 +136,7 @@
             cold_left_us: facts.report.cold_left_us.unwrap_or(0),
         };
         host.gate.with(|gate| gate.observe_health(&health, now_us));
-        executor::observe_statements(host, instance, &facts, false);
+        executor::observe_statements(host, instance, &facts.statements, false);
     }
     host.server_connections.release(pooled);
     Ok(())
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -111,6 +111,15 @@
     Unreadable(String),
 }
 
+/// What a backend server says of itself in each of its answers.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct ServerStatements {
+    /// Request rate that it takes.
+    pub limit: LimitStatement,
+    /// Whether it is leaving.
+    pub leaving: bool,
+}
+
 /// Metadata from the headers of a backend server's answer.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct AnswerFacts {
@@ -128,8 +137,6 @@
     pub instance: Option<String>,
     /// Reported load and warmth.
     pub report: ServerReport,
-    /// Request rate that the backend server takes.
-    pub limit: LimitStatement,
-    /// Whether the backend server says that it is leaving.
-    pub leaving: bool,
+    /// What the backend server says of itself.
+    pub statements: ServerStatements,
 }
--- a/tests/host/server_limit.rs
+++ b/tests/host/server_limit.rs
@@ -155,12 +155,15 @@
 /// Pattern: steady pressure; the backend server gets what it takes, spread over the time.
 #[test]
 fn a_steady_load_gets_the_named_rate() {
-    let arrivals = [Arrival {
-        after_us: 10 * MS,
-        held_us: 0,
-        run_us: 20 * MS,
-        cancelled: false,
-    }; 1_000];
+    let arrivals = vec![
+        Arrival {
+            after_us: 10 * MS,
+            held_us: 0,
+            run_us: 20 * MS,
+            cancelled: false,
+        };
+        1_000
+    ];
     let arrived_us = play(&mut limited_gate(8.0, S), &arrivals, S);
     assert!(
         (70..=90).contains(&arrived_us.len()),
@@ -174,12 +177,15 @@
 
 #[test]
 fn a_limit_of_zero_lets_a_few_requests_ask_whether_it_has_ended() {
-    let arrivals = [Arrival {
-        after_us: 50 * MS,
-        held_us: 0,
-        run_us: 20 * MS,
-        cancelled: false,
-    }; 400];
+    let arrivals = vec![
+        Arrival {
+            after_us: 50 * MS,
+            held_us: 0,
+            run_us: 20 * MS,
+            cancelled: false,
+        };
+        400
+    ];
     let arrived_us = play(&mut limited_gate(0.0, S), &arrivals, S);
     assert!((5..=15).contains(&arrived_us.len()), "{}", arrived_us.len());
 }
@@ -338,7 +344,7 @@
         },
         body: bytes::Bytes::new(),
     };
-    assert_eq!(answers::decode_facts(&response).limit, *expected);
+    assert_eq!(answers::decode_facts(&response).statements.limit, *expected);
 }
 
 fn unreadable(text: &str) -> LimitStatement {
