--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -6,7 +6,7 @@
 use standins::platform::ledger::Run;
 
 use super::facts::{Config, Facts, Part, PlannedRestart};
-use super::{budgets, refusals, regressions};
+use super::{budgets, refusals, regressions, statements};
 use crate::callers::{Attempt, Outcome, WAIT_MS};
 use crate::operator::COLD_REQUESTS_PER_S;
 use crate::site::{COLD_MS, DRAIN_MS};
@@ -79,6 +79,14 @@
     },
     /// Requests reached more backend servers than their route allows.
     TooManyServers { ids: Vec<String> },
+    /// More requests reached a backend server than the limit that it named allows.
+    LimitOverrun {
+        instance: String,
+        requests: usize,
+        allowed: usize,
+    },
+    /// A request reached a backend server after an answer had said that it leaves.
+    AfterLeaving { id: String },
     /// A node ended by itself, or otherwise than a shutdown ends.
     EndedWrongly { host: usize, exit: ExitStatus },
 }
@@ -94,7 +102,8 @@
             | Self::Unanswered { id }
             | Self::Failed { id, .. }
             | Self::StaleRefusal { id }
-            | Self::WentBack { id, .. } => Some(id),
+            | Self::WentBack { id, .. }
+            | Self::AfterLeaving { id } => Some(id),
             Self::Denied { ids, .. } | Self::TooManyServers { ids } => {
                 ids.first().map(String::as_str)
             }
@@ -107,6 +116,7 @@
             Self::ColdOverrun { .. }
             | Self::WorkAfterClose { .. }
             | Self::RetryOverrun { .. }
+            | Self::LimitOverrun { .. }
             | Self::EndedWrongly { .. } => None,
         }
     }
@@ -138,6 +148,8 @@
     found.extend(regressions::of_configs(facts));
     found.extend(budgets::retry_overruns(facts));
     found.extend(budgets::too_many_servers(facts));
+    found.extend(statements::limit_overruns(facts));
+    found.extend(statements::after_leaving(facts));
     let ends = facts.wrong_ends.iter();
     found.extend(ends.map(|&(host, exit)| Violation::EndedWrongly { host, exit }));
     found
--- a/tests/host_processes/soak/checks_find.rs
+++ b/tests/host_processes/soak/checks_find.rs
@@ -7,7 +7,8 @@
 
 use super::checks::{Violation, violations};
 use super::facts::{
-    Config, Disturbance, Facts, HostService, NodeStart, Part, PlannedRestart, ServerStart, ZoneOut,
+    Config, Disturbance, Facts, HostService, NodeStart, Part, PlannedRestart, ServerStart,
+    Statement, ZoneOut,
 };
 use crate::callers::{Attempt, Kind, Outcome};
 use crate::site::Leave;
@@ -101,6 +102,55 @@
     }));
 }
 
+/// A limit of 2 a second, named before the first request, of which all answers tell; 17 requests are
+/// allowed in 4 s. 28 requests come, one each 100 ms; the first of them `uncounted` for the rule.
+fn named_limit(facts: &mut Facts, uncounted: u64) {
+    statement(facts, Some(2.0));
+    for index in 0..28 {
+        let at_ms = 23_000 - 100 * uncounted + 100 * index;
+        reached(facts, &format!("limited-{index}"), at_ms);
+    }
+}
+
+/// The backend server says that it leaves, which the first answer tells; a request is sent later.
+fn said_leaving(facts: &mut Facts, sent_ms: u64) {
+    statement(facts, None);
+    reached(facts, "late", sent_ms);
+}
+
+/// A statement of the backend server that ran the first request.
+fn statement(facts: &mut Facts, limit_per_s: Option<f64>) {
+    facts.statements.push(Statement {
+        instance: facts.runs[0].instance.clone(),
+        limit_per_s,
+        from_ms: 20_000,
+        to_ms: u64::MAX,
+    });
+}
+
+/// A further request of the first one's caller that ran at the same backend server.
+fn reached(facts: &mut Facts, id: &str, sent_ms: u64) {
+    facts.attempts.push(Attempt {
+        id: id.to_owned(),
+        sent_ms,
+        ended_ms: sent_ms + 20,
+        ..facts.attempts[0].clone()
+    });
+    let run = Run {
+        request_id: id.to_owned(),
+        begun_ms: sent_ms,
+        ended_ms: Some(sent_ms + 10),
+        ..facts.runs[0].clone()
+    };
+    facts.arrivals.push(Arrival {
+        request_id: run.request_id.clone(),
+        instance: run.instance.clone(),
+        service: run.service.clone(),
+        at_ms: sent_ms,
+    });
+    facts.runs.push(run);
+}
+
 /// Two requests at one host, the first by a changed configuration, the second by the one before.
 fn goes_back(facts: &mut Facts) {
     configured(facts, 19_500, MOVED);
@@ -316,6 +366,26 @@
         repeated(facts, 4);
         arrived(facts, &["herd-1.1", "herd-2.1", "herd-3.1", "herd-1.1"]);
     } => [],
+    more_than_a_named_limit: Kind::History, SERVED, |facts| {
+        named_limit(facts, 10);
+    } => [Violation::LimitOverrun { requests: 18, allowed: 17, .. }],
+    no_more_than_a_named_limit: Kind::History, SERVED, |facts| {
+        named_limit(facts, 11);
+    } => [],
+    no_more_than_a_limit_where_the_host_was_cut: Kind::History, SERVED, |facts| {
+        named_limit(facts, 10);
+        facts.disturbances.push(Disturbance { part: Part::Node(0), from_ms: 23_500, to_ms: 23_500 });
+    } => [],
+    a_request_after_an_answer_said_so: Kind::History, SERVED, |facts| {
+        said_leaving(facts, 22_051);
+    } => [Violation::AfterLeaving { .. }],
+    no_request_before_the_drain_time: Kind::History, SERVED, |facts| {
+        said_leaving(facts, 22_050);
+    } => [],
+    no_request_after_a_restart_of_its_host: Kind::History, SERVED, |facts| {
+        said_leaving(facts, 22_051);
+        facts.node_starts.push(NodeStart { host: 0, at_ms: 21_000 });
+    } => [],
     no_server_too_many_where_one_ended: Kind::History, SERVED, |facts| {
         repeated(facts, 4);
         arrived(facts, &["herd-1.1", "herd-2.1", "herd-3.1", "herd-1.2"]);
--- a/tests/host_processes/soak/facts.rs
+++ b/tests/host_processes/soak/facts.rs
@@ -74,6 +74,16 @@
     pub to_ms: u64,
 }
 
+/// What a backend server says in all its answers from one time to another.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Statement {
+    pub instance: String,
+    /// Limit of requests per second; without one it says that it leaves.
+    pub limit_per_s: Option<f64>,
+    pub from_ms: u64,
+    pub to_ms: u64,
+}
+
 /// Start of a node.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NodeStart {
@@ -111,6 +121,9 @@
     pub configs: Vec<Config>,
     pub zones_out: Vec<ZoneOut>,
     pub disturbances: Vec<Disturbance>,
+    /// Times in which the node of a host was paused; they are disturbances as well.
+    pub pauses: Vec<Disturbance>,
+    pub statements: Vec<Statement>,
     pub restarts: Vec<PlannedRestart>,
     pub server_starts: Vec<ServerStart>,
     /// Starts of nodes, ordered by their time.
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -64,6 +64,10 @@
     ServerLeave,
     /// The backend server treats requests badly while its health is good.
     ServerBehaviour(Behaviour),
+    /// The backend server names a limit of requests per second.
+    Limit(u32),
+    /// The backend server says in its answers alone that it leaves, and ends; another one starts.
+    LeaveUnannounced,
     /// A route is moved to the other service.
     RouteMove,
     /// The availability zone of the host is taken out.
--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -9,6 +9,7 @@
 mod refusals;
 mod regressions;
 mod run;
+mod statements;
 
 use std::panic::AssertUnwindSafe;
 use std::process::Command;
--- a/tests/host_processes/soak/plans.rs
+++ b/tests/host_processes/soak/plans.rs
@@ -14,6 +14,17 @@
 /// First seed from which on every second one returns to older copies of the log.
 const FIRST_SEED_OF_COPIES: u64 = 4_000;
 
+/// First seed from which on every other second one has statements of backend servers.
+const FIRST_SEED_OF_STATEMENTS: u64 = 5_000;
+
+/// Times at which backend servers name limits, or say that they leave, and how long a limit lasts, in
+/// ms.
+const STATEMENTS_MS: [Range<u64>; 3] = [0..1_500, 1_500..3_000, 6_000..8_000];
+const LIMIT_MS: Range<u64> = 7_500..10_000;
+
+/// Limits of requests per second.
+const LIMITS_PER_S: Range<u32> = 1..12;
+
 /// Times at which the log service is copied: two returns in a row, and one later.
 const COPIES_MS: [Range<u64>; 3] = [0..2_000, 2_000..5_000, 9_000..11_000];
 
@@ -56,6 +67,8 @@
     Addresses,
     /// The log service comes back from older copies, and routes change.
     Copies,
+    /// Backend servers name limits and leave unannounced, and several faults are at one host.
+    Statements,
 }
 
 /// Classes of faults; a later class takes the next number.
@@ -66,6 +79,7 @@
     Series = 3,
     Addresses = 4,
     Copies = 5,
+    Statements = 6,
 }
 
 impl Class {
@@ -79,6 +93,9 @@
         if seed < FIRST_SEED_OF_PLANS {
             return Self::Mixed;
         }
+        if seed >= FIRST_SEED_OF_STATEMENTS && !seed.is_multiple_of(2) {
+            return Self::Statements;
+        }
         if seed >= FIRST_SEED_OF_COPIES && seed.is_multiple_of(2) {
             return Self::Copies;
         }
@@ -107,6 +124,7 @@
         Plan::Series => [changes(seed), series(seed, hosts)].concat(),
         Plan::Addresses => [changes(seed), addresses(seed, hosts)].concat(),
         Plan::Copies => [changes(seed), copies(seed), series(seed, hosts)].concat(),
+        Plan::Statements => [statements(seed, hosts), series(seed, hosts)].concat(),
     };
     events.sort_by_key(|event| event.at_ms);
     events
@@ -192,6 +210,27 @@
     COPIES_MS.into_iter().map(copy).collect()
 }
 
+/// Each statement is at another host.
+fn statements(seed: u64, hosts: usize) -> Vec<Event> {
+    let mut random = Class::Statements.random(seed);
+    let first_host = random.random_range(0..hosts);
+    let statement = |(index, within): (usize, Range<u64>)| Event {
+        at_ms: random.random_range(within),
+        for_ms: random.random_range(LIMIT_MS),
+        host: (first_host + index) % hosts,
+        fault: if random.random_ratio(2, 3) {
+            Fault::Limit(random.random_range(LIMITS_PER_S))
+        } else {
+            Fault::LeaveUnannounced
+        },
+    };
+    STATEMENTS_MS
+        .into_iter()
+        .enumerate()
+        .map(statement)
+        .collect()
+}
+
 fn draw_node(random: &mut StdRng) -> NodeMeanwhile {
     match random.random_range(0..4) {
         0 => NodeMeanwhile::RunsOn,
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -7,7 +7,7 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use standins::log_service::DownMode;
-use standins::platform::backend_server::Behaviour;
+use standins::platform::backend_server::{Behaviour, Statements};
 use standins::platform::names::OPERATOR_TOPIC;
 use standins::platform::store::{Store, StoreFaults};
 use standins::proxy::{LinkState, Proxy};
@@ -15,7 +15,7 @@
 use super::checks::{Violation, violations};
 use super::facts::{
     APPLY_MS, Config, Disturbance, Facts, HostService, NodeStart, Part, PlannedRestart,
-    ServerStart, ZoneOut,
+    ServerStart, Statement, ZoneOut,
 };
 use super::faults::{Event, FAULTS_MS, Fault, LinkName, NodeMeanwhile, ZONE_OUT_MS};
 use super::plans::draw;
@@ -23,7 +23,7 @@
 use crate::callers::{Attempt, Outcome};
 use crate::operator::{Operator, SERVICES};
 use crate::program::Signal;
-use crate::site::{Place, ServerEnd, Site};
+use crate::site::{DRAIN_MS, Place, ServerEnd, Site};
 use crate::system::{Callers, System};
 
 /// Time between two looks at what was seen.
@@ -41,6 +41,9 @@
 /// Time that a crashed backend server is away.
 const SERVER_AWAY: Duration = Duration::from_millis(400);
 
+/// Time beyond the drain time after which a leaving backend server ends.
+const LEAVES_AFTER: Duration = Duration::from_millis(1_500);
+
 /// Shortest time after which the address of a backend server serves another service.
 const REUSED_AFTER: Duration = Duration::from_secs(2);
 
@@ -228,6 +231,8 @@
             Fault::ServerBehaviour(behaviour) => {
                 self.misbehave(event.host, behaviour, length).await;
             }
+            Fault::Limit(per_s) => self.limit(event.host, per_s, length).await,
+            Fault::LeaveUnannounced => self.leave_unannounced(event.host).await,
             Fault::RouteMove => self.change(Operator::move_route).await,
             Fault::RouteAddition => self.change(Operator::add_or_remove_route).await,
             Fault::AllSilent { change_after_ms } => {
@@ -316,6 +321,8 @@
         tokio::time::sleep(length).await;
         site.node.signal(Signal::Continue);
         self.ended(disturbance);
+        let pause = self.facts().disturbances[disturbance];
+        self.facts().pauses.push(pause);
     }
 
     async fn restart(&self, host: usize) {
@@ -417,6 +424,61 @@
         }
     }
 
+    /// Lets the backend server that runs now say something in its answers; returns the index.
+    async fn say(&self, host: usize, said: Statements) -> usize {
+        let site = self.site(host).await;
+        *site
+            .statements
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = said;
+        let from_ms = self.now_ms();
+        let mut facts = self.facts();
+        facts.statements.push(Statement {
+            instance: site.place.instance(site.server_starts_ms.len()),
+            limit_per_s: said.limit_per_s,
+            from_ms,
+            to_ms: u64::MAX,
+        });
+        facts.statements.len() - 1
+    }
+
+    /// A limit ends with its time, or with the process that named it.
+    async fn limit(&self, host: usize, per_s: u32, length: Duration) {
+        let said = Statements {
+            limit_per_s: Some(f64::from(per_s)),
+            leaving: false,
+        };
+        let index = self.say(host, said).await;
+        tokio::time::sleep(length).await;
+        let site = self.site(host).await;
+        *site
+            .statements
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Statements::default();
+        let to_ms = self.now_ms();
+        self.facts().statements[index].to_ms = to_ms;
+    }
+
+    /// Lets the backend server say in its answers alone that it leaves, and replaces it later.
+    async fn leave_unannounced(&self, host: usize) {
+        let said = Statements {
+            limit_per_s: None,
+            leaving: true,
+        };
+        self.say(host, said).await;
+        tokio::time::sleep(Duration::from_millis(DRAIN_MS) + LEAVES_AFTER).await;
+        let mut site = self.site(host).await;
+        let disturbance = self.begun(Part::Server(host));
+        site.end_server(ServerEnd::Crash).await;
+        *site
+            .statements
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Statements::default();
+        tokio::time::sleep(SERVER_AWAY).await;
+        site.start_server().await;
+        self.ended(disturbance);
+    }
+
     async fn misbehave(&self, host: usize, behaviour: Behaviour, length: Duration) {
         let disturbance = self.begun(Part::Server(host));
         let shared = Arc::clone(&self.site(host).await.behaviour);
