Ask a backend server again that took no work a second ago

Callers got 503 no-server for good after the node of the only backend server was replaced. Cause: a node that is asked in its first milliseconds replies with its state, absent, of its new incarnation. If membership then first hears of it with its service already announced, its candidate is kept, and so is that report. Only replies carry reports, and a candidate that takes no work is sent nothing, so the belief never ends. It does the same where a lease lapses and is renewed. Now such a report is believed for a second; then one request asks, and a refusal renews it. Test routing_choice::a_server_that_took_no_work_is_asked_again failed before. The test program prints the last answer when a node never answers.

--- a/src/decision/routing/mod.rs
+++ b/src/decision/routing/mod.rs
@@ -141,6 +141,7 @@
         seed: u64,
     ) -> Option<ServerName> {
         let table = self.services.get_mut(service)?;
+        table.readmit(now_us);
         let mut rng = SplitMix64::new(seed);
         let position = choice::choose(table, self.policy, excluded, now_us, &mut rng)?;
         Some(table.entry(position).candidate.server.clone())
--- a/src/decision/routing/table.rs
+++ b/src/decision/routing/table.rs
@@ -5,6 +5,7 @@
 use crate::model::ids::Incarnation;
 use crate::model::load::LoadReport;
 use crate::model::names::ServerName;
+use crate::model::units::US_PER_S;
 
 use super::health::Health;
 use super::residence_time::ResidenceTime;
@@ -13,6 +14,11 @@
 /// Weight of the newest report in the service's moving average of utilisation.
 const NEWEST_REPORT_WEIGHT: f64 = 1.0 / 16.0;
 
+/// Time for which a report that a backend server takes no work is believed, in µs.
+///
+/// Only replies carry reports, so nothing else tells when it takes work again.
+const NO_WORK_BELIEVED_US: u64 = US_PER_S;
+
 /// Latest load report of a backend server.
 #[derive(Debug, Clone)]
 pub(super) struct LatestReport {
@@ -63,6 +69,13 @@
         latest.is_none_or(|latest| latest.report.state.takes_work())
     }
 
+    /// Time until which a report that it takes no work is believed, in µs.
+    fn no_work_until_us(&self) -> Option<u64> {
+        let latest = self.report.as_ref();
+        let no_work = latest.filter(|latest| !latest.report.state.takes_work())?;
+        Some(no_work.received_at_us + NO_WORK_BELIEVED_US)
+    }
+
     /// Stores a report unless it is outdated; returns whether it was stored.
     fn accept_report(&mut self, report: LoadReport, now_us: u64) -> bool {
         if self.previous_incarnation == Some(report.incarnation) {
@@ -99,6 +112,8 @@
     pub(super) limit_max: u32,
     pub(super) mean_utilisation: f64,
     pub(super) round_robin_turn: usize,
+    /// Time at which the next backend server may take work again, in µs.
+    readmission_us: Option<u64>,
 }
 
 impl ServiceTable {
@@ -164,7 +179,28 @@
         }
     }
 
+    /// Takes backend servers into account again whose last report is too old to rule them out.
+    pub(super) fn readmit(&mut self, now_us: u64) {
+        if self.readmission_us.is_none_or(|at_us| now_us < at_us) {
+            return;
+        }
+        for entry in &mut self.entries {
+            if entry
+                .no_work_until_us()
+                .is_some_and(|until_us| until_us <= now_us)
+            {
+                entry.report = None;
+            }
+        }
+        self.reindex();
+    }
+
     fn reindex(&mut self) {
+        let no_work_until_us = self
+            .entries
+            .iter()
+            .filter_map(ServerEntry::no_work_until_us);
+        self.readmission_us = no_work_until_us.min();
         self.positions.clear();
         self.same_zone.clear();
         self.other_zones.clear();
--- a/tests/processes/cluster.rs
+++ b/tests/processes/cluster.rs
@@ -7,12 +7,13 @@
 
 use serde_json::Value;
 use standins::backend_server::{BackendServer, BackendServerSettings, Witness, WitnessDetail};
+use standins::http::client::ClientError;
 use standins::load::{LoadReport, LoadSettings, RequestKind};
 use standins::log_service::{DownMode, Faults, LogService};
 use standins::oracle;
 
 use crate::eventually::eventually_within;
-use crate::http::{BRANCH, HISTORY, get, post_without_ticket};
+use crate::http::{BRANCH, HISTORY, Told, get, post_without_ticket};
 use crate::node_process::{NodeAddresses, NodeProcess};
 
 /// Time after which a condition counts as never met.
@@ -131,13 +132,15 @@
         .await;
     }
 
-    /// Waits until a node answers for the herd service.
+    /// Waits until a node answers for the herd service; prints what it said last if it never does.
     pub async fn wait_until_answers(&self, pair: usize) {
         let caller = self.pairs[pair].caller();
+        let mut last = LastAnswer(None);
         eventually("the node answers", async || {
-            get(caller, HISTORY)
-                .await
-                .is_ok_and(|told| told.status == 200)
+            let told = get(caller, HISTORY).await;
+            let answered = told.as_ref().is_ok_and(|told| told.status == 200);
+            last.0 = (!answered).then_some(told);
+            answered
         })
         .await;
     }
@@ -198,6 +201,17 @@
     }
 }
 
+/// The last answer that was not the awaited one, printed when the test fails.
+struct LastAnswer(Option<Result<Told, ClientError>>);
+
+impl Drop for LastAnswer {
+    fn drop(&mut self) {
+        if let Some(last) = &self.0 {
+            eprintln!("the last answer: {last:?}");
+        }
+    }
+}
+
 /// Waits until a node can send to the herd service; runs nothing.
 async fn wait_until_routed(caller: SocketAddr) {
     eventually("a ticket is issued", async || {
--- a/tests/routing_choice.rs
+++ b/tests/routing_choice.rs
@@ -294,3 +294,30 @@
     assert_eq!(count_of(&count_choices(&mut router, 0), "a"), 0);
     assert_eq!(router.servers_of(&service()).count(), 3);
 }
+
+/// Guards against a backend server that gets nothing for good after a restart of its node.
+///
+/// Only replies carry load reports, and none comes from a server that gets no requests. A node that
+/// refused a request in its first milliseconds was never asked again.
+#[test]
+fn a_server_that_took_no_work_is_asked_again() {
+    let mut router = router(RoutingPolicy::default());
+    let restarted = LoadReport {
+        incarnation: Incarnation(2),
+        state: ServerState::Absent,
+        ..warm(0, 1)
+    };
+    router.observe(&server("a"), restarted, 1_000_000);
+    let chosen_at = |router: &mut Router, now_us| count_choices(router, now_us).contains_key("a");
+    assert!(!chosen_at(&mut router, 1_500_000), "it has just refused");
+    assert!(chosen_at(&mut router, 2_100_000), "it may take work again");
+    router.observe(
+        &server("a"),
+        LoadReport {
+            sequence: 2,
+            ..restarted
+        },
+        2_200_000,
+    );
+    assert!(!chosen_at(&mut router, 2_700_000), "it has refused again");
+}
