Refuse waiting requests at once that a rate of starts does not let through in time

Whether the rate lets a request start in time was asked only when it came. Now it is asked again for all that wait, in their order, whenever the gate decides while a rate binds; those that cannot start in time are refused at once, with the time until the rate has room, and another host can be tried. Test server_limit::requests_that_wait_when_a_limit_is_named_are_refused_at_once failed before.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -406,6 +406,7 @@
             return;
         }
         self.refuse_too_late(now_us, decided);
+        self.refuse_beyond_rate(now_us, decided);
         let order = self.queue_order(now_us);
         while self.has_capacity(now_us) {
             let Some(first) = self.waiting.take_first(order) else {
@@ -617,6 +618,25 @@
         }
     }
 
+    /// Refuses waiting requests that the rate of starts does not let through in time.
+    ///
+    /// They could be in time when they came, before a limit was named or others overtook them.
+    fn refuse_beyond_rate(&mut self, now_us: u64, decided: &mut Vec<(WorkId, Verdict)>) {
+        if self.start_rate.wait_us(0, now_us) <= 0.0 {
+            return;
+        }
+        let limits = self.start_limits(now_us);
+        let order = self.queue_order(now_us);
+        let rate = &self.start_rate;
+        let beyond = self.waiting.take_beyond(order, |ahead, waiting| {
+            now_us + rate.wait_us(ahead, now_us) as u64 >= limits.of(&waiting.work).at_us
+        });
+        for waiting in beyond {
+            let reason = limits.of(&waiting.work).reason;
+            decided.push((waiting.id, self.refuse(reason, now_us)));
+        }
+    }
+
     fn refuse(&self, reason: RefusalReason, now_us: u64) -> Verdict {
         let queue_us = self.wait_behind_us(self.waiting.len(), now_us);
         let retry_after_us = (queue_us as u64).clamp(RETRY_AFTER_MIN_US, RETRY_AFTER_MAX_US);
--- a/src/decision/host/wait_queue.rs
+++ b/src/decision/host/wait_queue.rs
@@ -80,6 +80,24 @@
         due
     }
 
+    /// Removes and returns the requests for which `is_beyond` holds, given how many of those that
+    /// stay come before them in the order.
+    pub fn take_beyond(
+        &mut self,
+        order: QueueOrder,
+        is_beyond: impl Fn(usize, &WaitingRequest) -> bool,
+    ) -> Vec<WaitingRequest> {
+        self.entries
+            .sort_unstable_by_key(|waiting| order.sort_key(waiting));
+        let mut ahead = 0;
+        let beyond = self.entries.extract_if(.., |waiting| {
+            let is_beyond = is_beyond(ahead, waiting);
+            ahead += usize::from(!is_beyond);
+            is_beyond
+        });
+        beyond.collect()
+    }
+
     /// Removes and returns the first request in the order.
     pub fn take_first(&mut self, order: QueueOrder) -> Option<WaitingRequest> {
         let places = self.entries.iter().enumerate();
--- a/tests/host/server_limit.rs
+++ b/tests/host/server_limit.rs
@@ -210,6 +210,28 @@
     );
 }
 
+/// Guards against requests that wait until their deadline although they cannot start before it.
+#[test]
+fn requests_that_wait_when_a_limit_is_named_are_refused_at_once() {
+    let mut gate = warm_gate();
+    let running: Vec<WorkId> = (0..9)
+        .map(|_| offer(&mut gate, work(1, S, 10 * S), S).0)
+        .collect();
+    let (soon, verdict) = offer(&mut gate, work(1, S, 1_500 * MS), S);
+    assert_eq!(verdict, None, "it waits");
+    let (late, verdict) = offer(&mut gate, work(1, S, 10 * S), S);
+    assert_eq!(verdict, None, "it waits");
+    for id in running {
+        let sent = gate.clear_to_send(id, &service(), u64::MAX, S);
+        assert!(sent.is_ok(), "{sent:?}");
+    }
+    gate.observe_limit(INSTANCE, &named(0.5), true, S + MS);
+    let mut decided = Vec::new();
+    gate.decide_waiting(S + MS, &mut decided);
+    let refused: Vec<WorkId> = decided.iter().map(|(id, _verdict)| *id).collect();
+    assert_eq!(refused, [soon], "{late:?} can wait for its turn");
+}
+
 #[test]
 fn urgent_work_goes_first_under_a_limit() {
     let mut gate = limited_gate(1.0, S);
