Notice silent connections between the nodes of the product's own interface

Both ends now set the limits on unacknowledged data and the keep-alive probes that the hosts' nodes have. Test peer::a_call_on_a_silent_connection_fails_soon: 10 s before, below 4 s now.

--- a/src/edge/peer_client.rs
+++ b/src/edge/peer_client.rs
@@ -11,6 +11,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use super::handshake::{self, PeerKey};
+use super::http1::client::{KeepAlive, enable_dead_peer_detection};
 use super::peer_rpc::PeerNodeClient;
 use crate::kernel::StepError;
 use crate::kernel::shards::Shards;
@@ -139,7 +140,7 @@
 
     async fn open(&self, address: SocketAddr) -> Result<TcpStream, handshake::HandshakeError> {
         let mut stream = TcpStream::connect(address).await?;
-        stream.set_nodelay(true)?;
+        enable_dead_peer_detection(&stream, KeepAlive::Seldom)?;
         handshake::prove(&mut stream, &self.key).await?;
         Ok(stream)
     }
--- a/src/edge/peer_server.rs
+++ b/src/edge/peer_server.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Semaphore;
 
 use super::handshake::{self, PeerKey};
+use super::http1::client::{KeepAlive, enable_dead_peer_detection};
 use super::peer_client::frame_codec;
 use super::peer_rpc::{PeerNode, WireConfig, WirePage, WireStatus, WireTicket};
 use super::wire::{WireCall, WireReply};
@@ -70,7 +71,7 @@
 async fn serve_connection(kernel: Arc<Kernel>, mut stream: TcpStream, key: PeerKey) {
     let timeout = Duration::from_millis(kernel.settings.peer.connect_timeout_ms);
     let verification = async {
-        stream.set_nodelay(true)?;
+        enable_dead_peer_detection(&stream, KeepAlive::Seldom)?;
         handshake::verify(&mut stream, &key, rand::random()).await
     };
     match tokio::time::timeout(timeout, verification).await {
--- a/tests/bad_input/peer.rs
+++ b/tests/bad_input/peer.rs
@@ -1,6 +1,14 @@
 //! Connections to the listener for peer nodes that are foreign, old, forged, silent or malformed.
 
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
 use bronzelock::edge::handshake::{PeerKey, WIRE_VERSION, prove};
+use bronzelock::edge::peer_client::PeerPool;
+use bronzelock::kernel::tasks::Tasks;
+use bronzelock::settings::peer::PeerSettings;
+use standins::proxy::{ConnectionFault, Proxy};
+use tarpc::context::Context;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
@@ -41,6 +49,41 @@
     rejected(&node, stream).await;
 }
 
+/// Time that a caller would wait for an answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time in which the proxy makes the connection silent.
+const SILENT_AFTER: Duration = Duration::from_millis(200);
+
+/// Guards against requests that wait until their deadline on a connection that has gone silent.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_call_on_a_silent_connection_fails_soon() {
+    let node = start().await;
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let proxy = Proxy::start(loopback, node.peer()).await.expect("a proxy");
+    let settings = serde_json::json!({"listen": node.peer(), "token": TOKEN});
+    let settings: PeerSettings = serde_json::from_value(settings).expect("valid settings");
+    let pool = PeerPool::new(settings, Tasks::default());
+    let client = pool.client(proxy.address()).await.expect("a connection");
+    let context = || {
+        let mut context = Context::current();
+        context.deadline = Instant::now() + ANSWER_LIMIT;
+        context
+    };
+    let first = client.status(context()).await;
+    assert!(first.is_ok(), "{first:?}");
+    proxy.inject(ConnectionFault::Silence);
+    tokio::time::sleep(SILENT_AFTER).await;
+    let started = Instant::now();
+    let second = client.status(context()).await;
+    assert!(second.is_err(), "{second:?}");
+    assert!(
+        started.elapsed() < Duration::from_secs(4),
+        "{:?}",
+        started.elapsed()
+    );
+}
+
 cases! {
     foreign_program_is_rejected => {
         rejected_head(b"GET / HTTP/1.1\r\n\r\n").await;
