Pass over pages of the log without valid keys

A page now tells the position after its last record. Test store_client::a_page_without_valid_keys_is_passed_over; the field that it checks did not exist before.

--- a/src/decision/host/keyed_state.rs
+++ b/src/decision/host/keyed_state.rs
@@ -154,6 +154,13 @@
         changed
     }
 
+    /// Passes over records without a valid key, up to a position of this era.
+    pub fn advance(&mut self, next: LogPosition) {
+        if next.era == self.end.era {
+            self.end = self.end.max(next);
+        }
+    }
+
     /// Adds a record of this era if it is newer than what is known; returns whether it is.
     ///
     /// An unknown key was deleted before the end; an older answer that still has it must not bring it
--- a/src/host/operator_log.rs
+++ b/src/host/operator_log.rs
@@ -111,10 +111,10 @@
     let page = store.read(OPERATOR_TOPIC, from, wait).await?;
     host.learn_times.operator_log.record(host.now_us());
     match page {
-        LogPage::Records(_, end) if end < from => Ok(ReadOutcome::StaleReplica),
-        LogPage::Records(records, _) if records.is_empty() => Ok(ReadOutcome::Empty),
-        LogPage::Records(records, _) => {
-            apply(host, Update::Records(records));
+        LogPage::Records { end, .. } if end < from => Ok(ReadOutcome::StaleReplica),
+        LogPage::Records { next, .. } if next == from => Ok(ReadOutcome::Empty),
+        LogPage::Records { records, next, .. } => {
+            apply(host, Update::Records { records, next });
             Ok(ReadOutcome::Records)
         }
         LogPage::Deleted => Ok(ReadOutcome::Deleted),
@@ -182,8 +182,11 @@
 enum Update {
     /// The newest records, from the log service or from a peer.
     Snapshot(Snapshot),
-    /// Records that follow the known ones.
-    Records(Vec<KeyedRecord>),
+    /// Records that follow the known ones, and the position after the last one that was read.
+    Records {
+        records: Vec<KeyedRecord>,
+        next: LogPosition,
+    },
     /// The end of the time for which lost records stay in force.
     Expiry,
 }
@@ -199,7 +202,11 @@
     let mut state = lock(&host.operator_state);
     let applied = match update {
         Update::Snapshot(snapshot) => state.apply_snapshot(snapshot, now_us),
-        Update::Records(records) => apply_records(&mut state, records),
+        Update::Records { records, next } => {
+            let applied = apply_records(&mut state, records);
+            state.advance(next);
+            applied
+        }
         Update::Expiry if state.expire_lost(now_us) => Applied::Changed,
         Update::Expiry => Applied::Unchanged,
     };
--- a/tests/host/store_client.rs
+++ b/tests/host/store_client.rs
@@ -3,7 +3,9 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::time::{Duration, Instant};
 
-use bronzelock::platform::store::StoreClient;
+use bronzelock::decision::host::keyed_state::KeyedState;
+use bronzelock::model::log_position::LogPosition;
+use bronzelock::platform::store::{LogPage, StoreClient};
 use standins::platform::store::Store;
 use standins::proxy::{ConnectionFault, LinkState, Proxy};
 
@@ -84,3 +86,27 @@
         started.elapsed()
     );
 }
+
+/// Guards against reading the same page again without a pause, for ever.
+///
+/// A page without any valid key did not move the position on.
+#[tokio::test]
+async fn a_page_without_valid_keys_is_passed_over() {
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let store = Store::start(loopback).await.expect("the store starts");
+    store.put_invalid(TOPIC);
+    store.put_invalid(TOPIC);
+    let mut client = StoreClient::new(store.address());
+    let start = LogPosition::default();
+    let page = client.read(TOPIC, start, Duration::ZERO).await;
+    let Ok(LogPage::Records { records, next, end }) = page else {
+        panic!("{page:?}");
+    };
+    assert!(records.is_empty(), "{records:?}");
+    assert_eq!((next.offset, end.offset), (2, 2));
+    let mut state = KeyedState::default();
+    state.advance(next);
+    assert_eq!(state.end(), next);
+    state.advance(start);
+    assert_eq!(state.end(), next, "it never goes back");
+}
