--- a/src/decision/host/registration.rs
+++ b/src/decision/host/registration.rs
@@ -10,6 +10,11 @@
 /// Hosts start together, so the others may still be writing theirs.
 const READ_DELAY_MS: u64 = 400;
 
+/// Maximum delay before the own record is checked in a new era of the log, in ms.
+///
+/// It spreads the calls of all nodes.
+pub const RECHECK_DELAY_MS_MAX: u64 = 1_000;
+
 /// The next call to the log service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NextCall {
--- a/src/host/directory.rs
+++ b/src/host/directory.rs
@@ -10,7 +10,7 @@
 use super::jitter::with_jitter;
 use super::peer_rpc::WireIntroduction;
 use crate::decision::host::peers::Introduction;
-use crate::decision::host::registration::{NextCall, Registration};
+use crate::decision::host::registration::{NextCall, RECHECK_DELAY_MS_MAX, Registration};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::platform::names::HOSTS_TOPIC;
@@ -19,11 +19,6 @@
 /// Pauses between attempts, in ms; the last one repeats.
 const RETRY_PAUSES_MS: [u64; 4] = [200, 400, 800, 1_500];
 
-/// Maximum delay before the own record is checked in a new era.
-///
-/// It spreads the calls of all nodes.
-const RECHECK_DELAY_MS_MAX: u64 = 1_000;
-
 /// Keeps this node registered and reads the other hosts until the node stops.
 pub async fn join(host: Arc<Host>) {
     tokio::select! {
