Tell other hosts the pace of starts by its own age, and urgently only when a limit begins or ends

From reading the change: the pace of a limited backend server was aged with the last load, which replies renew without it; so a wait looked longer than it is. And a limit that changes a little with each answer would have sent a report to every host each time. A request that is sent once more is now refused with the limit that holds it back.

--- a/src/decision/host/gate.rs
+++ b/src/decision/host/gate.rs
@@ -472,9 +472,7 @@
         // A request is sent again if its connection was closed before the first byte.
         let is_sent_again = self.running.get(&id) == Some(&Running::Sent);
         if is_sent_again {
-            if !self.start_rate.allows(now_us) {
-                return Err(RefusalReason::ColdStart);
-            }
+            self.start_rate.check(now_us)?;
             self.start_rate.dispatched(now_us);
         }
         self.start_rate.record_sent(now_us)?;
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -94,6 +94,7 @@
     service_changed: bool,
     load: Option<HostLoad>,
     pace: Option<StartPace>,
+    pace_received_us: u64,
     load_received_us: u64,
     last_heard_us: Option<u64>,
     known_since_us: u64,
@@ -146,6 +147,7 @@
                     known_since_us: now_us,
                     load: None,
                     pace: None,
+                    pace_received_us: 0,
                     load_received_us: 0,
                     last_heard_us,
                     outstanding: 0,
@@ -199,9 +201,10 @@
     }
 
     /// Records the pace at which requests start at a host; `None` if no limit holds there.
-    pub fn set_pace(&mut self, address: IpAddr, pace: Option<StartPace>) {
+    pub fn set_pace(&mut self, address: IpAddr, pace: Option<StartPace>, now_us: u64) {
         if let Some(peer) = self.peers.get_mut(&address) {
             peer.pace = pace;
+            peer.pace_received_us = now_us;
         }
     }
 
@@ -364,7 +367,9 @@
             sent_since_report: self.sent_since_report,
             failure_share: self.health.failure_share(now_us),
             avoided: !self.health.admits(self.outstanding, now_us),
-            pace: self.pace,
+            pace: self
+                .pace
+                .map(|pace| pace.after(now_us.saturating_sub(self.pace_received_us))),
         }
     }
 }
--- a/src/decision/host/placement.rs
+++ b/src/decision/host/placement.rs
@@ -106,10 +106,8 @@
         let Some(pace) = self.pace else {
             return 0.0;
         };
-        let wait_us = u64::from(pace.wait_ms) * US_PER_MS;
-        let sent_since_us =
-            u64::from(self.sent_since_report) * u64::from(pace.interval_ms) * US_PER_MS;
-        (wait_us + sent_since_us).saturating_sub(self.load_age_us) as f64
+        let sent_since_ms = u64::from(self.sent_since_report) * u64::from(pace.interval_ms);
+        ((u64::from(pace.wait_ms) + sent_since_ms) * US_PER_MS) as f64
     }
 
     /// Delay of the request if the host holds it until a slow phase ends, in µs.
--- a/src/decision/host/server_limit.rs
+++ b/src/decision/host/server_limit.rs
@@ -25,8 +25,10 @@
 pub enum LimitChange {
     /// The limit stays as it is.
     Unchanged,
-    /// A limit was named, or another one than before, in requests per second.
-    Named(f64),
+    /// A limit was named where there was none, in requests per second.
+    Began(f64),
+    /// Another limit was named than before, in requests per second.
+    Changed(f64),
     /// There is no limit any more.
     Ended,
 }
@@ -52,7 +54,7 @@
 
 impl ServerLimit {
     /// The named rate in force, in requests per second.
-    pub fn pace_per_s(&self) -> Option<f64> {
+    pub fn per_s(&self) -> Option<f64> {
         self.named.as_ref().map(|named| named.per_s)
     }
 
@@ -107,7 +109,7 @@
                 last_named_us: now_us,
                 unstated_answers: 0,
             });
-            return LimitChange::Named(per_s);
+            return LimitChange::Began(per_s);
         };
         named.last_named_us = now_us;
         named.unstated_answers = 0;
@@ -116,7 +118,7 @@
         }
         named.per_s = per_s;
         named.limiter.set(rate_per_s, burst, now_us);
-        LimitChange::Named(per_s)
+        LimitChange::Changed(per_s)
     }
 
     fn observe_unstated(&mut self, now_us: u64) -> LimitChange {
--- a/src/decision/host/start_rate.rs
+++ b/src/decision/host/start_rate.rs
@@ -54,18 +54,32 @@
 
     /// Whether the backend server names a limit.
     pub fn is_limited(&self) -> bool {
-        self.server_limit.pace_per_s().is_some()
+        self.server_limit.per_s().is_some()
     }
 
     /// Requests per second that the backend server takes, if it names a limit.
     pub fn limit_per_s(&self) -> Option<f64> {
-        self.server_limit.pace_per_s()
+        self.server_limit.per_s()
     }
 
     /// Whether another request may be dispatched now.
     pub fn allows(&mut self, now_us: u64) -> bool {
+        self.check(now_us).is_ok()
+    }
+
+    /// Checks that a request may be sent once more.
+    ///
+    /// # Errors
+    /// The reason why it must not be sent now.
+    pub fn check(&mut self, now_us: u64) -> Result<(), RefusalReason> {
         let limiter = self.server_limit.limiter();
-        limiter.is_none_or(|limiter| limiter.allows(now_us)) && self.cold_start.allows(now_us)
+        if !limiter.is_none_or(|limiter| limiter.allows(now_us)) {
+            return Err(RefusalReason::QueueFull);
+        }
+        if !self.cold_start.allows(now_us) {
+            return Err(RefusalReason::ColdStart);
+        }
+        Ok(())
     }
 
     /// Counts a request that is dispatched now.
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -453,11 +453,17 @@
             .state_changed("server-leaving", serde_json::json!({"instance": instance}));
     }
     match limit {
-        LimitChange::Unchanged => return,
-        LimitChange::Named(per_s) => host.events.limit_named(instance, per_s),
-        LimitChange::Ended => host.events.limit_ended(instance),
+        LimitChange::Unchanged => {}
+        LimitChange::Began(per_s) => {
+            host.events.limit_named(instance, per_s);
+            host.gate.urgent_change.notify_one();
+        }
+        LimitChange::Changed(per_s) => host.events.limit_named(instance, per_s),
+        LimitChange::Ended => {
+            host.events.limit_ended(instance);
+            host.gate.urgent_change.notify_one();
+        }
     }
-    host.gate.urgent_change.notify_one();
 }
 
 /// Checks that a response is the complete answer of the backend server to the request.
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -296,7 +296,7 @@
             let mut peers = lock(&host.peers);
             peers.record_load(from, datagram.load, now_us);
             peers.set_log_view(from, log_view);
-            peers.set_pace(from, pace);
+            peers.set_pace(from, pace, now_us);
         }
         if log_view.is_ahead_of(&lock(&host.operator_state)) {
             host.operator_log_behind.notify_one();
--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::ids::Incarnation;
+use super::units::US_PER_MS;
 
 /// State of a backend server, as known to its gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -84,3 +85,15 @@
     /// Time until the next further request may start, in ms.
     pub wait_ms: u32,
 }
+
+impl StartPace {
+    /// Returns the pace as it is after a time, in µs, in which nothing was sent.
+    #[must_use]
+    pub fn after(self, passed_us: u64) -> Self {
+        let passed_ms = u32::try_from(passed_us / US_PER_MS).unwrap_or(u32::MAX);
+        Self {
+            wait_ms: self.wait_ms.saturating_sub(passed_ms),
+            ..self
+        }
+    }
+}
--- a/tests/host/server_limit.rs
+++ b/tests/host/server_limit.rs
@@ -73,7 +73,7 @@
 fn limited_gate(per_s: f64, at_us: u64) -> HostGate {
     let mut gate = warm_gate();
     let change = gate.observe_limit(INSTANCE, &named(per_s), true, at_us);
-    assert_eq!(change, LimitChange::Named(per_s));
+    assert_eq!(change, LimitChange::Began(per_s));
     gate
 }
 
