--- /dev/null
+++ b/src/decision/host/gate/observe.rs
@@ -0,0 +1,185 @@
+//! What the gate learns of its backend server, its node and its availability zone.
+
+use super::{HostGate, Running};
+use crate::decision::host::announcement::{AnnouncedState, Announcement, Departure, Freshness};
+use crate::decision::host::close_reasons::CloseReason;
+use crate::decision::host::server_limit::LimitChange;
+use crate::decision::host::slowness::Slowness;
+use crate::decision::host::work::{HealthCheckResult, ServerReport};
+use crate::model::host_request::LimitStatement;
+
+/// Final part of the drain time in which nothing is sent, in µs.
+///
+/// First bytes that are already on their way then still arrive in time.
+const DRAIN_MARGIN_US: u64 = 400_000;
+
+impl HostGate {
+    /// Applies an announcement of the backend server.
+    pub fn observe_announcement(&mut self, announcement: Announcement, now_us: u64) -> Freshness {
+        let (state, slots) = (announcement.state, announcement.slots);
+        let cold_left_us = announcement.cold_left_us;
+        let was_answering = self.server.is_unannounced(&announcement.instance);
+        let freshness = self.server.apply(announcement);
+        match freshness {
+            Freshness::Stale => return freshness,
+            Freshness::NewStart => {
+                if !was_answering {
+                    self.forget_statements();
+                }
+                self.slowness = Slowness::default();
+            }
+            Freshness::Newer => {}
+        }
+        // A process that announced that it is leaving is not used again, whatever it announces
+        // later.
+        if state != AnnouncedState::Ready {
+            let drain_left_us = if freshness == Freshness::NewStart {
+                // It may have started leaving long ago, for example if this node restarted since.
+                0
+            } else {
+                self.drain_us.saturating_sub(DRAIN_MARGIN_US)
+            };
+            self.close_times
+                .close_at(CloseReason::ServerLeaving, now_us + drain_left_us);
+        }
+        self.slots = slots.max(1);
+        self.close_times.set(CloseReason::Unreachable, false);
+        self.start_rate
+            .cold_start
+            .set_cold_until(now_us + cold_left_us);
+        freshness
+    }
+
+    /// Applies the last message of a backend server; returns it as an announcement if it counts.
+    pub fn observe_departure(
+        &mut self,
+        departure: Departure,
+        now_us: u64,
+    ) -> Option<(Announcement, Freshness)> {
+        let announcement = self.server.departure(departure)?;
+        let freshness = self.observe_announcement(announcement.clone(), now_us);
+        Some((announcement, freshness))
+    }
+
+    /// Applies the load headers of an answer of the backend server.
+    pub fn observe_report(&mut self, report: ServerReport, now_us: u64) {
+        if let Some(slots) = report.slots {
+            self.slots = slots.max(1);
+        }
+        if let Some(left_us) = report.cold_left_us {
+            self.start_rate.cold_start.set_cold_until(now_us + left_us);
+        }
+        if let Some(percent) = report.slowness_percent {
+            let cold = self.is_cold(now_us);
+            self.slowness.record(percent, cold, now_us);
+        }
+    }
+
+    /// Forgets what the answers of a process said: another one serves now.
+    pub(super) fn forget_statements(&mut self) {
+        self.close_times.set(CloseReason::ServerLeaving, false);
+        self.start_rate.reset_limit();
+        self.heard_not_leaving = false;
+    }
+
+    /// Applies whether an answer of the instance says that it is leaving.
+    ///
+    /// It is then treated as one that announced it. One that was leaving when it was first heard may
+    /// have started long ago, for example if this node restarted since. Returns whether this is new.
+    pub fn observe_leaving(&mut self, instance: &str, leaving: bool, now_us: u64) -> bool {
+        if !self.server.is_known(instance) {
+            return false;
+        }
+        if !leaving {
+            self.heard_not_leaving = true;
+            return false;
+        }
+        let is_new = self
+            .close_times
+            .closes_at_us(CloseReason::ServerLeaving)
+            .is_none();
+        let drain_left_us = if self.heard_not_leaving {
+            self.drain_us.saturating_sub(DRAIN_MARGIN_US)
+        } else {
+            0
+        };
+        self.close_times
+            .close_at(CloseReason::ServerLeaving, now_us + drain_left_us);
+        is_new
+    }
+
+    /// Applies what an answer of the instance says of the request rate that it takes.
+    ///
+    /// `answers_request` is false for an answer to a health check.
+    pub fn observe_limit(
+        &mut self,
+        instance: &str,
+        statement: &LimitStatement,
+        answers_request: bool,
+        now_us: u64,
+    ) -> LimitChange {
+        if !self.server.is_known(instance) {
+            return LimitChange::Unchanged;
+        }
+        let dispatched = self.running.values();
+        let dispatched_count = dispatched
+            .filter(|state| **state == Running::Dispatched)
+            .count();
+        self.start_rate
+            .observe_limit(statement, answers_request, dispatched_count, now_us)
+    }
+
+    /// Applies the result of a health check.
+    ///
+    /// A `healthy` result also means that the backend server is not leaving.
+    ///
+    /// A cold backend server says so in its health answers, so an answer of the known process
+    /// determines whether it is cold.
+    pub fn observe_health(&mut self, result: &HealthCheckResult<'_>, now_us: u64) {
+        let is_known = self.server.observe_answer(result.instance, result.healthy);
+        if !is_known {
+            // Another process answers at the address; its announcement has not arrived yet.
+            self.suspect_restart();
+        } else if self.server.announcement().is_some() {
+            self.start_rate
+                .cold_start
+                .set_cold_until(now_us + result.cold_left_us);
+        }
+    }
+
+    /// Records that a process rejected a request without running it.
+    pub fn observe_rejection(&mut self, instance: &str) {
+        self.server.observe_answer(instance, false);
+        self.suspect_restart();
+    }
+
+    /// Records that no process listens at the backend server's address.
+    pub fn observe_no_listener(&mut self) {
+        self.server.observe_no_listener();
+    }
+
+    /// Records that the backend server may have restarted.
+    pub fn suspect_restart(&mut self) {
+        self.start_rate.cold_start.suspect_restart();
+    }
+
+    /// Records whether connections to the backend server fail; returns whether that changed.
+    pub fn set_unreachable(&mut self, unreachable: bool) -> bool {
+        self.close_times.set(CloseReason::Unreachable, unreachable)
+    }
+
+    /// Records whether operators took the availability zone out of service.
+    pub fn set_zone_out(&mut self, zone_out: bool) {
+        self.close_times.set(CloseReason::ZoneOut, zone_out);
+    }
+
+    /// Records that the node is leaving and accepts no new work from `from_us` on.
+    pub fn set_leaving(&mut self, from_us: u64) {
+        self.close_times.close_at(CloseReason::NodeLeaving, from_us);
+    }
+
+    /// Sets the request rate that the backend server states for its cold start.
+    pub fn set_cold_rate(&mut self, requests_per_s: f64, now_us: u64) {
+        self.start_rate.cold_start.set_rate(requests_per_s, now_us);
+    }
+}
--- a/src/decision/host/placement.rs
+++ b/src/decision/host/placement.rs
@@ -2,7 +2,7 @@
 
 use std::net::IpAddr;
 
-use super::gate::FINISH_SAFETY_FACTOR;
+use super::work::FINISH_SAFETY_FACTOR;
 use crate::decision::splitmix64::SplitMix64;
 use crate::model::load::{HostLoad, StartPace};
 use crate::model::units::US_PER_MS;
--- a/src/decision/host/start_limit.rs
+++ b/src/decision/host/start_limit.rs
@@ -1,7 +1,6 @@
 //! Latest start time at which a request can still finish in time.
 
-use super::gate::FINISH_SAFETY_FACTOR;
-use super::work::Work;
+use super::work::{FINISH_SAFETY_FACTOR, Work};
 use crate::model::reasons::RefusalReason;
 
 /// Fraction of the expected run time that must remain before the deadline.
--- a/src/decision/host/work.rs
+++ b/src/decision/host/work.rs
@@ -4,6 +4,9 @@
 use crate::model::load::ServerState;
 use crate::model::reasons::RefusalReason;
 
+/// Multiple of the expected finish time that must fit before an objective or deadline.
+pub const FINISH_SAFETY_FACTOR: f64 = 1.5;
+
 /// Identifier of a request at the gate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct WorkId(pub u64);
