--- a/src/model/load.rs
+++ b/src/model/load.rs
@@ -90,9 +90,9 @@
     /// Returns the pace as it is after a time, in µs, in which nothing was sent.
     #[must_use]
     pub fn after(self, passed_us: u64) -> Self {
-        let passed_ms = u32::try_from(passed_us / US_PER_MS).unwrap_or(u32::MAX);
+        let less_ms = u32::try_from(passed_us / US_PER_MS).unwrap_or(u32::MAX);
         Self {
-            wait_ms: self.wait_ms.saturating_sub(passed_ms),
+            wait_ms: self.wait_ms.saturating_sub(less_ms),
             ..self
         }
     }
