Answers without end: check that nothing flows once work must have ended, for longer

Traced: with eight test programs at once beside eight busy processes, 163 runs with a sample each 50 ms show bytes in the first 50 ms in 18 of them, the same 1,451,648 for this kind (what fits into socket buffers and the proxy), and none in the 950 ms after. So the connection had been closed, and the check raced with the close. It now begins 0.5 s after the last answer, the users' time in which work must end, and wants nothing to be written for a second instead of 0.3 s.

--- a/tests/host_processes/endless_answers.rs
+++ b/tests/host_processes/endless_answers.rs
@@ -20,6 +20,14 @@
 /// Requests sent at once.
 const CONCURRENT: usize = 12;
 
+/// Time in which the work for a request must end once its caller has the answer.
+///
+/// What fits into the buffers of the connection and of the proxy is still written.
+const WORK_ENDS: Duration = Duration::from_millis(500);
+
+/// Time in which nothing more may be written then.
+const OBSERVED_FOR: Duration = Duration::from_secs(1);
+
 /// Number of the first round of requests before those that are checked.
 const FIRST_WARM_ROUND: usize = 1_000;
 
@@ -161,8 +169,9 @@
     assert!(to_faulty.contains(&Some(502)), "{part:?}: {to_faulty:?}");
     let answered = |status: &Option<u16>| *status == Some(200);
     assert!(to_others.iter().all(answered), "{part:?}: {to_others:?}");
+    tokio::time::sleep(WORK_ENDS).await;
     let before = hosts.server.written_bytes();
-    tokio::time::sleep(Duration::from_millis(300)).await;
+    tokio::time::sleep(OBSERVED_FOR).await;
     let after = hosts.server.written_bytes();
     assert_eq!(before, after, "{part:?}: a connection is still open");
     let metrics = metrics(hosts.faulty.addresses.ready()).await;
