Tests: wait until a paused process has stopped before going on

SIGSTOP is pending until the thread that takes it is scheduled; until then other threads accept connections, which then look older than they may be when the node closes. What it asks of the node is unchanged.

--- a/tests/processes/node_process.rs
+++ b/tests/processes/node_process.rs
@@ -107,6 +107,11 @@
         self.program.signal(signal);
     }
 
+    /// Pauses this very process; returns when it has stopped.
+    pub async fn pause(&self) {
+        self.program.pause().await;
+    }
+
     /// Waits until the process has ended.
     pub async fn wait(&mut self) -> ExitStatus {
         self.program.wait().await
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -73,7 +73,7 @@
 async fn pause_past_leave_notice(node: &Pair) {
     node.node.signal(Signal::Terminate);
     pause(PAUSED_AFTER_MS).await;
-    node.node.signal(Signal::Stop);
+    node.node.pause().await;
 }
 
 async fn assert_all_answered(requests: Vec<JoinHandle<Result<WholeAnswer, ClientError>>>) {
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -59,6 +59,28 @@
         assert!(sent.success(), "{signal:?} was not sent");
     }
 
+    /// Pauses this very process; returns when each of its threads has stopped.
+    ///
+    /// Threads that run go on until the system has scheduled the one that takes the signal.
+    #[allow(dead_code, reason = "some test programs need it")]
+    pub async fn pause(&self) {
+        self.signal(Signal::Stop);
+        while !self.is_stopped() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+    }
+
+    fn is_stopped(&self) -> bool {
+        let tasks = std::fs::read_dir(format!("/proc/{}/task", self.child.id()));
+        tasks.expect("the process runs").all(|task| {
+            let path = task.expect("a thread").path().join("stat");
+            // A thread may end meanwhile.
+            let stat = std::fs::read_to_string(path).unwrap_or_default();
+            let after_name = stat.rsplit_once(") ");
+            after_name.is_none_or(|(_name, state)| state.starts_with('T'))
+        })
+    }
+
     /// Highest resident memory so far, in bytes.
     #[allow(dead_code, reason = "some test programs measure it")]
     pub fn peak_memory_bytes(&self) -> u64 {
