--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -10,7 +10,7 @@
 use bronzelock::model::ids::Incarnation;
 use bronzelock::model::names::ServiceName;
 use bronzelock::model::request::Effect;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Guards against requests lost in a rolling restart.
 ///
@@ -33,18 +33,26 @@
     assert!(matches!(second, Err(PeerError::NotSent(_))), "{second:?}");
 }
 
+/// Clients with one open connection, on which nothing is answered, and its listener.
+async fn with_silent_connection() -> (PeerClients, TcpListener, TcpStream) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let clients = PeerClients::new(Tasks::default());
+    let first = clients.known_hosts(address);
+    let (unanswered, silent) = tokio::join!(first, listener.accept());
+    assert!(unanswered.is_err(), "{unanswered:?}");
+    let (silent, _peer) = silent.expect("a connection");
+    (clients, listener, silent)
+}
+
 /// Guards against old configurations while the connection to another node is silent.
 ///
 /// A node asks for records when it is behind, and must not wait on a connection that no longer
 /// delivers.
 #[tokio::test]
 async fn records_are_requested_over_a_new_connection() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let (clients, listener, _silent) = with_silent_connection().await;
     let address = listener.local_addr().expect("an address");
-    let clients = PeerClients::new(Tasks::default());
-    let first = clients.known_hosts(address);
-    let (unanswered, silent) = tokio::join!(first, listener.accept());
-    assert!(unanswered.is_err() && silent.is_ok(), "{unanswered:?}");
     let limit = Duration::from_secs(1);
     let second = tokio::time::timeout(limit, clients.open_relay(address));
     let (relay, opened) = tokio::join!(second, tokio::time::timeout(limit, listener.accept()));
@@ -55,12 +63,8 @@
 /// Guards against the same at a node of an earlier release.
 #[tokio::test]
 async fn all_records_are_requested_over_a_new_connection() {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let (clients, listener, _silent) = with_silent_connection().await;
     let address = listener.local_addr().expect("an address");
-    let clients = PeerClients::new(Tasks::default());
-    let first = clients.known_hosts(address);
-    let (unanswered, silent) = tokio::join!(first, listener.accept());
-    assert!(unanswered.is_err() && silent.is_ok(), "{unanswered:?}");
     let limit = Duration::from_secs(1);
     let records = clients.operator_log(address, RelayProtocol::Log, 0);
     let second = tokio::time::timeout(limit, records);
--- a/tests/host/store_client.rs
+++ b/tests/host/store_client.rs
@@ -14,16 +14,28 @@
 /// Pause between two reads, shorter than the time after which the kernel probes a connection.
 const PAUSE: Duration = Duration::from_millis(700);
 
+/// Size of a long value, and bytes that its link passes in a second: the answer, in Base64, takes 3.2 s.
+const VALUE_BYTES: usize = 600_000;
+const LINK_BYTES_PER_S: u64 = 250_000;
+
+async fn store_behind_proxy() -> (Store, Proxy) {
+    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+    let store = Store::start(loopback).await.expect("the store starts");
+    let proxy = Proxy::start(loopback, store.address()).await;
+    (store, proxy.expect("a proxy"))
+}
+
+fn put_long_value(store: &Store, proxy: &Proxy) {
+    store.put(TOPIC, "config", Some(&vec![b'x'; VALUE_BYTES]));
+    proxy.set_state(LinkState::Narrow(LINK_BYTES_PER_S));
+}
+
 /// Guards against old configurations while connections to the log service are silent.
 ///
 /// Rechecks come after pauses of up to 2 s. One on a silent connection would be answered too late.
 #[tokio::test]
 async fn a_read_after_a_pause_does_not_depend_on_an_idle_connection() {
-    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let store = Store::start(loopback).await.expect("the store starts");
-    let proxy = Proxy::start(loopback, store.address())
-        .await
-        .expect("a proxy");
+    let (store, proxy) = store_behind_proxy().await;
     let mut client = StoreClient::new(proxy.address());
     let first = client.read_newest(TOPIC).await;
     assert!(
@@ -46,32 +58,19 @@
 /// again from nothing.
 #[tokio::test]
 async fn a_long_answer_may_take_its_time_while_it_arrives() {
-    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let store = Store::start(loopback).await.expect("the store starts");
-    let proxy = Proxy::start(loopback, store.address())
-        .await
-        .expect("a proxy");
-    let value = vec![b'x'; 600_000];
-    store.put(TOPIC, "config", Some(&value));
-    // The answer, in Base64, passes in 3.2 s.
-    proxy.set_state(LinkState::Narrow(250_000));
+    let (store, proxy) = store_behind_proxy().await;
+    put_long_value(&store, &proxy);
     let mut client = StoreClient::new(proxy.address());
     let read = client.read_newest(TOPIC).await;
     let length = read.map(|snapshot| snapshot.value_bytes());
-    assert!(matches!(length, Ok(600_000)), "{length:?}");
+    assert!(matches!(length, Ok(VALUE_BYTES)), "{length:?}");
 }
 
 /// Guards against waiting for an answer that has stopped arriving.
 #[tokio::test]
 async fn a_long_answer_that_stops_arriving_fails_soon() {
-    let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
-    let store = Store::start(loopback).await.expect("the store starts");
-    let proxy = Proxy::start(loopback, store.address())
-        .await
-        .expect("a proxy");
-    let value = vec![b'x'; 600_000];
-    store.put(TOPIC, "config", Some(&value));
-    proxy.set_state(LinkState::Narrow(250_000));
+    let (store, proxy) = store_behind_proxy().await;
+    put_long_value(&store, &proxy);
     let mut client = StoreClient::new(proxy.address());
     let silence = async {
         tokio::time::sleep(PAUSE).await;
