Soak: a paused process does not get on with its start

The soak allows the end by a signal within 0.5 s of a start, before handlers are installed, but counted the pause as running time.

--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -209,6 +209,18 @@
             .filter(|exit| starting && exit.signal() == Some(SIGHUP))
     }
 
+    /// Pauses the node for a time, in which it does not get on with its start.
+    pub async fn pause_node(&mut self, length: Duration) {
+        let paused = Instant::now();
+        let starting = self.is_starting();
+        self.node.signal(Signal::Stop);
+        tokio::time::sleep(length).await;
+        self.node.signal(Signal::Continue);
+        if starting {
+            self.node_started += paused.elapsed();
+        }
+    }
+
     fn is_starting(&self) -> bool {
         self.node_started.elapsed() < STARTING_MAX
     }
--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -120,6 +120,8 @@
     terminated_while_starting(113);
     terminated_while_starting_again(127);
     terminated_while_starting_once_more(144);
+    // SIGTERM after a pause that began 1 ms after the start; it ended by the signal.
+    terminated_after_a_pause_while_starting(5_146);
     // Runs at a replaced service, while hosts hear nothing of the log on a silent connection.
     routes_move_after_all_connections_went_silent(2_001);
     // 404 for a route that was added, while hosts hear nothing of the log on a silent connection.
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -315,11 +315,9 @@
     }
 
     async fn pause(&self, host: usize, length: Duration) {
-        let site = self.site(host).await;
+        let mut site = self.site(host).await;
         let disturbance = self.begun(Part::Node(host));
-        site.node.signal(Signal::Stop);
-        tokio::time::sleep(length).await;
-        site.node.signal(Signal::Continue);
+        site.pause_node(length).await;
         self.ended(disturbance);
         let pause = self.facts().disturbances[disturbance];
         self.facts().pauses.push(pause);
