Log the end of a backend server with the requests that ran there, by the digest of their content

A lost run looked the same whether a link was reset or the backend server ended, and a repeat bears a new identifier. The watch beside the backend server explains lost runs by what happens next: nothing listens, another process answers, or the same one does. No request is treated differently; a waiting explanation makes the next health check due at once.

--- a/src/decision/host/gate/observe.rs
+++ b/src/decision/host/gate/observe.rs
@@ -108,6 +108,12 @@
         is_new
     }
 
+    /// Whether the backend server announced that it is leaving, or its answers say so.
+    pub fn is_server_leaving(&self) -> bool {
+        let closes_at_us = self.close_times.closes_at_us(CloseReason::ServerLeaving);
+        closes_at_us.is_some()
+    }
+
     /// Applies what an answer of the instance says of the request rate that it takes.
     ///
     /// `answers_request` is false for an answer to a health check.
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -4,6 +4,7 @@
 pub mod claims;
 pub mod close_reasons;
 pub mod cold_start;
+pub mod crash_watch;
 pub mod gate;
 pub mod keyed_state;
 pub mod known_server;
--- a/src/host/announcements.rs
+++ b/src/host/announcements.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::context::Host;
+use super::crashes;
 use super::events::time_of_day_ms;
 use super::operator_log::set_cold_rate;
 use super::probe;
@@ -102,6 +103,7 @@
     }
     if freshness == Freshness::NewStart {
         host.server_connections.close_all();
+        crashes::server_started(host, &announcement.instance);
     }
     if service_changed {
         if let Some(config) = &*host.config.load() {
--- a/src/host/callers.rs
+++ b/src/host/callers.rs
@@ -1,7 +1,7 @@
 //! HTTP listener for callers' requests, from decoding to the response.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use super::attempts::Attempts;
@@ -206,6 +206,7 @@
         target: request.target,
         headers,
         body: request.body,
+        digest: OnceLock::new(),
     }
 }
 
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -9,6 +9,7 @@
 use tokio::sync::Notify;
 
 use super::connection_pool::ConnectionPool;
+use super::crashes;
 use super::events::EventLog;
 use super::executor::Executions;
 use super::knowledge::{ConfigAge, LearnTimes};
@@ -18,6 +19,7 @@
 use super::shared_gate::SharedGate;
 use crate::decision::host::claims::Claims;
 use crate::decision::host::cold_start::ColdAllowance;
+use crate::decision::host::crash_watch::CrashWatch;
 use crate::decision::host::keyed_state::KeyedState;
 use crate::decision::host::nested_calls::NestedCalls;
 use crate::decision::host::peers::{Introduction, Peers};
@@ -78,6 +80,8 @@
     pub peer_clients: PeerClients,
     /// Gate in front of the backend server.
     pub gate: SharedGate,
+    /// Lost runs at the backend server, and whether it ended.
+    pub crash_watch: Mutex<CrashWatch>,
     /// Connections to the backend server.
     pub server_connections: ConnectionPool,
     /// Identifiers of non-idempotent requests.
@@ -132,6 +136,7 @@
                 cold_allowance,
                 clock,
             ),
+            crash_watch: Mutex::default(),
             server_connections: ConnectionPool::new(settings.backend_server.address),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_RETENTION_US)),
             executions: Executions::default(),
@@ -169,12 +174,16 @@
 
     /// Records that no connection to the backend server can be opened; logs the first failure.
     pub fn record_server_unreachable(&self, error: &std::io::Error) {
+        let nothing_listens = error.kind() == ErrorKind::ConnectionRefused;
         let is_new = self.gate.with(|gate| {
-            if error.kind() == ErrorKind::ConnectionRefused {
+            if nothing_listens {
                 gate.observe_no_listener();
             }
             gate.set_unreachable(true)
         });
+        if nothing_listens {
+            crashes::nothing_listens(self);
+        }
         self.events.server_unreachable(error, is_new);
     }
 
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -22,6 +22,7 @@
     shortened,
 };
 use crate::decision::host::announcement::{Announcement, Freshness};
+use crate::decision::host::crash_watch::Crash;
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
 use crate::model::host_request::SERVER_ERROR_MIN;
@@ -29,6 +30,9 @@
 use crate::model::names::ServiceName;
 use crate::model::units::US_PER_S;
 
+/// Maximum number of requests that the line of a crash lists.
+const LISTED_RUNS_MAX: usize = 32;
+
 /// Processing step of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 #[serde(rename_all = "kebab-case")]
@@ -341,6 +345,22 @@
         );
     }
 
+    /// Logs and counts the end of a backend server, with the requests that ran there.
+    pub fn server_crashed(&self, crash: &Crash) {
+        self.count("server_crashes");
+        let runs = crash.runs.iter().take(LISTED_RUNS_MAX);
+        let listed: Vec<_> = runs
+            .map(|run| serde_json::json!({"id": &*run.id, "digest": run.digest.to_string()}))
+            .collect();
+        let fields = serde_json::json!({
+            "crash": format!("{:016x}", crash.id.0),
+            "instance": &*crash.instance,
+            "lost_runs": crash.runs.len(),
+            "runs": listed,
+        });
+        self.write(LinePriority::Notable, "server-crashed", fields);
+    }
+
     /// Logs and counts a request rate that a backend server names in its answers.
     pub fn limit_named(&self, instance: &str, per_s: f64) {
         self.count("server_limits_named");
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -13,6 +13,7 @@
 
 use super::connection_pool::{ANSWER_LIMITS, PooledConnection};
 use super::context::Host;
+use super::crashes;
 use super::events::{FailureInputs, LateRun, Step};
 use super::latency::Stage;
 use super::outcome::{Outcome, RequestFailure, RunMeasurement};
@@ -301,6 +302,9 @@
         match exchanged {
             Ok(response) => {
                 let answer_facts = answer_facts.unwrap_or_default();
+                if let Some(answering) = &answer_facts.instance {
+                    crashes::server_answered(host, answering, started_us);
+                }
                 observe_load_report(host, &answer_facts);
                 observe_statements(
                     host,
@@ -333,7 +337,11 @@
                     error.cause
                 );
                 host.gate.with(HostGate::suspect_restart);
-                return Err(exchange_failure(host, work, &error));
+                let failure = exchange_failure(host, work, &error);
+                if failure.reason == RefusalReason::ConnectionLost {
+                    crashes::run_lost(host, work, instance);
+                }
+                return Err(failure);
             }
             Err(ExchangeFailure::Deadline) => {
                 return Err(RequestFailure::unknown(
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -9,6 +9,7 @@
 pub mod callers;
 pub mod connection_pool;
 pub mod context;
+pub mod crashes;
 pub mod directory;
 pub mod events;
 pub mod executor;
--- a/src/host/peer_rpc.rs
+++ b/src/host/peer_rpc.rs
@@ -1,7 +1,7 @@
 //! RPC service between nodes on different hosts, and its wire types.
 
 use std::net::IpAddr;
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -134,6 +134,7 @@
             target: self.target,
             headers: headers_from_wire(self.headers),
             body: self.body,
+            digest: OnceLock::new(),
         })
     }
 }
--- a/src/host/probe.rs
+++ b/src/host/probe.rs
@@ -5,8 +5,10 @@
 
 use super::connection_pool::HEALTH_ANSWER_LIMITS;
 use super::context::Host;
+use super::crashes;
 use super::executor;
 use crate::decision::host::gate::HealthCheckResult;
+use crate::kernel::shards::lock;
 use crate::model::request::Effect;
 use crate::model::units::{US_PER_MS, US_PER_S};
 use crate::platform::{answers, requests};
@@ -45,7 +47,8 @@
         }
         host.server_connections.close_idle();
         let now_us = host.now_us();
-        if now_us < next_us || is_load_fresh(&host, now_us) {
+        let is_due = lock(&host.crash_watch).is_waiting() || !is_load_fresh(&host, now_us);
+        if now_us < next_us || !is_due {
             continue;
         }
         next_us = now_us + pause_us;
@@ -118,6 +121,7 @@
         .exchange(&request, false, HEALTH_ANSWER_LIMITS, |response| {
             answers::request_id_of(response).is_none()
         });
+    let sent_us = host.now_us();
     let response = match exchange.await {
         Ok(response) => response,
         Err(error) => {
@@ -130,6 +134,7 @@
     executor::observe_load_report(host, &facts);
     let now_us = host.now_us();
     if let Some(instance) = &facts.instance {
+        crashes::server_answered(host, instance, sent_us);
         let health = HealthCheckResult {
             instance,
             healthy: response.head.status == 200,
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -1,12 +1,13 @@
 //! Requests and answers that hosts handle, decoded from the platform's format.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 
 use super::header::Header;
 use super::names::ServiceName;
 use super::request::Effect;
+use super::request_digest::RequestDigest;
 
 /// Lowest status code of server errors.
 pub const SERVER_ERROR_MIN: u16 = 500;
@@ -68,6 +69,8 @@
     pub headers: Vec<Header>,
     /// Complete body.
     pub body: Bytes,
+    /// Digest of the content, computed when it is first needed.
+    pub digest: OnceLock<RequestDigest>,
 }
 
 /// A complete answer of a backend server.
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -11,4 +11,5 @@
 pub mod names;
 pub mod reasons;
 pub mod request;
+pub mod request_digest;
 pub mod units;
--- a/tests/host/backend_answers.rs
+++ b/tests/host/backend_answers.rs
@@ -1,7 +1,7 @@
 //! What bytes of a backend server reach a caller as an answer, and with which status.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, LazyLock};
+use std::sync::{Arc, LazyLock, OnceLock};
 use std::time::Duration;
 
 use bronzelock::host::context::Host;
@@ -92,6 +92,7 @@
         target: "/a".to_owned(),
         headers: Vec::new(),
         body: bytes::Bytes::new(),
+        digest: OnceLock::new(),
     }
 }
 
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -8,6 +8,7 @@
 mod claims;
 mod cold_start;
 mod connection_pool;
+mod crash_watch;
 mod event_log;
 mod gate;
 mod http1;
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -1,5 +1,6 @@
 //! Connections between nodes when the other node stops.
 
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use bronzelock::decision::host::peers::RelayProtocol;
@@ -127,6 +128,7 @@
         target: "/gate/7".to_owned(),
         headers: Vec::new(),
         body: bytes::Bytes::new(),
+        digest: OnceLock::new(),
     };
     WireWork::new(work, 0)
 }
