Failing tests: a request that ends each backend server that runs it comes again

Five backend servers of one service, nodes with their proxies, other callers beside. The request comes every 150 ms, to one node after the other, and ends a backend server 30 ms after its run began; the backend server is away for 700 ms.

--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -273,6 +273,12 @@
     Some((answer.status.as_u16(), service))
 }
 
+/// Status of the answer to one idempotent request for a target that does not name the identifier.
+pub async fn ask_target(node: SocketAddr, target: &str, id: &str) -> Option<u16> {
+    let answer = send_once(node, request(id, Kind::History, target)).await;
+    answer.ok().map(|answer| answer.status.as_u16())
+}
+
 /// Status of the answer to one request on a connection of its own.
 pub async fn ask_kind(node: SocketAddr, id: &str, kind: Kind) -> Option<u16> {
     let target = format!("{}{id}", kind.path_prefix());
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -11,6 +11,7 @@
 mod loopback;
 mod operator;
 mod path;
+mod poison_requests;
 #[path = "../support/program.rs"]
 mod program;
 mod reused_address;
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -2,7 +2,7 @@
 
 use std::fs::File;
 use std::io::PipeReader;
-use std::net::SocketAddr;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::os::unix::process::ExitStatusExt;
 use std::path::{Path, PathBuf};
 use std::process::{Command, ExitStatus, Stdio};
@@ -260,10 +260,21 @@
     /// Ends the backend server; tells of a leave that was acknowledged.
     pub async fn end_server(&mut self, how: ServerEnd) -> Option<Leave> {
         let life = self.server.take()?;
-        life.end.send(how).expect("the backend server runs");
+        if life.end.send(how).is_err() {
+            log::info!(
+                "{}: a request has ended the backend server",
+                self.place.name
+            );
+        }
         life.task.await.expect("the backend server did not panic")
     }
 
+    /// Whether a request has ended the backend server.
+    pub fn server_has_crashed(&self) -> bool {
+        let life = self.server.as_ref();
+        life.is_some_and(|life| life.task.is_finished())
+    }
+
     /// Makes the connections of all links that are open now go silent; new ones work.
     pub fn silence(&self) {
         for link in [&self.store_link, &self.peer_link, &self.server_link] {
@@ -273,7 +284,7 @@
 
     /// Refuses connections at the backend server's address, as a port without a listener does.
     pub async fn close_server_address(&mut self) {
-        let elsewhere = HostAddresses::unused().server();
+        let elsewhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let inner = self.addresses.inner_server();
         self.server_link = Proxy::start(elsewhere, inner).await.expect("a proxy");
     }
@@ -375,12 +386,16 @@
     ledger: Ledger,
 ) -> Option<Leave> {
     let how = loop {
-        if !announcements_held.load(Ordering::Relaxed) {
-            announcer.announce(told(&server)).await;
-        }
+        let announce_and_pause = async {
+            if !announcements_held.load(Ordering::Relaxed) {
+                announcer.announce(told(&server)).await;
+            }
+            tokio::time::sleep(ANNOUNCE_PERIOD).await;
+        };
         tokio::select! {
             how = &mut ended => break how.unwrap_or(ServerEnd::Crash),
-            () = tokio::time::sleep(ANNOUNCE_PERIOD) => {}
+            () = server.crashing() => break ServerEnd::Crash,
+            () = announce_and_pause => {}
         }
     };
     let leave = match how {
