Keep a request from backend servers after it has ended two of them

Cause: nothing knew a repeat. An identifier is new for each attempt, a lost connection was one more failure of a host, and no node counted what others had seen.

An answered run refutes the crashes before it, so a popular request is not kept away. The refusal is immediate and true: 503, not run, with the time left. Nodes end a quarantine at different times, so that one trial is enough.

--- a/src/decision/host/crash_watch.rs
+++ b/src/decision/host/crash_watch.rs
@@ -4,6 +4,7 @@
 //! was the end if nothing listens at the address afterwards, or another process answers there. It
 //! was not if the same process answers a request that was sent afterwards.
 
+use std::fmt;
 use std::sync::Arc;
 
 use crate::model::request_digest::RequestDigest;
@@ -19,6 +20,12 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct CrashId(pub u64);
 
+impl fmt::Display for CrashId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
 /// A run whose connection to the backend server was lost.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct LostRun {
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -12,6 +12,7 @@
 pub mod nested_calls;
 pub mod peers;
 pub mod placement;
+pub mod poison_requests;
 pub mod poll_schedule;
 pub mod rate_limiter;
 pub mod refusals;
--- a/src/host/attempts.rs
+++ b/src/host/attempts.rs
@@ -16,6 +16,7 @@
 use super::outcome::{Outcome, RequestFailure};
 use super::peer_client::PeerError;
 use super::peer_rpc::WireWork;
+use super::quarantine;
 use super::request_lines::{FailedAttempt, TriedHosts};
 use super::retries;
 use crate::decision::host::placement::{self, Candidate, Placement, RequestTiming};
@@ -93,6 +94,7 @@
     /// # Errors
     /// Returns why there is no answer, and whether the request may have run.
     pub async fn run(&self) -> Result<ServerAnswer, RequestFailure> {
+        quarantine::check(self.host, &self.work)?;
         let mut progress = Progress::default();
         let mut attempts = FuturesUnordered::new();
         match self.place_next() {
@@ -112,6 +114,10 @@
             if !retry || self.host.now_us() >= self.work.timing.deadline_us {
                 continue;
             }
+            if let Err(failure) = quarantine::check(self.host, &self.work) {
+                progress.reported_failure.get_or_insert(failure);
+                continue;
+            }
             if let Some(next) = self.place_next() {
                 self.host.events.retried(
                     &self.work.id,
@@ -144,6 +150,9 @@
         if replaces {
             progress.reported_failure = Some(failure);
         }
+        if failure.reason == RefusalReason::PoisonRequest {
+            return false;
+        }
         match (failure.is_not_run(), failure.arrived) {
             (true, false) => progress.refusals.allow_another(),
             (true, true) => self.take_repeat(progress),
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -23,6 +23,7 @@
 use crate::decision::host::keyed_state::KeyedState;
 use crate::decision::host::nested_calls::NestedCalls;
 use crate::decision::host::peers::{Introduction, Peers};
+use crate::decision::host::poison_requests::{PoisonRequests, TRIAL_DELAY_MAX_US};
 use crate::decision::host::run_times::RunTimes;
 use crate::decision::host::shared_retry_budget::{RetryBudgetLimits, SharedRetryBudget};
 use crate::decision::host::traffic_split::TrafficSplit;
@@ -82,6 +83,10 @@
     pub gate: SharedGate,
     /// Lost runs at the backend server, and whether it ended.
     pub crash_watch: Mutex<CrashWatch>,
+    /// Requests under which backend servers ended, as far as known here.
+    pub poison_requests: Mutex<PoisonRequests>,
+    /// Notified when other nodes should hear of such a request.
+    pub crash_news: Notify,
     /// Connections to the backend server.
     pub server_connections: ConnectionPool,
     /// Identifiers of non-idempotent requests.
@@ -114,6 +119,7 @@
             slack: settings.bounds.cold_slack,
         };
         let drain_us = settings.bounds.drain_ms * US_PER_MS;
+        let trial_delay_us = rand::random_range(0..TRIAL_DELAY_MAX_US);
         let events = EventLog::start(&settings.host.name, clock, Box::new(StandardOutput));
         Self {
             incarnation,
@@ -137,6 +143,8 @@
                 clock,
             ),
             crash_watch: Mutex::default(),
+            poison_requests: Mutex::new(PoisonRequests::new(trial_delay_us)),
+            crash_news: Notify::new(),
             server_connections: ConnectionPool::new(settings.backend_server.address),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_RETENTION_US)),
             executions: Executions::default(),
--- a/src/host/crashes.rs
+++ b/src/host/crashes.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use super::context::Host;
+use super::quarantine;
 use crate::decision::host::crash_watch::{Crash, CrashId, CrashWatch, LostRun};
 use crate::kernel::shards::lock;
 use crate::model::host_request::HostWork;
@@ -47,5 +48,6 @@
     let crash = observation(&mut lock(&host.crash_watch), new_id, host.now_us());
     if let Some(crash) = crash {
         host.events.server_crashed(&crash);
+        quarantine::record_crash(host, &crash);
     }
 }
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -23,12 +23,14 @@
 };
 use crate::decision::host::announcement::{Announcement, Freshness};
 use crate::decision::host::crash_watch::Crash;
+use crate::decision::host::poison_requests::{Quarantine, Suspect};
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
 use crate::model::host_request::SERVER_ERROR_MIN;
 use crate::model::load::ServerState;
 use crate::model::names::ServiceName;
-use crate::model::units::US_PER_S;
+use crate::model::request_digest::RequestDigest;
+use crate::model::units::{US_PER_MS, US_PER_S};
 
 /// Maximum number of requests that the line of a crash lists.
 const LISTED_RUNS_MAX: usize = 32;
@@ -353,7 +355,7 @@
             .map(|run| serde_json::json!({"id": &*run.id, "digest": run.digest.to_string()}))
             .collect();
         let fields = serde_json::json!({
-            "crash": format!("{:016x}", crash.id.0),
+            "crash": crash.id.to_string(),
             "instance": &*crash.instance,
             "lost_runs": crash.runs.len(),
             "runs": listed,
@@ -361,6 +363,40 @@
         self.write(LinePriority::Notable, "server-crashed", fields);
     }
 
+    /// Logs and counts the refusal of a request that is in quarantine, with the crashes against it.
+    pub fn quarantine_refused(&self, id: &str, suspect: &Suspect, now_us: u64) {
+        self.count("quarantine_refusals");
+        let crashes: Vec<_> = suspect
+            .standing()
+            .map(|mark| {
+                let age_ms = (now_us.cast_signed() - mark.at_us) / US_PER_MS.cast_signed();
+                serde_json::json!({"crash": mark.crash.to_string(), "age_ms": age_ms})
+            })
+            .collect();
+        let fields = serde_json::json!({
+            "id": id, "digest": suspect.digest.to_string(), "crashes": crashes,
+        });
+        self.write(LinePriority::Notable, "quarantine-refused", fields);
+    }
+
+    /// Logs and counts that a request is in quarantine, because of a crash that was not known here.
+    pub fn quarantined(&self, digest: RequestDigest, quarantine: Quarantine) {
+        self.count("quarantines");
+        let fields = serde_json::json!({
+            "digest": digest.to_string(),
+            "crashes": quarantine.crashes,
+            "left_ms": quarantine.left_us / US_PER_MS,
+        });
+        self.write(LinePriority::Notable, "quarantined", fields);
+    }
+
+    /// Logs and counts that a suspected request was answered.
+    pub fn suspicion_refuted(&self, id: &str, digest: RequestDigest) {
+        self.count("suspicions_refuted");
+        let fields = serde_json::json!({"id": id, "digest": digest.to_string()});
+        self.write(LinePriority::Notable, "suspicion-refuted", fields);
+    }
+
     /// Logs and counts a request rate that a backend server names in its answers.
     pub fn limit_named(&self, instance: &str, per_s: f64) {
         self.count("server_limits_named");
@@ -457,6 +493,8 @@
             let state = lock(&host.operator_state);
             (state.end().era, state.lost().len() as u64)
         };
+        let quarantined = lock(&host.poison_requests).quarantined_count(host.now_us());
+        line("quarantined_requests", quarantined as u64);
         line("log_era", log_era);
         line("log_lost_records", lost_records);
         line("peers_known", lock(&host.peers).node_count() as u64 - 1);
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -18,6 +18,7 @@
 use super::latency::Stage;
 use super::outcome::{Outcome, RequestFailure, RunMeasurement};
 use super::probe;
+use super::quarantine;
 use super::request_lines::{FailedAttempt, Run};
 use super::retries::TrackedRun;
 use super::shared_gate::Admitted;
@@ -154,6 +155,10 @@
         log_failure(host, work, Step::Admit, &failure);
         return Outcome::failed(failure);
     }
+    if let Err(failure) = quarantine::check(host, work) {
+        log_failure(host, work, Step::Admit, &failure);
+        return Outcome::failed(failure);
+    }
     let tracked = match TrackedRun::begin(host, work) {
         Ok(tracked) => tracked,
         Err(failure) => {
@@ -267,6 +272,10 @@
     let mut pooled =
         connection_or_failure(host, host.server_connections.acquire(work.effect).await)?;
     loop {
+        if let Err(failure) = quarantine::check(host, work) {
+            host.server_connections.release(pooled);
+            return Err(failure);
+        }
         let started_us = host.now_us();
         let clearance = host.gate.with(|gate| {
             measurement.slowness = gate.slowness(started_us);
@@ -321,6 +330,7 @@
                     host.server_connections.release(pooled);
                 }
                 let answer = checked?;
+                quarantine::record_answer(host, work, answer.head.status);
                 if answer.head.status < SERVER_ERROR_MIN {
                     admitted.usual_run_us =
                         Some(usual_us(measurement.run_us, measurement.slowness));
--- a/src/host/load_reports.rs
+++ b/src/host/load_reports.rs
@@ -14,6 +14,7 @@
 use tokio::net::UdpSocket;
 
 use super::context::Host;
+use super::crash_reports;
 use super::peer_rpc::WireIntroduction;
 use crate::decision::host::peers::{Introduction, LogView, RelayProtocol};
 use crate::decision::host::report_schedule::{ReportSchedule, ReportTrigger};
@@ -125,7 +126,11 @@
         host,
         socket: Arc::new(socket),
     };
-    tokio::join!(reporter.receive(), reporter.send());
+    tokio::join!(
+        reporter.receive(),
+        reporter.send(),
+        crash_reports::send(&reporter.host, &reporter.socket),
+    );
 }
 
 struct LoadReporter {
@@ -246,7 +251,12 @@
                 tokio::time::sleep(REPORT_INTERVAL_MIN).await;
                 continue;
             };
-            match decode(&buffer[..length]) {
+            let datagram = &buffer[..length];
+            if datagram.first() == Some(&crash_reports::WIRE_VERSION) {
+                crash_reports::receive(&self.host, from.ip(), datagram);
+                continue;
+            }
+            match decode(datagram) {
                 Some(report) => self.handle(from.ip(), report).await,
                 None => self.host.events.count("datagrams_refused"),
             }
@@ -280,6 +290,7 @@
                                 "peer": from, "incarnation": incarnation.0,
                             }),
                         );
+                        crash_reports::send_known(host, &self.socket, from).await;
                     }
                 }
                 Ok(_) | Err(_) => host.events.count("datagrams_refused"),
--- /dev/null
+++ b/src/host/quarantine.rs
@@ -0,0 +1,77 @@
+//! Keeps requests that end backend servers away from them, with what all nodes have seen.
+
+use super::context::Host;
+use super::outcome::RequestFailure;
+use crate::decision::host::crash_watch::Crash;
+use crate::decision::host::poison_requests::Suspect;
+use crate::kernel::shards::lock;
+use crate::model::host_request::{HostWork, SERVER_ERROR_MIN};
+use crate::model::reasons::RefusalReason;
+use crate::platform::requests;
+
+/// Refuses a request that is in quarantine.
+///
+/// # Errors
+/// Returns the refusal; the request was not sent.
+pub fn check(host: &Host, work: &HostWork) -> Result<(), RequestFailure> {
+    if lock(&host.poison_requests).is_empty() {
+        return Ok(());
+    }
+    let digest = requests::digest_of(work);
+    let now_us = host.now_us();
+    let known = {
+        let requests = lock(&host.poison_requests);
+        let quarantine = requests.quarantine(&digest, now_us);
+        quarantine.zip(requests.get(&digest).cloned())
+    };
+    let Some((quarantine, suspect)) = known else {
+        return Ok(());
+    };
+    host.events.quarantine_refused(&work.id, &suspect, now_us);
+    Err(RequestFailure::not_sent(RefusalReason::PoisonRequest).retry_after(quarantine.left_us))
+}
+
+/// Records the end of the local backend server against the requests that ran there.
+pub fn record_crash(host: &Host, crash: &Crash) {
+    let now_us = host.now_us();
+    for run in &crash.runs {
+        let quarantine = {
+            let mut requests = lock(&host.poison_requests);
+            requests.record_crash(run.digest, crash.id, run.at_us, now_us);
+            requests.quarantine(&run.digest, now_us)
+        };
+        if let Some(quarantine) = quarantine {
+            host.events.quarantined(run.digest, quarantine);
+        }
+    }
+    host.crash_news.notify_one();
+}
+
+/// Records that the local backend server answered a request.
+pub fn record_answer(host: &Host, work: &HostWork, status: u16) {
+    if status >= SERVER_ERROR_MIN || lock(&host.poison_requests).is_empty() {
+        return;
+    }
+    let digest = requests::digest_of(work);
+    if lock(&host.poison_requests).record_answer(&digest) {
+        host.events.suspicion_refuted(&work.id, digest);
+        host.crash_news.notify_one();
+    }
+}
+
+/// Applies what another node knows of a request.
+pub fn learn(host: &Host, heard: &Suspect) {
+    let now_us = host.now_us();
+    let (is_new, quarantine, has_news) = {
+        let mut requests = lock(&host.poison_requests);
+        let is_new = requests.merge(heard, now_us);
+        let quarantine = requests.quarantine(&heard.digest, now_us);
+        (is_new, quarantine, requests.has_news())
+    };
+    if let Some(quarantine) = quarantine.filter(|_quarantine| is_new) {
+        host.events.quarantined(heard.digest, quarantine);
+    }
+    if has_news {
+        host.crash_news.notify_one();
+    }
+}
--- a/src/model/reasons.rs
+++ b/src/model/reasons.rs
@@ -112,6 +112,8 @@
         PeerRejected => "peer-rejected",
         /// The backend server is of another service than the sending node expects.
         OtherService => "other-service",
+        /// Backend servers ended whenever they ran the request; it is in quarantine.
+        PoisonRequest => "poison-request",
     }
 }
 
--- a/src/request/problem.rs
+++ b/src/request/problem.rs
@@ -109,6 +109,7 @@
         R::ServerOut => "The backend server is out of service",
         R::ServerAbsent => "The backend server has not announced itself",
         R::OtherService => "The backend server is of another service",
+        R::PoisonRequest => "Backend servers ended whenever they ran the request",
         R::ServerSlow => "The backend server is slow now",
         R::ServerShed => "The backend server shed the request",
         R::NoServer => "No backend server of the service is live",
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod placement;
 mod platform;
+mod poison_requests;
 mod poll_schedule;
 mod refusals;
 mod registration;
