Keep quarantines in the log service, for nodes that start after all others have ended

What callers saw: after all nodes were killed at once, the same request ended backend servers again: nodes only remembered it, and told each other.

The node beside the backend server that ended writes a record when a request is in quarantine, removes it when the request is answered, and writes it again in a new era of the log. A node reads the records before it follows the operators' log, without which it serves no caller, and waits at most 300 ms for them; it reads later what it could not read then. At the first start of the whole system there is nothing to read.

Cost: one read of a topic at each start of a node, one append for each quarantine that begins or is refuted.

--- a/src/decision/host/poison_requests.rs
+++ b/src/decision/host/poison_requests.rs
@@ -73,6 +73,11 @@
         self.marks.iter().filter(|mark| !mark.refuted)
     }
 
+    /// Whether the crashes that stand have put it in quarantine, whether that has ended or not.
+    pub fn was_quarantined(&self) -> bool {
+        self.standing().count() >= COINCIDENCE_CRASHES
+    }
+
     /// Time of the last crash that stands, in µs.
     fn last_standing_us(&self) -> Option<i64> {
         self.standing().map(|mark| mark.at_us).max()
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -15,6 +15,7 @@
 use super::knowledge::{ConfigAge, LearnTimes};
 use super::log_writer::StandardOutput;
 use super::peer_client::PeerClients;
+use super::quarantine_log::QuarantineRecords;
 use super::relayed_values::RelayedValues;
 use super::shared_gate::SharedGate;
 use crate::decision::host::claims::Claims;
@@ -85,6 +86,8 @@
     pub crash_watch: Mutex<CrashWatch>,
     /// Requests under which backend servers ended, as far as known here.
     pub poison_requests: Mutex<PoisonRequests>,
+    /// Records of quarantines that this node writes to the log service.
+    pub quarantine_records: QuarantineRecords,
     /// Notified when other nodes should hear of such a request.
     pub crash_news: Notify,
     /// Connections to the backend server.
@@ -144,6 +147,7 @@
             ),
             crash_watch: Mutex::default(),
             poison_requests: Mutex::new(PoisonRequests::new(trial_delay_us)),
+            quarantine_records: QuarantineRecords::default(),
             crash_news: Notify::new(),
             server_connections: ConnectionPool::new(settings.backend_server.address),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_RETENTION_US)),
--- a/src/host/crash_reports.rs
+++ b/src/host/crash_reports.rs
@@ -98,12 +98,15 @@
     let mut repeats = tokio::time::interval(REPEAT_PERIOD);
     repeats.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        let news_left = lock(&host.poison_requests).has_news();
+        let (news_left, is_empty) = {
+            let requests = lock(&host.poison_requests);
+            (requests.has_news(), requests.is_empty())
+        };
         tokio::select! {
             () = host.stop.stopped() => return,
             () = host.crash_news.notified() => send_news(host, socket).await,
             () = tokio::time::sleep(NEWS_PERIOD), if news_left => send_news(host, socket).await,
-            _tick = repeats.tick() => repeat(host, socket).await,
+            _tick = repeats.tick(), if !is_empty => repeat(host, socket).await,
         }
     }
 }
@@ -125,9 +128,6 @@
 }
 
 async fn repeat(host: &Host, socket: &UdpSocket) {
-    if lock(&host.poison_requests).is_empty() {
-        return;
-    }
     let receivers = {
         let peers = lock(&host.peers);
         let addresses = peers.iter().map(|peer| peer.introduction.address);
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -28,6 +28,7 @@
 pub mod peer_server;
 pub mod probe;
 pub mod quarantine;
+pub mod quarantine_log;
 pub mod ready;
 pub mod relay_rpc;
 pub mod relayed_values;
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -11,7 +11,7 @@
 use super::callers::CallerHandler;
 use super::context::Host;
 use super::ready::ReadyHandler;
-use super::{directory, load_reports, operator_log, peer_server, probe};
+use super::{directory, load_reports, operator_log, peer_server, probe, quarantine_log};
 use crate::edge::http1::server::{self, Handler};
 use crate::edge::listen::{BACKLOG, bind};
 use crate::kernel::StepError;
@@ -104,13 +104,22 @@
     tasks.spawn(peer_server::serve(Arc::clone(host), peers));
     tasks.spawn(load_reports::run(Arc::clone(host), reports));
     tasks.spawn(directory::join(Arc::clone(host)));
-    tasks.spawn(operator_log::follow(Arc::clone(host)));
+    tasks.spawn(read_quarantines_and_follow_log(Arc::clone(host)));
     tasks.spawn(probe::run(Arc::clone(host)));
     let gate_host = Arc::clone(host);
     tasks.spawn(async move { gate_host.gate.run_wakeups(&gate_host.stop).await });
     Ok(())
 }
 
+/// Follows the operators' log, without which no caller is served, once quarantines are known.
+async fn read_quarantines_and_follow_log(host: Arc<Host>) {
+    let is_read = quarantine_log::read_first(&host).await;
+    tokio::join!(
+        quarantine_log::keep(&host, is_read),
+        operator_log::follow(Arc::clone(&host)),
+    );
+}
+
 /// Serves HTTP on a listener until the node stops.
 fn serve(host: &Host, handler: impl Handler, listener: TcpListener, connections_max: usize) {
     host.tasks.spawn(server::serve(
--- a/src/host/quarantine.rs
+++ b/src/host/quarantine.rs
@@ -42,6 +42,7 @@
         };
         if let Some(quarantine) = quarantine {
             host.events.quarantined(run.digest, quarantine);
+            host.quarantine_records.update(run.digest);
         }
     }
     host.crash_news.notify_one();
@@ -53,7 +54,15 @@
         return;
     }
     let digest = requests::digest_of(work);
-    if lock(&host.poison_requests).record_answer(&digest) {
+    let (was_recorded, is_news) = {
+        let mut requests = lock(&host.poison_requests);
+        let was_quarantined = requests.get(&digest).is_some_and(Suspect::was_quarantined);
+        (was_quarantined, requests.record_answer(&digest))
+    };
+    if is_news && was_recorded {
+        host.quarantine_records.update(digest);
+    }
+    if is_news {
         host.events.suspicion_refuted(&work.id, digest);
         host.crash_news.notify_one();
     }
@@ -62,16 +71,15 @@
 /// Applies what another node knows of a request.
 pub fn learn(host: &Host, heard: &Suspect) {
     let now_us = host.now_us();
-    let (is_new, quarantine, has_news) = {
+    let (is_new, quarantine) = {
         let mut requests = lock(&host.poison_requests);
         let is_new = requests.merge(heard, now_us);
-        let quarantine = requests.quarantine(&heard.digest, now_us);
-        (is_new, quarantine, requests.has_news())
+        (is_new, requests.quarantine(&heard.digest, now_us))
     };
     if let Some(quarantine) = quarantine.filter(|_quarantine| is_new) {
         host.events.quarantined(heard.digest, quarantine);
     }
-    if has_news {
+    if is_new || lock(&host.poison_requests).has_news() {
         host.crash_news.notify_one();
     }
 }
--- /dev/null
+++ b/src/host/quarantine_log.rs
@@ -0,0 +1,236 @@
+//! Keeps quarantines in the log service, for nodes that start after all others have ended.
+//!
+//! The node beside the backend server that ended writes the record, and writes it again if the log
+//! service comes back from an older copy.
+
+use std::collections::BTreeSet;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+use super::context::Host;
+use super::events::time_of_day_ms;
+use super::jitter::with_jitter;
+use crate::decision::host::crash_watch::CrashId;
+use crate::decision::host::poison_requests::{CrashMark, Suspect};
+use crate::kernel::StepError;
+use crate::kernel::shards::lock;
+use crate::model::request_digest::RequestDigest;
+use crate::model::units::US_PER_MS;
+use crate::platform::names::QUARANTINE_TOPIC;
+use crate::platform::store::StoreClient;
+
+/// Pauses between attempts, in ms; the last one repeats.
+const RETRY_PAUSES_MS: [u64; 4] = [200, 400, 800, 1_500];
+
+/// Maximum time for which the start of a node waits for the records.
+const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Interval of checks whether the log has come back from an older copy.
+const ERA_POLL_PERIOD: Duration = Duration::from_secs(1);
+
+/// Maximum number of requests whose records this node keeps up to date.
+const WRITTEN_MAX: usize = 256;
+
+/// Requests whose records this node writes.
+#[derive(Debug, Default)]
+pub struct QuarantineRecords {
+    requests: Mutex<Records>,
+    changed: Notify,
+}
+
+#[derive(Debug, Default)]
+struct Records {
+    /// Requests whose record is to be written or removed.
+    due: BTreeSet<RequestDigest>,
+    /// Requests whose record this node has written.
+    written: BTreeSet<RequestDigest>,
+    /// Era of the log in which they were written.
+    era: u64,
+}
+
+impl QuarantineRecords {
+    /// Makes the record of a request due to be written, or removed if nothing stands against it.
+    pub fn update(&self, digest: RequestDigest) {
+        let mut records = lock(&self.requests);
+        if records.due.len() < WRITTEN_MAX {
+            records.due.insert(digest);
+        }
+        drop(records);
+        self.changed.notify_one();
+    }
+
+    /// Makes all records due that an older copy of the log may lack.
+    fn observe_era(&self, era: u64) {
+        let mut records = lock(&self.requests);
+        if era > records.era {
+            records.era = era;
+            let written = std::mem::take(&mut records.written);
+            records.due.extend(written);
+        }
+    }
+
+    fn has_written(&self) -> bool {
+        !lock(&self.requests).written.is_empty()
+    }
+
+    fn next_due(&self) -> Option<RequestDigest> {
+        lock(&self.requests).due.first().copied()
+    }
+
+    fn finish(&self, digest: RequestDigest, stored: bool) {
+        let mut records = lock(&self.requests);
+        records.due.remove(&digest);
+        if stored && records.written.len() < WRITTEN_MAX {
+            records.written.insert(digest);
+        }
+    }
+}
+
+/// Stored form of a request and the crashes in which it ran.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredSuspect {
+    digest: RequestDigest,
+    marks: Vec<StoredMark>,
+}
+
+/// Stored form of a crash that stands.
+#[derive(Debug, Serialize, Deserialize)]
+struct StoredMark {
+    crash: u64,
+    /// Time of day, in ms since the Unix epoch.
+    time_ms: u64,
+}
+
+impl StoredSuspect {
+    fn new(suspect: &Suspect, now_us: u64) -> Self {
+        let marks = suspect.standing().map(|mark| {
+            let age_us = (now_us.cast_signed() - mark.at_us).max(0) as u64;
+            StoredMark {
+                crash: mark.crash.0,
+                time_ms: time_of_day_ms().saturating_sub(age_us / US_PER_MS),
+            }
+        });
+        Self {
+            digest: suspect.digest,
+            marks: marks.collect(),
+        }
+    }
+
+    fn into_suspect(self, now_us: u64) -> Suspect {
+        let marks = self.marks.iter().map(|mark| {
+            let age_ms = time_of_day_ms().saturating_sub(mark.time_ms);
+            CrashMark {
+                crash: CrashId(mark.crash),
+                at_us: now_us.cast_signed() - (age_ms.saturating_mul(US_PER_MS)).cast_signed(),
+                refuted: false,
+            }
+        });
+        Suspect {
+            digest: self.digest,
+            marks: marks.collect(),
+        }
+    }
+}
+
+/// Reads the records before this node serves callers, if the log service answers soon.
+///
+/// Returns whether they were read; at the first start of the whole system there are none.
+pub async fn read_first(host: &Host) -> bool {
+    if host.settings.host.first_start {
+        return true;
+    }
+    let mut store = StoreClient::new(host.settings.store.address);
+    let reading = tokio::time::timeout(FIRST_READ_TIMEOUT, read(host, &mut store));
+    matches!(reading.await, Ok(Ok(())))
+}
+
+/// Reads the records unless that `is_done`, and writes those that are due, until the node stops.
+pub async fn keep(host: &Arc<Host>, is_done: bool) {
+    tokio::select! {
+        () = host.stop.stopped() => {}
+        () = read_and_write(host, is_done) => {}
+    }
+}
+
+async fn read_and_write(host: &Host, mut is_read: bool) {
+    let mut store = StoreClient::new(host.settings.store.address);
+    let mut failures = 0;
+    loop {
+        let step = if is_read {
+            write_due(host, &mut store).await
+        } else {
+            read(host, &mut store).await
+        };
+        match step {
+            Ok(()) => {
+                is_read = true;
+                failures = 0;
+            }
+            Err(error) => {
+                host.events.state_changed(
+                    "store-lost",
+                    serde_json::json!({"part": "quarantine", "error": error.to_string()}),
+                );
+                let pause_ms = RETRY_PAUSES_MS[failures.min(RETRY_PAUSES_MS.len() - 1)];
+                tokio::time::sleep(Duration::from_millis(with_jitter(pause_ms))).await;
+                failures += 1;
+                continue;
+            }
+        }
+        let has_written = host.quarantine_records.has_written();
+        tokio::select! {
+            () = host.quarantine_records.changed.notified() => {}
+            () = tokio::time::sleep(ERA_POLL_PERIOD), if has_written => {}
+        }
+        let era = lock(&host.operator_state).end().era;
+        host.quarantine_records.observe_era(era);
+    }
+}
+
+/// Reads all records; those of crashes that are too long ago are removed.
+async fn read(host: &Host, store: &mut StoreClient) -> Result<(), StepError> {
+    let snapshot = store.read_newest(QUARANTINE_TOPIC).await?;
+    let now_us = host.now_us();
+    for record in snapshot.records {
+        let value = record.value.unwrap_or_default();
+        let Ok(stored) = postcard::from_bytes::<StoredSuspect>(&value) else {
+            host.events.count("quarantine_records_refused");
+            continue;
+        };
+        let suspect = stored.into_suspect(now_us);
+        let is_remembered = {
+            let mut requests = lock(&host.poison_requests);
+            requests.merge(&suspect, now_us);
+            requests.contains(&suspect.digest)
+        };
+        if !is_remembered {
+            host.quarantine_records.update(suspect.digest);
+        }
+    }
+    Ok(())
+}
+
+/// Writes the records that are due.
+async fn write_due(host: &Host, store: &mut StoreClient) -> Result<(), StepError> {
+    while let Some(digest) = host.quarantine_records.next_due() {
+        let suspect = lock(&host.poison_requests).get(&digest).cloned();
+        let standing = suspect.filter(|suspect| suspect.standing().next().is_some());
+        let value = match &standing {
+            Some(suspect) => {
+                let stored = StoredSuspect::new(suspect, host.now_us());
+                postcard::to_stdvec(&stored)
+                    .map_err(|error| StepError::local("encode the quarantine", error))?
+            }
+            None => Vec::new(),
+        };
+        store
+            .append(QUARANTINE_TOPIC, &digest.to_string(), &value)
+            .await?;
+        host.quarantine_records.finish(digest, standing.is_some());
+        host.events.count("quarantine_records_written");
+    }
+    Ok(())
+}
--- a/tests/host/poison_requests.rs
+++ b/tests/host/poison_requests.rs
@@ -182,7 +182,7 @@
 struct Running {
     number: u32,
     ends_us: u64,
-    lost_runs: u32,
+    attempt: u32,
 }
 
 #[derive(Default)]
@@ -200,7 +200,7 @@
 const HARMFUL: u32 = 2;
 /// Requests that many callers send, and that are answered all the time.
 const POPULAR: u32 = 20;
-const LOST_RUNS_MAX: u32 = 2;
+const ATTEMPTS_MAX: u32 = 2;
 
 impl Crowd {
     fn new(seed: u64) -> Self {
@@ -275,8 +275,8 @@
             if let Some(crashes_us) = self.seen.crashes_us.get_mut(number as usize) {
                 crashes_us.push(now_us);
             }
-            if run.lost_runs + 1 < LOST_RUNS_MAX {
-                self.send(number, run.lost_runs + 1);
+            if run.attempt < ATTEMPTS_MAX {
+                self.send(number, run.attempt + 1);
             }
         }
     }
@@ -284,7 +284,7 @@
     fn send_requests(&mut self) {
         if self.random.random_ratio(1, 15) {
             let number = self.random.random_range(0..HARMFUL);
-            self.send(number, 0);
+            self.send(number, 1);
         }
         for _ in 0..2 {
             let is_popular = self.random.random_ratio(1, 3);
@@ -295,11 +295,11 @@
             };
             let number = self.random.random_range(numbers);
             self.seen.proper += 1;
-            self.send(number, 0);
+            self.send(number, 1);
         }
     }
 
-    fn send(&mut self, number: u32, lost_runs: u32) {
+    fn send(&mut self, number: u32, attempt: u32) {
         let now_us = self.now_us;
         let (entry, server) = (
             self.random.random_range(0..NODES),
@@ -324,7 +324,7 @@
         self.running[server].push(Running {
             number,
             ends_us,
-            lost_runs,
+            attempt,
         });
     }
 
--- a/tests/host_processes/poison_requests.rs
+++ b/tests/host_processes/poison_requests.rs
@@ -149,17 +149,22 @@
     assert!(seen.answered() > ANSWERED_MIN, "{}", seen.answered());
 }
 
+/// Kills all nodes at once and starts them again.
+async fn kill_all_nodes(system: &System) {
+    for site in &system.sites {
+        site.lock().await.node.signal(Signal::Kill);
+    }
+    for site in &system.sites {
+        site.lock().await.restart_node().await;
+    }
+}
+
 /// Nodes that were killed together forgot what such a request had done.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_ended_three_backend_servers_is_known_after_all_nodes_were_killed() {
     let seen = play(16_000, async |system| {
         tokio::time::sleep(Duration::from_secs(6)).await;
-        for site in &system.sites {
-            site.lock().await.node.signal(Signal::Kill);
-        }
-        for site in &system.sites {
-            site.lock().await.restart_node().await;
-        }
+        kill_all_nodes(system).await;
     })
     .await;
     println!(
@@ -169,3 +174,22 @@
     );
     assert!(seen.late_runs() <= LATE_RUNS_MAX, "{:?}", seen.runs_ms);
 }
+
+/// A quarantine that nodes only remembered ended with them, and more backend servers after it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_quarantine_outlasts_all_nodes() {
+    let mut killed_ms = 0;
+    let seen = play(12_000, async |system| {
+        tokio::time::sleep(Duration::from_secs(6)).await;
+        killed_ms = system.ledger.now_ms();
+        kill_all_nodes(system).await;
+    })
+    .await;
+    let after = seen.runs_ms.iter().filter(|run_ms| **run_ms > killed_ms);
+    assert_eq!(
+        after.count(),
+        0,
+        "{:?}, killed at {killed_ms} ms",
+        seen.runs_ms
+    );
+}
