Soak: a request that ends backend servers, repeated among all others and beside series of faults

Its runs later than 3 s after the third crash, sent by hosts in touch, are counted from what backend servers saw.

--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -6,7 +6,7 @@
 use standins::platform::ledger::Run;
 
 use super::facts::{Config, Facts, Part, PlannedRestart};
-use super::{budgets, refusals, regressions, statements};
+use super::{budgets, poison, refusals, regressions, statements};
 use crate::callers::{Attempt, Outcome, WAIT_MS};
 use crate::operator::COLD_REQUESTS_PER_S;
 use crate::site::{COLD_MS, DRAIN_MS};
@@ -87,6 +87,8 @@
     },
     /// A request reached a backend server after an answer had said that it leaves.
     AfterLeaving { id: String },
+    /// A request that had ended three backend servers was sent to others.
+    PoisonRuns { ids: Vec<String> },
     /// A node ended by itself, or otherwise than a shutdown ends.
     EndedWrongly { host: usize, exit: ExitStatus },
 }
@@ -104,7 +106,7 @@
             | Self::StaleRefusal { id }
             | Self::WentBack { id, .. }
             | Self::AfterLeaving { id } => Some(id),
-            Self::Denied { ids, .. } | Self::TooManyServers { ids } => {
+            Self::Denied { ids, .. } | Self::TooManyServers { ids } | Self::PoisonRuns { ids } => {
                 ids.first().map(String::as_str)
             }
             Self::NeverSent { run }
@@ -150,6 +152,7 @@
     found.extend(budgets::too_many_servers(facts));
     found.extend(statements::limit_overruns(facts));
     found.extend(statements::after_leaving(facts));
+    found.extend(poison::late_runs(facts));
     let ends = facts.wrong_ends.iter();
     found.extend(ends.map(|&(host, exit)| Violation::EndedWrongly { host, exit }));
     found
--- a/tests/host_processes/soak/checks_find.rs
+++ b/tests/host_processes/soak/checks_find.rs
@@ -207,6 +207,20 @@
     }
 }
 
+/// Runs of a harmful request: three that ended backend servers, and more long after them.
+fn harmful_runs(facts: &mut Facts, late: usize) {
+    let run = facts.runs[0].clone();
+    let begun_ms = |index: usize| if index < 3 { 5_000 } else { 10_000 };
+    facts.harmful_runs = (0..3 + late)
+        .map(|index| Run {
+            request_id: format!("poison-0-{index}"),
+            instance: format!("herd-2.{index}"),
+            begun_ms: begun_ms(index),
+            ..run.clone()
+        })
+        .collect();
+}
+
 macro_rules! finds {
     ($($name:ident: $kind:expr, $outcome:expr, $change:expr => $violation:pat,)+) => {
         $(
@@ -386,6 +400,16 @@
         said_leaving(facts, 22_051);
         facts.node_starts.push(NodeStart { host: 0, at_ms: 21_000 });
     } => [],
+    a_request_that_ended_three_backend_servers_runs_on: Kind::History, SERVED, |facts| {
+        harmful_runs(facts, 4);
+    } => [Violation::PoisonRuns { .. }],
+    no_request_that_ran_on_seldom: Kind::History, SERVED, |facts| {
+        harmful_runs(facts, 3);
+    } => [],
+    no_request_that_ran_on_where_hosts_were_cut: Kind::History, SERVED, |facts| {
+        harmful_runs(facts, 4);
+        facts.disturbances.push(Disturbance { part: Part::Node(1), from_ms: 9_000, to_ms: 9_000 });
+    } => [],
     no_server_too_many_where_one_ended: Kind::History, SERVED, |facts| {
         repeated(facts, 4);
         arrived(facts, &["herd-1.1", "herd-2.1", "herd-3.1", "herd-1.2"]);
--- a/tests/host_processes/soak/facts.rs
+++ b/tests/host_processes/soak/facts.rs
@@ -114,6 +114,8 @@
     pub places: Vec<Place>,
     pub attempts: Vec<Attempt>,
     pub runs: Vec<Run>,
+    /// Runs of the request that ends each backend server which runs it, ordered by their start.
+    pub harmful_runs: Vec<Run>,
     /// Requests that reached a backend server, ordered by their time.
     pub arrivals: Vec<Arrival>,
     pub leaves: Vec<Leave>,
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -68,6 +68,8 @@
     Limit(u32),
     /// The backend server says in its answers alone that it leaves, and ends; another one starts.
     LeaveUnannounced,
+    /// A caller repeats a request that ends each backend server which runs it.
+    PoisonRequest,
     /// A route is moved to the other service.
     RouteMove,
     /// The availability zone of the host is taken out.
--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -6,6 +6,7 @@
 mod facts;
 mod faults;
 mod plans;
+mod poison;
 mod refusals;
 mod regressions;
 mod run;
--- a/tests/host_processes/soak/plans.rs
+++ b/tests/host_processes/soak/plans.rs
@@ -17,6 +17,13 @@
 /// First seed from which on every other second one has statements of backend servers.
 const FIRST_SEED_OF_STATEMENTS: u64 = 5_000;
 
+/// First seed from which on every third one has a request that ends backend servers.
+const FIRST_SEED_OF_POISON: u64 = 6_000;
+
+/// Time at which such a request comes first, and for how long it is repeated, in ms.
+const POISON_MS: Range<u64> = 0..3_000;
+const POISON_REPEATED_MS: Range<u64> = 9_000..13_000;
+
 /// Times at which backend servers name limits, or say that they leave, and how long a limit lasts, in
 /// ms.
 const STATEMENTS_MS: [Range<u64>; 3] = [0..1_500, 1_500..3_000, 6_000..8_000];
@@ -69,6 +76,8 @@
     Copies,
     /// Backend servers name limits and leave unannounced, and several faults are at one host.
     Statements,
+    /// A request ends backend servers and is repeated, and several faults are at one host.
+    Poison,
 }
 
 /// Classes of faults; a later class takes the next number.
@@ -80,6 +89,7 @@
     Addresses = 4,
     Copies = 5,
     Statements = 6,
+    Poison = 7,
 }
 
 impl Class {
@@ -93,6 +103,9 @@
         if seed < FIRST_SEED_OF_PLANS {
             return Self::Mixed;
         }
+        if seed >= FIRST_SEED_OF_POISON && seed.is_multiple_of(3) {
+            return Self::Poison;
+        }
         if seed >= FIRST_SEED_OF_STATEMENTS && !seed.is_multiple_of(2) {
             return Self::Statements;
         }
@@ -124,6 +137,7 @@
         Plan::Series => [changes(seed), series(seed, hosts)].concat(),
         Plan::Addresses => [changes(seed), addresses(seed, hosts)].concat(),
         Plan::Copies => [changes(seed), copies(seed), series(seed, hosts)].concat(),
+        Plan::Poison => [vec![poison(seed)], series(seed, hosts)].concat(),
         Plan::Statements => [statements(seed, hosts), series(seed, hosts)].concat(),
     };
     events.sort_by_key(|event| event.at_ms);
@@ -231,6 +245,16 @@
         .collect()
 }
 
+fn poison(seed: u64) -> Event {
+    let mut random = Class::Poison.random(seed);
+    Event {
+        at_ms: random.random_range(POISON_MS),
+        for_ms: random.random_range(POISON_REPEATED_MS),
+        host: 0,
+        fault: Fault::PoisonRequest,
+    }
+}
+
 fn draw_node(random: &mut StdRng) -> NodeMeanwhile {
     match random.random_range(0..4) {
         0 => NodeMeanwhile::RunsOn,
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -19,6 +19,7 @@
 };
 use super::faults::{Event, FAULTS_MS, Fault, LinkName, NodeMeanwhile, ZONE_OUT_MS};
 use super::plans::draw;
+use super::poison;
 use super::refusals::all_in_force_allow;
 use crate::callers::{Attempt, Outcome};
 use crate::operator::{Operator, SERVICES};
@@ -38,6 +39,9 @@
 /// Time after which operators write again what the log service has lost.
 const REWRITTEN_AFTER: Duration = Duration::from_millis(700);
 
+/// Time between two looks for a backend server that a request has ended.
+const CRASH_LOOK_PERIOD: Duration = Duration::from_millis(10);
+
 /// Time that a crashed backend server is away.
 const SERVER_AWAY: Duration = Duration::from_millis(400);
 
@@ -82,6 +86,7 @@
     let found = tokio::select! {
         () = all => Vec::new(),
         found = soak.watch(&callers) => found,
+        () = soak.restart_crashed_servers() => Vec::new(),
     };
     let attempts = callers.finish().await;
     let mut report = soak.report(attempts, events).await;
@@ -151,11 +156,17 @@
 
     /// Runs are read before requests, so that each run has its request.
     fn gather(&self, attempts: impl FnOnce() -> Vec<Attempt>) {
-        let (runs, arrivals) = (self.system.ledger.runs(), self.system.ledger.arrivals());
+        let (harmful_runs, runs): (Vec<_>, Vec<_>) = {
+            let runs = self.system.ledger.runs().into_iter();
+            runs.partition(|run| poison::is_harmful(&run.request_id))
+        };
+        let mut arrivals = self.system.ledger.arrivals();
+        arrivals.retain(|arrival| !poison::is_harmful(&arrival.request_id));
         let attempts = attempts();
         let now_ms = self.now_ms();
         let mut facts = self.facts();
         facts.attempts = attempts;
+        facts.harmful_runs = harmful_runs;
         facts.runs = runs;
         facts.arrivals = arrivals;
         facts.now_ms = now_ms;
@@ -233,6 +244,7 @@
             }
             Fault::Limit(per_s) => self.limit(event.host, per_s, length).await,
             Fault::LeaveUnannounced => self.leave_unannounced(event.host).await,
+            Fault::PoisonRequest => poison::repeat(self.system, length).await,
             Fault::RouteMove => self.change(Operator::move_route).await,
             Fault::RouteAddition => self.change(Operator::add_or_remove_route).await,
             Fault::AllSilent { change_after_ms } => {
@@ -245,6 +257,29 @@
         }
     }
 
+    /// Starts backend servers again that a request has ended.
+    async fn restart_crashed_servers(&self) {
+        let restart = async |host: usize| {
+            loop {
+                tokio::time::sleep(CRASH_LOOK_PERIOD).await;
+                let Ok(mut site) = self.system.sites[host].try_lock() else {
+                    continue;
+                };
+                if !site.server_has_crashed() {
+                    continue;
+                }
+                let disturbance = self.begun(Part::Server(host));
+                site.close_server_address().await;
+                site.end_server(ServerEnd::Crash).await;
+                tokio::time::sleep(SERVER_AWAY).await;
+                site.open_server_address().await;
+                site.start_server().await;
+                self.ended(disturbance);
+            }
+        };
+        join_all((0..self.system.sites.len()).map(restart)).await;
+    }
+
     async fn site(&self, host: usize) -> tokio::sync::MutexGuard<'_, Site> {
         self.system.sites[host].lock().await
     }
