--- a/src/decision/host/gate/report.rs
+++ b/src/decision/host/gate/report.rs
@@ -35,7 +35,7 @@
 
     /// Whether the backend server names a limit of the requests that it takes.
     pub fn is_limited(&self) -> bool {
-        self.start_rate.is_limited()
+        self.start_rate.limit_per_s().is_some()
     }
 
     /// Pace at which other hosts can expect requests to start, if the backend server names a limit.
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -216,6 +216,12 @@
         }
     }
 
+    /// Hosts that were heard from within the liveness timeout.
+    fn live(&self, now_us: u64) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(move |peer| peer.is_live(now_us))
+    }
+
     /// Live nodes that know more of the operators' log than `state`; `own_zone` is that of this node.
     pub fn relay_sources<'a>(
         &'a self,
@@ -223,10 +229,8 @@
         own_zone: &'a ZoneName,
         now_us: u64,
     ) -> impl Iterator<Item = RelaySource> + 'a {
-        let ahead = self
-            .peers
-            .values()
-            .filter(move |peer| peer.log_view.is_ahead_of(state) && peer.is_live(now_us));
+        let live = self.live(now_us);
+        let ahead = live.filter(move |peer| peer.log_view.is_ahead_of(state));
         ahead.map(move |peer| RelaySource {
             address: peer.introduction.address,
             same_zone: peer.introduction.zone == *own_zone,
@@ -302,10 +306,8 @@
         own_zone: &'a ZoneName,
         now_us: u64,
     ) -> impl Iterator<Item = Candidate> + 'a {
-        let of_service = self
-            .peers
-            .values()
-            .filter(move |peer| peer.serves(service) && peer.is_live(now_us) && peer.takes_work());
+        let live = self.live(now_us);
+        let of_service = live.filter(move |peer| peer.serves(service) && peer.takes_work());
         of_service.map(move |peer| peer.candidate(own_zone, now_us))
     }
 
--- a/src/decision/host/start_rate.rs
+++ b/src/decision/host/start_rate.rs
@@ -37,7 +37,7 @@
         dispatched_count: usize,
         now_us: u64,
     ) -> LimitChange {
-        let was_limited = self.is_limited();
+        let was_limited = self.limit_per_s().is_some();
         let change = self
             .server_limit
             .observe(statement, answers_request, now_us);
@@ -52,11 +52,6 @@
         self.server_limit.reset();
     }
 
-    /// Whether the backend server names a limit.
-    pub fn is_limited(&self) -> bool {
-        self.server_limit.per_s().is_some()
-    }
-
     /// Requests per second that the backend server takes, if it names a limit.
     pub fn limit_per_s(&self) -> Option<f64> {
         self.server_limit.per_s()
--- a/src/host/relay_rpc.rs
+++ b/src/host/relay_rpc.rs
@@ -76,7 +76,7 @@
     era: u64,
     end: u64,
     records: Vec<WireIndexRecord>,
-    lost: Vec<WireLostRecord>,
+    lost: Vec<WireLostIndexRecord>,
 }
 
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -90,7 +90,7 @@
 ///
 /// The time for which it is retained is sent relative to now, since the clocks of nodes differ.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct WireLostRecord {
+struct WireLostIndexRecord {
     key: String,
     value: WireValue,
     left_us: u64,
@@ -116,7 +116,7 @@
             },
         });
         let records = records.collect();
-        let lost = state.lost().map(|lost| WireLostRecord {
+        let lost = state.lost().map(|lost| WireLostIndexRecord {
             key: lost.key.as_ref().to_owned(),
             value: values.encode(lost.value.as_ref()),
             left_us: lost.retained_until_us.saturating_sub(now_us),
--- a/tests/processes/crash.rs
+++ b/tests/processes/crash.rs
@@ -68,7 +68,7 @@
         let held = ticket.clone();
         let first = tokio::spawn(async move { post(entry, "paused", &held, SHORT_DEADLINE_MS).await });
         until_running(&cluster).await;
-        cluster.pairs[EXECUTOR].node.signal(Signal::Stop);
+        cluster.pairs[EXECUTOR].node.pause().await;
         let late = post(entry, "late", &unused, SHORT_DEADLINE_MS).await.expect("a refusal");
         assert!(late.is_unknown(), "{late:?}");
         let told = first.await.expect("no panic").expect("a refusal");
@@ -92,7 +92,7 @@
         let held = ticket.clone();
         let first = tokio::spawn(async move { post(entry, "entry", &held, SHORT_DEADLINE_MS).await });
         until_running(&cluster).await;
-        cluster.pairs[ENTRY].node.signal(Signal::Stop);
+        cluster.pairs[ENTRY].node.pause().await;
         pause(LONGER_THAN_ANY_LEASE_MS).await;
         cluster.pairs[ENTRY].node.signal(Signal::Continue);
         let told = first.await.expect("no panic").expect("an answer");
