--- a/src/decision/host/poison_requests.rs
+++ b/src/decision/host/poison_requests.rs
@@ -13,7 +13,7 @@
 
 use super::crash_watch::CrashId;
 use crate::model::request_digest::RequestDigest;
-use crate::model::units::US_PER_S;
+use crate::model::units::{US_PER_MS, US_PER_S};
 
 /// Number of crashes that may be a coincidence: the quarantine after them is short.
 const COINCIDENCE_CRASHES: usize = 2;
@@ -58,6 +58,25 @@
     pub refuted: bool,
 }
 
+impl CrashMark {
+    /// Creates a mark that stands, of a crash `age_ms` before `now_us`.
+    pub fn with_age(crash: CrashId, age_ms: u64, now_us: u64) -> Self {
+        let age_us = age_ms.saturating_mul(US_PER_MS);
+        let age_us = i64::try_from(age_us).unwrap_or(i64::MAX);
+        Self {
+            crash,
+            at_us: now_us.cast_signed().saturating_sub(age_us),
+            refuted: false,
+        }
+    }
+
+    /// Time from the crash to `now_us`, in ms.
+    pub fn age_ms(&self, now_us: u64) -> u64 {
+        let age_us = now_us.cast_signed().saturating_sub(self.at_us);
+        age_us.max(0) as u64 / US_PER_MS
+    }
+}
+
 /// A request and the crashes in which it ran.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Suspect {
--- a/src/host/crash_reports.rs
+++ b/src/host/crash_reports.rs
@@ -17,7 +17,6 @@
 use crate::decision::host::poison_requests::{CRASHES_MAX, CrashMark, Suspect};
 use crate::kernel::shards::lock;
 use crate::model::request_digest::RequestDigest;
-use crate::model::units::US_PER_MS;
 
 /// Version of the datagram format, in its first byte; load reports have others.
 pub const WIRE_VERSION: u8 = 2;
@@ -64,7 +63,7 @@
     fn new(suspect: &Suspect, now_us: u64) -> Self {
         let marks = suspect.marks.iter().map(|mark| WireMark {
             crash: mark.crash.0,
-            age_ms: (now_us.cast_signed() - mark.at_us).max(0) as u64 / US_PER_MS,
+            age_ms: mark.age_ms(now_us),
             refuted: mark.refuted,
         });
         Self {
@@ -77,10 +76,8 @@
     fn into_suspect(self, now_us: u64) -> Suspect {
         let marks = self.marks.into_iter().take(CRASHES_MAX);
         let marks = marks.map(|mark| CrashMark {
-            crash: CrashId(mark.crash),
-            at_us: now_us.cast_signed()
-                - mark.age_ms.saturating_mul(US_PER_MS).cast_signed().max(0),
             refuted: mark.refuted,
+            ..CrashMark::with_age(CrashId(mark.crash), mark.age_ms, now_us)
         });
         Suspect {
             digest: self.digest,
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -369,7 +369,7 @@
         let crashes: Vec<_> = suspect
             .standing()
             .map(|mark| {
-                let age_ms = (now_us.cast_signed() - mark.at_us) / US_PER_MS.cast_signed();
+                let age_ms = mark.age_ms(now_us);
                 serde_json::json!({"crash": mark.crash.to_string(), "age_ms": age_ms})
             })
             .collect();
--- a/src/host/quarantine_log.rs
+++ b/src/host/quarantine_log.rs
@@ -18,7 +18,6 @@
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::model::request_digest::RequestDigest;
-use crate::model::units::US_PER_MS;
 use crate::platform::names::QUARANTINE_TOPIC;
 use crate::platform::store::StoreClient;
 
@@ -106,12 +105,9 @@
 
 impl StoredSuspect {
     fn new(suspect: &Suspect, now_us: u64) -> Self {
-        let marks = suspect.standing().map(|mark| {
-            let age_us = (now_us.cast_signed() - mark.at_us).max(0) as u64;
-            StoredMark {
-                crash: mark.crash.0,
-                time_ms: time_of_day_ms().saturating_sub(age_us / US_PER_MS),
-            }
+        let marks = suspect.standing().map(|mark| StoredMark {
+            crash: mark.crash.0,
+            time_ms: time_of_day_ms().saturating_sub(mark.age_ms(now_us)),
         });
         Self {
             digest: suspect.digest,
@@ -122,11 +118,7 @@
     fn into_suspect(self, now_us: u64) -> Suspect {
         let marks = self.marks.iter().map(|mark| {
             let age_ms = time_of_day_ms().saturating_sub(mark.time_ms);
-            CrashMark {
-                crash: CrashId(mark.crash),
-                at_us: now_us.cast_signed() - (age_ms.saturating_mul(US_PER_MS)).cast_signed(),
-                refuted: false,
-            }
+            CrashMark::with_age(CrashId(mark.crash), age_ms, now_us)
         });
         Suspect {
             digest: self.digest,
--- a/tests/host/backend_answers.rs
+++ b/tests/host/backend_answers.rs
@@ -55,7 +55,8 @@
     announced_host(address)
 }
 
-fn announced_host(server: SocketAddr) -> Arc<Host> {
+/// A node beside a backend server that has announced itself.
+pub fn announced_host(server: SocketAddr) -> Arc<Host> {
     let host = host_with_server(server);
     let body = format!(
         r#"{{"service":"milk","address":"{server}","zone":"z","version":"v1","slots":4,
@@ -73,7 +74,8 @@
     host
 }
 
-fn work(host: &Host) -> HostWork {
+/// An idempotent request that has just arrived.
+pub fn work(host: &Host) -> HostWork {
     let now_us = host.now_us();
     HostWork {
         id: "7".into(),
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -23,6 +23,7 @@
 mod platform;
 mod poison_requests;
 mod poll_schedule;
+mod quarantine;
 mod refusals;
 mod registration;
 mod report_schedule;
--- /dev/null
+++ b/tests/host/quarantine.rs
@@ -0,0 +1,142 @@
+//! What a node does with a request of which other nodes say that it ended their backend servers.
+
+use std::net::{IpAddr, SocketAddr};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
+
+use bronzelock::decision::host::peers::Introduction;
+use bronzelock::host::context::Host;
+use bronzelock::host::{crash_reports, executor};
+use bronzelock::kernel::shards::lock;
+use bronzelock::model::header::Header;
+use bronzelock::model::host_request::HostWork;
+use bronzelock::model::ids::Incarnation;
+use bronzelock::model::names::{ServiceName, ZoneName};
+use bronzelock::model::reasons::RefusalReason;
+use bronzelock::platform::requests;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::net::TcpListener;
+
+use crate::backend_answers::{announced_host, work};
+
+/// Fields of a datagram in their order: version, then for each digest the crash, its age in ms and
+/// whether it is refuted.
+type Report = (u8, Vec<([u8; 16], Vec<(u64, u64, bool)>)>);
+
+fn peer() -> IpAddr {
+    IpAddr::from([10, 0, 0, 2])
+}
+
+/// A node that knows one peer, beside a backend server that accepts connections.
+async fn host_with_peer() -> (Arc<Host>, TcpListener) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address: SocketAddr = listener.local_addr().expect("an address");
+    let host = announced_host(address);
+    let introduction = Introduction {
+        address: peer(),
+        incarnation: Incarnation(1),
+        zone: ZoneName::new("z").expect("a name"),
+        service: ServiceName::new("milk").expect("a name"),
+    };
+    lock(&host.peers).introduce(introduction, true, host.now_us());
+    (host, listener)
+}
+
+fn report(work: &HostWork, crashes: &[(u64, u64, bool)]) -> Vec<u8> {
+    let digest = requests::digest_of(work).0;
+    let report: Report = (
+        crash_reports::WIRE_VERSION,
+        vec![(digest, crashes.to_vec())],
+    );
+    postcard::to_stdvec(&report).expect("encodable")
+}
+
+/// A node sent a request on that other nodes had seen end two backend servers.
+#[tokio::test]
+async fn a_request_that_others_quarantined_is_refused_at_once_and_not_sent() {
+    let (host, listener) = host_with_peer().await;
+    let work = work(&host);
+    crash_reports::receive(
+        &host,
+        peer(),
+        &report(&work, &[(1, 900, false), (2, 10, false)]),
+    );
+    let outcome = executor::run(&host, work.clone()).await;
+    let failure = outcome.result.expect_err("refused");
+    assert_eq!(failure.reason, RefusalReason::PoisonRequest);
+    assert!(failure.is_not_run() && !failure.arrived && failure.retry_after_us.is_some());
+    let connected = tokio::time::timeout(Duration::from_millis(100), listener.accept()).await;
+    assert!(connected.is_err(), "the backend server got a connection");
+    assert!(
+        host.events
+            .metrics_text(&host)
+            .contains("bronzelock_quarantined_requests 1")
+    );
+}
+
+/// Another caller's request was refused for what one caller's request did.
+#[tokio::test]
+async fn the_same_request_of_another_caller_is_not_refused() {
+    let (host, _listener) = host_with_peer().await;
+    let harmful = work(&host);
+    crash_reports::receive(
+        &host,
+        peer(),
+        &report(&harmful, &[(1, 0, false), (2, 0, false)]),
+    );
+    let mut other = work(&host);
+    other.digest = OnceLock::new();
+    let caller = requests::caller_service_header(&ServiceName::new("other").expect("a name"));
+    other.headers.push(caller);
+    assert!(bronzelock::host::quarantine::check(&host, &harmful).is_err());
+    assert!(bronzelock::host::quarantine::check(&host, &other).is_ok());
+}
+
+/// Identifiers and deadlines differ from one repeat to the next.
+#[tokio::test]
+async fn a_repeat_has_the_digest_of_the_request() {
+    let (host, _listener) = host_with_peer().await;
+    let first = work(&host);
+    let mut repeat = work(&host);
+    repeat.id = "8".into();
+    repeat.headers.push(Header::new("X-Attempt", "2"));
+    assert_eq!(requests::digest_of(&first), requests::digest_of(&repeat));
+}
+
+/// Anyone who can send datagrams could have had proper requests refused.
+#[tokio::test]
+async fn a_report_of_an_unknown_sender_is_ignored() {
+    let (host, _listener) = host_with_peer().await;
+    let work = work(&host);
+    let datagram = report(&work, &[(1, 0, false), (2, 0, false)]);
+    crash_reports::receive(&host, IpAddr::from([10, 0, 0, 3]), &datagram);
+    assert!(bronzelock::host::quarantine::check(&host, &work).is_ok());
+}
+
+/// One malformed datagram ended the process.
+#[tokio::test]
+async fn malformed_reports_are_ignored() {
+    let (host, _listener) = host_with_peer().await;
+    let work = work(&host);
+    let mut random = StdRng::seed_from_u64(33);
+    for _ in 0..20_000 {
+        let mut bytes: Vec<u8> = (0..random.random_range(0..80))
+            .map(|_| random.random())
+            .collect();
+        bytes.insert(0, crash_reports::WIRE_VERSION);
+        crash_reports::receive(&host, peer(), &bytes);
+    }
+    for age_ms in [
+        u64::MAX,
+        u64::MAX / 1_000,
+        i64::MAX as u64,
+        i64::MAX as u64 / 1_000,
+    ] {
+        let crashes = [(1, age_ms, false), (2, age_ms, true), (3, age_ms, false)];
+        crash_reports::receive(&host, peer(), &report(&work, &crashes));
+    }
+    let many: Vec<_> = (0..500).map(|crash| (crash, 0, false)).collect();
+    crash_reports::receive(&host, peer(), &report(&work, &many));
+    assert!(bronzelock::host::quarantine::check(&host, &work).is_err());
+}
