--- a/src/decision/host/poison_requests.rs
+++ b/src/decision/host/poison_requests.rs
@@ -61,19 +61,20 @@
 impl CrashMark {
     /// Creates a mark that stands, of a crash `age_ms` before `now_us`.
     pub fn with_age(crash: CrashId, age_ms: u64, now_us: u64) -> Self {
-        let age_us = age_ms.saturating_mul(US_PER_MS);
-        let age_us = i64::try_from(age_us).unwrap_or(i64::MAX);
+        let before_us = i64::try_from(age_ms.saturating_mul(US_PER_MS));
         Self {
             crash,
-            at_us: now_us.cast_signed().saturating_sub(age_us),
+            at_us: now_us
+                .cast_signed()
+                .saturating_sub(before_us.unwrap_or(i64::MAX)),
             refuted: false,
         }
     }
 
     /// Time from the crash to `now_us`, in ms.
     pub fn age_ms(&self, now_us: u64) -> u64 {
-        let age_us = now_us.cast_signed().saturating_sub(self.at_us);
-        age_us.max(0) as u64 / US_PER_MS
+        let elapsed_us = now_us.cast_signed().saturating_sub(self.at_us);
+        elapsed_us.max(0) as u64 / US_PER_MS
     }
 }
 
