--- a/tests/host_processes/poison_requests.rs
+++ b/tests/host_processes/poison_requests.rs
@@ -6,11 +6,12 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use standins::platform::backend_server::CRASH_AFTER_MS;
+use standins::platform::names::QUARANTINE_TOPIC;
 
 use crate::callers::{Attempt, Kind, Outcome, ask_target};
 use crate::program::Signal;
 use crate::site::{Place, ServerEnd};
-use crate::system::{System, place};
+use crate::system::{System, metrics, place};
 
 /// Time after a disruption from which nodes must act on what others know: the users' `contact-s`.
 const CONTACT_MS: u64 = 3_000;
@@ -193,3 +194,50 @@
         seen.runs_ms
     );
 }
+
+/// A record that an older copy of the log lacked was gone for good.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_quarantine_outlasts_a_return_from_a_copy_and_then_all_nodes() {
+    let mut killed_ms = 0;
+    let seen = play(12_000, async |system| {
+        let copy = system.store.copy();
+        tokio::time::sleep(Duration::from_secs(4)).await;
+        system.store.restore(copy);
+        system.operator.lock().await.write_config(&system.store);
+        tokio::time::sleep(Duration::from_secs(3)).await;
+        killed_ms = system.ledger.now_ms();
+        kill_all_nodes(system).await;
+    })
+    .await;
+    let after = seen.runs_ms.iter().filter(|run_ms| **run_ms > killed_ms);
+    assert_eq!(
+        after.count(),
+        0,
+        "{:?}, killed at {killed_ms} ms",
+        seen.runs_ms
+    );
+}
+
+/// One malformed record would end each node that reads it.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn malformed_records_of_quarantines_end_no_node() {
+    let system = System::start_at(&PLACES).await;
+    system.wait_until_ready().await;
+    for (key, value) in [
+        ("a", &b"\xff\xff\xff\xff\xff\xff"[..]),
+        ("", b"x"),
+        ("b", b""),
+    ] {
+        system.store.put(QUARANTINE_TOPIC, key, Some(value));
+    }
+    system.store.put_invalid(QUARANTINE_TOPIC);
+    kill_all_nodes(&system).await;
+    system.wait_until_ready().await;
+    for (host, site) in system.sites.iter().enumerate() {
+        let mut site = site.lock().await;
+        assert!(site.node.exit().is_none(), "node {host} ended");
+        let counters = metrics(site.addresses.ready()).await;
+        let refused = "quarantine_records_refused";
+        assert!(counters.contains(refused), "node {host}: {counters}");
+    }
+}
