Refuse a waiting request at once when its quarantine begins

What callers saw: a request that waited at a gate while it was put in quarantine kept its place and got its refusal when its turn came. Requests at the gate now wait for the begin of a quarantine as well. Evidence: a_waiting_request_is_refused_at_once_when_it_is_quarantined, no answer within 300 ms before. Also a process test with a non-idempotent request of this kind.

--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -86,6 +86,8 @@
     pub crash_watch: Mutex<CrashWatch>,
     /// Requests under which backend servers ended, as far as known here.
     pub poison_requests: Mutex<PoisonRequests>,
+    /// Notified when a request is put in quarantine.
+    pub quarantine_began: Notify,
     /// Records of quarantines that this node writes to the log service.
     pub quarantine_records: QuarantineRecords,
     /// Notified when other nodes should hear of such a request.
@@ -147,6 +149,7 @@
             ),
             crash_watch: Mutex::default(),
             poison_requests: Mutex::new(PoisonRequests::new(trial_delay_us)),
+            quarantine_began: Notify::new(),
             quarantine_records: QuarantineRecords::default(),
             crash_news: Notify::new(),
             server_connections: ConnectionPool::new(settings.backend_server.address),
--- a/src/host/executor.rs
+++ b/src/host/executor.rs
@@ -175,6 +175,7 @@
     let admitted = tokio::select! {
         admitted = admitted => admitted,
         () = caller_gone.cancelled() => Err(RequestFailure::not_sent(RefusalReason::Cancelled)),
+        refusal = quarantine::refusal(host, work) => Err(refusal),
     };
     let mut admitted = match admitted {
         Ok(admitted) => admitted,
--- a/src/host/quarantine.rs
+++ b/src/host/quarantine.rs
@@ -1,5 +1,7 @@
 //! Keeps requests that end backend servers away from them, with what all nodes have seen.
 
+use std::pin::pin;
+
 use super::context::Host;
 use super::outcome::RequestFailure;
 use crate::decision::host::crash_watch::Crash;
@@ -31,6 +33,19 @@
     Err(RequestFailure::not_sent(RefusalReason::PoisonRequest).retry_after(quarantine.left_us))
 }
 
+/// Waits until a request is put in quarantine; returns its refusal.
+pub async fn refusal(host: &Host, work: &HostWork) -> RequestFailure {
+    loop {
+        let mut began = pin!(host.quarantine_began.notified());
+        // A quarantine that begins after the check must not be missed.
+        began.as_mut().enable();
+        if let Err(refusal) = check(host, work) {
+            return refusal;
+        }
+        began.await;
+    }
+}
+
 /// Records the end of the local backend server against the requests that ran there.
 pub fn record_crash(host: &Host, crash: &Crash) {
     let now_us = host.now_us();
@@ -42,6 +57,7 @@
         };
         if let Some(quarantine) = quarantine {
             host.events.quarantined(run.digest, quarantine);
+            host.quarantine_began.notify_waiters();
             host.quarantine_records.update(run.digest);
         }
     }
@@ -78,6 +94,7 @@
     };
     if let Some(quarantine) = quarantine.filter(|_quarantine| is_new) {
         host.events.quarantined(heard.digest, quarantine);
+        host.quarantine_began.notify_waiters();
     }
     if is_new || lock(&host.poison_requests).has_news() {
         host.crash_news.notify_one();
--- a/tests/host/quarantine.rs
+++ b/tests/host/quarantine.rs
@@ -75,6 +75,36 @@
     );
 }
 
+/// A request that waited at the gate was refused when its turn came, or its deadline.
+#[tokio::test]
+async fn a_waiting_request_is_refused_at_once_when_it_is_quarantined() {
+    let (host, listener) = host_with_peer().await;
+    tokio::spawn(async move {
+        let mut connections = Vec::new();
+        while let Ok((connection, _node)) = listener.accept().await {
+            connections.push(connection);
+        }
+    });
+    for number in 0..6 {
+        let mut other = work(&host);
+        other.id = format!("other-{number}").into();
+        other.target = format!("/other/{number}");
+        let host = Arc::clone(&host);
+        tokio::spawn(async move { executor::run(&host, other).await });
+    }
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    let (waiting_host, waiting_work) = (Arc::clone(&host), work(&host));
+    let waiting = tokio::spawn(async move { executor::run(&waiting_host, waiting_work).await });
+    tokio::time::sleep(Duration::from_millis(50)).await;
+    assert!(!waiting.is_finished(), "it waits");
+    let crashes = [(1, 900, false), (2, 10, false)];
+    crash_reports::receive(&host, peer(), &report(&work(&host), &crashes));
+    let outcome = tokio::time::timeout(Duration::from_millis(300), waiting).await;
+    let outcome = outcome.expect("at once").expect("no panic");
+    let failure = outcome.result.expect_err("refused");
+    assert_eq!(failure.reason, RefusalReason::PoisonRequest);
+}
+
 /// Another caller's request was refused for what one caller's request did.
 #[tokio::test]
 async fn the_same_request_of_another_caller_is_not_refused() {
--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -273,9 +273,9 @@
     Some((answer.status.as_u16(), service))
 }
 
-/// Status of the answer to one idempotent request for a target that does not name the identifier.
-pub async fn ask_target(node: SocketAddr, target: &str, id: &str) -> Option<u16> {
-    let answer = send_once(node, request(id, Kind::History, target)).await;
+/// Status of the answer to one request for a target that does not name the identifier.
+pub async fn ask_target(node: SocketAddr, kind: Kind, target: &str, id: &str) -> Option<u16> {
+    let answer = send_once(node, request(id, kind, target)).await;
     answer.ok().map(|answer| answer.status.as_u16())
 }
 
--- a/tests/host_processes/poison_requests.rs
+++ b/tests/host_processes/poison_requests.rs
@@ -62,6 +62,15 @@
             .count()
     }
 
+    fn expect_no_runs_after(&self, at_ms: u64) {
+        let is_later = |run_ms: &u64| *run_ms > at_ms;
+        let runs_ms = &self.runs_ms;
+        assert!(
+            !runs_ms.iter().any(is_later),
+            "{runs_ms:?}, none after {at_ms}"
+        );
+    }
+
     /// Fraction of the proper requests that were answered.
     fn answered(&self) -> f64 {
         let is_answered =
@@ -93,31 +102,32 @@
 }
 
 /// Sends the request again and again, to one node after the other.
-async fn repeat(system: &System, nodes: &[usize], period: Duration) {
+async fn repeat(system: &System, kind: Kind, nodes: &[usize], period: Duration) {
     let mut addresses = Vec::new();
     for node in nodes {
         addresses.push(system.sites[*node].lock().await.addresses.callers());
     }
-    let prefix = Kind::History.path_prefix();
+    let prefix = kind.path_prefix();
     let target = format!("{prefix}poison?{CRASH_AFTER_MS}={CRASHES_AFTER_MS}");
     for sequence in 0_u32.. {
         let node = addresses[sequence as usize % addresses.len()];
         let target = target.clone();
-        let ask = async move { ask_target(node, &target, &format!("poison-{sequence}")).await };
+        let ask =
+            async move { ask_target(node, kind, &target, &format!("poison-{sequence}")).await };
         tokio::spawn(ask);
         tokio::time::sleep(period).await;
     }
 }
 
 /// Lets the request come for a time, beside other callers and what `disturb` does.
-async fn play(repeat_ms: u64, disturb: impl AsyncFnOnce(&System)) -> Seen {
+async fn play(kind: Kind, repeat_ms: u64, disturb: impl AsyncFnOnce(&System)) -> Seen {
     let system = System::start_at(&PLACES).await;
     system.wait_until_ready().await;
     let callers = system.start_callers(&mut StdRng::seed_from_u64(9)).await;
     tokio::time::sleep(Duration::from_secs(2)).await;
     let nodes = [0, 1, 2, 3, 4];
     let harm = async {
-        let repeats = repeat(&system, &nodes, REPEAT_PERIOD);
+        let repeats = repeat(&system, kind, &nodes, REPEAT_PERIOD);
         let time = Duration::from_millis(repeat_ms);
         let _time_is_up = tokio::time::timeout(time, repeats).await;
     };
@@ -139,7 +149,7 @@
 /// A request that ended three backend servers was sent to others as often as it came.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_ended_three_backend_servers_is_sent_no_more() {
-    let seen = play(12_000, async |_system| {}).await;
+    let seen = play(Kind::History, 12_000, async |_system| {}).await;
     println!(
         "runs at {:?} ms, {} answered",
         seen.runs_ms,
@@ -150,6 +160,14 @@
     assert!(seen.answered() > ANSWERED_MIN, "{}", seen.answered());
 }
 
+/// Each repeat of the caller is a request of its own that may run once.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_non_idempotent_request_that_ended_three_backend_servers_is_sent_no_more() {
+    let seen = play(Kind::Gate, 8_000, async |_system| {}).await;
+    assert!(!seen.runs_ms.is_empty(), "it ran");
+    assert!(seen.late_runs() <= LATE_RUNS_MAX, "{:?}", seen.runs_ms);
+}
+
 /// Kills all nodes at once and starts them again.
 async fn kill_all_nodes(system: &System) {
     for site in &system.sites {
@@ -163,7 +181,7 @@
 /// Nodes that were killed together forgot what such a request had done.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_request_that_ended_three_backend_servers_is_known_after_all_nodes_were_killed() {
-    let seen = play(16_000, async |system| {
+    let seen = play(Kind::History, 16_000, async |system| {
         tokio::time::sleep(Duration::from_secs(6)).await;
         kill_all_nodes(system).await;
     })
@@ -180,26 +198,20 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_quarantine_outlasts_all_nodes() {
     let mut killed_ms = 0;
-    let seen = play(12_000, async |system| {
+    let seen = play(Kind::History, 12_000, async |system| {
         tokio::time::sleep(Duration::from_secs(6)).await;
         killed_ms = system.ledger.now_ms();
         kill_all_nodes(system).await;
     })
     .await;
-    let after = seen.runs_ms.iter().filter(|run_ms| **run_ms > killed_ms);
-    assert_eq!(
-        after.count(),
-        0,
-        "{:?}, killed at {killed_ms} ms",
-        seen.runs_ms
-    );
+    seen.expect_no_runs_after(killed_ms);
 }
 
 /// A record that an older copy of the log lacked was gone for good.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn a_quarantine_outlasts_a_return_from_a_copy_and_then_all_nodes() {
     let mut killed_ms = 0;
-    let seen = play(12_000, async |system| {
+    let seen = play(Kind::History, 12_000, async |system| {
         let copy = system.store.copy();
         tokio::time::sleep(Duration::from_secs(4)).await;
         system.store.restore(copy);
@@ -209,13 +221,7 @@
         kill_all_nodes(system).await;
     })
     .await;
-    let after = seen.runs_ms.iter().filter(|run_ms| **run_ms > killed_ms);
-    assert_eq!(
-        after.count(),
-        0,
-        "{:?}, killed at {killed_ms} ms",
-        seen.runs_ms
-    );
+    seen.expect_no_runs_after(killed_ms);
 }
 
 /// One malformed record would end each node that reads it.
--- a/tests/host_processes/soak/poison.rs
+++ b/tests/host_processes/soak/poison.rs
@@ -39,7 +39,7 @@
             let host = sequence % nodes.len();
             let (node, target) = (nodes[host], target.clone());
             let id = format!("{ID_PREFIX}{host}-{sequence}");
-            tokio::spawn(async move { ask_target(node, &target, &id).await });
+            tokio::spawn(async move { ask_target(node, Kind::History, &target, &id).await });
             tokio::time::sleep(REPEAT_PERIOD).await;
         }
     };
