Soak: a crash by a request is a disturbance from its own time on

It looked for ended ones every 10 ms, and each look waits for the host. The time is now that of the end of the harmful run, from the ledger. Nothing else is allowed by it.

--- a/tests/host_processes/soak/poison.rs
+++ b/tests/host_processes/soak/poison.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use standins::platform::backend_server::CRASH_AFTER_MS;
+use standins::platform::ledger::Run;
 
 use super::checks::Violation;
 use super::facts::{CONTACT_MS, Facts};
@@ -26,6 +27,15 @@
     request_id.starts_with(ID_PREFIX)
 }
 
+/// Time at which the request ended a backend server, in ms of the ledger: its first run there ended.
+pub fn crash_ms(runs: &[Run], instance: &str) -> u64 {
+    let harmful = runs
+        .iter()
+        .filter(|run| run.instance == instance && is_harmful(&run.request_id));
+    let ends_ms = harmful.filter_map(|run| run.ended_ms);
+    ends_ms.min().expect("a run of the request ended it")
+}
+
 /// Sends the request to one node after the other, for a time.
 pub async fn repeat(system: &System, length: Duration) {
     let mut nodes = Vec::new();
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -268,7 +268,9 @@
                 if !site.server_has_crashed() {
                     continue;
                 }
-                let disturbance = self.begun(Part::Server(host));
+                let instance = site.place.instance(site.server_starts_ms.len());
+                let crashed_ms = poison::crash_ms(&self.system.ledger.runs(), &instance);
+                let disturbance = self.begun_at(Part::Server(host), crashed_ms);
                 site.close_server_address().await;
                 site.end_server(ServerEnd::Crash).await;
                 tokio::time::sleep(SERVER_AWAY).await;
@@ -297,7 +299,12 @@
 
     /// Notes a disturbance that lasts until its index is given to [`Self::ended`].
     fn begun(&self, part: Part) -> usize {
-        let from_ms = self.now_ms();
+        self.begun_at(part, self.now_ms())
+    }
+
+    /// Notes a disturbance that began at a time and lasts until its index is given to
+    /// [`Self::ended`].
+    fn begun_at(&self, part: Part, from_ms: u64) -> usize {
         let mut facts = self.facts();
         facts.disturbances.push(Disturbance {
             part,
