--- a/tests/host_processes/soak/plans.rs
+++ b/tests/host_processes/soak/plans.rs
@@ -6,7 +6,11 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::faults::{Event, FAULTS_MS, Fault, LENGTH_MS, NodeMeanwhile, draw_fault, draw_mixed};
+use standins::proxy::{Direction, LinkState};
+
+use super::faults::{
+    Event, FAULTS_MS, Fault, LENGTH_MS, LinkName, NodeMeanwhile, draw_fault, draw_mixed,
+};
 
 /// First seed with a plan other than mixed faults alone.
 const FIRST_SEED_OF_PLANS: u64 = 2_000;
@@ -20,6 +24,15 @@
 /// First seed from which on every third one has a request that ends backend servers.
 const FIRST_SEED_OF_POISON: u64 = 6_000;
 
+/// First seed from which on every third one has older copies of the log beside other disturbances.
+const FIRST_SEED_OF_DISTURBED_COPIES: u64 = 7_000;
+
+/// Times at which some hosts lose the log service around a return to an older copy, for how long, in
+/// ms, and how many hosts.
+const STORE_CUTS_MS: [Range<u64>; 2] = [0..3_000, 8_000..11_000];
+const STORE_CUT_MS: Range<u64> = 1_000..4_000;
+const STORE_CUT_HOSTS: usize = 2;
+
 /// Time at which such a request comes first, and for how long it is repeated, in ms.
 const POISON_MS: Range<u64> = 0..3_000;
 const POISON_REPEATED_MS: Range<u64> = 9_000..13_000;
@@ -78,6 +91,9 @@
     Statements,
     /// A request ends backend servers and is repeated, and several faults are at one host.
     Poison,
+    /// The log service comes back from older copies while some hosts do not reach it, addresses pass
+    /// to other services, and routes change.
+    DisturbedCopies,
 }
 
 /// Classes of faults; a later class takes the next number.
@@ -90,6 +106,7 @@
     Copies = 5,
     Statements = 6,
     Poison = 7,
+    StoreCuts = 8,
 }
 
 impl Class {
@@ -106,6 +123,9 @@
         if seed >= FIRST_SEED_OF_POISON && seed.is_multiple_of(3) {
             return Self::Poison;
         }
+        if seed >= FIRST_SEED_OF_DISTURBED_COPIES && seed % 3 == 1 {
+            return Self::DisturbedCopies;
+        }
         if seed >= FIRST_SEED_OF_STATEMENTS && !seed.is_multiple_of(2) {
             return Self::Statements;
         }
@@ -137,6 +157,13 @@
         Plan::Series => [changes(seed), series(seed, hosts)].concat(),
         Plan::Addresses => [changes(seed), addresses(seed, hosts)].concat(),
         Plan::Copies => [changes(seed), copies(seed), series(seed, hosts)].concat(),
+        Plan::DisturbedCopies => [
+            changes(seed),
+            copies(seed),
+            store_cuts(seed, hosts),
+            addresses(seed, hosts),
+        ]
+        .concat(),
         Plan::Poison => [vec![poison(seed)], series(seed, hosts)].concat(),
         Plan::Statements => [statements(seed, hosts), series(seed, hosts)].concat(),
     };
@@ -245,6 +272,26 @@
         .collect()
 }
 
+/// Cuts of the links to the log service, each of several hosts at the same time.
+fn store_cuts(seed: u64, hosts: usize) -> Vec<Event> {
+    let mut random = Class::StoreCuts.random(seed);
+    let mut events = Vec::new();
+    for within in STORE_CUTS_MS {
+        let first_host = random.random_range(0..hosts);
+        let (at_ms, for_ms) = (
+            random.random_range(within),
+            random.random_range(STORE_CUT_MS),
+        );
+        events.extend((0..STORE_CUT_HOSTS).map(|index| Event {
+            at_ms,
+            for_ms,
+            host: (first_host + index) % hosts,
+            fault: Fault::Link(LinkName::Store, LinkState::Cut(Direction::Both)),
+        }));
+    }
+    events
+}
+
 fn poison(seed: u64) -> Event {
     let mut random = Class::Poison.random(seed);
     Event {
