--- a/src/decision/host/poison_requests.rs
+++ b/src/decision/host/poison_requests.rs
@@ -132,8 +132,8 @@
     /// Whether `other` lacks a refutation that is known here.
     fn refutes_more_than(&self, other: &Self) -> bool {
         let stands_there = |crash| other.standing().any(|mark| mark.crash == crash);
-        let refuted = self.marks.iter().filter(|mark| mark.refuted);
-        refuted.into_iter().any(|mark| stands_there(mark.crash))
+        let mut refuted = self.marks.iter().filter(|mark| mark.refuted);
+        refuted.any(|mark| stands_there(mark.crash))
     }
 }
 
--- a/src/host/quarantine_log.rs
+++ b/src/host/quarantine_log.rs
@@ -139,11 +139,11 @@
     matches!(reading.await, Ok(Ok(())))
 }
 
-/// Reads the records unless that `is_done`, and writes those that are due, until the node stops.
-pub async fn keep(host: &Arc<Host>, is_done: bool) {
+/// Writes the records that are due until the node stops; reads all first unless `is_read`.
+pub async fn keep(host: &Arc<Host>, is_read: bool) {
     tokio::select! {
         () = host.stop.stopped() => {}
-        () = read_and_write(host, is_done) => {}
+        () = read_and_write(host, is_read) => {}
     }
 }
 
