--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -27,6 +27,7 @@
 pub mod slowness;
 pub mod start_limit;
 pub mod start_rate;
+pub mod suspect;
 pub mod traffic_split;
 pub mod wait_queue;
 pub mod work;
--- a/src/host/crash_reports.rs
+++ b/src/host/crash_reports.rs
@@ -14,7 +14,7 @@
 use super::context::Host;
 use super::quarantine;
 use crate::decision::host::crash_watch::CrashId;
-use crate::decision::host::poison_requests::{CRASHES_MAX, CrashMark, Suspect};
+use crate::decision::host::suspect::{CRASHES_MAX, CrashMark, Suspect};
 use crate::kernel::shards::lock;
 use crate::model::request_digest::RequestDigest;
 
--- a/src/host/events.rs
+++ b/src/host/events.rs
@@ -23,7 +23,8 @@
 };
 use crate::decision::host::announcement::{Announcement, Freshness};
 use crate::decision::host::crash_watch::Crash;
-use crate::decision::host::poison_requests::{Quarantine, Suspect};
+use crate::decision::host::poison_requests::Quarantine;
+use crate::decision::host::suspect::Suspect;
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
 use crate::model::host_request::SERVER_ERROR_MIN;
--- a/src/host/quarantine.rs
+++ b/src/host/quarantine.rs
@@ -5,7 +5,7 @@
 use super::context::Host;
 use super::outcome::RequestFailure;
 use crate::decision::host::crash_watch::Crash;
-use crate::decision::host::poison_requests::Suspect;
+use crate::decision::host::suspect::Suspect;
 use crate::kernel::shards::lock;
 use crate::model::host_request::{HostWork, SERVER_ERROR_MIN};
 use crate::model::reasons::RefusalReason;
--- a/src/host/quarantine_log.rs
+++ b/src/host/quarantine_log.rs
@@ -14,7 +14,7 @@
 use super::events::time_of_day_ms;
 use super::jitter::with_jitter;
 use crate::decision::host::crash_watch::CrashId;
-use crate::decision::host::poison_requests::{CrashMark, Suspect};
+use crate::decision::host::suspect::{CrashMark, Suspect};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::model::request_digest::RequestDigest;
--- a/tests/host/poison_requests.rs
+++ b/tests/host/poison_requests.rs
@@ -1,9 +1,8 @@
 //! Which requests are kept from backend servers after these have ended under them, and for how long.
 
 use bronzelock::decision::host::crash_watch::CrashId;
-use bronzelock::decision::host::poison_requests::{
-    CRASHES_MAX, CrashMark, PoisonRequests, Suspect,
-};
+use bronzelock::decision::host::poison_requests::PoisonRequests;
+use bronzelock::decision::host::suspect::{CRASHES_MAX, CrashMark, Suspect};
 use bronzelock::model::request_digest::RequestDigest;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
