Connections between hosts on which bytes arrive are not lost

Connections were lost without need: a ping waits behind long answers on the same connection, and 400 ms without its answer ended the connection and all calls on it, each of which sent its long answer once more over links that were full already.

A failed ping now ends a connection only if nothing at all was received on it since the ping was sent. The stream records receipts, so a connection that carries part of a message is heard of as well.

Test first: a_connection_on_which_a_long_answer_arrives_slowly_is_not_lost failed with Lost after 1 s.

--- a/src/edge/http1/reader.rs
+++ b/src/edge/http1/reader.rs
@@ -100,9 +100,15 @@
         *lock(&self.0)
     }
 
-    fn record(&self) {
+    /// Records that bytes were received now.
+    pub fn record(&self) {
         *lock(&self.0) = Some(Instant::now());
     }
+
+    /// Whether both are the time of the same connection.
+    pub fn is_same(&self, other: &Self) -> bool {
+        Arc::ptr_eq(&self.0, &other.0)
+    }
 }
 
 impl<H> Default for MessageReader<H> {
--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -12,6 +12,7 @@
 pub mod peer_client;
 pub mod peer_rpc;
 pub mod peer_server;
+pub mod receipt_stream;
 pub mod send_error;
 pub mod server_pool;
 mod shared_stream;
--- a/src/host/peers/peer_client.rs
+++ b/src/host/peers/peer_client.rs
@@ -3,19 +3,22 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use displaydoc::Display;
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::sync::Mutex as AsyncMutex;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::decision::host::keyed_state::Snapshot;
 use crate::decision::host::peers::RelayProtocol;
+use crate::edge::http1::LastReceipt;
 use crate::edge::http1::client::{KeepAlive, connect};
 use crate::edge::peer_client::frame_codec;
+use crate::edge::receipt_stream::ReceiptStream;
 use crate::host::peers::peer_rpc::{PeerHostClient, WireIntroduction, WireOutcome, WireWork};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
@@ -59,24 +62,33 @@
     /// Makes calls over the connection.
     pub client: PeerHostClient,
     ended: CancellationToken,
-    /// Time of the last answer, or of the opening.
-    last_heard: Arc<Mutex<Instant>>,
+    /// Time of the last receipt; the opening counts as one.
+    last_receipt: LastReceipt,
 }
 
 impl Connection {
-    /// Records an answer to a call.
-    fn hear<T>(&self, answered: &Result<T, RpcError>) {
-        if answered.is_ok() {
-            *lock(&self.last_heard) = Instant::now();
+    /// Pings the peer; whether the connection works.
+    ///
+    /// One on which other bytes arrive is only busy, for example with a long answer ahead.
+    async fn check(&self, timeout: Duration) -> Result<(), RpcError> {
+        let pinged_at = Instant::now();
+        match self.client.ping(context(timeout)).await {
+            Err(RpcError::DeadlineExceeded) if self.has_received_since(pinged_at) => Ok(()),
+            pinged => pinged,
         }
     }
 
+    fn has_received_since(&self, time: Instant) -> bool {
+        self.last_receipt.get().is_some_and(|last| last > time)
+    }
+
     fn is_unheard_for(&self, time: Duration) -> bool {
-        lock(&self.last_heard).elapsed() > time
+        let last = self.last_receipt.get();
+        last.is_none_or(|last| last.elapsed() > time)
     }
 
     fn is_same(&self, other: &Self) -> bool {
-        Arc::ptr_eq(&self.last_heard, &other.last_heard)
+        self.last_receipt.is_same(&other.last_receipt)
     }
 }
 
@@ -215,13 +227,11 @@
                 answered = &mut call => return self.finish(address, connection, answered),
                 () = tokio::time::sleep(PING_PERIOD) => {}
             }
-            let ping = connection.client.ping(context(CONTROL_CALL_TIMEOUT));
             tokio::select! {
                 biased;
                 answered = &mut call => return self.finish(address, connection, answered),
-                pinged = ping => {
-                    connection.hear(&pinged);
-                    let Err(error) = pinged else { continue };
+                checked = connection.check(CONTROL_CALL_TIMEOUT) => {
+                    let Err(error) = checked else { continue };
                     self.forget(address);
                     self.forget_unheard();
                     let error = StepError::with_peer("check the connection", address, error);
@@ -238,7 +248,6 @@
         connection: &Connection,
         answered: Result<T, RpcError>,
     ) -> Result<T, PeerError> {
-        connection.hear(&answered);
         let finished = answered.map_err(|error| self.call_error(address, &error));
         if matches!(finished, Err(PeerError::Lost(_)))
             && connection.is_unheard_for(UNHEARD_TIME_MAX)
@@ -280,9 +289,7 @@
         if !connection.is_unheard_for(CHECK_AFTER) {
             return Ok(connection);
         }
-        let pinged = connection.client.ping(context(CHECK_TIMEOUT)).await;
-        connection.hear(&pinged);
-        if pinged.is_ok() {
+        if connection.check(CHECK_TIMEOUT).await.is_ok() {
             return Ok(connection);
         }
         let current = self.connection(address).await?;
@@ -315,6 +322,9 @@
         let connected = connect(address, CONNECT_TIMEOUT, KeepAlive::Seldom).await;
         let stream = connected
             .map_err(|error| PeerError::NotSent(StepError::with_peer("connect", address, error)))?;
+        let last_receipt = LastReceipt::default();
+        last_receipt.record();
+        let stream = ReceiptStream::new(stream, last_receipt.clone());
         let framed = frame_codec(MESSAGE_BYTES_MAX).new_framed(stream);
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
         let new_client = PeerHostClient::new(tarpc::client::Config::default(), transport);
@@ -329,7 +339,7 @@
         Ok(Connection {
             client: new_client.client,
             ended,
-            last_heard: Arc::new(Mutex::new(Instant::now())),
+            last_receipt,
         })
     }
 }
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -12,6 +12,7 @@
 use bronzelock::model::ids::Incarnation;
 use bronzelock::model::names::ServiceName;
 use bronzelock::model::request::Effect;
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 
 /// Guards against requests lost in a rolling restart.
@@ -111,6 +112,31 @@
     assert!(matches!(opened, Ok(Ok(_))), "no new connection");
 }
 
+/// Pattern: long answers to several nodes share a slow link, and pings wait behind them.
+///
+/// Ending the connection would lose all answers on it, and they would be sent again elsewhere.
+#[tokio::test]
+async fn a_connection_on_which_a_long_answer_arrives_slowly_is_not_lost() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let clients = PeerClients::new(Tasks::default());
+    let time_left = Duration::from_secs(2);
+    let run = clients.run(address, work(), time_left);
+    let trickle = async {
+        let (mut stream, _peer) = listener.accept().await.expect("a connection");
+        let long_frame_bytes: u32 = 1 << 20;
+        stream.write_u32(long_frame_bytes).await.expect("sent");
+        loop {
+            tokio::time::sleep(Duration::from_millis(50)).await;
+            stream.write_all(&[0; 100]).await.expect("sent");
+        }
+    };
+    tokio::select! {
+        answered = run => assert!(matches!(answered, Err(PeerError::Deadline)), "{answered:?}"),
+        () = trickle => unreachable!("it never ends"),
+    }
+}
+
 fn work() -> WireWork {
     let work = HostWork {
         id: "7".into(),
