Relays of the operators' log wait longer for each source that fails

Cause: a node whose own link is full asks one source after the other, each over a new connection with 300 ms to open and 600 ms a call.

Ruled out: sources that were gone or busy (other nodes got the records from them within 0.3 s), the log service (acknowledged after 47 ms, others had the version at once).

The timeouts now double with each source that fails in a row, twice at most, and start anew when records arrive.

Test first: a_node_with_a_slow_link_waits_longer_for_each_further_source failed, as no source was asked for long enough.

--- a/src/decision/host/relay_sources.rs
+++ b/src/decision/host/relay_sources.rs
@@ -3,6 +3,9 @@
 //! The nodes of an availability zone miss the same records at the same moment. Each chooses at random
 //! among the nodes that have them, and a node that is busy with others sends it on. Since each node
 //! that has the records relays them as well, the sources multiply while the records spread.
+//!
+//! Several sources that fail in a row show that the link of this node is slow rather than theirs, so
+//! each further one gets more time.
 
 use std::collections::HashSet;
 use std::net::IpAddr;
@@ -32,11 +35,30 @@
     NoneAhead,
 }
 
+/// Timeout for opening a connection to the first source of a round, in ms.
+const CONNECT_TIMEOUT_MS: u64 = 300;
+
+/// Timeout of a call to the first source of a round, in ms.
+const CALL_TIMEOUT_MS: u64 = 600;
+
+/// Maximum number of times that the timeouts double.
+const TIMEOUT_DOUBLINGS_MAX: u32 = 2;
+
+/// How long to wait for a source before another one is asked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct RelayTimeouts {
+    /// Timeout for opening a connection, in ms.
+    pub connect_ms: u64,
+    /// Timeout of a call, in ms.
+    pub call_ms: u64,
+}
+
 /// Nodes that could not relay records in this round.
 #[derive(Debug, Default)]
 pub struct RelaySources {
     failed: HashSet<IpAddr>,
     busy: HashSet<IpAddr>,
+    failures_in_a_row: u32,
 }
 
 impl RelaySources {
@@ -72,6 +94,16 @@
     /// Records that a node did not relay the records.
     pub fn record_failure(&mut self, address: IpAddr) {
         self.failed.insert(address);
+        self.failures_in_a_row += 1;
+    }
+
+    /// How long to wait for the next source.
+    pub fn timeouts(&self) -> RelayTimeouts {
+        let factor = 1 << self.failures_in_a_row.min(TIMEOUT_DOUBLINGS_MAX);
+        RelayTimeouts {
+            connect_ms: CONNECT_TIMEOUT_MS * factor,
+            call_ms: CALL_TIMEOUT_MS * factor,
+        }
     }
 
     /// Records that a node is relaying records to as many others as it may.
@@ -83,5 +115,6 @@
     pub fn reset(&mut self) {
         self.failed.clear();
         self.busy.clear();
+        self.failures_in_a_row = 0;
     }
 }
--- a/src/host/log_service/log_relay.rs
+++ b/src/host/log_service/log_relay.rs
@@ -13,7 +13,7 @@
 
 use crate::decision::host::keyed_state::Snapshot;
 use crate::decision::host::peers::RelayProtocol;
-use crate::decision::host::relay_sources::{NextSource, RelaySource, RelaySources};
+use crate::decision::host::relay_sources::{NextSource, RelaySource, RelaySources, RelayTimeouts};
 use crate::host::context::Host;
 use crate::host::jitter::with_jitter;
 use crate::host::log_service::operator_log::apply_snapshot;
@@ -114,7 +114,7 @@
     partial: &mut PartialValue,
 ) {
     let started_us = host.now_us();
-    let received = request_snapshot(host, source, partial).await;
+    let received = request_snapshot(host, source, sources.timeouts(), partial).await;
     let took_ms = (host.now_us() - started_us) / US_PER_MS;
     let mut fields = serde_json::json!({
         "peer": source.address, "same_zone": source.same_zone, "end": source.end.offset,
@@ -155,6 +155,7 @@
 async fn request_snapshot(
     host: &Host,
     source: RelaySource,
+    timeouts: RelayTimeouts,
     partial: &mut PartialValue,
 ) -> Result<Snapshot, RelayError> {
     let address = host.peer_address(source.address);
@@ -167,7 +168,7 @@
             .operator_log(address, protocol, host.now_us());
         return Ok(whole.await?);
     }
-    let connection = RelayConnection::open(&host.peer_clients, address).await?;
+    let connection = RelayConnection::open(&host.peer_clients, address, timeouts).await?;
     let known = lock(&host.operator_state).end();
     match request_since(host, &connection, known, partial).await {
         Err(RelayError::MissingRecord) => {
--- a/src/host/peers/peer_client.rs
+++ b/src/host/peers/peer_client.rs
@@ -309,7 +309,7 @@
         if let Some(known) = open.as_ref().filter(|known| !known.ended.is_cancelled()) {
             return Ok(known.clone());
         }
-        let connection = self.open(address).await?;
+        let connection = self.open(address, CONNECT_TIMEOUT).await?;
         *open = Some(connection.clone());
         Ok(connection)
     }
@@ -318,8 +318,12 @@
     ///
     /// # Errors
     /// Returns [`PeerError::NotSent`] if it cannot be opened.
-    pub async fn open(&self, address: SocketAddr) -> Result<Connection, PeerError> {
-        let connected = connect(address, CONNECT_TIMEOUT, KeepAlive::Seldom).await;
+    pub async fn open(
+        &self,
+        address: SocketAddr,
+        connect_timeout: Duration,
+    ) -> Result<Connection, PeerError> {
+        let connected = connect(address, connect_timeout, KeepAlive::Seldom).await;
         let stream = connected
             .map_err(|error| PeerError::NotSent(StepError::with_peer("connect", address, error)))?;
         let last_receipt = LastReceipt::default();
--- a/src/host/peers/relay_connection.rs
+++ b/src/host/peers/relay_connection.rs
@@ -5,6 +5,7 @@
 
 use tarpc::client::RpcError;
 
+use crate::decision::host::relay_sources::RelayTimeouts;
 use crate::host::peers::peer_client::{PeerClients, PeerError, context};
 use crate::host::peers::peer_rpc::PeerHostClient;
 use crate::host::peers::relay_rpc::WireLogIndex;
@@ -12,14 +13,12 @@
 use crate::kernel::StepError;
 use crate::model::log_position::LogPosition;
 
-/// Timeout of a call that relays an index or one piece; another peer can be asked after it.
-const RELAY_CALL_TIMEOUT: Duration = Duration::from_millis(600);
-
 /// A connection to a peer that relays the operators' log; it closes when dropped.
 #[derive(Debug)]
 pub struct RelayConnection {
     address: SocketAddr,
     client: PeerHostClient,
+    call_timeout: Duration,
 }
 
 impl RelayConnection {
@@ -29,11 +28,17 @@
     ///
     /// # Errors
     /// Returns [`PeerError::NotSent`] if it cannot be opened.
-    pub async fn open(clients: &PeerClients, address: SocketAddr) -> Result<Self, PeerError> {
-        let connection = clients.open(address).await?;
+    pub async fn open(
+        clients: &PeerClients,
+        address: SocketAddr,
+        timeouts: RelayTimeouts,
+    ) -> Result<Self, PeerError> {
+        let connect_timeout = Duration::from_millis(timeouts.connect_ms);
+        let connection = clients.open(address, connect_timeout).await?;
         Ok(Self {
             address,
             client: connection.client,
+            call_timeout: Duration::from_millis(timeouts.call_ms),
         })
     }
 
@@ -42,7 +47,7 @@
     /// # Errors
     /// Returns [`PeerError`] if the call fails.
     pub async fn log_index(&self, known: LogPosition) -> Result<WireLogIndex, PeerError> {
-        let context = context(RELAY_CALL_TIMEOUT);
+        let context = context(self.call_timeout);
         let index = self.client.log_index(context, known.into()).await;
         index.map_err(|error| self.error(error))
     }
@@ -56,7 +61,7 @@
         digest: ValueDigest,
         offset: u64,
     ) -> Result<WirePiece, PeerError> {
-        let context = context(RELAY_CALL_TIMEOUT);
+        let context = context(self.call_timeout);
         let piece = self.client.value_piece(context, digest, offset).await;
         piece.map_err(|error| self.error(error))
     }
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -1,5 +1,7 @@
 //! Admission gate: whether, when and in which order requests are sent.
 
+use std::collections::HashMap;
+
 use bronzelock::decision::host::announcement::{
     AnnouncedState, Announcement, Departure, Freshness,
 };
@@ -428,6 +430,52 @@
     );
 }
 
+/// Pattern: twice as many callers for five seconds as the backend server can serve.
+///
+/// It is kept busy with requests that are answered in time, not with those that have waited longest.
+#[test]
+fn a_lasting_overload_is_spent_on_requests_that_are_answered_in_time() {
+    const USUAL_RUN_US: u64 = 90 * MS;
+    const OBJECTIVE_US: u64 = 300 * MS;
+    const OVERLOAD_US: u64 = 5 * S;
+    let interval_us = USUAL_RUN_US / LIMIT as u64 / 2;
+    // Run times spread evenly from half to one and a half of the usual one.
+    let run_us = |WorkId(id)| USUAL_RUN_US / 2 + id * 7_919 % USUAL_RUN_US;
+    let mut gate = warm_gate();
+    let mut arrivals_us = HashMap::new();
+    let mut running: Vec<(u64, WorkId)> = Vec::new();
+    let mut in_time = 0;
+    for now_us in (S..S + OVERLOAD_US).step_by(MS as usize) {
+        let ended = running.extract_if(.., |(end_us, _id)| *end_us <= now_us);
+        for (_end_us, id) in ended.collect::<Vec<_>>() {
+            in_time += u64::from(now_us < arrivals_us[&id] + OBJECTIVE_US);
+            gate.finished(id, Some(run_us(id) as f64), now_us);
+        }
+        let mut decided = Vec::new();
+        if now_us % interval_us < MS {
+            let timing = Timing {
+                usual_run_us: USUAL_RUN_US as f64,
+                objective_at_us: now_us + OBJECTIVE_US,
+                deadline_us: now_us + 800 * MS,
+                other_finish_us: f64::INFINITY,
+            };
+            let (id, verdict) = offer(&mut gate, Work { timing, ..work(1) }, now_us);
+            arrivals_us.insert(id, now_us);
+            decided.extend(verdict.map(|verdict| (id, verdict)));
+        }
+        gate.decide_waiting(now_us, &mut decided);
+        let started = decided
+            .iter()
+            .filter(|(_id, verdict)| *verdict == Verdict::Run);
+        running.extend(started.map(|(id, _verdict)| (now_us + run_us(*id), *id)));
+    }
+    let capacity = OVERLOAD_US / USUAL_RUN_US * LIMIT as u64;
+    assert!(
+        in_time * 10 > capacity * 9,
+        "{in_time} of {capacity} answers were in time"
+    );
+}
+
 /// Bursts: if some requests must be late, those still in time go first.
 #[test]
 fn waiting_work_that_is_already_late_yields_to_work_in_time() {
--- a/tests/host/log_relay.rs
+++ b/tests/host/log_relay.rs
@@ -63,6 +63,35 @@
     );
 }
 
+/// Pattern: the link of this node is so full that no connection opens within the usual timeout.
+///
+/// It asked one source after the other, none long enough, and kept an old configuration for seconds.
+#[test]
+fn a_node_with_a_slow_link_waits_longer_for_each_further_source() {
+    const ROUND_TRIP_MS: u64 = 450;
+    const PAUSE_MS: u64 = 60;
+    let ahead: Vec<_> = (1..=20).map(|last| source(last, true, 7)).collect();
+    let mut sources = RelaySources::default();
+    let mut now_ms = 0;
+    let received_ms = loop {
+        let Some(source) = asked(sources.choose(&ahead, now_ms)) else {
+            now_ms += PAUSE_MS;
+            continue;
+        };
+        let timeouts = sources.timeouts();
+        if timeouts.connect_ms > ROUND_TRIP_MS && timeouts.call_ms > ROUND_TRIP_MS {
+            // Opening, the index and one piece.
+            break now_ms + 3 * ROUND_TRIP_MS;
+        }
+        now_ms += timeouts.connect_ms;
+        sources.record_failure(source.address);
+        assert!(now_ms < 2_000, "no source was asked for long enough");
+    };
+    assert!(received_ms < 2_000, "received after {received_ms} ms");
+    sources.reset();
+    assert_eq!(sources.timeouts(), RelaySources::default().timeouts());
+}
+
 #[test]
 fn sources_of_the_own_zone_come_first_then_those_that_know_most() {
     let ahead = [
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bronzelock::decision::host::peers::RelayProtocol;
+use bronzelock::decision::host::relay_sources::RelaySources;
 use bronzelock::host::peers::peer_client::{PeerClients, PeerError};
 use bronzelock::host::peers::peer_rpc::WireWork;
 use bronzelock::host::peers::relay_connection::RelayConnection;
@@ -57,7 +58,10 @@
     let (clients, listener, _silent) = with_silent_connection().await;
     let address = listener.local_addr().expect("an address");
     let limit = Duration::from_secs(1);
-    let second = tokio::time::timeout(limit, RelayConnection::open(&clients, address));
+    let second = tokio::time::timeout(
+        limit,
+        RelayConnection::open(&clients, address, RelaySources::default().timeouts()),
+    );
     let (relay, opened) = tokio::join!(second, tokio::time::timeout(limit, listener.accept()));
     assert!(matches!(opened, Ok(Ok(_))), "no new connection");
     assert!(matches!(relay, Ok(Ok(_))), "{relay:?}");
