--- a/src/decision/host/relay_sources.rs
+++ b/src/decision/host/relay_sources.rs
@@ -58,6 +58,7 @@
 pub struct RelaySources {
     failed: HashSet<IpAddr>,
     busy: HashSet<IpAddr>,
+    /// Sources that failed since records were last received.
     failures_in_a_row: u32,
 }
 
--- a/src/host/peers/peer_client.rs
+++ b/src/host/peers/peer_client.rs
@@ -43,7 +43,7 @@
 /// Time without an answer before the connection is checked with a ping.
 const PING_PERIOD: Duration = Duration::from_millis(600);
 
-/// Time without an answer after which a connection is checked before a request is sent on it.
+/// Time without a receipt after which a connection is checked before a request is sent on it.
 ///
 /// Shorter than the time after which nodes count as reachable again.
 const CHECK_AFTER: Duration = Duration::from_millis(2_500);
@@ -51,7 +51,7 @@
 /// Timeout of that check.
 const CHECK_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time without an answer after which a connection is dropped once another one proved silent.
+/// Time without a receipt after which a connection is dropped once another one proved silent.
 ///
 /// A network that silences one connection often silences others with it.
 const UNHEARD_TIME_MAX: Duration = Duration::from_secs(1);
@@ -67,9 +67,9 @@
 }
 
 impl Connection {
-    /// Pings the peer; whether the connection works.
+    /// Checks by a ping that the connection works.
     ///
-    /// One on which other bytes arrive is only busy, for example with a long answer ahead.
+    /// A connection on which other bytes arrive is busy, for example with a long answer ahead.
     async fn check(&self, timeout: Duration) -> Result<(), RpcError> {
         let pinged_at = Instant::now();
         match self.client.ping(context(timeout)).await {
