--- a/scripts/bench/gates.py
+++ b/scripts/bench/gates.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Scores every deployment and names what fell since the last committed table.
 
-    gates.py [--jobs N] [--why TEXT] [--table FILE] SITE...
+    gates.py [--jobs N] [--why TEXT] [--table FILE] [--write] SITE...
 
 The table holds one line per deployment: its gate, and the mean worth of its days with trouble. With
 --write the table is replaced by what was measured.
