Tests of endless answers: wait until the other server is warm, send several at once

Cause, from the nodes' logs of a run that failed beside six busy processes (1 of 24): the sound backend server was still cold. It had answered the round of twelve that the test took as proof of warmth, and its gate refused four of the next (reason cold-start, cold until 1,500 ms, refused at 1,507 ms of the node's time). The refusal is right, the precondition was wrong: it now waits for the length of the cold start as well. The second way to fail (never: a request arrives, 5 of 15): requests that are sent one at a time all ran at the second host of the service, which was known to be fast, so none reached the faulty one; several are sent at once.

No check of an answer was changed.

--- a/tests/host_processes/endless_answers.rs
+++ b/tests/host_processes/endless_answers.rs
@@ -9,7 +9,7 @@
 use standins::platform::ledger::Ledger;
 use standins::platform::store::Store;
 
-use crate::callers::{Kind, LATE_MS, WAIT_MS, ask, ask_kind};
+use crate::callers::{Kind, LATE_MS, WAIT_MS, ask_kind};
 use crate::operator::Operator;
 use crate::site::{COLD_MS, Place, ServerEnd, Site};
 use crate::system::{PLACES, eventually, is_ready, metrics};
@@ -28,9 +28,12 @@
 /// Time in which nothing more may be written then.
 const OBSERVED_FOR: Duration = Duration::from_secs(1);
 
-/// Number of the first round of requests before those that are checked.
+/// Number of the first round of requests that wait for the sound backend server.
 const FIRST_WARM_ROUND: usize = 1_000;
 
+/// Number of the first round of requests that wait for the faulty backend server.
+const FIRST_ARRIVING_ROUND: usize = 2_000;
+
 const ANNOUNCE_PERIOD: Duration = Duration::from_millis(200);
 
 /// Slots that the faulty backend server announces.
@@ -77,18 +80,24 @@
     }
 
     /// Waits until the node sends requests to the faulty backend server.
+    ///
+    /// Several are sent at once: one at a time may all run at a backend server of the same service
+    /// that has proved fast.
     async fn wait_until_requests_arrive(&self) {
-        let node = self.faulty.addresses.callers();
+        let mut round = FIRST_ARRIVING_ROUND;
         eventually("a request arrives", async || {
-            let id = format!("first-{:?}", std::time::Instant::now()).replace(' ', "");
-            ask(node, &id).await;
+            round += 1;
+            self.send(Kind::History, round).await;
             self.server.request_count() > 0
         })
         .await;
     }
 
     /// Waits until the sound backend server is known and warm.
+    ///
+    /// A cold one refuses what exceeds its rate, even if it has answered a round before.
     async fn wait_until_others_are_answered(&self) {
+        tokio::time::sleep(Duration::from_millis(COLD_MS)).await;
         let mut round = FIRST_WARM_ROUND;
         eventually("all others are answered", async || {
             round += 1;
