Entry: times of callers and responses without an answer in modules of their own

Code moves without change: CallerTimes to caller_times.rs, the responses to requests that no backend server answers to refusal.rs.

--- a/src/host/entry/callers.rs
+++ b/src/host/entry/callers.rs
@@ -1,6 +1,6 @@
 //! HTTP listener for callers' requests, from decoding to the response.
 
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
@@ -10,18 +10,17 @@
 use crate::host::branches::quotas;
 use crate::host::context::Host;
 use crate::host::entry::attempts::Attempts;
+use crate::host::entry::caller_times::CallerTimes;
+use crate::host::entry::refusal::Refusal;
 use crate::host::entry::retries;
-use crate::host::jitter::with_jitter;
-use crate::host::observe::request_lines::{Completed, Refused, Rejected, TriedHosts, shortened};
+use crate::host::observe::request_lines::{Completed, Rejected, TriedHosts, shortened};
 use crate::host::outcome::RequestFailure;
 use crate::kernel::shards::lock;
 use crate::model::branch::Branch;
-use crate::model::header::Header;
 use crate::model::host_config::{CallerBounds, HostConfig, Route};
 use crate::model::host_request::{CallerRequest, HostWork, ServerAnswer, Timing};
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
-use crate::model::units::US_PER_MS;
 use crate::platform::{answers, requests};
 
 /// Retry-After while no configuration is known, in µs.
@@ -30,12 +29,6 @@
 /// Retry-After while another configuration may be in force, in µs.
 const NO_PROOF_RETRY_AFTER_US: u64 = 300_000;
 
-/// Retry-After if the failure states none, in µs.
-const RETRY_AFTER_DEFAULT_US: u64 = 200_000;
-
-/// Assumed waiting time of a caller that states none, in ms.
-const WAIT_MS_DEFAULT: u64 = 60_000;
-
 /// Handles requests from callers on this host and from its backend server.
 #[derive(Debug)]
 pub struct CallerHandler(pub Arc<Host>);
@@ -230,40 +223,6 @@
         .map(|target| target.service.clone())
 }
 
-/// When a caller's attempts arrived, and until when it waits, in µs.
-#[derive(Debug, Clone, Copy)]
-#[expect(clippy::struct_field_names, reason = "the unit is their suffix")]
-struct CallerTimes {
-    arrived_us: u64,
-    /// Arrival of its first attempt.
-    first_arrived_us: u64,
-    deadline_us: u64,
-}
-
-impl CallerTimes {
-    fn of(host: &Host, route: &Route, wait_ms: Option<u64>, arrived_us: u64) -> Self {
-        let deadline_us = arrived_us + wait_ms.unwrap_or(WAIT_MS_DEFAULT) * US_PER_MS;
-        let mut returning = lock(&host.returning_callers);
-        let first_arrived_us = returning.take_first_arrival(&route.name, deadline_us);
-        Self {
-            arrived_us,
-            first_arrived_us: first_arrived_us.unwrap_or(arrived_us),
-            deadline_us,
-        }
-    }
-
-    /// Remembers that an attempt failed, since its caller may come back.
-    fn record_failure(&self, host: &Host, route: &Route) {
-        let mut returning = lock(&host.returning_callers);
-        returning.record_failure(
-            &route.name,
-            self.deadline_us,
-            self.first_arrived_us,
-            host.now_us(),
-        );
-    }
-}
-
 /// Builds the request that is sent to hosts.
 fn host_work(
     host: &Host,
@@ -314,55 +273,3 @@
     });
     (result, attempts.into_tried_hosts())
 }
-
-/// A request that gets no answer of a backend server, and what is known of it.
-struct Refusal<'a> {
-    host: &'a Host,
-    id: &'a Arc<str>,
-    route: Option<&'a Route>,
-    service: Option<&'a ServiceName>,
-    tried: &'a [Option<IpAddr>],
-    config_version: Option<u64>,
-    arrived_us: u64,
-}
-
-impl Refusal<'_> {
-    /// Logs a failure and turns it into the response.
-    ///
-    /// The status is 429 if the quota of its branch is used, 503 if the request has certainly not run, 504 if its deadline passed, else
-    /// 502.
-    fn response(&self, failure: &RequestFailure) -> Response {
-        self.host.events.refused(&Refused {
-            id: self.id,
-            route: self.route.map(|route| &*route.name),
-            service: self.service,
-            tried: self.tried,
-            failure,
-            took_us: self.host.now_us() - self.arrived_us,
-            config_version: self.config_version,
-        });
-        let mut headers = vec![answers::request_id_header(self.id), problem_json()];
-        let status = match failure.reason {
-            RefusalReason::QuotaExceeded => 429,
-            _ if failure.is_not_run() => 503,
-            RefusalReason::DeadlinePassedRunning => 504,
-            _ => 502,
-        };
-        if matches!(status, 429 | 503) {
-            let base_us = failure.retry_after_us.unwrap_or(RETRY_AFTER_DEFAULT_US);
-            // Jitter keeps refused callers from retrying at the same time.
-            headers.push(answers::retry_after_header(with_jitter(base_us)));
-        }
-        let problem = serde_json::json!({
-            "title": failure.reason.as_str(),
-            "status": status,
-            "not_run": failure.is_not_run(),
-            "host": &*self.host.settings.host.name,
-        });
-        Response::new(status, headers, problem.to_string())
-    }
-}
-
-fn problem_json() -> Header {
-    Header::new("Content-Type", "application/problem+json")
-}
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -31,10 +31,9 @@
 mod refusals;
 mod registration;
 mod report_schedule;
-mod retry_budget_rule;
-
 mod report_targets;
 mod request_reading;
+mod retry_budget_rule;
 mod returning_callers;
 mod rollout;
 mod routes;
