--- a/src/host/entry/callers.rs
+++ b/src/host/entry/callers.rs
@@ -156,7 +156,7 @@
     let times = CallerTimes::of(host, &route, request.wait_ms, arrived_us);
     let mut work = host_work(host, request, &route, &service, &times);
     work.rank = rank.unwrap_or(work.rank);
-    let deadline_us = work.timing.deadline_us;
+    let timing = work.timing;
     let (result, tried) = run(host, &route, &service, work).await;
     if result.as_ref().map_or(true, ServerAnswer::is_server_error) {
         times.record_failure(host, &route);
@@ -173,8 +173,8 @@
                 status: answer.status,
                 took_us: now_us - arrived_us,
                 since_first_us: arrived_us - times.first_arrived_us,
-                left_us: deadline_us.saturating_sub(now_us),
-                in_time: now_us <= times.first_arrived_us + route.objective_us,
+                left_us: timing.deadline_us.saturating_sub(now_us),
+                in_time: now_us <= timing.objective_at_us,
                 config_version: config.version,
             });
             let mut headers = answer.headers;
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -9,6 +9,7 @@
 use bronzelock::decision::host::gate::{
     HealthCheckResult, HostGate, ServerReport, SlowPhaseAction, Timing, Verdict, Work, WorkId,
 };
+use bronzelock::decision::host::returning_callers::ReturningCallers;
 use bronzelock::model::ids::Incarnation;
 use bronzelock::model::load::ServerState;
 use bronzelock::model::names::ServiceName;
@@ -494,6 +495,38 @@
     assert_eq!(decided[1], (late, Verdict::Run));
 }
 
+/// Pattern: overload in which refused callers come back and meet new ones.
+///
+/// A caller that can only be answered late leaves the slot to one that can still be in time, even
+/// if it comes before that one.
+#[test]
+fn a_caller_that_comes_back_late_waits_behind_a_new_one() {
+    const TIMEOUT_US: u64 = 800 * MS;
+    let of_caller_since = |first_arrived_us| Work {
+        timing: Timing {
+            objective_at_us: first_arrived_us + 300 * MS,
+            deadline_us: first_arrived_us + TIMEOUT_US,
+            ..timing(90.0 * MS as f64)
+        },
+        ..work(1)
+    };
+    let now_us = S + 400 * MS;
+    let mut gate = warm_gate();
+    let running = fill(&mut gate, now_us);
+    let mut returning = ReturningCallers::default();
+    returning.record_failure(&"lookup".into(), S + TIMEOUT_US, S, S + 100 * MS);
+    let first_us = returning.take_first_arrival("lookup", S + TIMEOUT_US);
+    let back = of_caller_since(first_us.expect("it comes back"));
+    let (_back, queued) = offer(&mut gate, back, now_us);
+    assert_eq!(queued, None);
+    let (new, queued) = offer(&mut gate, of_caller_since(now_us + MS), now_us + MS);
+    assert_eq!(queued, None);
+    gate.finished(running[0], None, now_us + 10 * MS);
+    let mut decided = Vec::new();
+    gate.decide_waiting(now_us + 10 * MS, &mut decided);
+    assert_eq!(decided, [(new, Verdict::Run)]);
+}
+
 /// Herding: many senders choose the same idle host.
 ///
 /// It refuses requests that other hosts would answer sooner.
