A host's stop ends when callers and other nodes have received all answers

Callers got 502 for requests that a backend server had run to a good end: the node that owed the answer had stopped as planned, with grace time left.

Cause: the shutdown ended when the gate had nothing in flight and no caller's request was open. The gate's permit is given back when a run ends; its answer may still stand in the connection's write buffer or in the socket, behind others. The connection was then dropped, and a ping that met the closed socket reset it, which discards what the socket still held.

Change: a new stage `drain` between close and stop. A connection from another node ends once it has no open call and no unflushed answer; until then pings are answered and requests refused on it. It shuts down its write side and discards what arrives until the peer closes. The peer's client closes at the end of the data, so its close says that nothing was lost. The node waits for these connections and for those of callers, at most nine tenths of the grace time. Calls that were cancelled or have expired are not awaited.

--- a/src/edge/answer_transport.rs
+++ b/src/edge/answer_transport.rs
@@ -1,12 +1,14 @@
 //! RPC transport that tracks which calls of a connection are still to be answered.
 
 use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
-use futures::{Sink, Stream};
+use futures::future::BoxFuture;
+use futures::{FutureExt, Sink, Stream};
 use tarpc::{ClientMessage, Response};
 use tokio_util::sync::{CancellationToken, DropGuard};
 
@@ -22,26 +24,45 @@
 
 /// Server side of a transport, with the calls whose answers are not written yet.
 ///
+/// Once it drains and all calls are answered, it reads as if the peer had closed the connection.
 /// Calls that the peer cancels and calls past their deadline get no answer and are not counted.
-#[derive(Debug)]
 pub struct AnswerTransport<T> {
     inner: T,
     unwritten: UnwrittenAnswers,
     open: HashMap<u64, OpenCall>,
     /// Answers in the write buffer.
     buffered: Vec<UnwrittenAnswer>,
+    /// Resolves when the connection is to end; `None` afterwards.
+    drain_signal: Option<BoxFuture<'static, ()>>,
     /// Cancelled when nothing more is read, or the transport is dropped.
     ended: DropGuard,
 }
 
+impl<T> fmt::Debug for AnswerTransport<T> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AnswerTransport")
+            .field("open", &self.open)
+            .field("buffered", &self.buffered)
+            .finish_non_exhaustive()
+    }
+}
+
 impl<T> AnswerTransport<T> {
-    /// Wraps a transport; `ended` is cancelled once nothing more is read from it.
-    pub fn new(inner: T, unwritten: UnwrittenAnswers, ended: CancellationToken) -> Self {
+    /// Wraps a transport that drains once `drain_signal` resolves.
+    ///
+    /// `ended` is cancelled once nothing more is read from it.
+    pub fn new(
+        inner: T,
+        unwritten: UnwrittenAnswers,
+        ended: CancellationToken,
+        drain_signal: impl Future<Output = ()> + Send + 'static,
+    ) -> Self {
         Self {
             inner,
             unwritten,
             open: HashMap::new(),
             buffered: Vec::new(),
+            drain_signal: Some(drain_signal.boxed()),
             ended: ended.drop_guard(),
         }
     }
@@ -67,6 +88,21 @@
         self.open.retain(|_id, call| call.deadline > now);
     }
 
+    fn is_draining(&mut self, context: &mut Context<'_>) -> bool {
+        let Some(signal) = &mut self.drain_signal else {
+            return true;
+        };
+        let resolved = signal.poll_unpin(context).is_ready();
+        if resolved {
+            self.drain_signal = None;
+        }
+        resolved
+    }
+
+    fn owes_answers(&self) -> bool {
+        !self.open.is_empty() || !self.buffered.is_empty()
+    }
+
     fn end(&self) {
         self.ended.token().cancel();
     }
@@ -80,7 +116,12 @@
 
     fn poll_next(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Option<Self::Item>> {
         self.forget_expired();
-        let received = ready!(Pin::new(&mut self.inner).poll_next(context));
+        let is_draining = self.is_draining(context);
+        let received = match Pin::new(&mut self.inner).poll_next(context) {
+            Poll::Ready(received) => received,
+            Poll::Pending if is_draining && !self.owes_answers() => None,
+            Poll::Pending => return Poll::Pending,
+        };
         match &received {
             Some(Ok(message)) => self.received(message),
             Some(Err(_)) | None => self.end(),
@@ -107,7 +148,12 @@
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.inner).poll_flush(context))?;
+        let was_buffered = !self.buffered.is_empty();
         self.buffered.clear();
+        if was_buffered && self.drain_signal.is_none() {
+            // The stream may end now.
+            context.waker().wake_by_ref();
+        }
         Poll::Ready(Ok(()))
     }
 
--- a/src/edge/shared_stream.rs
+++ b/src/edge/shared_stream.rs
@@ -9,9 +9,12 @@
 use std::task::{Context, Poll, ready};
 
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, ReadBuf};
 use tokio::net::TcpStream;
 
+/// Size of the buffer for discarded data, in bytes.
+const DISCARD_BUFFER_BYTES: usize = 1_024;
+
 /// Handle to a shared TCP stream, which is closed when the last handle is dropped.
 #[derive(Debug, Clone)]
 pub struct SharedStream(Arc<Shared>);
@@ -31,6 +34,25 @@
         }))
     }
 
+    /// Closes the write side and discards incoming data until the peer closes the connection.
+    ///
+    /// Returns the number of bytes discarded. A peer that closes at the end of the data has received
+    /// all of it; to close a socket with unread data would reset the connection instead.
+    ///
+    /// # Errors
+    /// Returns the I/O error of a connection that broke before.
+    pub async fn close_delivered(mut self) -> io::Result<usize> {
+        self.shutdown().await?;
+        let mut discarded_bytes = 0;
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        loop {
+            match self.read(&mut buffer).await? {
+                0 => return Ok(discarded_bytes),
+                count => discarded_bytes += count,
+            }
+        }
+    }
+
     /// Whether any byte has been read.
     pub fn has_been_read(&self) -> bool {
         self.0.has_been_read.load(Ordering::Relaxed)
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -172,6 +172,22 @@
     host.events.open_requests() > 0 || host.gate.load().in_flight > 0
 }
 
+/// Waits until callers and other nodes have received all answers, or `finish_by` is reached.
+async fn drain_connections(host: &Host, finish_by: tokio::time::Instant) {
+    host.stop.drain();
+    let joined = tokio::time::timeout_at(finish_by, join_connections(host));
+    if joined.await.is_err() {
+        log::warn!("node: connections were still open when the grace time was over");
+    }
+}
+
+async fn join_connections(host: &Host) {
+    tokio::join!(
+        host.caller_connections.tasks.join(),
+        host.peer_connections.tasks.join(),
+    );
+}
+
 /// Lets callers move to other hosts, finishes open requests, and ends within the grace time.
 async fn shut_down(host: &Arc<Host>) {
     let started = tokio::time::Instant::now();
@@ -188,6 +204,7 @@
     while is_busy(host) && tokio::time::Instant::now() < finish_by {
         tokio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
+    drain_connections(host, finish_by).await;
     host.events.state_changed(
         "stopped",
         serde_json::json!({
@@ -201,8 +218,7 @@
     let ended = async {
         tokio::join!(
             host.request_tasks.join(),
-            host.caller_connections.tasks.join(),
-            host.peer_connections.tasks.join(),
+            join_connections(host),
             host.tasks.join(),
         )
     };
--- a/src/host/peers/peer_server.rs
+++ b/src/host/peers/peer_server.rs
@@ -14,6 +14,8 @@
 use crate::edge::answer_transport::AnswerTransport;
 use crate::edge::http1::client::{KeepAlive, enable_dead_peer_detection};
 use crate::edge::peer_client::frame_codec;
+use crate::edge::peer_drain;
+use crate::edge::shared_stream::SharedStream;
 use crate::host::context::Host;
 use crate::host::outcome::{Outcome, RequestFailure};
 use crate::host::peers::log_rpc::{WireOperatorLog, WireOperatorRecords};
@@ -61,13 +63,20 @@
 
 /// Serves one peer connection.
 ///
-/// tarpc drops the future of a request that the peer cancels, which cancels the request.
+/// tarpc drops the future of a request that the peer cancels, which cancels the request. While the
+/// node drains, the connection ends once all its calls are answered and the peer has the answers.
 async fn serve_connection(host: Arc<Host>, stream: TcpStream, peer: SocketAddr) {
-    let framed = frame_codec(MESSAGE_BYTES_MAX).new_framed(stream);
+    let stream = SharedStream::new(stream);
+    let framed = frame_codec(MESSAGE_BYTES_MAX).new_framed(stream.clone());
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let connection_ended = CancellationToken::new();
     let unwritten = host.peer_connections.unwritten.clone();
-    let transport = AnswerTransport::new(transport, unwritten, connection_ended.clone());
+    let transport = AnswerTransport::new(
+        transport,
+        unwritten,
+        connection_ended.clone(),
+        peer_drain::drain_signal(host.stop.clone()),
+    );
     let channel = BaseChannel::with_defaults(transport);
     let service = Service {
         host: Arc::clone(&host),
@@ -78,9 +87,10 @@
     let served = requests.for_each_concurrent(CONCURRENT_REQUESTS_MAX, |request| request);
     tokio::pin!(served);
     tokio::select! {
-        () = host.stop.stopped() => connection_ended.cancel(),
+        () = host.stop.stopped() => return connection_ended.cancel(),
         () = &mut served => {}
     }
+    peer_drain::close_delivered(stream, peer, &host.stop).await;
 }
 
 /// Implementation of the RPC service for one connection.
--- a/src/kernel/stop.rs
+++ b/src/kernel/stop.rs
@@ -2,11 +2,12 @@
 
 use tokio_util::sync::CancellationToken;
 
-/// Three successive signals: leave, close, stop; each implies those before it.
+/// Four successive signals: leave, close, drain, stop; each implies those before it.
 #[derive(Debug, Clone, Default)]
 pub struct Stop {
     leaving: CancellationToken,
     closed: CancellationToken,
+    draining: CancellationToken,
     stopped: CancellationToken,
 }
 
@@ -22,9 +23,15 @@
         self.closed.cancel();
     }
 
+    /// Signals connections from other nodes to end once all their calls are answered.
+    pub fn drain(&self) {
+        self.close();
+        self.draining.cancel();
+    }
+
     /// Signals all background tasks to end.
     pub fn stop(&self) {
-        self.close();
+        self.drain();
         self.stopped.cancel();
     }
 
@@ -43,6 +50,16 @@
         self.closed.cancelled().await;
     }
 
+    /// Whether connections from other nodes end once their calls are answered.
+    pub fn is_draining(&self) -> bool {
+        self.draining.is_cancelled()
+    }
+
+    /// Resolves once connections from other nodes end after their answers.
+    pub async fn draining(&self) {
+        self.draining.cancelled().await;
+    }
+
     /// Resolves once background tasks must end.
     pub async fn stopped(&self) {
         self.stopped.cancelled().await;
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -4,6 +4,7 @@
 mod cases;
 
 mod announcement;
+mod answer_transport;
 mod backend_answers;
 mod branches;
 mod claims;
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -22,4 +22,5 @@
 mod site;
 mod soak;
 mod starting;
+mod stopping_hosts;
 mod system;
--- a/tests/host_processes/operator.rs
+++ b/tests/host_processes/operator.rs
@@ -18,6 +18,9 @@
 /// Requests in each second that a cold backend server bears.
 pub const COLD_REQUESTS_PER_S: f64 = 20.0;
 
+/// Time after which requests of all routes are answered with a failure, in ms.
+pub const ROUTE_TIMEOUT_MS: u64 = 2_000;
+
 /// Topic of what the system tells operators.
 const STATUS_TOPIC: &str = "keyed.status";
 
@@ -152,7 +155,7 @@
     };
     json!({
         "name": path_prefix, "host": HOST_NAME, "path_prefix": path_prefix,
-        "effect": effect, "timeout_ms": 2_000, "objective_ms": 600, "rank": 1,
+        "effect": effect, "timeout_ms": ROUTE_TIMEOUT_MS, "objective_ms": 600, "rank": 1,
         "service": service, "servers_max": kind.servers_max(),
     })
 }
