A node's stop ends when other nodes have received all answers

The node of the product has the fault of the host's node: its stop waited for the requests that ran, then dropped the connections of other nodes, on which answers could still be unwritten. An answer counts as run once it is queued for the connection.

It now drains these connections as a host does, between close and stop and within `node.shutdown_ms`, and logs how many answers were unwritten at the end of that time. Callers' connections were awaited before.

No test shows the loss on the earlier code of this node: the way is the same, the case was not played.

--- a/src/edge/peer_server.rs
+++ b/src/edge/peer_server.rs
@@ -1,6 +1,7 @@
 //! RPC server for peer nodes.
 
 use std::io::ErrorKind;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,11 +12,15 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Semaphore;
+use tokio_util::sync::CancellationToken;
 
+use super::answer_transport::AnswerTransport;
 use super::handshake::{self, PeerKey};
 use super::http1::client::{KeepAlive, enable_dead_peer_detection};
 use super::peer_client::frame_codec;
+use super::peer_drain;
 use super::peer_rpc::{PeerNode, WireConfig, WirePage, WireStatus, WireTicket};
+use super::shared_stream::SharedStream;
 use super::wire::{WireCall, WireReply};
 use crate::agreement::page_relay;
 use crate::kernel::Kernel;
@@ -42,8 +47,8 @@
             () = kernel.stop.stopped() => return,
             accepted = listener.accept() => accepted,
         };
-        let stream = match accepted {
-            Ok((stream, _address)) => stream,
+        let (stream, address) = match accepted {
+            Ok(accepted) => accepted,
             Err(error) => {
                 log::warn!("peer: accept failed: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -55,8 +60,8 @@
             continue;
         };
         let (connection_kernel, connection_key) = (Arc::clone(&kernel), key.clone());
-        kernel.tasks.spawn(async move {
-            serve_connection(connection_kernel, stream, connection_key).await;
+        kernel.peer_connections.tasks.spawn(async move {
+            serve_connection(connection_kernel, stream, address, connection_key).await;
             drop(permit);
         });
     }
@@ -68,7 +73,12 @@
     log::warn!("peer: rejected a connection: {cause}");
 }
 
-async fn serve_connection(kernel: Arc<Kernel>, mut stream: TcpStream, key: PeerKey) {
+async fn serve_connection(
+    kernel: Arc<Kernel>,
+    mut stream: TcpStream,
+    address: SocketAddr,
+    key: PeerKey,
+) {
     let timeout = Duration::from_millis(kernel.settings.peer.connect_timeout_ms);
     let verification = async {
         enable_dead_peer_detection(&stream, KeepAlive::Seldom)?;
@@ -79,8 +89,15 @@
         Ok(Err(error)) => return reject(&kernel, error),
         Err(elapsed) => return reject(&kernel, elapsed),
     }
-    let framed = frame_codec(kernel.settings.peer.message_bytes_max).new_framed(stream);
+    let stream = SharedStream::new(stream);
+    let framed = frame_codec(kernel.settings.peer.message_bytes_max).new_framed(stream.clone());
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
+    let transport = AnswerTransport::new(
+        transport,
+        kernel.peer_connections.unwritten.clone(),
+        CancellationToken::new(),
+        peer_drain::drain_signal(kernel.stop.clone()),
+    );
     let config = tarpc::server::Config {
         pending_response_buffer: PENDING_RESPONSES_MAX,
     };
@@ -102,6 +119,7 @@
             }
         }
     }
+    peer_drain::close_delivered(stream, address, &kernel.stop).await;
 }
 
 /// Whether the peer sent an invalid message, as opposed to disconnecting.
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use crate::edge::connections::Connections;
 use crate::edge::log_client::{LogClient, LogTimeouts};
 use crate::model::ids::Incarnation;
 use crate::request::state::NodeState;
@@ -28,6 +29,8 @@
     pub metrics: Metrics,
     /// Tasks that process requests and callers' connections; joined before the node stops.
     pub work: Tasks,
+    /// Connections that other nodes have opened; joined after [`Self::work`].
+    pub peer_connections: Connections,
     /// Background tasks and other connections; joined last.
     pub tasks: Tasks,
     /// Signals for the stages of graceful shutdown.
--- a/src/kernel/node.rs
+++ b/src/kernel/node.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use tokio::signal::unix::{Signal, SignalKind, signal};
+use tokio::time::{Instant, timeout_at};
 
 use super::clock::Clock;
 use super::context::Kernel;
@@ -13,6 +14,7 @@
 use super::stop::Stop;
 use super::tasks::Tasks;
 use super::timer::Timer;
+use crate::edge::connections::Connections;
 use crate::model::ids::Incarnation;
 use crate::plugins::metrics::statsd_client;
 use crate::request::state::NodeState;
@@ -102,7 +104,8 @@
 
     /// Announces that the node is leaving, lets requests finish and stops.
     ///
-    /// Requests still running when the shutdown time is over are logged and no longer awaited.
+    /// Requests still running and answers still unwritten when the shutdown time is over are logged
+    /// and no longer awaited.
     pub async fn shut_down(self) {
         let settings = &self.kernel.settings.node;
         self.kernel.stop.leave();
@@ -111,8 +114,8 @@
         let remaining_ms = settings
             .shutdown_ms
             .saturating_sub(settings.leave_notice_ms);
-        let limit = Duration::from_millis(remaining_ms);
-        if tokio::time::timeout(limit, self.kernel.work.join())
+        let finish_by = Instant::now() + Duration::from_millis(remaining_ms);
+        if timeout_at(finish_by, self.kernel.work.join())
             .await
             .is_err()
         {
@@ -121,6 +124,15 @@
                 settings.shutdown_ms
             );
         }
+        self.kernel.stop.drain();
+        let peers = &self.kernel.peer_connections;
+        if timeout_at(finish_by, peers.tasks.join()).await.is_err() {
+            log::error!(
+                "kernel: {} answers to other nodes unwritten after {} ms",
+                peers.unwritten.count(),
+                settings.shutdown_ms
+            );
+        }
         self.end().await;
         log::info!("kernel: stopped");
     }
@@ -130,10 +142,13 @@
         self.kernel.state.peer_pool.clear();
         self.kernel.state.set_server(None);
         let limit = Duration::from_millis(TASKS_END_TIMEOUT_MS);
-        if tokio::time::timeout(limit, self.kernel.tasks.join())
-            .await
-            .is_err()
-        {
+        let joined = async {
+            tokio::join!(
+                self.kernel.peer_connections.tasks.join(),
+                self.kernel.tasks.join()
+            )
+        };
+        if tokio::time::timeout(limit, joined).await.is_err() {
             log::warn!("kernel: some tasks did not end within {TASKS_END_TIMEOUT_MS} ms");
         }
     }
@@ -152,6 +167,7 @@
         timer: Timer::new(clock),
         metrics,
         work: Tasks::default(),
+        peer_connections: Connections::default(),
         tasks,
         stop: Stop::default(),
         state,
