--- a/src/host/entry/attempts.rs
+++ b/src/host/entry/attempts.rs
@@ -165,6 +165,9 @@
     /// Takes one retry from the budget if the request may reach another backend server.
     fn take_repeat(&self, progress: &Progress) -> bool {
         if progress.arrivals >= self.route.servers_max {
+            self.host
+                .events
+                .attempts_spent(&self.work.id, self.service, progress.arrivals);
             return false;
         }
         retries::take_retry(self.host, self.service, &self.work)
--- a/src/host/observe/events.rs
+++ b/src/host/observe/events.rs
@@ -256,6 +256,17 @@
         );
     }
 
+    /// Logs and counts a request that is not tried again since it has reached as many backend
+    /// servers as its route allows.
+    pub fn attempts_spent(&self, id: &str, service: &ServiceName, arrivals: u32) {
+        self.count("attempts_spent");
+        self.write(
+            LinePriority::Notable,
+            "attempts-spent",
+            serde_json::json!({ "id": id, "service": service.as_str(), "arrivals": arrivals }),
+        );
+    }
+
     /// Logs and counts a failed connection to another node.
     pub fn peer_lost(&self, id: &str, peer: IpAddr, error: &impl Display) {
         self.count("peer_connections_lost");
