A connection on which nothing is heard ends no call

Callers got 502 or 504 for requests at which a backend server was at work, also after the SIGTERM of the host that had taken the request, and long answers were sent several times over links that were full.

Cause: a ping that was not answered within 400 ms ended the connection to the other host for all calls on it. Each idempotent run on it was cut at its backend server and sent again elsewhere; its answer could be whole by then. Evidence on one connection was used against whatever connection was kept to that host, and calls waited one after the other for a connection that was being opened. Class: a shared thing is given up for all its users on the evidence of one of them.

Now silence is a reason to ask, never to end. The outcome is awaited on the first connection and asked for over another one. If the host answers over no connection, an idempotent request may be tried at another host within the budget of repeats, while the first answer is still awaited.

--- a/src/decision/host/claims.rs
+++ b/src/decision/host/claims.rs
@@ -77,6 +77,11 @@
         Some(ClaimState::Blocked)
     }
 
+    /// Whether a request was blocked before it arrived.
+    pub fn is_blocked(&self, id: &str) -> bool {
+        self.by_id.get(id) == Some(&ClaimState::Blocked)
+    }
+
     /// Blocks a claimed request that was refused before any byte of it was sent.
     pub fn withdraw(&mut self, id: &Arc<str>) {
         if let Some(claim) = self.by_id.get_mut(id) {
--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers.rs
@@ -351,6 +351,13 @@
         }
     }
 
+    /// Records that nothing is heard of a host that owes an answer.
+    pub fn record_silence(&mut self, address: IpAddr, now_us: u64) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.health.record(AttemptOutcome::Unreachable, now_us);
+        }
+    }
+
     /// Live hosts of the service that accept new work and have a version that the filter admits.
     pub fn candidates<'a>(
         &'a self,
--- a/src/host/entry/attempts.rs
+++ b/src/host/entry/attempts.rs
@@ -7,6 +7,7 @@
 
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
+use tokio::sync::Notify;
 
 use crate::decision::host::placement::{self, Candidate, Placement, RequestTiming};
 use crate::decision::host::refusals::Refusals;
@@ -41,6 +42,8 @@
     pub work: HostWork,
     /// Hosts tried so far.
     tried_hosts: Mutex<TriedHosts>,
+    /// Notified when nothing is heard of a host that was tried.
+    unreachable: Notify,
 }
 
 /// The host of an attempt.
@@ -62,6 +65,22 @@
     reported_failure: Option<RequestFailure>,
 }
 
+impl Progress {
+    /// Records a failed attempt; one that may have run outweighs refusals.
+    fn record_failure(&mut self, failure: RequestFailure) {
+        if !failure.arrived {
+            self.arrivals -= 1;
+            self.refusals.record(failure.reason);
+        }
+        let replaces = self
+            .reported_failure
+            .is_none_or(|reported| reported.is_not_run());
+        if replaces {
+            self.reported_failure = Some(failure);
+        }
+    }
+}
+
 impl<'a> Attempts<'a> {
     /// Creates the attempts of a request, before the first one.
     pub fn new(
@@ -76,6 +95,7 @@
             service,
             work,
             tried_hosts: Mutex::default(),
+            unreachable: Notify::new(),
         }
     }
 
@@ -98,15 +118,27 @@
             Some(chosen) => attempts.push(self.start_attempt(chosen, &mut progress)),
             None => return Err(Self::no_host()),
         }
-        while let Some((placement, outcome)) = attempts.next().await {
-            let retry = match outcome.result {
-                Ok(answer) if answer.is_server_error() => {
-                    let retry = self.may_rerun(&progress);
-                    progress.failed_answer = Some(answer);
-                    retry
+        loop {
+            let (from, retry) = tokio::select! {
+                biased;
+                ended = attempts.next() => {
+                    let Some((placement, outcome)) = ended else { break };
+                    let is_only = attempts.is_empty();
+                    let retry = match outcome.result {
+                        Ok(answer) if answer.is_server_error() => {
+                            progress.failed_answer = Some(answer);
+                            is_only && self.may_rerun(&progress)
+                        }
+                        Ok(answer) => return Ok(answer),
+                        Err(failure) => {
+                            progress.record_failure(failure);
+                            self.may_follow(&failure, is_only, &mut progress)
+                        }
+                    };
+                    (placement.candidate.address, retry)
                 }
-                Ok(answer) => return Ok(answer),
-                Err(failure) => self.handle_failure(failure, &mut progress),
+                // Nothing is heard of a host; its answer is awaited beside the next attempt.
+                () = self.unreachable.notified() => (self.last_tried(), self.may_rerun(&progress)),
             };
             if !retry || self.host.now_us() >= self.work.timing.deadline_us {
                 continue;
@@ -118,7 +150,7 @@
             if let Some(next) = self.place_next() {
                 self.host.events.retried(
                     &self.work.id,
-                    placement.candidate.address,
+                    from,
                     next.placement.candidate.address,
                     progress.arrivals,
                 );
@@ -135,28 +167,25 @@
         RequestFailure::not_sent(RefusalReason::NoServer).retry_after(NO_HOST_RETRY_AFTER_US)
     }
 
-    /// Records a failed attempt and returns whether another host may be tried.
-    fn handle_failure(&self, failure: RequestFailure, progress: &mut Progress) -> bool {
-        if !failure.arrived {
-            progress.arrivals -= 1;
-            progress.refusals.record(failure.reason);
-        }
-        let replaces = progress
-            .reported_failure
-            .is_none_or(|reported| reported.is_not_run());
-        if replaces {
-            progress.reported_failure = Some(failure);
-        }
+    /// Returns whether another host may be tried after a failed attempt.
+    ///
+    /// - `is_only`: whether no other attempt is open.
+    fn may_follow(&self, failure: &RequestFailure, is_only: bool, progress: &mut Progress) -> bool {
         if failure.reason == RefusalReason::PoisonRequest {
             return false;
         }
         match (failure.is_not_run(), failure.arrived) {
             (true, false) => progress.refusals.allow_another(),
             (true, true) => self.take_repeat(progress),
-            (false, _) => self.may_rerun(progress),
+            (false, _) => is_only && self.may_rerun(progress),
         }
     }
 
+    /// Returns the host of the latest attempt; `None` is this host.
+    fn last_tried(&self) -> Option<IpAddr> {
+        lock(&self.tried_hosts).last().copied().flatten()
+    }
+
     /// Returns whether a request that has run, or may have run, may be sent again.
     fn may_rerun(&self, progress: &Progress) -> bool {
         self.work.effect == Effect::Idempotent && self.take_repeat(progress)
@@ -284,7 +313,7 @@
         async move {
             let outcome = match placement.candidate.address {
                 None => executor::run(host, work).await,
-                Some(ip) => forward::forward(host, ip, work).await,
+                Some(ip) => forward::forward(host, ip, work, &self.unreachable).await,
             };
             if outcome
                 .result
--- a/src/host/entry/forward.rs
+++ b/src/host/entry/forward.rs
@@ -1,28 +1,23 @@
-//! Sends one attempt of a request to the node on another host, and settles what was lost on the way.
+//! Sends one attempt of a request to the node on another host.
 
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::sync::Notify;
+
 use crate::decision::routing::AttemptOutcome;
 use crate::host::context::Host;
 use crate::host::observe::latency::Stage;
 use crate::host::observe::request_lines::{FailedAttempt, FailureInputs, Step};
 use crate::host::outcome::{Outcome, RequestFailure};
+use crate::host::peers::awaited_call::{PeerRequest, Silence};
 use crate::host::peers::peer_client::PeerError;
 use crate::host::peers::peer_rpc::WireWork;
 use crate::kernel::shards::lock;
 use crate::model::host_request::HostWork;
-use crate::model::ids::Incarnation;
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
-use crate::model::request::Effect;
-
-/// Maximum time spent resolving the outcome of a lost non-idempotent request.
-const SETTLE_MAX: Duration = Duration::from_millis(1_500);
-
-/// Pause between two `settle` calls for a lost request.
-const SETTLE_RETRY_PAUSE: Duration = Duration::from_millis(150);
 
 /// What is needed of a request after it has been handed to a peer.
 struct SentRequest<'a> {
@@ -30,8 +25,6 @@
     ip: IpAddr,
     id: Arc<str>,
     service: ServiceName,
-    effect: Effect,
-    deadline_us: u64,
 }
 
 impl<'a> SentRequest<'a> {
@@ -41,36 +34,45 @@
             ip,
             id: Arc::clone(&work.id),
             service: work.service.clone(),
-            effect: work.effect,
-            deadline_us: work.timing.deadline_us,
         }
     }
 
     /// Logs an attempt at another host that failed on the way.
-    fn log_failure(&self, step: Step, failure: &RequestFailure) {
+    fn log_failure(&self, failure: &RequestFailure) {
         self.host.events.attempt_failed(&FailedAttempt {
             id: &self.id,
             service: &self.service,
-            step,
+            step: Step::Forward,
             failure,
             inputs: &FailureInputs::peer(self.ip),
             config_version: self.host.config_version(),
         });
     }
+
+    /// Notes that nothing is heard of the request; `unreachable` is notified if the peer is silent.
+    fn record_silence(&self, silence: &Silence, unreachable: &Notify) {
+        self.host.events.peer_silent(&self.id, self.ip, silence);
+        match silence {
+            Silence::Connection { .. } => {}
+            Silence::Peer => {
+                lock(&self.host.peers).record_silence(self.ip, self.host.now_us());
+                unreachable.notify_one();
+            }
+        }
+    }
 }
 
 /// Sends the request to the node on another host.
-pub async fn forward(host: &Host, ip: IpAddr, work: HostWork) -> Outcome {
+///
+/// Notifies `unreachable` if nothing is heard of the host, so that another one may be tried while
+/// the answer is still awaited.
+pub async fn forward(host: &Host, ip: IpAddr, work: HostWork, unreachable: &Notify) -> Outcome {
     let sent = SentRequest::new(host, ip, &work);
-    let address = host.peer_address(ip);
     let outstanding = OutstandingRequest::new(host, ip);
-    let incarnation = lock(&host.peers)
-        .get(ip)
-        .map(|peer| peer.introduction.incarnation);
     let now_us = host.now_us();
-    let time_left = Duration::from_micros(sent.deadline_us.saturating_sub(now_us));
-    let wire = WireWork::new(work, now_us);
-    let failure = match host.peer_clients.run(address, wire, time_left).await {
+    let request = peer_request(host, ip, work, now_us);
+    let on_silence = |silence: Silence| sent.record_silence(&silence, unreachable);
+    let failure = match host.peer_clients.run(request, on_silence).await {
         Ok(reply) => {
             let load = reply.load;
             let outcome = Outcome::from(reply);
@@ -94,9 +96,6 @@
         Err(PeerError::Lost(error)) => {
             host.events.peer_lost(&sent.id, ip, &error);
             outstanding.finish(AttemptOutcome::Unreachable);
-            if sent.effect == Effect::NonIdempotent {
-                return settle(&sent, incarnation).await;
-            }
             RequestFailure::unknown(RefusalReason::ConnectionLost)
         }
         Err(PeerError::Deadline) => {
@@ -104,37 +103,23 @@
             RequestFailure::unknown(RefusalReason::DeadlinePassedRunning)
         }
     };
-    sent.log_failure(Step::Forward, &failure);
+    sent.log_failure(&failure);
     Outcome::failed(failure)
 }
 
-/// Resolves a non-idempotent request whose connection was lost.
-///
-/// The node that may have received it either blocks it or returns its outcome.
-async fn settle(sent: &SentRequest<'_>, incarnation: Option<Incarnation>) -> Outcome {
-    let host = sent.host;
-    let address = host.peer_address(sent.ip);
-    let give_up_us = host.now_us() + SETTLE_MAX.as_micros() as u64;
-    let incarnation = incarnation.unwrap_or_default();
-    while host.now_us() < give_up_us.min(sent.deadline_us) {
-        let left_us = sent.deadline_us.saturating_sub(host.now_us());
-        let settled = host.peer_clients.settle(
-            address,
-            &sent.id,
-            incarnation,
-            Duration::from_micros(left_us),
-        );
-        match settled.await {
-            Ok(reply) => return Outcome::from(reply),
-            Err(PeerError::Deadline) => break,
-            Err(PeerError::NotSent(_) | PeerError::Lost(_)) => {
-                tokio::time::sleep(SETTLE_RETRY_PAUSE).await;
-            }
-        }
+/// Creates what is sent to a peer at time `now_us`.
+fn peer_request(host: &Host, ip: IpAddr, work: HostWork, now_us: u64) -> PeerRequest {
+    let incarnation = lock(&host.peers)
+        .get(ip)
+        .map(|peer| peer.introduction.incarnation);
+    PeerRequest {
+        address: host.peer_address(ip),
+        incarnation: incarnation.unwrap_or_default(),
+        id: Arc::clone(&work.id),
+        effect: work.effect,
+        time_left: Duration::from_micros(work.timing.deadline_us.saturating_sub(now_us)),
+        work: WireWork::new(work, now_us),
     }
-    let failure = RequestFailure::unknown(RefusalReason::ConnectionLost);
-    sent.log_failure(Step::Settle, &failure);
-    Outcome::failed(failure)
 }
 
 /// Returns whether the host refused the request since it is not of the service.
--- a/src/host/observe/events.rs
+++ b/src/host/observe/events.rs
@@ -19,6 +19,7 @@
     Completed, FailedAttempt, LateRun, Refused, Rejected, Run, host_label, host_labels,
     is_client_error, shortened,
 };
+use crate::host::peers::awaited_call::Silence;
 use crate::kernel::clock::Clock;
 use crate::kernel::shards::lock;
 use crate::model::host_request::SERVER_ERROR_MIN;
@@ -279,6 +280,26 @@
         );
     }
 
+    /// Logs and counts that nothing is heard of a request at another node, whose answer is awaited.
+    pub fn peer_silent(&self, id: &str, peer: IpAddr, silence: &Silence) {
+        let (what, error, unheard_ms) = match silence {
+            Silence::Connection { error, unheard_for } => (
+                "connection",
+                Some(error.to_string()),
+                Some(unheard_for.as_millis() as u64),
+            ),
+            Silence::Peer => ("peer", None, None),
+        };
+        self.count(&format!("silences{{of=\"{what}\"}}"));
+        self.write(
+            LinePriority::Notable,
+            "peer-silent",
+            serde_json::json!({
+                "id": id, "peer": peer, "of": what, "error": error, "unheard_ms": unheard_ms,
+            }),
+        );
+    }
+
     /// Increments a counter.
     ///
     /// Labels must come from closed sets, which bounds the number of counters.
--- /dev/null
+++ b/src/host/peers/awaited_call.rs
@@ -0,0 +1,197 @@
+//! Awaits the outcome of a request that was sent to the node on another host.
+//!
+//! A connection on which nothing arrives is no reason to end what runs: the outcome is asked for
+//! over another connection while it is still awaited on the first one.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::decision::host::settlement::{FirstConnection, Settlement};
+use crate::host::outcome::RequestFailure;
+use crate::host::peers::peer_client::{PeerClients, PeerError};
+use crate::host::peers::peer_connection::context;
+use crate::host::peers::peer_rpc::{WireOutcome, WireWork};
+use crate::kernel::StepError;
+use crate::model::ids::Incarnation;
+use crate::model::request::Effect;
+
+/// Time after the deadline in which a peer may still return an outcome.
+const REPLY_GRACE: Duration = Duration::from_millis(100);
+
+/// Time in which a peer must answer over another connection.
+const REACH_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Maximum time spent on asking for the outcome once the connection has ended.
+const SETTLE_MAX: Duration = Duration::from_millis(1_500);
+
+/// Pause between two tries to ask for the outcome.
+const SETTLE_PAUSE: Duration = Duration::from_millis(150);
+
+/// A request to be sent to a peer.
+#[derive(Debug)]
+pub struct PeerRequest {
+    /// Address of the peer.
+    pub address: SocketAddr,
+    /// Run of the peer's node that is meant.
+    pub incarnation: Incarnation,
+    /// Identifier of the request.
+    pub id: Arc<str>,
+    /// Whether it may run more than once.
+    pub effect: Effect,
+    /// Wire form of the request.
+    pub work: WireWork,
+    /// Time until its deadline.
+    pub time_left: Duration,
+}
+
+/// What a request meets while its outcome is awaited.
+#[derive(Debug)]
+pub enum Silence {
+    /// Nothing arrives on its connection.
+    Connection {
+        /// The check that failed.
+        error: StepError,
+        /// Time since the last receipt.
+        unheard_for: Duration,
+    },
+    /// Nor does the peer answer over another connection.
+    Peer,
+}
+
+/// The rest of a request after it was handed over.
+struct Sent<'a, F> {
+    clients: &'a PeerClients,
+    address: SocketAddr,
+    incarnation: Incarnation,
+    id: Arc<str>,
+    effect: Effect,
+    deadline: Instant,
+    on_silence: F,
+}
+
+impl PeerClients {
+    /// Sends a request and awaits its outcome; tells `on_silence` if nothing is heard meanwhile.
+    ///
+    /// A connection on which nothing was heard lately is checked before, so that no request is lost
+    /// on a silent one.
+    ///
+    /// # Errors
+    /// Returns [`PeerError`], which says whether the request may have been sent.
+    pub async fn run(
+        &self,
+        request: PeerRequest,
+        on_silence: impl Fn(Silence),
+    ) -> Result<WireOutcome, PeerError> {
+        let address = request.address;
+        let connection = self.checked_connection(address).await?;
+        let time_left = request.time_left + REPLY_GRACE;
+        let call = connection.client.run(context(time_left), request.work);
+        tokio::pin!(call);
+        let sent = Sent {
+            clients: self,
+            address,
+            incarnation: request.incarnation,
+            id: request.id,
+            effect: request.effect,
+            deadline: Instant::now() + time_left,
+            on_silence,
+        };
+        let error = tokio::select! {
+            biased;
+            answered = &mut call => {
+                return sent.unless_lost(self.finish(address, &connection, answered)).await;
+            }
+            error = self.until_silent(&connection) => error,
+        };
+        self.drop_silent(address, &connection);
+        (sent.on_silence)(Silence::Connection {
+            error: StepError::with_peer("check the connection", address, error),
+            unheard_for: connection.unheard_for().unwrap_or_default(),
+        });
+        tokio::select! {
+            biased;
+            answered = &mut call => {
+                sent.unless_lost(self.finish(address, &connection, answered)).await
+            }
+            settled = sent.ask_until_certain() => settled,
+        }
+    }
+}
+
+impl<F: Fn(Silence)> Sent<'_, F> {
+    /// Returns the answer, or asks for the outcome over another connection if the first has ended.
+    async fn unless_lost(
+        &self,
+        finished: Result<WireOutcome, PeerError>,
+    ) -> Result<WireOutcome, PeerError> {
+        let Err(PeerError::Lost(error)) = finished else {
+            return finished;
+        };
+        let give_up_at = self.deadline.min(Instant::now() + SETTLE_MAX);
+        while Instant::now() < give_up_at {
+            match self.settle().await {
+                Ok(outcome) => match self.judge(&outcome, FirstConnection::Ended) {
+                    Settlement::Final => return Ok(outcome),
+                    Settlement::AwaitFirst | Settlement::Unknown => break,
+                },
+                Err(PeerError::Deadline) => break,
+                // It may be sent to another host at once.
+                Err(_) if self.effect == Effect::Idempotent => break,
+                Err(_) => tokio::time::sleep(SETTLE_PAUSE).await,
+            }
+        }
+        Err(PeerError::Lost(error))
+    }
+
+    /// Asks for the outcome over another connection until it is certain.
+    async fn ask_until_certain(&self) -> Result<WireOutcome, PeerError> {
+        let mut is_reported = false;
+        loop {
+            match self.settle().await {
+                Ok(outcome) => match self.judge(&outcome, FirstConnection::Silent) {
+                    Settlement::Final => return Ok(outcome),
+                    Settlement::AwaitFirst => {
+                        (self.on_silence)(Silence::Peer);
+                        return std::future::pending().await;
+                    }
+                    Settlement::Unknown => {
+                        let error = StepError::with_peer(
+                            "settle the request",
+                            self.address,
+                            "the peer does not know it",
+                        );
+                        return Err(PeerError::Lost(error));
+                    }
+                },
+                Err(PeerError::Deadline) => return Err(PeerError::Deadline),
+                Err(PeerError::NotSent(_) | PeerError::Lost(_)) => {
+                    if !std::mem::replace(&mut is_reported, true) {
+                        (self.on_silence)(Silence::Peer);
+                    }
+                    tokio::time::sleep(SETTLE_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Asks the peer once, if it can be reached.
+    async fn settle(&self) -> Result<WireOutcome, PeerError> {
+        self.clients.reach(self.address, REACH_TIMEOUT).await?;
+        let time_left = self.deadline.saturating_duration_since(Instant::now());
+        self.clients
+            .settle(self.address, &self.id, self.incarnation, time_left)
+            .await
+    }
+
+    fn judge(&self, outcome: &WireOutcome, first: FirstConnection) -> Settlement {
+        match outcome.failure().map(RequestFailure::from) {
+            None => Settlement::Final,
+            Some(failure) => {
+                Settlement::of_failure(self.effect, first, failure.reason, failure.run_state)
+            }
+        }
+    }
+}
--- a/src/host/peers/mod.rs
+++ b/src/host/peers/mod.rs
@@ -1,5 +1,6 @@
 //! What the nodes on different hosts tell each other, and how.
 
+pub mod awaited_call;
 pub mod crash_reports;
 pub mod datagrams;
 pub mod directory;
@@ -7,6 +8,7 @@
 pub mod load_reports;
 pub mod log_rpc;
 pub mod peer_client;
+pub mod peer_connection;
 pub mod peer_rpc;
 pub mod peer_server;
 pub mod relay_connection;
--- a/src/host/peers/peer_client.rs
+++ b/src/host/peers/peer_client.rs
@@ -1,38 +1,31 @@
 //! Connections to the nodes on other hosts, one per node, opened on first use.
 
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::Duration;
 
 use displaydoc::Display;
 use tarpc::client::RpcError;
-use tarpc::context::Context;
-use tarpc::tokio_serde::formats::Bincode;
-use tokio::sync::Mutex as AsyncMutex;
-use tokio::time::Instant;
-use tokio_util::sync::CancellationToken;
+use tokio::sync::watch;
 
 use crate::decision::host::keyed_state::Snapshot;
 use crate::decision::host::peers::RelayProtocol;
-use crate::edge::http1::LastReceipt;
-use crate::edge::http1::client::{KeepAlive, connect};
-use crate::edge::peer_client::frame_codec;
-use crate::edge::receipt_stream::ReceiptStream;
-use crate::host::peers::peer_rpc::{PeerHostClient, WireIntroduction, WireOutcome, WireWork};
+use crate::host::peers::peer_connection::{Connection, context};
+use crate::host::peers::peer_rpc::{WireIntroduction, WireOutcome};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::kernel::tasks::Tasks;
 use crate::model::ids::Incarnation;
 
-/// Maximum size of a message between nodes, in bytes.
-pub const MESSAGE_BYTES_MAX: usize = 80 << 20;
-
-/// Timeout for opening a connection.
+/// Time for which a call waits until a connection is open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Time after the deadline in which a peer may still return an outcome.
-const REPLY_GRACE: Duration = Duration::from_millis(100);
+/// Time for which a connection is being opened, for the calls that come later.
+///
+/// Long enough for a second try of the system over a link that lost the first.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Timeout of calls that run no request, such as a ping.
 const CONTROL_CALL_TIMEOUT: Duration = Duration::from_millis(400);
@@ -56,43 +49,34 @@
 /// A network that silences one connection often silences others with it.
 const UNHEARD_TIME_MAX: Duration = Duration::from_secs(1);
 
-/// A connection; `ended` is cancelled when it closes.
+/// A connection that is open or is being opened.
 #[derive(Debug, Clone)]
-pub struct Connection {
-    /// Makes calls over the connection.
-    pub client: PeerHostClient,
-    ended: CancellationToken,
-    /// Time of the last receipt; the opening counts as one.
-    last_receipt: LastReceipt,
+enum Opening {
+    Pending,
+    Open(Connection),
+    Failed(StepError),
 }
 
-impl Connection {
-    /// Checks by a ping that the connection works.
-    ///
-    /// A connection on which other bytes arrive is busy, for example with a long answer ahead.
-    async fn check(&self, timeout: Duration) -> Result<(), RpcError> {
-        let pinged_at = Instant::now();
-        match self.client.ping(context(timeout)).await {
-            Err(RpcError::DeadlineExceeded) if self.has_received_since(pinged_at) => Ok(()),
-            pinged => pinged,
+impl Opening {
+    /// Whether a call may use it or wait for it.
+    fn is_usable(&self) -> bool {
+        match self {
+            Self::Pending => true,
+            // A request on a closed connection would count as lost although it was never sent.
+            Self::Open(connection) => !connection.has_ended(),
+            Self::Failed(_) => false,
         }
     }
 
-    fn has_received_since(&self, time: Instant) -> bool {
-        self.last_receipt.get().is_some_and(|last| last > time)
-    }
-
-    fn is_unheard_for(&self, time: Duration) -> bool {
-        let last = self.last_receipt.get();
-        last.is_none_or(|last| last.elapsed() > time)
-    }
-
-    fn is_same(&self, other: &Self) -> bool {
-        self.last_receipt.is_same(&other.last_receipt)
+    fn connection(&self) -> Option<&Connection> {
+        match self {
+            Self::Open(connection) => Some(connection),
+            Self::Pending | Self::Failed(_) => None,
+        }
     }
 }
 
-type ConnectionSlot = Arc<AsyncMutex<Option<Connection>>>;
+type Slot = watch::Receiver<Opening>;
 
 /// Why a call to a peer failed.
 #[derive(Debug, Display)]
@@ -109,7 +93,7 @@
 #[derive(Debug)]
 pub struct PeerClients {
     tasks: Tasks,
-    slots: Mutex<HashMap<SocketAddr, ConnectionSlot>>,
+    slots: Mutex<HashMap<SocketAddr, Slot>>,
 }
 
 impl PeerClients {
@@ -121,29 +105,10 @@
         }
     }
 
-    /// Forwards a request; `time_left` is the time until its deadline.
-    ///
-    /// While the answer is awaited, pings check the connection. One on which nothing was heard
-    /// lately is checked before, so that no request is lost on a silent connection.
-    ///
-    /// # Errors
-    /// Returns [`PeerError`], which says whether the request may have been sent.
-    pub async fn run(
-        &self,
-        address: SocketAddr,
-        work: WireWork,
-        time_left: Duration,
-    ) -> Result<WireOutcome, PeerError> {
-        let connection = self.checked_connection(address).await?;
-        let call = connection
-            .client
-            .run(context(time_left + REPLY_GRACE), work);
-        self.await_with_pings(address, &connection, call).await
-    }
-
-    /// Resolves a request whose connection was lost, over a new connection.
+    /// Asks a peer for the outcome of a request that was sent to it before.
     ///
-    /// The peer blocks the request if it has not claimed it, else returns its outcome.
+    /// The peer blocks the request if it has not begun it, else returns its outcome. Asking is given
+    /// up once the connection proves silent.
     ///
     /// # Errors
     /// Returns [`PeerError`] if the outcome remains unknown.
@@ -154,12 +119,36 @@
         incarnation: Incarnation,
         time_left: Duration,
     ) -> Result<WireOutcome, PeerError> {
-        self.forget(address);
         let connection = self.connection(address).await?;
         let call = connection
             .client
             .settle(context(time_left), id.to_owned(), incarnation.0);
-        self.await_with_pings(address, &connection, call).await
+        tokio::select! {
+            answered = call => self.finish(address, &connection, answered),
+            error = self.until_silent(&connection) => {
+                self.drop_silent(address, &connection);
+                Err(PeerError::Lost(StepError::with_peer("check the connection", address, error)))
+            }
+        }
+    }
+
+    /// Checks that a peer answers over the connection that is kept to it, or over a new one.
+    ///
+    /// # Errors
+    /// Returns [`PeerError`] if it does not within `timeout`.
+    pub(super) async fn reach(
+        &self,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<(), PeerError> {
+        let reached = tokio::time::timeout(timeout, async {
+            let connection = self.connection(address).await?;
+            let checked = connection.check(timeout).await;
+            self.finish(address, &connection, checked)
+        });
+        reached
+            .await
+            .unwrap_or_else(|_elapsed| Err(not_open(address)))
     }
 
     /// Returns the state of the operators' log that a peer of an earlier release holds, at the
@@ -175,8 +164,7 @@
         protocol: RelayProtocol,
         now_us: u64,
     ) -> Result<Snapshot, PeerError> {
-        self.forget(address);
-        let connection = self.connection(address).await?;
+        let connection = self.open(address, CONNECT_TIMEOUT).await?;
         let context = context(RECORDS_TIMEOUT);
         let state = match protocol {
             RelayProtocol::Records => {
@@ -204,57 +192,58 @@
         self.finish(address, &connection, call.await)
     }
 
-    /// Drops the connection to a peer; the next request opens a new one.
-    pub fn forget(&self, address: SocketAddr) {
-        lock(&self.slots).remove(&address);
-    }
-
     /// Drops all connections.
     pub fn clear(&self) {
         lock(&self.slots).clear();
     }
 
-    /// Awaits the answer to a call while pings check the connection.
-    async fn await_with_pings(
-        &self,
-        address: SocketAddr,
-        connection: &Connection,
-        call: impl Future<Output = Result<WireOutcome, RpcError>>,
-    ) -> Result<WireOutcome, PeerError> {
-        tokio::pin!(call);
+    /// Resolves once the connection answers no ping and nothing else arrives on it; says why.
+    pub(super) async fn until_silent(&self, connection: &Connection) -> RpcError {
         loop {
-            tokio::select! {
-                answered = &mut call => return self.finish(address, connection, answered),
-                () = tokio::time::sleep(PING_PERIOD) => {}
-            }
-            tokio::select! {
-                biased;
-                answered = &mut call => return self.finish(address, connection, answered),
-                checked = connection.check(CONTROL_CALL_TIMEOUT) => {
-                    let Err(error) = checked else { continue };
-                    self.forget(address);
-                    self.forget_unheard();
-                    let error = StepError::with_peer("check the connection", address, error);
-                    return Err(PeerError::Lost(error));
-                },
+            tokio::time::sleep(PING_PERIOD).await;
+            if let Err(error) = connection.check(CONTROL_CALL_TIMEOUT).await {
+                return error;
             }
         }
     }
 
+    /// Keeps later calls off a connection that proved silent; calls that wait on it go on.
+    pub(super) fn drop_silent(&self, address: SocketAddr, connection: &Connection) {
+        self.forget(address, connection);
+        self.forget_unheard();
+    }
+
     /// Returns the answer to a call, or converts its error.
-    fn finish<T>(
+    pub(super) fn finish<T>(
         &self,
         address: SocketAddr,
         connection: &Connection,
         answered: Result<T, RpcError>,
     ) -> Result<T, PeerError> {
-        let finished = answered.map_err(|error| self.call_error(address, &error));
-        if matches!(finished, Err(PeerError::Lost(_)))
-            && connection.is_unheard_for(UNHEARD_TIME_MAX)
-        {
-            self.forget_unheard();
+        answered.map_err(|error| match error {
+            RpcError::DeadlineExceeded => PeerError::Deadline,
+            RpcError::Shutdown | RpcError::Channel(_) | RpcError::Send(_) | RpcError::Server(_) => {
+                self.forget(address, connection);
+                if connection.is_unheard_for(UNHEARD_TIME_MAX) {
+                    self.forget_unheard();
+                }
+                PeerError::Lost(StepError::with_peer("await the answer", address, error))
+            }
+        })
+    }
+
+    /// Drops a connection, unless another one has taken its place.
+    fn forget(&self, address: SocketAddr, connection: &Connection) {
+        let mut slots = lock(&self.slots);
+        let is_current = slots.get(&address).is_some_and(|slot| {
+            let opening = slot.borrow();
+            opening
+                .connection()
+                .is_some_and(|current| current.is_same(connection))
+        });
+        if is_current {
+            slots.remove(&address);
         }
-        finished
     }
 
     /// Drops the connections that may be silent as well as one that proved to be.
@@ -262,29 +251,18 @@
     /// Calls that wait on them go on.
     fn forget_unheard(&self) {
         lock(&self.slots).retain(|_address, slot| {
-            let Ok(open) = slot.try_lock() else {
-                // It is being opened.
-                return true;
-            };
-            !open
-                .as_ref()
+            let opening = slot.borrow();
+            !opening
+                .connection()
                 .is_some_and(|open| open.is_unheard_for(UNHEARD_TIME_MAX))
         });
     }
 
-    /// Converts a call error, and drops the connection if it is no longer usable.
-    fn call_error(&self, address: SocketAddr, error: &RpcError) -> PeerError {
-        match error {
-            RpcError::DeadlineExceeded => PeerError::Deadline,
-            RpcError::Shutdown | RpcError::Channel(_) | RpcError::Send(_) | RpcError::Server(_) => {
-                self.forget(address);
-                PeerError::Lost(StepError::with_peer("await the answer", address, error))
-            }
-        }
-    }
-
     /// Returns a connection that works: one that was heard lately or answers a ping, or a new one.
-    async fn checked_connection(&self, address: SocketAddr) -> Result<Connection, PeerError> {
+    pub(super) async fn checked_connection(
+        &self,
+        address: SocketAddr,
+    ) -> Result<Connection, PeerError> {
         let connection = self.connection(address).await?;
         if !connection.is_unheard_for(CHECK_AFTER) {
             return Ok(connection);
@@ -292,26 +270,48 @@
         if connection.check(CHECK_TIMEOUT).await.is_ok() {
             return Ok(connection);
         }
-        let current = self.connection(address).await?;
-        if !current.is_same(&connection) {
-            return Ok(current);
-        }
-        self.forget(address);
-        self.forget_unheard();
+        self.drop_silent(address, &connection);
         self.connection(address).await
     }
 
-    /// Returns the open connection, or opens one.
+    /// Returns the open connection, or waits until one is open.
     async fn connection(&self, address: SocketAddr) -> Result<Connection, PeerError> {
-        let slot = Arc::clone(lock(&self.slots).entry(address).or_default());
-        let mut open = slot.lock().await;
-        // A request on a closed connection would count as lost although it was never sent.
-        if let Some(known) = open.as_ref().filter(|known| !known.ended.is_cancelled()) {
-            return Ok(known.clone());
+        let mut slot = self.slot(address);
+        let opened = slot.wait_for(|opening| !matches!(opening, Opening::Pending));
+        match tokio::time::timeout(CONNECT_TIMEOUT, opened).await {
+            Ok(Ok(opening)) => match &*opening {
+                Opening::Open(connection) => Ok(connection.clone()),
+                Opening::Failed(error) => Err(PeerError::NotSent(error.clone())),
+                Opening::Pending => Err(not_open(address)),
+            },
+            Ok(Err(_ended)) => Err(not_open(address)),
+            Err(_elapsed) => Err(not_open(address)),
         }
-        let connection = self.open(address, CONNECT_TIMEOUT).await?;
-        *open = Some(connection.clone());
-        Ok(connection)
+    }
+
+    /// Returns the slot of a peer; a task opens its connection if none is usable.
+    fn slot(&self, address: SocketAddr) -> Slot {
+        let mut slots = lock(&self.slots);
+        if let Some(slot) = slots.get(&address)
+            && slot.borrow().is_usable()
+        {
+            return slot.clone();
+        }
+        let (sender, slot) = watch::channel(Opening::Pending);
+        slots.insert(address, slot.clone());
+        let tasks = self.tasks.clone();
+        self.tasks.spawn(async move {
+            tokio::select! {
+                opened = Connection::open(&tasks, address, OPEN_TIMEOUT) => {
+                    sender.send_replace(match opened {
+                        Ok(connection) => Opening::Open(connection),
+                        Err(error) => Opening::Failed(error),
+                    });
+                }
+                () = sender.closed() => {}
+            }
+        });
+        slot
     }
 
     /// Opens a connection that is not kept for other calls.
@@ -323,34 +323,12 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Connection, PeerError> {
-        let connected = connect(address, connect_timeout, KeepAlive::Seldom).await;
-        let stream = connected
-            .map_err(|error| PeerError::NotSent(StepError::with_peer("connect", address, error)))?;
-        let last_receipt = LastReceipt::default();
-        last_receipt.record();
-        let stream = ReceiptStream::new(stream, last_receipt.clone());
-        let framed = frame_codec(MESSAGE_BYTES_MAX).new_framed(stream);
-        let transport = tarpc::serde_transport::new(framed, Bincode::default());
-        let new_client = PeerHostClient::new(tarpc::client::Config::default(), transport);
-        let ended = CancellationToken::new();
-        let guard = ended.clone().drop_guard();
-        self.tasks.spawn(async move {
-            let _ends_with_connection = guard;
-            if let Err(error) = new_client.dispatch.await {
-                log::debug!("peer client: connection to {address} closed: {error}");
-            }
-        });
-        Ok(Connection {
-            client: new_client.client,
-            ended,
-            last_receipt,
-        })
+        let opened = Connection::open(&self.tasks, address, connect_timeout).await;
+        opened.map_err(PeerError::NotSent)
     }
 }
 
-/// Returns a tarpc context whose deadline is `time_left` from now.
-pub fn context(time_left: Duration) -> Context {
-    let mut context = Context::current();
-    context.deadline = std::time::Instant::now() + time_left;
-    context
+fn not_open(address: SocketAddr) -> PeerError {
+    let cause = std::io::Error::from(ErrorKind::TimedOut);
+    PeerError::NotSent(StepError::with_peer("connect", address, cause))
 }
--- a/src/host/peers/peer_rpc.rs
+++ b/src/host/peers/peer_rpc.rs
@@ -179,6 +179,11 @@
             load,
         }
     }
+
+    /// Returns why there is no answer, if there is none.
+    pub fn failure(&self) -> Option<WireFailure> {
+        self.result.as_ref().err().cloned()
+    }
 }
 
 impl From<WireOutcome> for Outcome {
--- a/src/host/peers/peer_server.rs
+++ b/src/host/peers/peer_server.rs
@@ -19,12 +19,12 @@
 use crate::host::context::Host;
 use crate::host::outcome::{Outcome, RequestFailure};
 use crate::host::peers::log_rpc::{WireOperatorLog, WireOperatorRecords};
-use crate::host::peers::peer_client::MESSAGE_BYTES_MAX;
+use crate::host::peers::peer_connection::MESSAGE_BYTES_MAX;
 use crate::host::peers::peer_rpc::{PeerHost, WireIntroduction, WireOutcome, WireWork};
 use crate::host::peers::relay_rpc::{WireLogIndex, WireLogPosition};
 use crate::host::peers::relayed_values::ValueDigest;
 use crate::host::peers::relayed_values::WirePiece;
-use crate::host::server::executor;
+use crate::host::server::detached;
 use crate::kernel::shards::lock;
 use crate::model::ids::Incarnation;
 use crate::model::reasons::RefusalReason;
@@ -99,15 +99,15 @@
     host: Arc<Host>,
     /// Address from which the peer has connected.
     peer: SocketAddr,
-    /// Cancelled once nothing more is read from the peer, before its open calls are dropped.
-    #[expect(dead_code, reason = "runs that outlive their connection will read it")]
+    /// Cancelled once nothing more is read from the peer, before its open calls are dropped; a call
+    /// that the peer cancels ends without it.
     connection_ended: CancellationToken,
 }
 
 impl PeerHost for Service {
     async fn run(self, _context: Context, work: WireWork) -> WireOutcome {
         let outcome = match work.into_work(self.host.now_us()) {
-            Ok(work) => executor::run(&self.host, work).await,
+            Ok(work) => detached::run(&self.host, work, &self.connection_ended).await,
             Err(error) => {
                 log::warn!("peer server: rejected a request: {error}");
                 Outcome::failed(RequestFailure::not_sent(RefusalReason::PeerRejected))
@@ -118,7 +118,7 @@
 
     async fn settle(self, _context: Context, id: String, incarnation: u64) -> WireOutcome {
         let outcome = if Incarnation(incarnation).is_same_run(self.host.incarnation) {
-            executor::settle(&self.host, &id.into()).await
+            detached::settle(&self.host, &id.into(), &self.connection_ended).await
         } else {
             Outcome::failed(RequestFailure::unknown(RefusalReason::ConnectionLost))
         };
--- a/src/host/peers/relay_connection.rs
+++ b/src/host/peers/relay_connection.rs
@@ -6,7 +6,8 @@
 use tarpc::client::RpcError;
 
 use crate::decision::host::relay_sources::RelayTimeouts;
-use crate::host::peers::peer_client::{PeerClients, PeerError, context};
+use crate::host::peers::peer_client::{PeerClients, PeerError};
+use crate::host::peers::peer_connection::context;
 use crate::host::peers::peer_rpc::PeerHostClient;
 use crate::host::peers::relay_rpc::WireLogIndex;
 use crate::host::peers::relayed_values::{ValueDigest, WirePiece};
--- a/src/host/server/mod.rs
+++ b/src/host/server/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer_checks;
 pub mod connection_pool;
 pub mod crashes;
+pub mod detached;
 pub mod dispatch;
 pub mod executions;
 pub mod executor;
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -1,10 +1,12 @@
 //! Connections between nodes when the other node stops.
 
+use std::net::SocketAddr;
 use std::sync::OnceLock;
 use std::time::Duration;
 
 use bronzelock::decision::host::peers::RelayProtocol;
 use bronzelock::decision::host::relay_sources::RelaySources;
+use bronzelock::host::peers::awaited_call::PeerRequest;
 use bronzelock::host::peers::peer_client::{PeerClients, PeerError};
 use bronzelock::host::peers::peer_rpc::WireWork;
 use bronzelock::host::peers::relay_connection::RelayConnection;
@@ -110,7 +112,10 @@
     // Nodes count as reachable again 3 s after a disruption.
     tokio::time::sleep(Duration::from_secs(3)).await;
     let time_left = Duration::from_secs(1);
-    let run = tokio::time::timeout(time_left, clients.run(address, work(), time_left));
+    let run = tokio::time::timeout(
+        time_left,
+        clients.run(request(address, time_left), |_silence| {}),
+    );
     let opened = tokio::time::timeout(Duration::from_millis(500), listener.accept());
     let (_unanswered, opened) = tokio::join!(run, opened);
     assert!(matches!(opened, Ok(Ok(_))), "no new connection");
@@ -125,7 +130,7 @@
     let address = listener.local_addr().expect("an address");
     let clients = PeerClients::new(Tasks::default());
     let time_left = Duration::from_secs(2);
-    let run = clients.run(address, work(), time_left);
+    let run = clients.run(request(address, time_left), |_silence| {});
     let trickle = async {
         let (mut stream, _peer) = listener.accept().await.expect("a connection");
         let long_frame_bytes: u32 = 1 << 20;
@@ -141,6 +146,17 @@
     }
 }
 
+fn request(address: SocketAddr, time_left: Duration) -> PeerRequest {
+    PeerRequest {
+        address,
+        incarnation: Incarnation(1),
+        id: "7".into(),
+        effect: Effect::NonIdempotent,
+        work: work(),
+        time_left,
+    }
+}
+
 fn work() -> WireWork {
     let work = HostWork {
         id: "7".into(),
