--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -5,11 +5,15 @@
 mod checks_find;
 mod facts;
 mod faults;
+mod node_faults;
+mod notes;
+mod operator_faults;
 mod plans;
 mod poison;
 mod refusals;
 mod regressions;
 mod run;
+mod server_faults;
 mod statements;
 
 use std::panic::AssertUnwindSafe;
