Soak: hosts stop in overlapping rolling restarts while links are full

The soak drew no rolling restarts that overlap, no narrow links and no long answers, so it could not find requests that a stopping host gives up. `GivenUpByStop` judges from the callers' and the backend servers' side: a request that a backend server has begun must not end with 500, 502, 504 or a closed connection by a host after its SIGTERM, but for a reached deadline, a fault from 3 s before it on, and work in the last sixth of the grace time on a request sent within 3 s of SIGTERM.

--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -1,6 +1,7 @@
 //! Callers on one host: what they sent, and what they got.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use standins::http::client::{HttpConnection, WholeAnswer, send_once};
-use standins::platform::backend_server::{answer_body, signature};
+use standins::platform::backend_server::{BODY_BYTES, answer_body, padded, signature};
 use standins::platform::ledger::Ledger;
 use standins::platform::names;
 use tokio_util::sync::CancellationToken;
@@ -21,6 +22,13 @@
 /// Time that callers wait, in ms.
 pub const WAIT_MS: u64 = 1_500;
 
+/// Time that callers wait for a bundle, in ms.
+pub const BUNDLE_WAIT_MS: u64 = 4_000;
+
+/// Length of bundles, in bytes, and the time for which a backend server works at one, in ms.
+const BUNDLE_BYTES: Range<usize> = 20_000..200_000;
+const BUNDLE_WORK_MS: Range<u64> = 20..800;
+
 /// Time that callers wait beyond it for a late answer, in ms.
 pub const LATE_MS: u64 = 500;
 
@@ -49,16 +57,19 @@
     Added,
     /// Idempotent, on a route that no configuration has.
     NeverRouted,
+    /// Idempotent, with a long answer.
+    Bundle,
 }
 
 impl Kind {
     /// All kinds.
-    pub const ALL: [Self; 5] = [
+    pub const ALL: [Self; 6] = [
         Self::History,
         Self::Gate,
         Self::Moved,
         Self::Added,
         Self::NeverRouted,
+        Self::Bundle,
     ];
 
     /// Prefix of the paths.
@@ -69,6 +80,7 @@
             Self::Moved => "/moved/",
             Self::Added => "/added/",
             Self::NeverRouted => "/never/",
+            Self::Bundle => "/bundle/",
         }
     }
 
@@ -76,7 +88,15 @@
     pub fn servers_max(self) -> usize {
         match self {
             Self::Added => 1,
-            Self::History | Self::Gate | Self::Moved | Self::NeverRouted => 3,
+            Self::History | Self::Gate | Self::Moved | Self::NeverRouted | Self::Bundle => 3,
+        }
+    }
+
+    /// Time that callers wait, in ms.
+    pub fn wait_ms(self) -> u64 {
+        match self {
+            Self::Bundle => BUNDLE_WAIT_MS,
+            _ => WAIT_MS,
         }
     }
 
@@ -88,14 +108,16 @@
     fn method(self) -> Method {
         match self {
             Self::Gate => Method::POST,
-            Self::History | Self::Moved | Self::Added | Self::NeverRouted => Method::GET,
+            Self::History | Self::Moved | Self::Added | Self::NeverRouted | Self::Bundle => {
+                Method::GET
+            }
         }
     }
 
     fn body(self) -> &'static [u8] {
         match self {
             Self::Gate => b"release cow 7",
-            Self::History | Self::Moved | Self::Added | Self::NeverRouted => b"",
+            Self::History | Self::Moved | Self::Added | Self::NeverRouted | Self::Bundle => b"",
         }
     }
 }
@@ -131,6 +153,8 @@
     pub kind: Kind,
     pub method_and_target: String,
     pub body_bytes: usize,
+    /// Least length of the answer.
+    pub answer_bytes: usize,
     pub sent_ms: u64,
     pub ended_ms: u64,
     pub outcome: Outcome,
@@ -148,6 +172,9 @@
     Kind::NeverRouted,
 ];
 
+/// Kinds that a caller draws from whose answers fill links.
+pub const BUNDLE_KINDS: [Kind; 1] = [Kind::Bundle];
+
 /// One caller on one host.
 #[derive(Debug)]
 pub struct Caller {
@@ -175,10 +202,10 @@
             let limit_ms = if gives_up {
                 GIVES_UP_AFTER_MS
             } else {
-                WAIT_MS + LATE_MS
+                kind.wait_ms() + LATE_MS
             };
             let id = format!("{}-{}-{sequence}", self.host, self.index);
-            let mut attempt = self.begin(id, kind, gives_up);
+            let mut attempt = self.begin(id, kind, gives_up, &mut random);
             let index = {
                 let mut attempts = lock(&attempts);
                 attempts.push(attempt.clone());
@@ -199,9 +226,14 @@
         }
     }
 
-    fn begin(&self, id: String, kind: Kind, gives_up: bool) -> Attempt {
+    fn begin(&self, id: String, kind: Kind, gives_up: bool, random: &mut StdRng) -> Attempt {
+        let mut answer_bytes = 0;
         let query = if gives_up {
             format!("work_ms={GIVEN_UP_WORK_MS}")
+        } else if kind == Kind::Bundle {
+            answer_bytes = random.random_range(BUNDLE_BYTES);
+            let work_ms = random.random_range(BUNDLE_WORK_MS);
+            format!("work_ms={work_ms}&{BODY_BYTES}={answer_bytes}")
         } else {
             "cow=7".to_owned()
         };
@@ -211,6 +243,7 @@
             host: self.host,
             kind,
             body_bytes: kind.body().len(),
+            answer_bytes,
             sent_ms: self.ledger.now_ms(),
             ended_ms: 0,
             outcome: Outcome::Open,
@@ -240,7 +273,7 @@
         *kept = (!closes).then_some(connection);
         Outcome::Answered {
             status: answer.status.as_u16(),
-            own: is_own(&answer, &attempt.id),
+            own: is_own(&answer, attempt),
         }
     }
 }
@@ -292,17 +325,18 @@
         .uri(target)
         .header(HOST, HOST_NAME)
         .header(names::REQUEST_ID, id)
-        .header(names::WAIT_MS, WAIT_MS.to_string())
+        .header(names::WAIT_MS, kind.wait_ms().to_string())
         .body(Full::new(Bytes::from_static(kind.body())))
         .expect("a valid request")
 }
 
 /// Whether an answer is a backend server's whole answer to this request.
-fn is_own(answer: &WholeAnswer, id: &str) -> bool {
+fn is_own(answer: &WholeAnswer, attempt: &Attempt) -> bool {
+    let id = &attempt.id;
     let signed = answer
         .headers
         .get(names::SIGNATURE)
         .is_some_and(|value| value.as_bytes() == signature(id).as_bytes());
-    let body = |service: &&str| answer.body == answer_body(id, service);
+    let body = |service: &&str| answer.body == padded(answer_body(id, service), attempt.answer_bytes);
     signed && SERVICES.iter().any(body)
 }
--- a/tests/host_processes/operator.rs
+++ b/tests/host_processes/operator.rs
@@ -7,7 +7,7 @@
 use standins::platform::names::OPERATOR_TOPIC;
 use standins::platform::store::Store;
 
-use crate::callers::Kind;
+use crate::callers::{Kind, LATE_MS};
 
 /// Host name of all routes.
 pub const HOST_NAME: &str = "dairy.example";
@@ -18,8 +18,10 @@
 /// Requests in each second that a cold backend server bears.
 pub const COLD_REQUESTS_PER_S: f64 = 20.0;
 
-/// Time after which requests of all routes are answered with a failure, in ms.
-pub const ROUTE_TIMEOUT_MS: u64 = 2_000;
+/// Time after which requests of a kind are answered with a failure, in ms.
+pub fn route_timeout_ms(kind: Kind) -> u64 {
+    kind.wait_ms() + LATE_MS
+}
 
 /// Topic of what the system tells operators.
 const STATUS_TOPIC: &str = "keyed.status";
@@ -50,7 +52,7 @@
     /// Service that the route of a kind leads to now, if there is such a route.
     pub fn target(&self, kind: Kind) -> Option<&'static str> {
         match kind {
-            Kind::History | Kind::Gate => Some(SERVICES[0]),
+            Kind::History | Kind::Gate | Kind::Bundle => Some(SERVICES[0]),
             Kind::Moved => Some(self.moved_to()),
             Kind::Added => (self.toggles % 2 == 1).then_some(SERVICES[1]),
             Kind::NeverRouted => None,
@@ -155,7 +157,7 @@
     };
     json!({
         "name": path_prefix, "host": HOST_NAME, "path_prefix": path_prefix,
-        "effect": effect, "timeout_ms": ROUTE_TIMEOUT_MS, "objective_ms": 600, "rank": 1,
+        "effect": effect, "timeout_ms": route_timeout_ms(kind), "objective_ms": 600, "rank": 1,
         "service": service, "servers_max": kind.servers_max(),
     })
 }
--- a/tests/host_processes/soak/checks.rs
+++ b/tests/host_processes/soak/checks.rs
@@ -6,8 +6,8 @@
 use standins::platform::ledger::Run;
 
 use super::facts::{Config, Facts, Part, PlannedRestart};
-use super::{budgets, poison, refusals, regressions, statements};
-use crate::callers::{Attempt, Outcome, WAIT_MS};
+use super::{budgets, poison, refusals, regressions, statements, stops};
+use crate::callers::{Attempt, Outcome};
 use crate::operator::COLD_REQUESTS_PER_S;
 use crate::site::{COLD_MS, DRAIN_MS};
 
@@ -57,6 +57,8 @@
     WorkAfterClose { late: usize, of: usize },
     /// A graceful restart ended a connection without an answer.
     LostByRestart { id: String },
+    /// A host that stops by plan gave a request up that a backend server had begun.
+    GivenUpByStop { id: String },
     /// Callers of an undisturbed system got no answer in time.
     Unanswered { id: String },
     /// An idempotent request failed on an undisturbed system.
@@ -101,6 +103,7 @@
             | Self::RefusedYetRan { id, .. }
             | Self::ForeignAnswer { id }
             | Self::LostByRestart { id }
+            | Self::GivenUpByStop { id }
             | Self::Unanswered { id }
             | Self::Failed { id, .. }
             | Self::StaleRefusal { id }
@@ -183,6 +186,11 @@
         Outcome::Lost if is_lost_by_restart(facts, attempt, runs) => {
             Some(Violation::LostByRestart { id })
         }
+        Outcome::Answered { own: false, .. } | Outcome::Lost
+            if stops::is_given_up(facts, attempt, runs) =>
+        {
+            Some(Violation::GivenUpByStop { id })
+        }
         Outcome::TimedOut | Outcome::Lost if is_everything_calm(facts, attempt) => {
             Some(Violation::Unanswered { id })
         }
@@ -226,7 +234,10 @@
     if !is_as_sent(facts, attempt, run) {
         return run_of(|run| Violation::NeverSent { run });
     }
-    if run.left_ms.is_none_or(|left_ms| left_ms > WAIT_MS) {
+    if run
+        .left_ms
+        .is_none_or(|left_ms| left_ms > attempt.kind.wait_ms())
+    {
         return run_of(|run| Violation::TooMuchTime { run });
     }
     if !is_ever_named(facts, attempt, run) {
--- a/tests/host_processes/soak/checks_find.rs
+++ b/tests/host_processes/soak/checks_find.rs
@@ -19,6 +19,11 @@
     own: true,
 };
 
+const GIVEN_UP: Outcome = Outcome::Answered {
+    status: 502,
+    own: false,
+};
+
 /// One request from host 0 that ran once at the backend server of host 1.
 fn sound(kind: Kind, outcome: Outcome) -> Facts {
     let method_and_target = "GET /x".to_owned();
@@ -28,6 +33,7 @@
         kind,
         method_and_target: method_and_target.clone(),
         body_bytes: 0,
+        answer_bytes: 0,
         sent_ms: 20_000,
         ended_ms: 20_050,
         outcome,
@@ -63,7 +69,7 @@
 /// A configuration with these services of the moved and of the added route.
 const fn config(at_ms: u64, moved: Option<&'static str>, added: Option<&'static str>) -> Config {
     Config {
-        targets: [Some("herd"), Some("herd"), moved, added, None],
+        targets: [Some("herd"), Some("herd"), moved, added, None, Some("herd")],
         sent_ms: at_ms,
         acknowledged_ms: at_ms,
     }
@@ -307,6 +313,30 @@
         facts.runs.clear();
         facts.restarts.push(PlannedRestart { host: 0, from_ms: 19_000, to_ms: 24_000 });
     } => [],
+    a_request_that_a_stop_gave_up: Kind::History, GIVEN_UP, |facts| {
+        facts.restarts.push(PlannedRestart { host: 0, from_ms: 19_000, to_ms: 24_000 });
+    } => [Violation::GivenUpByStop { .. }],
+    no_request_given_up_before_it_ran: Kind::History, GIVEN_UP, |facts| {
+        facts.restarts.push(PlannedRestart { host: 0, from_ms: 19_000, to_ms: 24_000 });
+        facts.runs.clear();
+    } => [],
+    no_request_given_up_at_its_deadline: Kind::History, GIVEN_UP, |facts| {
+        facts.restarts.push(PlannedRestart { host: 0, from_ms: 19_000, to_ms: 24_000 });
+        facts.attempts[0].ended_ms = 21_500;
+    } => [],
+    no_request_given_up_in_the_last_sixth: Kind::History, GIVEN_UP, |facts| {
+        facts.restarts.push(PlannedRestart { host: 0, from_ms: 17_000, to_ms: 24_000 });
+        (facts.attempts[0].ended_ms, facts.runs[0].ended_ms) = (21_490, Some(22_000));
+    } => [],
+    no_request_given_up_beside_a_fault: Kind::History, GIVEN_UP, |facts| {
+        facts.restarts.push(PlannedRestart { host: 0, from_ms: 19_000, to_ms: 24_000 });
+        facts.disturbances.push(Disturbance { part: Part::Node(4), from_ms: 17_050, to_ms: 17_050 });
+    } => [],
+    a_request_given_up_on_narrow_links: Kind::History, GIVEN_UP, |facts| {
+        facts.restarts.push(PlannedRestart { host: 0, from_ms: 19_000, to_ms: 24_000 });
+        facts.disturbances.push(Disturbance { part: Part::Node(0), from_ms: 17_050, to_ms: 17_050 });
+        facts.planned.push(0);
+    } => [Violation::GivenUpByStop { .. }],
     no_answer_on_a_calm_system: Kind::History, Outcome::TimedOut, |_| {}
         => [Violation::Unanswered { .. }],
     a_node_that_ended: Kind::History, SERVED, |facts| facts.wrong_ends.push((3, ExitStatus::from_raw(256)))
--- a/tests/host_processes/soak/facts.rs
+++ b/tests/host_processes/soak/facts.rs
@@ -33,6 +33,13 @@
     pub to_ms: u64,
 }
 
+impl Disturbance {
+    /// Whether it was in a time, or shortly before it.
+    fn concerns(&self, from_ms: u64, to_ms: u64) -> bool {
+        self.from_ms <= to_ms && self.to_ms >= from_ms.saturating_sub(CONTACT_MS)
+    }
+}
+
 /// A node that was told to shut down and started anew.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PlannedRestart {
@@ -123,6 +130,8 @@
     pub configs: Vec<Config>,
     pub zones_out: Vec<ZoneOut>,
     pub disturbances: Vec<Disturbance>,
+    /// Indices of the disturbances that are planned starts, or links that are narrow.
+    pub planned: Vec<usize>,
     /// Times in which the node of a host was paused; they are disturbances as well.
     pub pauses: Vec<Disturbance>,
     pub statements: Vec<Statement>,
@@ -139,12 +148,19 @@
 impl Facts {
     /// Whether a part was undisturbed, and had been for a while, from one time to another.
     pub fn is_calm(&self, part: Part, from_ms: u64, to_ms: u64) -> bool {
-        let since_ms = from_ms.saturating_sub(CONTACT_MS);
-        let overlaps = |disturbance: &Disturbance| {
-            disturbance.from_ms <= to_ms && disturbance.to_ms >= since_ms
-        };
         let mut at_part = self.disturbances.iter().filter(|other| other.part == part);
-        !at_part.any(overlaps)
+        !at_part.any(|disturbance| disturbance.concerns(from_ms, to_ms))
+    }
+
+    /// Whether nothing unplanned disturbed a host, or had for a while, from one time to another.
+    pub fn is_free_of_faults(&self, host: usize, from_ms: u64, to_ms: u64) -> bool {
+        let parts = [Part::Node(host), Part::Server(host)];
+        let mut disturbances = self.disturbances.iter().enumerate();
+        !disturbances.any(|(index, disturbance)| {
+            parts.contains(&disturbance.part)
+                && disturbance.concerns(from_ms, to_ms)
+                && !self.planned.contains(&index)
+        })
     }
 
     /// Whether a host's node and the log service were undisturbed, and the node not shut down.
--- a/tests/host_processes/soak/faults.rs
+++ b/tests/host_processes/soak/faults.rs
@@ -46,7 +46,7 @@
     Restart,
     /// The node is told that its settings have changed.
     Hangup,
-    /// A link is late or cut.
+    /// A link is late, narrow or cut.
     Link(LinkName, LinkState),
     /// Connections of a link are reset or go silent.
     Connections(LinkName, ConnectionFault),
@@ -104,6 +104,16 @@
     pub fault: Fault,
 }
 
+impl Event {
+    /// Whether a link between hosts becomes narrow.
+    pub fn narrows_link(&self) -> bool {
+        matches!(
+            self.fault,
+            Fault::Link(LinkName::Peers, LinkState::Narrow(_))
+        )
+    }
+}
+
 /// Draws faults of all hosts at any times.
 pub fn draw_mixed(seed: u64, hosts: usize) -> Vec<Event> {
     let mut random = StdRng::seed_from_u64(seed);
--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -15,6 +15,7 @@
 mod run;
 mod server_faults;
 mod statements;
+mod stops;
 
 use std::panic::AssertUnwindSafe;
 use std::process::Command;
@@ -135,6 +136,8 @@
     requests_reach_their_service_after_an_address_passed(2_011);
     // 502 for the first request on a link between nodes that has been silent for 5 s.
     requests_are_answered_after_all_connections_went_silent(2_061);
+    // Guards requests that a stopping host took while links between hosts are full.
+    requests_are_answered_while_hosts_of_full_links_stop(8_000);
     // 504 for requests that waited at a gate when its backend server named a limit.
     requests_are_answered_when_a_backend_server_names_a_limit(5_009);
 }
--- a/tests/host_processes/soak/node_faults.rs
+++ b/tests/host_processes/soak/node_faults.rs
@@ -52,7 +52,7 @@
         self.facts().restarts[index].to_ms = to_ms;
         site.start_node();
         self.node_started(host);
-        self.disturbed(Part::Node(host), to_ms);
+        self.planned(self.disturbed(Part::Node(host), to_ms));
     }
 
     pub async fn hang_up(&self, host: usize) {
@@ -67,6 +67,9 @@
 
     pub async fn degrade(&self, host: usize, link: LinkName, state: LinkState, length: Duration) {
         let disturbance = self.begun(part_of(link, host));
+        if matches!(state, LinkState::Narrow(_)) {
+            self.planned(disturbance);
+        }
         proxy_of(&*self.site(host).await, link).set_state(state);
         tokio::time::sleep(length).await;
         proxy_of(&*self.site(host).await, link).set_state(LinkState::Open);
--- a/tests/host_processes/soak/notes.rs
+++ b/tests/host_processes/soak/notes.rs
@@ -4,15 +4,11 @@
 use super::run::Soak;
 
 impl Soak<'_> {
-    /// Notes a disturbance that began at a time and ends now.
-    pub fn disturbed(&self, part: Part, from_ms: u64) {
-        let to_ms = self.now_ms();
-        let disturbance = Disturbance {
-            part,
-            from_ms,
-            to_ms,
-        };
-        self.facts().disturbances.push(disturbance);
+    /// Notes a disturbance that began at a time and ends now; returns its index.
+    pub fn disturbed(&self, part: Part, from_ms: u64) -> usize {
+        let index = self.begun_at(part, from_ms);
+        self.ended(index);
+        index
     }
 
     /// Notes a disturbance that lasts until its index is given to [`Self::ended`].
@@ -32,6 +28,12 @@
         facts.disturbances.len() - 1
     }
 
+    /// Notes that a disturbance is none of those that excuse a stop.
+    pub fn planned(&self, index: usize) {
+        self.facts().planned.push(index);
+    }
+
+    /// Notes the end of a disturbance.
     pub fn ended(&self, index: usize) {
         let now_ms = self.now_ms();
         self.facts().disturbances[index].to_ms = now_ms;
--- a/tests/host_processes/soak/plans.rs
+++ b/tests/host_processes/soak/plans.rs
@@ -27,6 +27,24 @@
 /// First seed from which on every third one has older copies of the log beside other disturbances.
 const FIRST_SEED_OF_DISTURBED_COPIES: u64 = 7_000;
 
+/// First seed from which on every third one has hosts that stop while links are full.
+const FIRST_SEED_OF_FULL_LINKS: u64 = 8_000;
+
+/// Bytes that pass in a second on a narrow link, from when on, and for how long, in ms.
+const NARROW_BYTES_PER_S: Range<u64> = 100_000..600_000;
+const NARROW_FROM_MS: Range<u64> = 0..500;
+const NARROW_MS: u64 = FAULTS_MS;
+
+/// Times at which rolling restarts of all hosts begin, and the step from one host to the next, which
+/// is shorter than a stop, in ms.
+const ROLLS_MS: [Range<u64>; 2] = [1_000..2_500, 4_000..6_000];
+const ROLL_STEP_MS: Range<u64> = 900..2_000;
+
+/// Times at which hosts are paused, and for how long, and at which they get SIGHUP, in ms.
+const PAUSES_MS: [Range<u64>; 2] = [9_500..11_000, 9_500..11_000];
+const PAUSE_MS: Range<u64> = 100..900;
+const HANGUPS_MS: [Range<u64>; 3] = [0..4_000, 4_000..8_000, 8_000..12_000];
+
 /// Times at which some hosts lose the log service around a return to an older copy, for how long, in
 /// ms, and how many hosts.
 const STORE_CUTS_MS: [Range<u64>; 2] = [0..3_000, 8_000..11_000];
@@ -94,6 +112,8 @@
     /// The log service comes back from older copies while some hosts do not reach it, addresses pass
     /// to other services, and routes change.
     DisturbedCopies,
+    /// Hosts stop in rolling restarts that overlap, while long answers fill narrow links.
+    FullLinks,
 }
 
 /// Classes of faults; a later class takes the next number.
@@ -107,6 +127,7 @@
     Statements = 6,
     Poison = 7,
     StoreCuts = 8,
+    FullLinks = 9,
 }
 
 impl Class {
@@ -126,6 +147,9 @@
         if seed >= FIRST_SEED_OF_DISTURBED_COPIES && seed % 3 == 1 {
             return Self::DisturbedCopies;
         }
+        if seed >= FIRST_SEED_OF_FULL_LINKS && seed % 3 == 2 {
+            return Self::FullLinks;
+        }
         if seed >= FIRST_SEED_OF_STATEMENTS && !seed.is_multiple_of(2) {
             return Self::Statements;
         }
@@ -165,6 +189,7 @@
         ]
         .concat(),
         Plan::Poison => [vec![poison(seed)], series(seed, hosts)].concat(),
+        Plan::FullLinks => full_links(seed, hosts),
         Plan::Statements => [statements(seed, hosts), series(seed, hosts)].concat(),
     };
     events.sort_by_key(|event| event.at_ms);
@@ -292,6 +317,42 @@
     events
 }
 
+/// Narrow links everywhere, two rolling restarts, and further faults at any host.
+fn full_links(seed: u64, hosts: usize) -> Vec<Event> {
+    let mut random = Class::FullLinks.random(seed);
+    let mut events = Vec::new();
+    let mut add = |host, at_ms, for_ms, fault| {
+        events.push(Event {
+            at_ms,
+            for_ms,
+            host,
+            fault,
+        });
+    };
+    for host in 0..hosts {
+        let narrow = LinkState::Narrow(random.random_range(NARROW_BYTES_PER_S));
+        let at_ms = random.random_range(NARROW_FROM_MS);
+        add(host, at_ms, NARROW_MS, Fault::Link(LinkName::Peers, narrow));
+    }
+    for within in ROLLS_MS {
+        let first_host = random.random_range(0..hosts);
+        let mut at_ms = random.random_range(within);
+        for index in 0..hosts {
+            add((first_host + index) % hosts, at_ms, 0, Fault::Restart);
+            at_ms += random.random_range(ROLL_STEP_MS);
+        }
+    }
+    for within in PAUSES_MS {
+        let (at_ms, for_ms) = (random.random_range(within), random.random_range(PAUSE_MS));
+        add(random.random_range(0..hosts), at_ms, for_ms, Fault::Pause);
+    }
+    for within in HANGUPS_MS {
+        let at_ms = random.random_range(within);
+        add(random.random_range(0..hosts), at_ms, 0, Fault::Hangup);
+    }
+    events
+}
+
 fn poison(seed: u64) -> Event {
     let mut random = Class::Poison.random(seed);
     Event {
--- a/tests/host_processes/soak/run.rs
+++ b/tests/host_processes/soak/run.rs
@@ -53,6 +53,9 @@
     let mut random = StdRng::seed_from_u64(!seed);
     system.start_probers(&mut callers, &mut random).await;
     let events = draw(seed, places.len());
+    if events.iter().any(Event::narrows_link) {
+        system.start_bundle_callers(&mut callers, &mut random).await;
+    }
     for event in &events {
         println!("seed {seed}: {event:?}");
     }
--- a/tests/host_processes/stopping_hosts.rs
+++ b/tests/host_processes/stopping_hosts.rs
@@ -15,7 +15,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::callers::Kind;
-use crate::operator::{HOST_NAME, ROUTE_TIMEOUT_MS};
+use crate::operator::{HOST_NAME, route_timeout_ms};
 use crate::site::{GRACE_S, Place};
 use crate::system::{System, place};
 
@@ -80,7 +80,7 @@
 impl Asked {
     /// Whether the time of the route was used up.
     fn has_timed_out(&self) -> bool {
-        self.ended_ms - self.sent_ms >= ROUTE_TIMEOUT_MS
+        self.ended_ms - self.sent_ms >= route_timeout_ms(self.kind)
     }
 }
 
@@ -98,7 +98,7 @@
         ))
         .header(HOST, HOST_NAME)
         .header(names::REQUEST_ID, id)
-        .header(names::WAIT_MS, (2 * ROUTE_TIMEOUT_MS).to_string())
+        .header(names::WAIT_MS, (2 * route_timeout_ms(kind)).to_string())
         .body(Full::default())
         .expect("a valid request")
 }
--- a/tests/host_processes/system.rs
+++ b/tests/host_processes/system.rs
@@ -15,7 +15,9 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::callers::{Attempt, Attempts, CALLER_KINDS, Caller, Kind, PROBER_KINDS, lock};
+use crate::callers::{
+    Attempt, Attempts, BUNDLE_KINDS, CALLER_KINDS, Caller, Kind, PROBER_KINDS, lock,
+};
 use crate::eventually::eventually_within;
 use crate::operator::Operator;
 use crate::site::{Place, Site};
@@ -23,6 +25,9 @@
 /// Callers of one host.
 const CALLERS_PER_HOST: usize = 3;
 
+/// Callers of one host that ask for bundles.
+const BUNDLE_CALLERS_PER_HOST: usize = 4;
+
 /// Time after which a condition counts as never met.
 const CONDITION_LIMIT: Duration = Duration::from_secs(20);
 
@@ -124,6 +129,16 @@
         }
     }
 
+    /// Starts more callers on every host, whose answers are long.
+    pub async fn start_bundle_callers(&self, callers: &mut Callers, random: &mut StdRng) {
+        for host in 0..self.sites.len() {
+            for index in 0..BUNDLE_CALLERS_PER_HOST {
+                let index = CALLERS_PER_HOST + 1 + index;
+                callers.start(self.caller(host, index, &BUNDLE_KINDS, random).await);
+            }
+        }
+    }
+
     async fn caller(
         &self,
         host: usize,
