A full link between nodes is not taken for a dead node by the system

Callers of a stopping host got 502 (connection-lost) for requests at which backend servers were at work, all requests on one connection between two nodes at the same moment, while neither node was stopping it.

Cause: TCP_USER_TIMEOUT of 1 s on connections between nodes. It also closes a connection whose other end acknowledges everything but has had no room for 1 s, as behind a link that is full with answers of other connections. One answer that waits so ends the connection for all requests on it: the node that answers logs "could not read from the transport: Connection timed out (os error 110)", the other one "the channel was disconnected due to a critical error".

Why the fix works: such connections have a check of their own, the ping of the node that waits, so the system's verdict comes after 5 s, the interval of its keep-alive probes, which is what it already was for connections without data on their way. Connections to the backend server and to the log service keep 1 s.

--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -14,9 +14,6 @@
 use super::reader::{LastReceipt, MessageLimits, MessageReader, ReadError, Received};
 use super::{BodyBudget, Response, ResponseHead};
 
-/// Time after which a connection with unacknowledged sent data is closed.
-const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// How soon a dead peer is detected on a connection on which this side sends nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeepAlive {
@@ -36,11 +33,18 @@
             Self::Frequent => Duration::from_secs(1),
         }
     }
+
+    /// Time after which a connection is closed whose peer acknowledges no data or takes none.
+    ///
+    /// The system counts a peer behind a full link as one that takes none.
+    fn unacknowledged_timeout(self) -> Duration {
+        self.interval()
+    }
 }
 
 /// Number of unanswered keep-alive probes after which a connection is closed.
 ///
-/// With [`UNACKNOWLEDGED_TIMEOUT`] the system does not wait for a second one.
+/// With [`KeepAlive::unacknowledged_timeout`] the system does not wait for a second one.
 const KEEP_ALIVE_PROBES: u32 = 1;
 
 /// Maximum number of responses of an exchange that are discarded, interim ones included.
@@ -76,7 +80,7 @@
 ) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    socket.set_tcp_user_timeout(Some(keep_alive.unacknowledged_timeout()))?;
     let probes = TcpKeepalive::new()
         .with_time(keep_alive.interval())
         .with_interval(keep_alive.interval())
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -15,6 +15,7 @@
 mod executions;
 mod facts;
 mod freshness;
+mod full_links;
 mod gate;
 mod http1;
 mod latency;
--- a/tests/host_processes/callers.rs
+++ b/tests/host_processes/callers.rs
@@ -337,6 +337,7 @@
         .headers
         .get(names::SIGNATURE)
         .is_some_and(|value| value.as_bytes() == signature(id).as_bytes());
-    let body = |service: &&str| answer.body == padded(answer_body(id, service), attempt.answer_bytes);
+    let body =
+        |service: &&str| answer.body == padded(answer_body(id, service), attempt.answer_bytes);
     signed && SERVICES.iter().any(body)
 }
