A refusal that a backend server writes once more is not taken for one to a later request

Callers were told "not run, try again" for requests that a backend server was running, and such a request could run at a second one: a faulty backend server wrote an earlier refusal once more on a kept connection.

Cause: whatever said "not run" was believed before the identifier was looked at, and a response that names no request counted for whichever request was on the connection. A retry by the node has the identifier of the attempt before, so that the identifier alone does not help either.

Change: a connection is not used again after a refusal, of a request or of a health check, so a second copy finds no later request. On a connection that has carried a request before, a refusal counts only if it names the request; otherwise the outcome is unknown. On a new connection it counts with or without the identifier, as it did. A refusal that names another request is discarded as before.

Not measured: what the connection costs that is opened anew after each refusal.

--- a/src/host/server/answer_checks.rs
+++ b/src/host/server/answer_checks.rs
@@ -58,14 +58,16 @@
 /// Checks that a response is the complete answer of the backend server to the request.
 ///
 /// An answer needs a status that HTTP defines, the backend server's signature, the request
-/// identifier and a body without encoding, unless it says that the request was not run.
+/// identifier and a body without encoding, unless it says that the request was not run. A refusal
+/// needs the request identifier on a connection that is `reused`.
 pub fn check_answer(
     host: &Host,
     work: &HostWork,
     facts: &AnswerFacts,
     response: Response,
+    reused: bool,
 ) -> Result<Response, RequestFailure> {
-    if facts.not_run {
+    if facts.not_run && is_own_refusal(facts, reused) {
         if let Some(instance) = &facts.instance {
             host.gate.with(|gate| gate.observe_rejection(instance));
         }
@@ -73,6 +75,7 @@
     }
     let status = response.head.status;
     let error = match facts {
+        AnswerFacts { not_run: true, .. } => "the refusal names no request",
         _ if !FINAL_STATUSES.contains(&status) => "HTTP does not define the status",
         AnswerFacts { signed: false, .. } => "the answer has no signature",
         AnswerFacts {
@@ -84,3 +87,11 @@
     host.events.answer_broken(&work.id, Some(status), &error);
     Err(RequestFailure::unknown(RefusalReason::AnswerBroken))
 }
+
+/// Whether a refusal is certainly that of the request, and not an earlier one that the backend
+/// server wrote once more.
+///
+/// Responses that name another request are discarded before.
+fn is_own_refusal(facts: &AnswerFacts, reused: bool) -> bool {
+    facts.request_id.is_some() || !reused
+}
--- a/src/host/server/dispatch.rs
+++ b/src/host/server/dispatch.rs
@@ -93,15 +93,11 @@
                     &answer_facts.statements,
                     answer_facts.signed,
                 );
-                let checked = check_answer(host, work, &answer_facts, response);
-                // Later bytes on a connection with a broken answer belong to no request.
-                if checked
-                    .as_ref()
-                    .map_or_else(RequestFailure::is_not_run, |_answer| true)
-                {
-                    host.server_connections.release(pooled);
-                }
+                let checked = check_answer(host, work, &answer_facts, response, pooled.reused);
+                // A connection with a broken answer or a refusal is not used again: later bytes of
+                // the one belong to no request, and the other may be written once more.
                 let answer = checked?;
+                host.server_connections.release(pooled);
                 quarantine::record_answer(host, work, answer.head.status);
                 if answer.head.status < SERVER_ERROR_MIN {
                     admitted.usual_run_us =
--- a/src/host/server/probe.rs
+++ b/src/host/server/probe.rs
@@ -143,6 +143,9 @@
         host.gate.with(|gate| gate.observe_health(&health, now_us));
         answer_checks::observe_statements(host, instance, &facts.statements, false);
     }
-    host.server_connections.release(pooled);
+    // A refusal that is written once more would be taken for that of a request.
+    if !facts.not_run {
+        host.server_connections.release(pooled);
+    }
     Ok(())
 }
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -34,6 +34,7 @@
 mod quotas;
 mod refusals;
 mod registration;
+mod repeated_refusals;
 mod report_schedule;
 mod report_targets;
 mod request_reading;
