Announcements and answers with numbers out of range are refused and hide none that follow

One odd entry among the announcements made a node follow its backend server no longer: a sequence number or start time of 2^64 - 1 was taken for the newest, so that every later announcement was stale, and a departure with such a start time hid all later starts. A cold start of 1e300 ms overflowed a sum (a panic in builds with checks, a wrapped time in others), in announcements and in headers of answers.

The gate's sums saturate.

Evidence: a_heartbeat_with_odd_numbers_does_not_hide_those_that_follow and a_cold_start_out_of_range_is_passed_over ended with "attempt to add with overflow" and a_departure_with_an_odd_start_time_is_refused with `Ok(Deregistered)` before this change; all pass now. Shown not to happen, with tests that passed before: nesting of 10 to 1,000,000 levels in each field, in a configuration and in an order; ports 0, 70000 and none; half an entry; datagrams of odd bytes.

Open: a start time between now and 2099 is believed until the node sees which process answers.

--- a/src/decision/host/gate/observe.rs
+++ b/src/decision/host/gate/observe.rs
@@ -46,7 +46,7 @@
         self.close_times.set(CloseReason::Unreachable, false);
         self.start_rate
             .cold_start
-            .set_cold_until(now_us + cold_left_us);
+            .set_cold_until(now_us.saturating_add(cold_left_us));
         freshness
     }
 
@@ -67,7 +67,9 @@
             self.slots = slots.max(1);
         }
         if let Some(left_us) = report.cold_left_us {
-            self.start_rate.cold_start.set_cold_until(now_us + left_us);
+            self.start_rate
+                .cold_start
+                .set_cold_until(now_us.saturating_add(left_us));
         }
         if let Some(percent) = report.slowness_percent {
             let cold = self.is_cold(now_us);
@@ -149,7 +151,7 @@
         } else if self.server.announcement().is_some() {
             self.start_rate
                 .cold_start
-                .set_cold_until(now_us + result.cold_left_us);
+                .set_cold_until(now_us.saturating_add(result.cold_left_us));
         }
     }
 
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -91,6 +91,9 @@
     }
 }
 
+/// Longest cold start that a backend server may report, in ms: a day.
+pub const COLD_LEFT_MS_MAX: f64 = 86_400_000.0;
+
 /// Load and warmth that a backend server reports in an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct ServerReport {
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -24,6 +24,7 @@
 mod log_reader;
 mod log_relay;
 mod nested_calls;
+mod odd_entries;
 mod peer_client;
 mod peers;
 mod placement;
