Lines about refused entries are short, and refused records of hosts are named

The line about a refused announcement, configuration or order of a roll-out held the whole text of the entry: the error of a field of another type repeats its value, a megabyte if that is what was sent. A record of a host that could not be decoded was only counted.

Change: target, key and error are cut to the length of callers' texts, and a refused record of a host gets a line with its key.

Evidence: a_refused_entry_is_named_in_a_short_line failed before this change with a line of more than a megabyte and passes now. The lines on configurations, orders and hosts are cut by the same function, without a test of their own.

--- a/src/host/log_service/operator_log.rs
+++ b/src/host/log_service/operator_log.rs
@@ -347,10 +347,7 @@
     let config = match operator::decode_config(value) {
         Ok(config) => config,
         Err(error) => {
-            host.events.state_changed(
-                "config-refused",
-                serde_json::json!({"error": error.to_string()}),
-            );
+            host.events.config_refused(&error);
             return;
         }
     };
--- a/src/host/observe/server_lines.rs
+++ b/src/host/observe/server_lines.rs
@@ -127,7 +127,7 @@
             LinePriority::Notable,
             "announcement-refused",
             serde_json::json!({
-                "target": target, "error": error.to_string(),
+                "target": shortened(target), "error": shortened(&error.to_string()),
             }),
         );
     }
@@ -135,7 +135,21 @@
     /// Logs and counts an order of a roll-out that cannot be used; the one before is withdrawn.
     pub fn rollout_refused(&self, key: &str, error: &impl Display) {
         self.count("rollout_orders_refused");
-        let fields = serde_json::json!({"key": shortened(key), "error": error.to_string()});
+        let error = error.to_string();
+        let fields = serde_json::json!({"key": shortened(key), "error": shortened(&error)});
         self.write(LinePriority::Notable, "rollout-refused", fields);
     }
+
+    /// Logs a configuration that cannot be used; the one before stays in force.
+    pub fn config_refused(&self, error: &impl Display) {
+        let fields = serde_json::json!({"error": shortened(&error.to_string())});
+        self.write(LinePriority::Notable, "config-refused", fields);
+    }
+
+    /// Logs and counts the record of a host that cannot be used.
+    pub fn introduction_refused(&self, key: &str) {
+        self.count("introductions_refused");
+        let fields = serde_json::json!({"key": shortened(key)});
+        self.write(LinePriority::Notable, "introduction-refused", fields);
+    }
 }
--- a/src/host/peers/directory.rs
+++ b/src/host/peers/directory.rs
@@ -124,7 +124,7 @@
             .ok()
             .and_then(|wire| Introduction::try_from(wire).ok());
         let Some(introduction) = introduction else {
-            host.events.count("introductions_refused");
+            host.events.introduction_refused(&record.key);
             continue;
         };
         count += 1;
--- a/tests/host/event_log.rs
+++ b/tests/host/event_log.rs
@@ -79,6 +79,14 @@
     EventLog::start(&"a".into(), Clock::start(), Box::new(output.clone()))
 }
 
+/// Returns the lines of an event that `write` caused.
+pub fn written_by(event: &str, write: impl FnOnce(&EventLog)) -> Vec<Value> {
+    let output = Output::default();
+    let log = event_log(&output);
+    write(&log);
+    output.await_lines(event, 1)
+}
+
 fn service(name: &str) -> ServiceName {
     ServiceName::new(name).expect("a name")
 }
--- a/tests/host/odd_entries.rs
+++ b/tests/host/odd_entries.rs
@@ -28,6 +28,9 @@
     "null",
 ];
 
+/// Length of a long name, in bytes.
+const LONG_NAME_BYTES: usize = 1 << 20;
+
 fn nested(depth: usize) -> String {
     format!("{}{}", "[".repeat(depth), "]".repeat(depth))
 }
@@ -177,6 +180,23 @@
     }
 }
 
+/// Guards against log lines as long as what another writer sends.
+#[test]
+fn a_refused_entry_is_named_in_a_short_line() {
+    let long = "x".repeat(LONG_NAME_BYTES);
+    for (target, field) in [
+        ("/v1/instances/i-1/heartbeat", "slots"),
+        (&*format!("/v1/instances/{long}/heartbeat"), "state"),
+    ] {
+        let body = heartbeat(field, &format!("\"{long}\""));
+        let error = announcements::decode(target, body.as_bytes(), server()).expect_err("refused");
+        let lines = crate::event_log::written_by("announcement-refused", |log| {
+            log.announcement_refused(target, &error);
+        });
+        assert!(lines[0].to_string().len() < 2_000, "{}", lines[0]);
+    }
+}
+
 /// Guards against processes that end over datagrams of any bytes.
 #[test]
 fn datagrams_of_odd_bytes_are_refused_or_decoded() {
