A record that cannot be decoded does not hide the others of the newest records

A node that read the newest records of a topic failed as a whole when one of them had another type, a number out of range, deep nesting or a value that is not Base64, and read the same page again for ever: no configuration and no hosts at its start. A page that said "more" and named no new key was read again without a pause.

--- a/tests/host/odd_entries.rs
+++ b/tests/host/odd_entries.rs
@@ -9,7 +9,11 @@
 use bronzelock::model::header::Header;
 use bronzelock::platform::announcements::{self, Message};
 use bronzelock::platform::rollouts::decode_order;
+use bronzelock::platform::store::StoreClient;
 use bronzelock::platform::{answers, names, operator};
+use standins::platform::store::Store;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 
 use crate::backend_answers::announced_host;
 
@@ -197,6 +201,86 @@
     }
 }
 
+/// A log service that answers one read of the newest records with these items.
+async fn newest_of(items: &str, more: bool) -> StoreClient {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let body = format!("{{\"items\":[{items}],\"more\":{more},\"end\":9}}");
+    tokio::spawn(async move {
+        let (mut stream, _node) = listener.accept().await.expect("a connection");
+        let mut request = [0; 1_024];
+        while matches!(stream.read(&mut request).await, Ok(1..)) {
+            let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.len());
+            let _sent = stream.write_all(head.as_bytes()).await;
+            let _sent = stream.write_all(body.as_bytes()).await;
+        }
+    });
+    StoreClient::new(address)
+}
+
+fn item(key: &str, value: &str, offset: &str) -> String {
+    format!("{{\"key\":{key},\"value\":{value},\"offset\":{offset}}}")
+}
+
+/// Guards against a record that no node can read and that hides all others.
+#[tokio::test]
+async fn an_odd_record_does_not_hide_those_behind_it() {
+    let mut odd: Vec<String> = ["null", "5", "\"x\"", "[]", "{}", "1e400"]
+        .map(str::to_owned)
+        .into();
+    odd.extend(ODD_NUMBERS.map(|number| item("\"k\"", "\"QQ==\"", number)));
+    odd.extend(["\"%\"", "5", "[]", "{}"].map(|value| item("\"k\"", value, "1")));
+    odd.extend(["5", "null", "[]"].map(|key| item(key, "\"QQ==\"", "1")));
+    odd.extend(DEPTHS.map(nested));
+    odd.extend(DEPTHS.map(|depth| item("\"k\"", &nested_objects(depth), "1")));
+    let long = "x".repeat(LONG_NAME_BYTES);
+    odd.push(item("\"k\"", "\"QQ==\"", &format!("\"{long}\"")));
+    let (before, after) = (
+        item("\"a\"", "\"QQ==\"", "2"),
+        item("\"b\"", "\"QQ==\"", "3"),
+    );
+    for odd in odd {
+        let mut client = newest_of(&format!("{before},{odd},{after}"), false).await;
+        let read = client.read_newest("keyed.op").await;
+        let keys: Vec<_> = match &read {
+            Ok(read) => read.records.iter().map(|record| &*record.key).collect(),
+            Err(error) => panic!("{}: {error}", &odd[..odd.len().min(80)]),
+        };
+        assert_eq!(keys, ["a", "b"], "{}", &odd[..odd.len().min(80)]);
+    }
+}
+
+/// Guards against reading the same page for ever, if it names no key to go on after.
+#[tokio::test]
+async fn a_page_that_leads_nowhere_is_read_once() {
+    for items in ["", "{}", &item("\"a\"", "\"QQ==\"", "1")] {
+        let mut client = newest_of(items, true).await;
+        let read = tokio::time::timeout(
+            std::time::Duration::from_secs(5),
+            client.read_newest("keyed.op"),
+        );
+        let read = read.await.expect("it ends");
+        assert!(read.is_err() || items.is_empty(), "{items}: {read:?}");
+    }
+}
+
+/// Guards against a key as long as a length byte allows, or longer than its record.
+#[tokio::test]
+async fn records_with_odd_keys_do_not_hide_those_behind_them() {
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    let store = Store::start(loopback).await.expect("the store starts");
+    store.put_invalid("keyed.op");
+    store.put("keyed.op", "config", Some(nested(1_000_000).as_bytes()));
+    store.put("keyed.op", "evacuate/z", Some(b"1"));
+    let mut client = StoreClient::new(store.address());
+    let read = client.read_newest("keyed.op").await.expect("a snapshot");
+    assert!(
+        read.records
+            .iter()
+            .any(|record| &*record.key == "evacuate/z")
+    );
+}
+
 /// Guards against processes that end over datagrams of any bytes.
 #[test]
 fn datagrams_of_odd_bytes_are_refused_or_decoded() {
