--- a/tests/host_processes/soak/mod.rs
+++ b/tests/host_processes/soak/mod.rs
@@ -24,7 +24,7 @@
 use tokio::sync::Semaphore;
 
 use checks::Violation;
-use run::soak;
+use run::{Report, soak};
 
 use crate::operator::SERVICES;
 use crate::site::Place;
@@ -57,7 +57,7 @@
         report.facts.configs,
         report.facts.disturbances,
         report.facts.restarts,
-        trail(violations, &report.logs),
+        seen(&report) + &trail(violations, &report.logs),
         report.logs,
     );
     let (served, owed) = (report.served_at_end, report.owed_at_end);
@@ -75,6 +75,29 @@
     );
 }
 
+/// What callers and backend servers saw of the requests with a broken promise.
+fn seen(report: &Report) -> String {
+    let ids: Vec<&str> = report
+        .violations
+        .iter()
+        .filter_map(Violation::request_id)
+        .collect();
+    let attempts = report
+        .facts
+        .attempts
+        .iter()
+        .filter(|it| ids.contains(&it.id.as_str()));
+    let runs = report
+        .facts
+        .runs
+        .iter()
+        .filter(|it| ids.contains(&it.request_id.as_str()));
+    let attempts = attempts.map(|attempt| format!("{attempt:?}\n"));
+    attempts
+        .chain(runs.map(|run| format!("{run:?}\n")))
+        .collect()
+}
+
 /// What the nodes' logs say of the first request with a broken promise.
 fn trail(violations: &[Violation], logs: &[String]) -> String {
     let Some(id) = violations.iter().find_map(Violation::request_id) else {
