--- a/tests/host/executions.rs
+++ b/tests/host/executions.rs
@@ -9,7 +9,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Longer than a node may take to come back over another connection.
-const LONG: Duration = Duration::from_secs(60);
+const LONG: Duration = Duration::from_mins(1);
 
 /// Whether it is abandoned at once.
 fn is_abandoned(execution: &Execution) -> bool {
