Times of a configuration are bounded when it is decoded

A timeout of 1e300 ms in a configuration became the highest number of microseconds, to which the current time is added: a panic in builds with checks, a deadline in the past in others. None was seen on a deployment; the log service accepts only valid configurations.

--- a/tests/host/odd_entries.rs
+++ b/tests/host/odd_entries.rs
@@ -158,6 +158,24 @@
     }
 }
 
+/// Guards against sums that end the process or wrap, over times without end.
+#[test]
+fn times_of_a_configuration_are_bounded() {
+    let text = r#"{"version":1,"services":[],
+        "routes":[{"name":"a","host":"h","path_prefix":"/","effect":"idempotent","timeout_ms":1e300,
+            "objective_ms":1e300,"rank":1,"service":"milk","servers_max":2}],
+        "limits":{"head_bytes_max":9,"body_bytes_max":9,"head_timeout_ms":1e300,"idle_timeout_ms":1e300}}"#;
+    let config = operator::decode_config(text.as_bytes()).expect("a configuration");
+    let route = config.route("h", "/").expect("a route");
+    for time in [
+        route.timeout_us,
+        route.objective_us,
+        config.callers.head_timeout_ms,
+    ] {
+        assert!(time < u64::MAX / 1_000_000, "{time}");
+    }
+}
+
 /// Guards against entries for an address that no backend server can have.
 #[test]
 fn addresses_out_of_range_are_refused() {
