--- a/src/host/observe/mod.rs
+++ b/src/host/observe/mod.rs
@@ -1,5 +1,6 @@
 //! What operators see of a node: structured log, metrics and readiness.
 
+mod attempt_lines;
 pub mod events;
 pub mod knowledge;
 pub mod latency;
