A stop drains from the close on; asking for an outcome ends no call; cancelled runs end at once

Found by a review of the mends, by reading.

- A request that lasted until the end of the grace time left none of it for the answers of all others, since draining began after the last request.
Each connection now drains on its own from the close on.
- A ping's own timeout could be taken for the request's deadline and end the call.
Being unreached is now told apart from the deadline, and a check ends in time also if its connection has no room for the ping.
- A peer that could not tell the outcome (restarted, of an earlier release, or with the answer on its way) ended a call whose first connection was only silent.
That connection is awaited now, and the host does not count as unreachable.
- A call that was cancelled on a connection that nobody else used let its run go on for 1 s, since the end of the connection was taken for its loss; and a node that asked again over a second connection left its first question open.
A silent connection is kept for 5 s, and the latest question counts.
- Whoever settled a request between its claim and the begin of its run was told that the outcome is not retained.

Tests: settlement::*, and executions::a_run_is_abandoned_by_the_node_that_asked_for_it_last. They were not run against the code before. The other points have no test of their own.

--- a/src/decision/host/settlement.rs
+++ b/src/decision/host/settlement.rs
@@ -17,9 +17,9 @@
 pub enum Settlement {
     /// This is the outcome.
     Final,
-    /// The request has ended there, and its answer is on the way on the first connection.
+    /// The host cannot tell the outcome; it is awaited on the first connection.
     AwaitFirst,
-    /// The host does not know what became of the request, or says what it cannot know.
+    /// The host cannot tell the outcome, and nothing else will.
     Unknown,
 }
 
@@ -33,14 +33,20 @@
         reason: RefusalReason,
         run_state: RunState,
     ) -> Self {
-        match (reason, first) {
-            (RefusalReason::AnswerNotHeld, FirstConnection::Silent) => Self::AwaitFirst,
-            (RefusalReason::Cancelled, _)
-                if effect == Effect::Idempotent && run_state == RunState::NotRun =>
-            {
-                Self::Unknown
-            }
-            _ => Self::Final,
+        let tells_outcome = match (reason, run_state) {
+            (RefusalReason::Cancelled, RunState::NotRun) => effect == Effect::NonIdempotent,
+            (
+                RefusalReason::AnswerNotHeld
+                | RefusalReason::ConnectionLost
+                | RefusalReason::QueueFull,
+                RunState::Unknown,
+            ) => false,
+            _ => true,
+        };
+        match (tells_outcome, first) {
+            (true, _) => Self::Final,
+            (false, FirstConnection::Silent) => Self::AwaitFirst,
+            (false, FirstConnection::Ended) => Self::Unknown,
         }
     }
 }
--- a/src/host/entry/attempts.rs
+++ b/src/host/entry/attempts.rs
@@ -43,7 +43,7 @@
     /// Hosts tried so far.
     tried_hosts: Mutex<TriedHosts>,
     /// Notified when nothing is heard of a host that was tried.
-    unreachable: Notify,
+    silent: Notify,
 }
 
 /// The host of an attempt.
@@ -95,7 +95,7 @@
             service,
             work,
             tried_hosts: Mutex::default(),
-            unreachable: Notify::new(),
+            silent: Notify::new(),
         }
     }
 
@@ -138,7 +138,7 @@
                     (placement.candidate.address, retry)
                 }
                 // Nothing is heard of a host; its answer is awaited beside the next attempt.
-                () = self.unreachable.notified() => (self.last_tried(), self.may_rerun(&progress)),
+                () = self.silent.notified() => (self.last_tried(), self.may_rerun(&progress)),
             };
             if !retry || self.host.now_us() >= self.work.timing.deadline_us {
                 continue;
@@ -313,7 +313,7 @@
         async move {
             let outcome = match placement.candidate.address {
                 None => executor::run(host, work).await,
-                Some(ip) => forward::forward(host, ip, work, &self.unreachable).await,
+                Some(ip) => forward::forward(host, ip, work, &self.silent).await,
             };
             if outcome
                 .result
--- a/src/host/entry/forward.rs
+++ b/src/host/entry/forward.rs
@@ -49,29 +49,30 @@
         });
     }
 
-    /// Notes that nothing is heard of the request; `unreachable` is notified if the peer is silent.
-    fn record_silence(&self, silence: &Silence, unreachable: &Notify) {
+    /// Notes that nothing is heard of the request; `silent` is notified if the peer is silent.
+    fn record_silence(&self, silence: &Silence, silent: &Notify) {
         self.host.events.peer_silent(&self.id, self.ip, silence);
         match silence {
             Silence::Connection { .. } => {}
             Silence::Peer => {
                 lock(&self.host.peers).record_silence(self.ip, self.host.now_us());
-                unreachable.notify_one();
+                silent.notify_one();
             }
+            Silence::Outcome => silent.notify_one(),
         }
     }
 }
 
 /// Sends the request to the node on another host.
 ///
-/// Notifies `unreachable` if nothing is heard of the host, so that another one may be tried while
+/// Notifies `silent` if nothing is heard of the host, so that another one may be tried while
 /// the answer is still awaited.
-pub async fn forward(host: &Host, ip: IpAddr, work: HostWork, unreachable: &Notify) -> Outcome {
+pub async fn forward(host: &Host, ip: IpAddr, work: HostWork, silent: &Notify) -> Outcome {
     let sent = SentRequest::new(host, ip, &work);
     let outstanding = OutstandingRequest::new(host, ip);
     let now_us = host.now_us();
     let request = peer_request(host, ip, work, now_us);
-    let on_silence = |silence: Silence| sent.record_silence(&silence, unreachable);
+    let on_silence = |silence: Silence| sent.record_silence(&silence, silent);
     let failure = match host.peer_clients.run(request, on_silence).await {
         Ok(reply) => {
             let load = reply.load;
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -172,13 +172,12 @@
     host.events.open_requests() > 0 || host.gate.load().in_flight > 0
 }
 
-/// Waits until callers and other nodes have received all answers, or `finish_by` is reached.
-async fn drain_connections(host: &Host, finish_by: tokio::time::Instant) {
-    host.stop.drain();
-    let joined = tokio::time::timeout_at(finish_by, join_connections(host));
-    if joined.await.is_err() {
-        log::warn!("node: connections were still open when the grace time was over");
+/// Waits until no request is open, and callers and other nodes have received all answers.
+async fn finish_requests(host: &Host) {
+    while is_busy(host) {
+        tokio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
+    join_connections(host).await;
 }
 
 async fn join_connections(host: &Host) {
@@ -198,13 +197,14 @@
     let closes_us = host.now_us() + leave_period.as_micros() as u64;
     host.gate.with(|gate| gate.set_leaving(closes_us));
     tokio::time::sleep(leave_period).await;
-    host.stop.close();
+    // Connections end one by one, so that a request that lasts takes no time from answers that wait.
+    host.stop.drain();
     // The first pause is for the requests on connections that were accepted at the close.
     tokio::time::sleep(DRAIN_POLL_PERIOD).await;
-    while is_busy(host) && tokio::time::Instant::now() < finish_by {
-        tokio::time::sleep(DRAIN_POLL_PERIOD).await;
+    let finished = tokio::time::timeout_at(finish_by, finish_requests(host));
+    if finished.await.is_err() {
+        log::warn!("node: requests or connections were still open when the grace time was over");
     }
-    drain_connections(host, finish_by).await;
     host.events.state_changed(
         "stopped",
         serde_json::json!({
--- a/src/host/observe/attempt_lines.rs
+++ b/src/host/observe/attempt_lines.rs
@@ -84,6 +84,7 @@
                 Some(unheard_for.as_millis() as u64),
             ),
             Silence::Peer => ("peer", None, None),
+            Silence::Outcome => ("outcome", None, None),
         };
         self.count(&format!("silences{{of=\"{what}\"}}"));
         self.write(
--- a/src/host/peers/awaited_call.rs
+++ b/src/host/peers/awaited_call.rs
@@ -59,6 +59,8 @@
     },
     /// Nor does the peer answer over another connection.
     Peer,
+    /// The peer answers over another connection, but cannot tell the outcome.
+    Outcome,
 }
 
 /// The rest of a request after it was handed over.
@@ -102,7 +104,7 @@
         let error = tokio::select! {
             biased;
             answered = &mut call => {
-                return sent.unless_lost(self.finish(address, &connection, answered)).await;
+                return sent.answer_or_settle(self.finish(address, &connection, answered)).await;
             }
             error = self.until_silent(&connection) => error,
         };
@@ -114,7 +116,7 @@
         tokio::select! {
             biased;
             answered = &mut call => {
-                sent.unless_lost(self.finish(address, &connection, answered)).await
+                sent.answer_or_settle(self.finish(address, &connection, answered)).await
             }
             settled = sent.ask_until_certain() => settled,
         }
@@ -122,8 +124,8 @@
 }
 
 impl<F: Fn(Silence)> Sent<'_, F> {
-    /// Returns the answer, or asks for the outcome over another connection if the first has ended.
-    async fn unless_lost(
+    /// Returns the answer, or settles the request over another connection if the first has ended.
+    async fn answer_or_settle(
         &self,
         finished: Result<WireOutcome, PeerError>,
     ) -> Result<WireOutcome, PeerError> {
@@ -153,18 +155,11 @@
             match self.settle().await {
                 Ok(outcome) => match self.judge(&outcome, FirstConnection::Silent) {
                     Settlement::Final => return Ok(outcome),
-                    Settlement::AwaitFirst => {
-                        (self.on_silence)(Silence::Peer);
+                    Settlement::AwaitFirst | Settlement::Unknown => {
+                        (self.on_silence)(Silence::Outcome);
+                        // What remains is the first connection.
                         return std::future::pending().await;
                     }
-                    Settlement::Unknown => {
-                        let error = StepError::with_peer(
-                            "settle the request",
-                            self.address,
-                            "the peer does not know it",
-                        );
-                        return Err(PeerError::Lost(error));
-                    }
                 },
                 Err(PeerError::Deadline) => return Err(PeerError::Deadline),
                 Err(PeerError::NotSent(_) | PeerError::Lost(_)) => {
--- a/src/host/peers/peer_client.rs
+++ b/src/host/peers/peer_client.rs
@@ -9,6 +9,7 @@
 use displaydoc::Display;
 use tarpc::client::RpcError;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use crate::decision::host::keyed_state::Snapshot;
 use crate::decision::host::peers::RelayProtocol;
@@ -49,6 +50,11 @@
 /// A network that silences one connection often silences others with it.
 const UNHEARD_TIME_MAX: Duration = Duration::from_secs(1);
 
+/// Time for which a connection that proved silent is kept for the calls on it.
+///
+/// Longer than callers wait for most requests.
+const SILENT_KEPT_FOR: Duration = Duration::from_secs(5);
+
 /// A connection that is open or is being opened.
 #[derive(Debug, Clone)]
 enum Opening {
@@ -94,6 +100,8 @@
 pub struct PeerClients {
     tasks: Tasks,
     slots: Mutex<HashMap<SocketAddr, Slot>>,
+    /// Cancelled when all connections are dropped.
+    cleared: CancellationToken,
 }
 
 impl PeerClients {
@@ -102,6 +110,7 @@
         Self {
             tasks,
             slots: Mutex::default(),
+            cleared: CancellationToken::new(),
         }
     }
 
@@ -135,20 +144,26 @@
     /// Checks that a peer answers over the connection that is kept to it, or over a new one.
     ///
     /// # Errors
-    /// Returns [`PeerError`] if it does not within `timeout`.
+    /// Returns [`PeerError`] if opening or the answer takes longer than `timeout`.
     pub(super) async fn reach(
         &self,
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<(), PeerError> {
-        let reached = tokio::time::timeout(timeout, async {
-            let connection = self.connection(address).await?;
-            let checked = connection.check(timeout).await;
-            self.finish(address, &connection, checked)
-        });
-        reached
+        let connection = tokio::time::timeout(timeout, self.connection(address));
+        let connection = connection
             .await
-            .unwrap_or_else(|_elapsed| Err(not_open(address)))
+            .unwrap_or_else(|_elapsed| Err(not_open(address)))?;
+        match connection.check(timeout).await {
+            Ok(()) => Ok(()),
+            // The ping was late, not the request.
+            Err(error @ RpcError::DeadlineExceeded) => Err(PeerError::Lost(StepError::with_peer(
+                "reach the peer",
+                address,
+                error,
+            ))),
+            Err(error) => self.finish(address, &connection, Err(error)),
+        }
     }
 
     /// Returns the state of the operators' log that a peer of an earlier release holds, at the
@@ -192,8 +207,9 @@
         self.finish(address, &connection, call.await)
     }
 
-    /// Drops all connections.
+    /// Drops all connections, at the end of the process.
     pub fn clear(&self) {
+        self.cleared.cancel();
         lock(&self.slots).clear();
     }
 
@@ -207,10 +223,21 @@
         }
     }
 
-    /// Keeps later calls off a connection that proved silent; calls that wait on it go on.
+    /// Keeps later calls off a connection that proved silent, and off others that may be.
+    ///
+    /// Calls that wait on them go on. The connection stays open for a while, so that the end of a
+    /// call is not taken for the loss of its connection.
     pub(super) fn drop_silent(&self, address: SocketAddr, connection: &Connection) {
         self.forget(address, connection);
         self.forget_unheard();
+        let (connection, cleared) = (connection.clone(), self.cleared.clone());
+        self.tasks.spawn(async move {
+            tokio::select! {
+                () = connection.ended() => {}
+                () = cleared.cancelled() => {}
+                () = tokio::time::sleep(SILENT_KEPT_FOR) => {}
+            }
+        });
     }
 
     /// Returns the answer to a call, or converts its error.
--- a/src/host/peers/peer_connection.rs
+++ b/src/host/peers/peer_connection.rs
@@ -72,12 +72,19 @@
     /// connection has ended.
     pub async fn check(&self, timeout: Duration) -> Result<(), RpcError> {
         let pinged_at = Instant::now();
-        match self.client.ping(context(timeout)).await {
+        // A call whose connection has no room for it does not come to its own deadline.
+        let pinged = tokio::time::timeout(timeout, self.client.ping(context(timeout)));
+        match pinged.await.unwrap_or(Err(RpcError::DeadlineExceeded)) {
             Err(RpcError::DeadlineExceeded) if self.has_received_since(pinged_at) => Ok(()),
             pinged => pinged,
         }
     }
 
+    /// Resolves once the connection has closed.
+    pub async fn ended(&self) {
+        self.ended.cancelled().await;
+    }
+
     /// Whether the connection has closed.
     pub fn has_ended(&self) -> bool {
         self.ended.is_cancelled()
--- a/src/host/server/detached.rs
+++ b/src/host/server/detached.rs
@@ -23,8 +23,9 @@
 /// Longer bodies occupy memory that the answers of all requests share.
 const RETAINED_BODY_BYTES_MAX: usize = 64 << 10;
 
-/// Runs a request; `connection_ended` is cancelled before the returned future is dropped because
-/// its connection was lost.
+/// Runs a request that arrived on a connection.
+///
+/// If the connection is lost, `connection_ended` is cancelled before the returned future is dropped.
 ///
 /// A non-idempotent request is claimed first. If it is already claimed here, the outcome of that
 /// run is returned. Dropping the future ends an idempotent run, and removes a non-idempotent one
@@ -34,19 +35,17 @@
     work: HostWork,
     connection_ended: &CancellationToken,
 ) -> Outcome {
-    match claim(host, &work) {
-        Ok(()) => {}
+    let execution = Arc::new(Execution::default());
+    let number = match begin(host, &work, &execution) {
+        Ok(number) => number,
         Err(ClaimError::Blocked | ClaimError::Full) => {
             return Outcome::failed(RequestFailure::not_sent(RefusalReason::QueueFull));
         }
         Err(ClaimError::AlreadyClaimed) => {
             return settle(host, &work.id, connection_ended).await;
         }
-    }
-    let execution = Arc::new(Execution::default());
+    };
     let outcome = execution.outcome(connection_ended);
-    let begun = Arc::clone(&execution);
-    let number = lock(&host.executions.runs).begin(&work.id, begun, host.now_us());
     let task_host = Arc::clone(host);
     host.request_tasks.spawn(async move {
         carry_out(&task_host, &work, number, &execution).await;
@@ -54,14 +53,22 @@
     outcome.await
 }
 
-/// Claims a non-idempotent request; an idempotent one must only not be blocked.
-fn claim(host: &Host, work: &HostWork) -> Result<(), ClaimError> {
+/// Claims a non-idempotent request and adds its run; an idempotent one must only not be blocked.
+fn begin(
+    host: &Host,
+    work: &HostWork,
+    execution: &Arc<Execution>,
+) -> Result<RunNumber, ClaimError> {
+    let now_us = host.now_us();
+    // Whoever settles the request meets both or none.
+    let mut runs = lock(&host.executions.runs);
     let mut claims = lock(&host.claims);
     match work.effect {
-        Effect::Idempotent if claims.is_blocked(&work.id) => Err(ClaimError::Blocked),
-        Effect::Idempotent => Ok(()),
-        Effect::NonIdempotent => claims.claim(&work.id, host.now_us()),
+        Effect::Idempotent if claims.is_blocked(&work.id) => return Err(ClaimError::Blocked),
+        Effect::Idempotent => {}
+        Effect::NonIdempotent => claims.claim(&work.id, now_us)?,
     }
+    Ok(runs.begin(&work.id, Arc::clone(execution), now_us))
 }
 
 /// Resolves a request whose sender lost the connection before the answer, or hears nothing on it.
@@ -73,27 +80,36 @@
     id: &Arc<str>,
     connection_ended: &CancellationToken,
 ) -> Outcome {
-    let run = lock(&host.executions.runs).get(id, host.now_us());
-    let reason = match run {
-        Some(KnownRun::Held(execution)) => return execution.outcome(connection_ended).await,
+    match known_run(host, id) {
+        Ok(execution) => execution.outcome(connection_ended).await,
+        Err(failure) => Outcome::failed(failure),
+    }
+}
+
+/// Returns the run of a request, or what is known of a request without one.
+fn known_run(host: &Host, id: &Arc<str>) -> Result<Arc<Execution>, RequestFailure> {
+    let now_us = host.now_us();
+    let mut runs = lock(&host.executions.runs);
+    let reason = match runs.get(id, now_us) {
+        Some(KnownRun::Held(execution)) => return Ok(execution),
         Some(KnownRun::Ended) => RefusalReason::AnswerNotHeld,
-        None => match lock(&host.claims).block(id, host.now_us()) {
+        None => match lock(&host.claims).block(id, now_us) {
             Some(ClaimState::Blocked) => {
-                return Outcome::failed(RequestFailure::not_sent(RefusalReason::Cancelled));
+                return Err(RequestFailure::not_sent(RefusalReason::Cancelled));
             }
             Some(ClaimState::Claimed) => RefusalReason::AnswerNotHeld,
             None => RefusalReason::QueueFull,
         },
     };
-    Outcome::failed(RequestFailure::unknown(reason))
+    Err(RequestFailure::unknown(reason))
 }
 
 /// Runs a request to its end, unless it is abandoned before.
 async fn carry_out(host: &Arc<Host>, work: &HostWork, number: RunNumber, execution: &Execution) {
-    let stays = CancellationToken::new();
+    let never_cancelled = CancellationToken::new();
     let outcome = match work.effect {
         Effect::Idempotent => tokio::select! {
-            outcome = execute(host, work, &stays) => outcome,
+            outcome = execute(host, work, &never_cancelled) => outcome,
             () = execution.abandoned() => {
                 Outcome::failed(RequestFailure::unknown(RefusalReason::Cancelled))
             }
--- a/src/host/server/executions.rs
+++ b/src/host/server/executions.rs
@@ -32,11 +32,14 @@
     }
 }
 
-/// Who awaits a run.
+/// Who awaits a run: the node that asked for it last.
 #[derive(Debug, Clone, Copy, Default)]
-struct Waiters {
-    count: usize,
-    /// Whether the last one left since its connection ended.
+struct Awaited {
+    /// Number of nodes that have asked so far.
+    asked: u64,
+    /// Whether the last of them still waits.
+    has_waiter: bool,
+    /// Whether it left since its connection ended.
     connection_lost: bool,
 }
 
@@ -44,20 +47,22 @@
 #[derive(Debug)]
 pub struct Execution {
     outcome: watch::Sender<Option<Outcome>>,
-    waiters: watch::Sender<Waiters>,
+    awaited: watch::Sender<Awaited>,
 }
 
 impl Default for Execution {
     fn default() -> Self {
         Self {
             outcome: watch::Sender::new(None),
-            waiters: watch::Sender::default(),
+            awaited: watch::Sender::default(),
         }
     }
 }
 
 impl Execution {
     /// Waits for the outcome on behalf of a node whose connection may end.
+    ///
+    /// It takes the place of one that waited before, whose connection may be silent.
     pub fn outcome(
         self: &Arc<Self>,
         connection_ended: &CancellationToken,
@@ -82,19 +87,14 @@
     ///
     /// A node whose connection was lost may come back over another one.
     pub async fn abandoned(&self) {
-        let mut waiters = self.waiters.subscribe();
+        let mut awaited = self.awaited.subscribe();
         loop {
-            let Ok(last_left) = waiters
-                .wait_for(|waiters| waiters.count == 0)
-                .await
-                .map(|w| *w)
-            else {
-                return;
-            };
-            if !last_left.connection_lost {
+            let left = awaited.wait_for(|awaited| !awaited.has_waiter).await;
+            let connection_lost = left.is_ok_and(|left| left.connection_lost);
+            if !connection_lost {
                 return;
             }
-            let resumed = waiters.wait_for(|waiters| waiters.count > 0);
+            let resumed = awaited.wait_for(|awaited| awaited.has_waiter);
             if tokio::time::timeout(RESUME_TIMEOUT, resumed).await.is_err() {
                 return;
             }
@@ -102,18 +102,25 @@
     }
 }
 
-/// Guard of one node that awaits a run.
+/// Guard of the node that awaits a run.
 #[derive(Debug)]
 struct Waiter {
     execution: Arc<Execution>,
+    number: u64,
     connection_ended: CancellationToken,
 }
 
 impl Waiter {
     fn new(execution: Arc<Execution>, connection_ended: CancellationToken) -> Self {
-        execution.waiters.send_modify(|waiters| waiters.count += 1);
+        let mut number = 0;
+        execution.awaited.send_modify(|awaited| {
+            awaited.asked += 1;
+            awaited.has_waiter = true;
+            number = awaited.asked;
+        });
         Self {
             execution,
+            number,
             connection_ended,
         }
     }
@@ -122,9 +129,13 @@
 impl Drop for Waiter {
     fn drop(&mut self) {
         let connection_lost = self.connection_ended.is_cancelled();
-        self.execution.waiters.send_modify(|waiters| {
-            waiters.count -= 1;
-            waiters.connection_lost = connection_lost;
+        self.execution.awaited.send_if_modified(|awaited| {
+            let is_last = awaited.asked == self.number;
+            if is_last {
+                awaited.has_waiter = false;
+                awaited.connection_lost = connection_lost;
+            }
+            is_last
         });
     }
 }
--- a/src/host/server/executor.rs
+++ b/src/host/server/executor.rs
@@ -22,10 +22,10 @@
 
 /// Runs a request that a caller of this node sent.
 pub async fn run(host: &Arc<Host>, work: HostWork) -> Outcome {
-    let never_ends = CancellationToken::new();
+    let never_cancelled = CancellationToken::new();
     match work.effect {
-        Effect::Idempotent => execute(host, &work, &never_ends).await,
-        Effect::NonIdempotent => detached::run(host, work, &never_ends).await,
+        Effect::Idempotent => execute(host, &work, &never_cancelled).await,
+        Effect::NonIdempotent => detached::run(host, work, &never_cancelled).await,
     }
 }
 
--- a/src/kernel/node.rs
+++ b/src/kernel/node.rs
@@ -110,7 +110,9 @@
         let settings = &self.kernel.settings.node;
         self.kernel.stop.leave();
         tokio::time::sleep(Duration::from_millis(settings.leave_notice_ms)).await;
-        self.kernel.stop.close();
+        // Connections of other nodes end one by one, so that a request that lasts takes no time from
+        // answers that wait.
+        self.kernel.stop.drain();
         let remaining_ms = settings
             .shutdown_ms
             .saturating_sub(settings.leave_notice_ms);
@@ -124,7 +126,6 @@
                 settings.shutdown_ms
             );
         }
-        self.kernel.stop.drain();
         let peers = &self.kernel.peer_connections;
         if timeout_at(finish_by, peers.tasks.join()).await.is_err() {
             log::error!(
--- a/tests/host/executions.rs
+++ b/tests/host/executions.rs
@@ -52,3 +52,16 @@
     drop(awaited);
     assert!(timeout(LONG, execution.abandoned()).await.is_ok());
 }
+
+/// Guards against work that goes on after its caller has left, since a silent connection stays open.
+#[tokio::test]
+async fn a_run_is_abandoned_by_the_node_that_asked_for_it_last() {
+    let execution = Arc::new(Execution::default());
+    let silent = execution.outcome(&CancellationToken::new());
+    let asked_for = execution.outcome(&CancellationToken::new());
+    assert!(!is_abandoned(&execution));
+    drop(asked_for);
+    assert!(is_abandoned(&execution));
+    drop(silent);
+    assert!(is_abandoned(&execution));
+}
