Only connections that are checked by pings may stay unacknowledged for 5 s

Calls between nodes of the product waited 5 s in place of 1 s on a connection that had gone silent, since raised the system's time for all connections that are mostly idle; those of the product have no ping.

Connections between hosts are their own kind now; full_links tests that kind.

--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -17,7 +17,11 @@
 /// How soon a dead peer is detected on a connection on which this side sends nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum KeepAlive {
-    /// Within 10 s, for connections that are mostly idle or have a check of their own.
+    /// Within 10 s, for connections whose users check them by pings.
+    ///
+    /// Data may stay unacknowledged for 5 s.
+    Checked,
+    /// Within 10 s, for connections that are mostly idle.
     Seldom,
     /// Within 2 s, for connections that deliver what this node waits for.
     ///
@@ -29,7 +33,7 @@
     /// Idle time before the TCP keep-alive probe, and time in which it must be answered.
     fn interval(self) -> Duration {
         match self {
-            Self::Seldom => Duration::from_secs(5),
+            Self::Checked | Self::Seldom => Duration::from_secs(5),
             Self::Frequent => Duration::from_secs(1),
         }
     }
@@ -38,7 +42,10 @@
     ///
     /// The system counts a peer behind a full link as one that takes none.
     fn unacknowledged_timeout(self) -> Duration {
-        self.interval()
+        match self {
+            Self::Checked => self.interval(),
+            Self::Seldom | Self::Frequent => Duration::from_secs(1),
+        }
     }
 }
 
--- a/src/host/peers/peer_connection.rs
+++ b/src/host/peers/peer_connection.rs
@@ -40,7 +40,7 @@
         address: SocketAddr,
         connect_timeout: Duration,
     ) -> Result<Self, StepError> {
-        let connected = connect(address, connect_timeout, KeepAlive::Seldom).await;
+        let connected = connect(address, connect_timeout, KeepAlive::Checked).await;
         let stream = connected.map_err(|error| StepError::with_peer("connect", address, error))?;
         let last_receipt = LastReceipt::default();
         last_receipt.record();
--- a/src/host/peers/peer_server.rs
+++ b/src/host/peers/peer_server.rs
@@ -44,7 +44,7 @@
         };
         match accepted {
             Ok((stream, peer)) => {
-                if let Err(error) = enable_dead_peer_detection(&stream, KeepAlive::Seldom) {
+                if let Err(error) = enable_dead_peer_detection(&stream, KeepAlive::Checked) {
                     log::warn!("peer server: failed to set socket options (peer {peer}): {error}");
                 }
                 host.peer_connections.tasks.spawn(serve_connection(
--- a/tests/host/full_links.rs
+++ b/tests/host/full_links.rs
@@ -18,10 +18,10 @@
 async fn a_connection_between_nodes_outlasts_an_end_that_takes_nothing_for_a_while() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
-    let opened = connect(address, TAKES_NOTHING_FOR, KeepAlive::Seldom);
+    let opened = connect(address, TAKES_NOTHING_FOR, KeepAlive::Checked);
     let (opened, accepted) = tokio::join!(opened, listener.accept());
     let (mut reader, (mut writer, _peer)) = (opened.expect("open"), accepted.expect("accepted"));
-    enable_dead_peer_detection(&writer, KeepAlive::Seldom).expect("options are set");
+    enable_dead_peer_detection(&writer, KeepAlive::Checked).expect("options are set");
     let write = async {
         let written = writer.write_all(&vec![0; MESSAGE_BYTES]).await;
         drop(writer);
