review: a node that stops drops work of another node that stops

Seen: of two machines that get SIGTERM 1 s apart, the first drops non-idempotent requests at which its backend is at work and which the second took from its clients; they get 502, and the backend completes them (rule LOST, planned work alone). Cause: a node takes work of others until 2.7 s after SIGTERM, however long it may last, and ends all work 5.4 s after it.

--- a/review/standins/lib.rs
+++ b/review/standins/lib.rs
@@ -729,6 +729,7 @@
 }
 
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 
 /// A machine: the addresses of its node and its backend server.
 #[derive(Clone)]
@@ -1028,13 +1029,23 @@
 
 /// A configuration with one route per path, as (path, effect, service).
 pub fn configuration(version: u64, routes: &[(&str, &str, &str)], services: &[&str]) -> String {
+    configuration_with_timeout(version, routes, services, 1_500)
+}
+
+/// The same with another `timeout-s` of all routes, in ms.
+pub fn configuration_with_timeout(
+    version: u64,
+    routes: &[(&str, &str, &str)],
+    services: &[&str],
+    timeout_ms: u64,
+) -> String {
     let routes: Vec<String> = routes
         .iter()
         .enumerate()
         .map(|(index, (path, effect, service))| {
             format!(
                 "{{\"name\":\"r-{index}\",\"host\":\"shop.example\",\"path_prefix\":\"{path}\",\"effect\":\"{effect}\",\
-                 \"timeout_ms\":1500,\"objective_ms\":600,\"rank\":1,\"service\":\"{service}\",\"servers_max\":2}}"
+                 \"timeout_ms\":{timeout_ms},\"objective_ms\":600,\"rank\":1,\"service\":\"{service}\",\"servers_max\":2}}"
             )
         })
         .collect();
