--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -37,14 +37,14 @@
     standins::main(case);
 }
 
-fn case(folder: &Path) -> i32 {
+fn case(record: &Path) -> i32 {
     let stops = trouble() != "0";
     let machines = [
         ("vault-1", "jyl-a", "vault"),
         ("desk-1", "jyl-b", "desk"),
         ("desk-2", "jyl-a", "desk"),
     ];
-    let mut site = Site::new(folder, &machines);
+    let mut site = Site::new(record, &machines);
     let narrow = &mut site.machines[RUNS];
     let IpAddr::V4(ip) = narrow.ip else {
         unreachable!("loopback addresses are of version 4")
--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -19,7 +19,7 @@
     standins::main(case);
 }
 
-fn case(folder: &Path) -> i32 {
+fn case(record: &Path) -> i32 {
     let trouble = trouble();
     let restarts = matches!(&*trouble, "1" | "restart");
     let is_late = matches!(&*trouble, "1" | "late");
@@ -28,7 +28,7 @@
         ("herd-2", "ratchaburi", "herd"),
         ("herd-3", "saraburi", "herd"),
     ];
-    let site = Site::new(folder, &machines);
+    let site = Site::new(record, &machines);
     let record = site.record.clone();
     site.store.put(
         "config",
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -27,7 +27,7 @@
     configuration(version, &routes, &["herd"])
 }
 
-fn case(folder: &Path) -> i32 {
+fn case(record: &Path) -> i32 {
     let loses = trouble() != "0";
     let machines = [
         ("ratchaburi-1", "ratchaburi", "herd"),
@@ -39,7 +39,7 @@
         ("saraburi-3", "saraburi", "herd"),
         ("saraburi-4", "saraburi", "herd"),
     ];
-    let site = Site::new(folder, &machines);
+    let site = Site::new(record, &machines);
     let record = site.record.clone();
     site.store.put("config", &config(10));
 
--- a/review/standins/lib.rs
+++ b/review/standins/lib.rs
@@ -12,10 +12,10 @@
 use std::thread::{self, sleep};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-/// Runs a case: its folder is the first argument; a panic means that it could not run.
+/// Runs a case: the file of its record is the first argument; a panic means that it could not run.
 pub fn main(case: fn(&Path) -> i32) -> ! {
-    let folder = PathBuf::from(std::env::args().nth(1).expect("the folder of the case"));
-    let code = std::panic::catch_unwind(|| case(&folder)).unwrap_or(NOT_RUN);
+    let record = PathBuf::from(std::env::args().nth(1).expect("the file of the record"));
+    let code = std::panic::catch_unwind(|| case(&record)).unwrap_or(NOT_RUN);
     std::process::exit(code);
 }
 
@@ -47,8 +47,8 @@
 }
 
 impl Record {
-    pub fn create(folder: &Path) -> Self {
-        let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
+    pub fn create(file: &Path) -> Self {
+        let file = File::create(file).expect("the record can be written");
         Self {
             started: Instant::now(),
             file: Arc::new(Mutex::new(file)),
@@ -946,8 +946,8 @@
 
 impl Site {
     /// Lays out machines, given as name, zone and service of the settings, and starts the store.
-    pub fn new(folder: &Path, machines: &[(&str, &str, &str)]) -> Self {
-        let record = Record::create(folder);
+    pub fn new(record: &Path, machines: &[(&str, &str, &str)]) -> Self {
+        let record = Record::create(record);
         let (b, c, port) = free_network();
         let temporary = std::env::temp_dir().join(format!("review-{}", std::process::id()));
         std::fs::create_dir_all(&temporary).expect("a temporary folder");
