A request whose body comes after the close of a stopping node is answered

Callers whose request had begun to arrive 2.6 s after SIGTERM and whose body came 0.25 s later, after the close, got no answer at all: their connection was closed.

Cause: at the close the server stopped reading each connection at once, also in the middle of a request. Now it reads the request that has begun to arrive to its end, for 500 ms at most, and answers it; one that does not become whole gets 408, which says truly that it has not run.

--- a/src/edge/http1/server.rs
+++ b/src/edge/http1/server.rs
@@ -36,6 +36,11 @@
 /// Closing a socket with unread data resets the connection, and the caller could lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long the rest of a request may take that has begun to arrive when its listener closes.
+///
+/// A request that is not whole by then is rejected.
+const REST_AFTER_CLOSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Delay after a failed accept, for example when no file descriptors are left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -209,6 +214,23 @@
     unwritten: UnwrittenAnswer,
 }
 
+/// Which requests of a connection are still read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Reading {
+    /// All that come.
+    All,
+    /// The one that has begun to arrive, until a time.
+    Current { until: Instant },
+    /// None; only the caller's close is awaited.
+    Nothing,
+}
+
+impl Reading {
+    fn accepts_bytes(self) -> bool {
+        self != Self::Nothing
+    }
+}
+
 struct Connection<H> {
     handler: Arc<H>,
     caller: SocketAddr,
@@ -256,26 +278,29 @@
 
     /// Serves requests until the connection closes.
     ///
-    /// Once `closed` resolves, or after the caller's last request, no further requests are read;
-    /// a close by the caller is still detected, and drops all pending responses.
+    /// Once `closed` resolves, only the request that has begun to arrive is still read, and after the
+    /// caller's last request none; a close by the caller is still detected, and drops all pending
+    /// responses.
     async fn run(mut self, closed: impl Future<Output = ()>) {
         tokio::pin!(closed);
         let mut pending = FuturesOrdered::new();
-        let mut accept_requests = true;
+        let mut reading = Reading::All;
         loop {
             let idle = pending.is_empty() && self.unwritten.is_empty();
-            if idle && !accept_requests {
+            if idle && !reading.accepts_bytes() {
                 return self.linger().await;
             }
-            let may_read = if accept_requests {
+            let may_read = if reading.accepts_bytes() {
                 pending.len() < PIPELINED_REQUESTS_MAX
             } else {
                 !pending.is_empty()
             };
-            if may_read && accept_requests {
+            if may_read && reading.accepts_bytes() {
                 match self.parse() {
                     Ok(Some(Received::Message(head, body))) => {
-                        accept_requests = head.keep_alive;
+                        if !head.keep_alive || reading != Reading::All {
+                            reading = Reading::Nothing;
+                        }
                         pending.push_back(self.start(Request { head, body }));
                         continue;
                     }
@@ -289,12 +314,17 @@
                         if let Some(reason) = RejectReason::of(&error) {
                             self.reject(reason, error.to_string(), pending.is_empty());
                         }
-                        accept_requests = false;
+                        reading = Reading::Nothing;
                         continue;
                     }
                 }
             }
-            let times_out_at = self.times_out_at();
+            let times_out_at = self.times_out_at(reading);
+            let may_time_out = match reading {
+                Reading::All => idle,
+                Reading::Current { .. } => true,
+                Reading::Nothing => false,
+            };
             let take_responses = !pending.is_empty() && self.unwritten.len() < UNWRITTEN_BYTES_MAX;
             tokio::select! {
                 biased;
@@ -310,27 +340,39 @@
                 Some(outgoing) = pending.next(), if take_responses => {
                     let last = pending.is_empty() && !self.reader.is_within_message();
                     if self.write(outgoing, last) {
-                        accept_requests = false;
+                        reading = Reading::Nothing;
                         pending.clear();
                     }
                 }
-                open = receive(&mut self.reader, &mut self.input, accept_requests), if may_read => {
+                open = receive(&mut self.reader, &mut self.input, reading), if may_read => {
                     if !open {
                         return;
                     }
                     self.last_transfer = Instant::now();
                 }
-                () = &mut closed, if accept_requests => accept_requests = false,
-                () = tokio::time::sleep_until(times_out_at), if idle && accept_requests => {
+                () = &mut closed, if reading == Reading::All => reading = self.reading_after_close(),
+                () = tokio::time::sleep_until(times_out_at), if may_time_out => {
                     if self.reader.is_within_message() {
-                        self.reject(RejectReason::Timeout, "the rest of the request did not arrive".to_owned(), true);
+                        let detail = "the rest of the request did not arrive".to_owned();
+                        self.reject(RejectReason::Timeout, detail, pending.is_empty());
                     }
-                    accept_requests = false;
+                    reading = Reading::Nothing;
                 }
             }
         }
     }
 
+    /// What is read once the listener has closed: the rest of a request that has begun to arrive.
+    fn reading_after_close(&self) -> Reading {
+        if self.reader.is_within_message() {
+            Reading::Current {
+                until: Instant::now() + REST_AFTER_CLOSE_TIMEOUT,
+            }
+        } else {
+            Reading::Nothing
+        }
+    }
+
     /// Parses the bytes received so far.
     ///
     /// A request is held to the highest limits in force since its first byte arrived.
@@ -358,13 +400,17 @@
     /// Time at which a connection without running requests is given up.
     ///
     /// The time limit of heads does not apply to bodies.
-    fn times_out_at(&self) -> Instant {
+    fn times_out_at(&self, reading: Reading) -> Instant {
         let limits = self.handler.limits();
         let reads_head = self.reader.is_within_message() && self.reader.partial_head().is_none();
-        if reads_head {
+        let times_out_at = if reads_head {
             self.message_began + limits.head_timeout
         } else {
             self.last_transfer + limits.idle_timeout
+        };
+        match reading {
+            Reading::Current { until } => times_out_at.min(until),
+            Reading::All | Reading::Nothing => times_out_at,
         }
     }
 
@@ -431,15 +477,15 @@
     }
 }
 
-/// Reads more bytes, or only waits for the caller's close if `accept_requests` is false.
+/// Reads more bytes, or only waits for the caller's close if nothing is read any more.
 ///
 /// Returns false once the connection is closed.
 async fn receive(
     reader: &mut MessageReader<RequestHead>,
     input: &mut OwnedReadHalf,
-    accept_requests: bool,
+    reading: Reading,
 ) -> bool {
-    if accept_requests {
+    if reading.accepts_bytes() {
         return matches!(reader.fill(input).await, Ok(true));
     }
     drain_until_close(input).await;
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -7,6 +7,7 @@
 #[path = "../support/eventually.rs"]
 mod eventually;
 mod large_configuration;
+mod late_bodies;
 mod late_links;
 mod log_copy;
 #[path = "../support/loopback.rs"]
