A restarted node confirms a process by its health check before it sends requests there

Cause: what a node acknowledged ends with its process, and an announcement was believed whatever the process at the address answered. Evidence: no run without the late heartbeat, all runs after it, while the health check answered 503.

Now a process that is older than a restarted node gets requests once it answers a health check as healthy, or goes on announcing itself for 10 s. Before its first announcement counts, the address is asked; if another process answers, the announcement has no effect.

Open: a backend server that has left and whose health check says well.

--- a/src/decision/host/gate/observe.rs
+++ b/src/decision/host/gate/observe.rs
@@ -15,12 +15,17 @@
 const DRAIN_MARGIN_US: u64 = 400_000;
 
 impl HostGate {
+    /// Records that the node was restarted at a time in Unix ms.
+    pub fn set_restarted(&mut self, at_ms: u64) {
+        self.server.set_restarted(at_ms);
+    }
+
     /// Applies an announcement of the backend server.
     pub fn observe_announcement(&mut self, announcement: Announcement, now_us: u64) -> Freshness {
         let (state, slots) = (announcement.state, announcement.slots);
         let cold_left_us = announcement.cold_left_us;
         let was_answering = self.server.is_unannounced(&announcement.instance);
-        let freshness = self.server.apply(announcement);
+        let freshness = self.server.apply(announcement, now_us);
         match freshness {
             Freshness::Stale => return freshness,
             Freshness::NewStart => {
@@ -145,7 +150,9 @@
     /// A cold backend server says so in its health answers, so an answer of the known process
     /// determines whether it is cold.
     pub fn observe_health(&mut self, result: &HealthCheckResult<'_>, now_us: u64) {
-        let is_known = self.server.observe_answer(result.instance, result.healthy);
+        let is_known = self
+            .server
+            .observe_answer(result.instance, result.healthy, now_us);
         if !is_known {
             // Another process answers at the address; its announcement has not arrived yet.
             self.suspect_restart();
@@ -157,8 +164,8 @@
     }
 
     /// Records that a process rejected a request without running it.
-    pub fn observe_rejection(&mut self, instance: &str) {
-        self.server.observe_answer(instance, false);
+    pub fn observe_rejection(&mut self, instance: &str, now_us: u64) {
+        self.server.observe_answer(instance, false, now_us);
         self.suspect_restart();
     }
 
--- a/src/decision/host/known_server.rs
+++ b/src/decision/host/known_server.rs
@@ -3,12 +3,40 @@
 //! Only an announcement states the service. Before the first one the service is that of the
 //! settings, for the first process that answers a health check: an address may pass to a backend
 //! server of another service after the settings were written.
+//!
+//! A node that was restarted does not know what the run before it acknowledged: a process may have
+//! announced that it is leaving, and an earlier announcement of it may arrive late. So an announced
+//! process that is older than the node gets no requests before it is confirmed: it answers a health
+//! check as healthy, or goes on announcing itself as ready for [`CONFIRMED_AFTER_US`].
 
 use std::sync::Arc;
 
 use super::announcement::{Announcement, Departure, Freshness};
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
+use crate::model::units::US_PER_S;
+
+/// Time in which all announcements that were sent before a leave have arrived, in µs.
+const CONFIRMED_AFTER_US: u64 = 10 * US_PER_S;
+
+/// An announced process, and what shows that it has not left.
+#[derive(Debug)]
+struct Announced {
+    last: Announcement,
+    /// When its first announcement was applied, in µs.
+    since_us: u64,
+    is_confirmed: bool,
+}
+
+/// The process that answered last.
+#[derive(Debug)]
+struct Answering {
+    instance: Arc<str>,
+    /// Whether an answer of it said that it is healthy.
+    healthy_seen: bool,
+    /// Time of its last answer, in µs.
+    at_us: u64,
+}
 
 /// The process at the address.
 #[derive(Debug)]
@@ -23,7 +51,7 @@
     /// Its service is unknown until it announces itself.
     OfUnknownService,
     /// It announced itself.
-    Announced(Announcement),
+    Announced(Announced),
 }
 
 /// The known backend server of a host.
@@ -33,8 +61,10 @@
     service: ServiceName,
     service_changes: u16,
     process: Process,
-    /// Instance that answered last, since the last new start was applied.
-    answering: Option<Arc<str>>,
+    /// What answered last, since the last new start was applied.
+    answering: Option<Answering>,
+    /// Start time from which on all acknowledgements to a process are known here, in Unix ms.
+    known_from_ms: u64,
     /// Instance and start time of the announcement that was replaced by one of an earlier time.
     replaced_by_earlier_start: Option<(Arc<str>, u64)>,
 }
@@ -47,10 +77,18 @@
             service_changes: 0,
             process: Process::Unknown,
             answering: None,
+            known_from_ms: 0,
             replaced_by_earlier_start: None,
         }
     }
 
+    /// Records that the node was restarted at a time in Unix ms.
+    ///
+    /// An earlier run of it may have acknowledged the leave of a process that started before.
+    pub fn set_restarted(&mut self, at_ms: u64) {
+        self.known_from_ms = at_ms;
+    }
+
     /// Service that the host serves.
     pub fn service(&self) -> &ServiceName {
         &self.service
@@ -64,7 +102,7 @@
     /// Last announcement applied.
     pub fn announcement(&self) -> Option<&Announcement> {
         match &self.process {
-            Process::Announced(announcement) => Some(announcement),
+            Process::Announced(announced) => Some(&announced.last),
             Process::Unknown | Process::Answered { .. } | Process::OfUnknownService => None,
         }
     }
@@ -76,8 +114,13 @@
                 instance,
                 healthy_seen: true,
             } => Some(instance),
-            Process::Announced(announcement) => Some(&announcement.instance),
-            Process::Unknown | Process::Answered { .. } | Process::OfUnknownService => None,
+            Process::Announced(announced) if announced.is_confirmed => {
+                Some(&announced.last.instance)
+            }
+            Process::Unknown
+            | Process::Answered { .. }
+            | Process::OfUnknownService
+            | Process::Announced(_) => None,
         }
     }
 
@@ -92,7 +135,7 @@
             Process::Answered {
                 instance: known, ..
             } => **known == *instance,
-            Process::Announced(known) => *known.instance == *instance,
+            Process::Announced(known) => *known.last.instance == *instance,
             Process::Unknown | Process::OfUnknownService => false,
         }
     }
@@ -115,9 +158,19 @@
     }
 
     /// Records that a process answered; returns whether it is the known one.
-    pub fn observe_answer(&mut self, instance: &str, healthy: bool) -> bool {
-        if self.answering.as_deref() != Some(instance) {
-            self.answering = Some(instance.into());
+    pub fn observe_answer(&mut self, instance: &str, healthy: bool, now_us: u64) -> bool {
+        match &mut self.answering {
+            Some(answering) if *answering.instance == *instance => {
+                answering.healthy_seen |= healthy;
+                answering.at_us = now_us;
+            }
+            _ => {
+                self.answering = Some(Answering {
+                    instance: instance.into(),
+                    healthy_seen: healthy,
+                    at_us: now_us,
+                });
+            }
         }
         match &mut self.process {
             Process::Unknown => {
@@ -139,7 +192,11 @@
                 false
             }
             Process::OfUnknownService => false,
-            Process::Announced(known) => *known.instance == *instance,
+            Process::Announced(known) => {
+                let is_known = *known.last.instance == *instance;
+                known.is_confirmed |= is_known && healthy;
+                is_known
+            }
         }
     }
 
@@ -159,7 +216,9 @@
     /// as the later one of two instances.
     pub fn freshness(&self, announcement: &Announcement) -> Freshness {
         let by_time = announcement.freshness(self.announcement());
-        let answers = self.answering.as_ref() == Some(&announcement.instance);
+        let answering = self.answering.as_ref();
+        let answers =
+            answering.is_some_and(|answering| answering.instance == announcement.instance);
         match by_time {
             Freshness::Stale if answers && !self.is_announced(&announcement.instance) => {
                 Freshness::NewStart
@@ -171,9 +230,36 @@
         }
     }
 
+    /// Whether an announcement of a new start is not of the process that is at the address.
+    ///
+    /// That is so if another process has answered since `asked_us`: the sender has ended.
+    pub fn is_of_ended_process(&self, announcement: &Announcement, asked_us: u64) -> bool {
+        let answering = self.answering.as_ref();
+        let another_answers = answering.is_some_and(|answering| {
+            answering.at_us >= asked_us && answering.instance != announcement.instance
+        });
+        another_answers && self.freshness(announcement) == Freshness::NewStart
+    }
+
+    /// Whether a process that announces itself for the first time here needs no further sign.
+    fn is_confirmed_at_first(&self, announcement: &Announcement) -> bool {
+        let answering = self.answering.as_ref();
+        let is_healthy = answering.is_some_and(|answering| {
+            answering.instance == announcement.instance && answering.healthy_seen
+        });
+        is_healthy || self.known_from_ms == 0 || announcement.start_time_ms > self.known_from_ms
+    }
+
     /// Applies an announcement and returns how it relates to what was known.
-    pub fn apply(&mut self, announcement: Announcement) -> Freshness {
+    pub fn apply(&mut self, announcement: Announcement, now_us: u64) -> Freshness {
         let freshness = self.freshness(&announcement);
+        let (since_us, is_confirmed) = match (freshness, &self.process) {
+            (Freshness::Newer, Process::Announced(known)) => {
+                let is_continued = now_us.saturating_sub(known.since_us) >= CONFIRMED_AFTER_US;
+                (known.since_us, known.is_confirmed || is_continued)
+            }
+            _ => (now_us, self.is_confirmed_at_first(&announcement)),
+        };
         match freshness {
             Freshness::Stale => return freshness,
             Freshness::Newer => {}
@@ -192,7 +278,11 @@
             self.service = announcement.service.clone();
             self.service_changes = self.service_changes.saturating_add(1);
         }
-        self.process = Process::Announced(announcement);
+        self.process = Process::Announced(Announced {
+            last: announcement,
+            since_us,
+            is_confirmed,
+        });
         freshness
     }
 
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -23,7 +23,7 @@
 use crate::edge::connections::Connections;
 use crate::host::branches::state::Quotas;
 use crate::host::log_service::quarantine_records::QuarantineRecords;
-use crate::host::observe::events::EventLog;
+use crate::host::observe::events::{EventLog, time_of_day_ms};
 use crate::host::observe::knowledge::{ConfigAge, LearnTimes};
 use crate::host::observe::log_writer::StandardOutput;
 use crate::host::peers::datagrams::Datagrams;
@@ -151,6 +151,16 @@
         let revoke_us = settings.bounds.revoke_ms.map(|ms| ms * US_PER_MS);
         let drain_us = settings.bounds.drain_ms * US_PER_MS;
         let trial_delay_us = rand::random_range(0..TRIAL_DELAY_MAX_US);
+        let gate = SharedGate::new(
+            incarnation,
+            settings.backend_server.service.clone(),
+            drain_us,
+            cold_allowance,
+            clock,
+        );
+        if !settings.host.first_start {
+            gate.with(|gate| gate.set_restarted(time_of_day_ms()));
+        }
         let events = EventLog::start(&settings.host.name, clock, Box::new(StandardOutput));
         Self {
             incarnation,
@@ -174,13 +184,7 @@
             peers: Mutex::default(),
             hosts_listed: AtomicBool::new(false),
             peer_clients: PeerClients::new(tasks.clone()),
-            gate: SharedGate::new(
-                incarnation,
-                settings.backend_server.service.clone(),
-                drain_us,
-                cold_allowance,
-                clock,
-            ),
+            gate,
             crash_watch: Mutex::default(),
             poison_requests: Mutex::new(PoisonRequests::new(trial_delay_us)),
             quarantine_began: Notify::new(),
--- a/src/host/server/announcements.rs
+++ b/src/host/server/announcements.rs
@@ -48,8 +48,19 @@
                 return Response::new(400, Vec::new(), error.to_string());
             }
             Ok(Message::Heartbeat(announcement)) => {
-                if host.gate.with(|gate| gate.server().is_unknown()) {
-                    probe::first_answer(host).await;
+                let asked_us = host.now_us();
+                if is_first(host, &announcement) {
+                    probe::ask_presence(host).await;
+                }
+                let is_of_ended = host.gate.with(|gate| {
+                    let server = gate.server();
+                    server.is_of_ended_process(&announcement, asked_us)
+                });
+                if is_of_ended {
+                    let error = "another process answers at the address";
+                    host.events
+                        .announcement_refused(&request.head.target, &error);
+                    return Response::new(200, Vec::new(), "{}");
                 }
                 let now_us = host.now_us();
                 apply(host, |gate| {
@@ -79,6 +90,12 @@
     }
 }
 
+/// Returns whether the process that announces itself has not done so here before.
+fn is_first(host: &Host, announcement: &Announcement) -> bool {
+    let freshness = host.gate.with(|gate| gate.server().freshness(announcement));
+    freshness == Freshness::NewStart
+}
+
 /// Returns whether a service is that of this host, or may be: the configuration has it.
 fn is_known(host: &Host, service: &ServiceName) -> bool {
     let config = host.config.load();
--- a/src/host/server/answer_checks.rs
+++ b/src/host/server/answer_checks.rs
@@ -69,7 +69,9 @@
 ) -> Result<Response, RequestFailure> {
     if facts.not_run && is_own_refusal(facts, reused) {
         if let Some(instance) = &facts.instance {
-            host.gate.with(|gate| gate.observe_rejection(instance));
+            let now_us = host.now_us();
+            host.gate
+                .with(|gate| gate.observe_rejection(instance, now_us));
         }
         return Err(RequestFailure::shed());
     }
--- a/src/host/server/probe.rs
+++ b/src/host/server/probe.rs
@@ -68,10 +68,11 @@
     })
 }
 
-/// Asks a backend server of which nothing is known what it says of itself, with a timeout.
+/// Asks the backend server at the address what it says of itself, with a timeout.
 ///
-/// A previous run of this node may have known that it leaves, or that it names a limit.
-pub async fn first_answer(host: &Arc<Host>) {
+/// A previous run of this node may have known that it leaves, or that it names a limit, and another
+/// process may be there than the one that announces itself.
+pub async fn ask_presence(host: &Arc<Host>) {
     let asked = async {
         while health_path(host).is_none() {
             tokio::time::sleep(PATH_POLL_PERIOD).await;
--- a/tests/host/event_log.rs
+++ b/tests/host/event_log.rs
@@ -321,7 +321,7 @@
 /// A node without configuration, beside a backend server at this address.
 pub fn host_with_server(server: SocketAddr) -> Arc<Host> {
     let settings = json!({
-        "host": {"name": "a", "ip": "127.0.0.1", "zone": "z"},
+        "host": {"name": "a", "ip": "127.0.0.1", "zone": "z", "first_start": true},
         "listen": {
             "callers": "127.0.0.1:1", "peers": "127.0.0.1:2", "ready": "127.0.0.1:3",
             "announcements": "127.0.0.1:4", "shared_port_first": 5,
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -39,6 +39,7 @@
 mod report_schedule;
 mod report_targets;
 mod request_reading;
+mod restarted_gate;
 mod retry_budget_rule;
 mod returning_callers;
 mod rollout;
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -17,6 +17,7 @@
 mod poison_requests;
 #[path = "../support/program.rs"]
 mod program;
+mod restarted_nodes;
 mod reused_address;
 mod rollouts;
 mod server_statements;
--- a/tests/host_processes/reused_address.rs
+++ b/tests/host_processes/reused_address.rs
@@ -48,6 +48,26 @@
     RestartedBetween,
     /// It is restarted before the change, and hears no announcement of the earlier backend server.
     RestartedBefore,
+    /// It is restarted after the change, and then a late announcement of the earlier one arrives.
+    RestartedBeforeLateAnnouncement,
+}
+
+/// State of a backend server that is ready.
+const READY: ServerStatus = ServerStatus {
+    slots: 12,
+    draining: false,
+    cold_left_ms: 0,
+};
+
+/// Announces a backend server of the first service, as the one that the host had at its start.
+fn announcer(site: &Site, instance: String) -> Announcer {
+    Announcer::new(
+        site.addresses.announcements(),
+        site.addresses.server(),
+        instance,
+        PLACES[HOST].service.to_owned(),
+        PLACES[HOST].zone.to_owned(),
+    )
 }
 
 async fn restart_node(site: &mut Site) {
@@ -58,12 +78,16 @@
 }
 
 /// Replaces the backend server by one of the new service, which is not announced yet.
-async fn replace_server(site: &mut Site, node: Node) {
+///
+/// Returns when a late announcement of the earlier one arrived, in ms of the ledger, if one did.
+async fn replace_server(site: &mut Site, node: Node) -> Option<u64> {
+    let mut late_ms = None;
     site.hold_announcements(true);
     if matches!(node, Node::RestartedBefore) {
         restart_node(site).await;
         tokio::time::sleep(UNANNOUNCED).await;
     }
+    let mut earlier = announcer(site, PLACES[HOST].instance(1));
     site.end_server(ServerEnd::Crash).await;
     if matches!(node, Node::RestartedBetween) {
         site.close_server_address().await;
@@ -75,11 +99,23 @@
     }
     site.pass_address_to(NEW_SERVICE);
     site.start_server().await;
-    if matches!(node, Node::RestartedAfter) {
+    if matches!(
+        node,
+        Node::RestartedAfter | Node::RestartedBeforeLateAnnouncement
+    ) {
+        restart_node(site).await;
+    }
+    if matches!(node, Node::RestartedBeforeLateAnnouncement) {
+        site.hold_announcements(false);
+        tokio::time::sleep(UNANNOUNCED).await;
         restart_node(site).await;
+        site.hold_announcements(true);
+        earlier.announce(READY).await;
+        late_ms = Some(site.ledger().now_ms());
     }
     tokio::time::sleep(UNANNOUNCED).await;
     site.hold_announcements(false);
+    late_ms
 }
 
 /// Runs of requests that no configuration sends to the service that ran them.
@@ -108,7 +144,7 @@
     tokio::time::sleep(Duration::from_millis(COLD_MS)).await;
     let callers = system.start_callers(&mut StdRng::seed_from_u64(SEED)).await;
     tokio::time::sleep(CALM).await;
-    replace_server(&mut *system.sites[HOST].lock().await, node).await;
+    let late_ms = replace_server(&mut *system.sites[HOST].lock().await, node).await;
     system.operator.lock().await.move_route(&system.store);
     tokio::time::sleep(LEARNED_WITHIN).await;
     let calm_from_ms = system.ledger.now_ms();
@@ -122,7 +158,7 @@
     let instance = PLACES[HOST].instance(2);
     let own_requests = format!("{HOST}-");
     let misnamed = runs.iter().find(|run| {
-        run.begun_ms >= calm_from_ms
+        run.begun_ms >= late_ms.unwrap_or(calm_from_ms)
             && run.request_id.starts_with(&own_requests)
             && run.caller_service != NEW_SERVICE
     });
@@ -153,6 +189,7 @@
     no_request_runs_at_the_new_service_after_a_restart_of_the_node(Node::RestartedAfter);
     no_request_runs_at_the_new_service_if_the_node_restarts_in_between(Node::RestartedBetween);
     no_request_runs_at_the_new_service_if_the_earlier_one_was_not_announced(Node::RestartedBefore);
+    a_late_announcement_after_a_restart_names_no_service(Node::RestartedBeforeLateAnnouncement);
 }
 
 /// Guards against an announcement of another writer that takes the place of the backend server.
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -336,6 +336,11 @@
         self.announcements_held.store(held, Ordering::Relaxed);
     }
 
+    /// Where backend servers of this host record their runs.
+    pub fn ledger(&self) -> Ledger {
+        self.ledger.clone()
+    }
+
     /// File with the log of all runs of the node.
     pub fn log_file(&self) -> &Path {
         &self.log
