An address that was silent is not taken for the service of the settings

Cause: before the first announcement the node takes the first process that answers for one of the service in its settings. Only a refused connection ended that; a health check that is not answered shows just as well that the process of the settings may be gone. Now it leaves the service unknown until a process announces itself.

--- a/src/decision/host/gate/observe.rs
+++ b/src/decision/host/gate/observe.rs
@@ -169,6 +169,11 @@
         self.suspect_restart();
     }
 
+    /// Records that a health check got no answer.
+    pub fn observe_no_answer(&mut self) {
+        self.server.observe_no_answer();
+    }
+
     /// Records that no process listens at the backend server's address.
     pub fn observe_no_listener(&mut self) {
         self.server.observe_no_listener();
--- a/src/decision/host/known_server.rs
+++ b/src/decision/host/known_server.rs
@@ -200,6 +200,15 @@
         }
     }
 
+    /// Records that a health check got no answer.
+    ///
+    /// The address may be dark, and pass to a process of another service than the settings say.
+    pub fn observe_no_answer(&mut self) {
+        if self.is_unknown() {
+            self.process = Process::OfUnknownService;
+        }
+    }
+
     /// Records that no process listens at the address.
     ///
     /// The next one that does may be of another service than the settings say.
--- a/src/host/server/probe.rs
+++ b/src/host/server/probe.rs
@@ -83,6 +83,7 @@
         Ok(Ok(())) => {}
         Ok(Err(error)) => reachability::record_unreachable(host, &error),
         Err(_elapsed) => {
+            reachability::record_no_answer(host);
             log::warn!("probe: the backend server did not answer a first health check");
         }
     }
@@ -103,9 +104,10 @@
 
 /// Sends one probe and records a failure to connect.
 async fn probe(host: &Arc<Host>) {
-    let probed = tokio::time::timeout(PROBE_TIMEOUT, check_health(host)).await;
-    if let Ok(Err(error)) = &probed {
-        reachability::record_unreachable(host, error);
+    match tokio::time::timeout(PROBE_TIMEOUT, check_health(host)).await {
+        Ok(Ok(())) => {}
+        Ok(Err(error)) => reachability::record_unreachable(host, &error),
+        Err(_elapsed) => reachability::record_no_answer(host),
     }
 }
 
@@ -127,6 +129,7 @@
         Ok(response) => response,
         Err(error) => {
             log::debug!("probe: health check failed: {}", error.cause);
+            reachability::record_no_answer(host);
             return Ok(());
         }
     };
--- a/src/host/server/reachability.rs
+++ b/src/host/server/reachability.rs
@@ -3,6 +3,7 @@
 use std::io::ErrorKind;
 
 use super::crashes;
+use crate::decision::host::gate::HostGate;
 use crate::host::context::Host;
 
 /// Records that no connection to the backend server can be opened; logs the first failure.
@@ -11,6 +12,8 @@
     let is_new = host.gate.with(|gate| {
         if nothing_listens {
             gate.observe_no_listener();
+        } else {
+            gate.observe_no_answer();
         }
         gate.set_unreachable(true)
     });
@@ -20,6 +23,11 @@
     host.events.server_unreachable(error, is_new);
 }
 
+/// Records that a health check was sent, or could not be, and got no answer.
+pub fn record_no_answer(host: &Host) {
+    host.gate.with(HostGate::observe_no_answer);
+}
+
 /// Records that the backend server answers; logs when it becomes reachable again.
 pub fn record_reachable(host: &Host) {
     if host.gate.with(|gate| gate.set_unreachable(false)) {
--- a/tests/host/restarted_gate.rs
+++ b/tests/host/restarted_gate.rs
@@ -129,3 +129,14 @@
     assert!(!gate.server().is_of_ended_process(&own, S));
     assert_eq!(gate.observe_announcement(own, S), Freshness::NewStart);
 }
+
+/// Guards against an address that passes to another service after it was dark.
+#[test]
+fn a_process_that_answers_after_silence_gets_nothing_until_it_is_announced() {
+    let mut gate = restarted_gate();
+    gate.observe_no_answer();
+    gate.observe_health(&health("i-1", true), S);
+    assert!(!is_open(&gate, S));
+    gate.observe_announcement(announcement(OLDER_MS, 1, AnnouncedState::Ready), S);
+    assert!(is_open(&gate, S));
+}
--- a/tests/host_processes/reused_address.rs
+++ b/tests/host_processes/reused_address.rs
@@ -6,6 +6,7 @@
 use rand::rngs::StdRng;
 use standins::platform::announcer::{Announcer, ServerStatus};
 use standins::platform::ledger::Run;
+use standins::proxy::{Direction, LinkState};
 
 use crate::callers::{Attempt, Kind, Outcome};
 use crate::program::Signal;
@@ -24,6 +25,9 @@
 /// Time in which a backend server serves without an announcement.
 const UNANNOUNCED: Duration = Duration::from_secs(2);
 
+/// Time for which a restarted node finds the address dark.
+const DARK: Duration = Duration::from_secs(1);
+
 /// Time without a backend server at the address.
 const GAP: Duration = Duration::from_millis(300);
 
@@ -48,6 +52,8 @@
     RestartedBetween,
     /// It is restarted before the change, and hears no announcement of the earlier backend server.
     RestartedBefore,
+    /// It is restarted while the address is dark, with the settings of the earlier backend server.
+    RestartedInTheDark,
     /// It is restarted after the change, and then a late announcement of the earlier one arrives.
     RestartedBeforeLateAnnouncement,
 }
@@ -89,6 +95,11 @@
     }
     let mut earlier = announcer(site, PLACES[HOST].instance(1));
     site.end_server(ServerEnd::Crash).await;
+    if matches!(node, Node::RestartedInTheDark) {
+        site.server_link.set_state(LinkState::Cut(Direction::Both));
+        restart_node(site).await;
+        tokio::time::sleep(DARK).await;
+    }
     if matches!(node, Node::RestartedBetween) {
         site.close_server_address().await;
         restart_node(site).await;
@@ -99,6 +110,7 @@
     }
     site.pass_address_to(NEW_SERVICE);
     site.start_server().await;
+    site.server_link.set_state(LinkState::Open);
     if matches!(
         node,
         Node::RestartedAfter | Node::RestartedBeforeLateAnnouncement
@@ -189,6 +201,7 @@
     no_request_runs_at_the_new_service_after_a_restart_of_the_node(Node::RestartedAfter);
     no_request_runs_at_the_new_service_if_the_node_restarts_in_between(Node::RestartedBetween);
     no_request_runs_at_the_new_service_if_the_earlier_one_was_not_announced(Node::RestartedBefore);
+    no_request_runs_at_the_new_service_if_the_node_restarts_in_the_dark(Node::RestartedInTheDark);
     a_late_announcement_after_a_restart_names_no_service(Node::RestartedBeforeLateAnnouncement);
 }
 
