The role of those that read the log is handed over after 1 s of silence

Cause: a lost host counted as one that reads the log for as long as it may get requests, 5 s, and the role was checked each 0.5 s. Evidence: the first read comes 5 to 5.5 s after the loss whenever the change comes, and is applied within milliseconds; no line says that the log was away.

Now a host of the same zone that was not heard for 1 s, four reports, does not count, and the role is checked each 0.25 s. A host that others precede waits for a second check, and one that takes over reports it at once, so that not all take over together. Turns of polls count live hosts and differ for hosts that begin together. The part on who reads is a module of its own.

--- a/src/decision/host/peers.rs
+++ b/src/decision/host/peers/mod.rs
@@ -2,12 +2,13 @@
 //!
 //! This table only guides routing; the gate of the chosen host makes the admission decision.
 
+mod log_followers;
+
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 
 use super::keyed_state::KeyedState;
 use super::placement::Candidate;
-use super::poll_schedule::FollowerTurn;
 use super::relay_sources::RelaySource;
 use super::report_targets::KnownHost;
 use super::rollout::table::VersionFilter;
@@ -25,9 +26,6 @@
 /// Silence after which a host is forgotten, in µs.
 const FORGET_AFTER_US: u64 = 120 * US_PER_S;
 
-/// Number of hosts per availability zone that follow the operators' log.
-const LOG_FOLLOWERS_PER_ZONE: usize = 3;
-
 /// Identity that a node announces to other nodes.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Introduction {
@@ -110,8 +108,13 @@
 impl Peer {
     /// Whether the host was heard from within the liveness timeout.
     pub fn is_live(&self, now_us: u64) -> bool {
+        self.is_heard_within(LIVENESS_TIMEOUT_US, now_us)
+    }
+
+    /// Whether the host was heard from less than `timeout_us` ago.
+    fn is_heard_within(&self, timeout_us: u64, now_us: u64) -> bool {
         self.last_heard_us
-            .is_some_and(|last_heard_us| now_us.saturating_sub(last_heard_us) < LIVENESS_TIMEOUT_US)
+            .is_some_and(|last_heard_us| now_us.saturating_sub(last_heard_us) < timeout_us)
     }
 }
 
@@ -290,51 +293,6 @@
         })
     }
 
-    /// Whether the host at `own` should follow the operators' log.
-    ///
-    /// The first few live hosts of each availability zone that can reach the log do so, and pass on
-    /// what they read.
-    pub fn should_follow_log(&self, own: IpAddr, zone: &ZoneName, now_us: u64) -> bool {
-        let before = self.live_before(own, zone, now_us);
-        before.filter(|peer| peer.log_view.follows).count() < LOG_FOLLOWERS_PER_ZONE
-    }
-
-    /// Whether `own` is among the first live hosts of its availability zone in order of address.
-    pub fn is_among_lowest_addresses(&self, own: IpAddr, zone: &ZoneName, now_us: u64) -> bool {
-        self.live_before(own, zone, now_us).count() < LOG_FOLLOWERS_PER_ZONE
-    }
-
-    /// Turn of the host at `own` among the hosts that follow the operators' log.
-    ///
-    /// Hosts of other availability zones count by their number, since few of them report here
-    /// regularly.
-    pub fn follower_turn(&self, own: IpAddr, zone: &ZoneName, now_us: u64) -> FollowerTurn {
-        let mut hosts = BTreeMap::from([(zone, 1)]);
-        for peer in self.peers.values() {
-            *hosts.entry(&peer.introduction.zone).or_insert(0) += 1;
-        }
-        let followers = |hosts: &usize| (*hosts).min(LOG_FOLLOWERS_PER_ZONE);
-        let zones_before = hosts.iter().take_while(|(other, _hosts)| **other < zone);
-        let of_zones_before: usize = zones_before.map(|(_zone, hosts)| followers(hosts)).sum();
-        let before = self.live_before(own, zone, now_us);
-        let of_own_zone = before.filter(|peer| peer.log_view.follows).count();
-        FollowerTurn {
-            index: of_zones_before + of_own_zone.min(LOG_FOLLOWERS_PER_ZONE - 1),
-            count: hosts.values().map(followers).sum(),
-        }
-    }
-
-    /// Live hosts of an availability zone whose addresses come before `own`.
-    fn live_before<'a>(
-        &'a self,
-        own: IpAddr,
-        zone: &'a ZoneName,
-        now_us: u64,
-    ) -> impl Iterator<Item = &'a Peer> {
-        let before = self.peers.range(..own).map(|(_address, peer)| peer);
-        before.filter(move |peer| peer.introduction.zone == *zone && peer.is_live(now_us))
-    }
-
     /// Records that a request was sent to a host.
     pub fn record_sent(&mut self, address: IpAddr) {
         if let Some(peer) = self.peers.get_mut(&address) {
--- a/src/host/log_service/operator_log.rs
+++ b/src/host/log_service/operator_log.rs
@@ -27,7 +27,12 @@
 const HOSTS_KNOWN_AFTER_US: u64 = 600 * US_PER_MS;
 
 /// Interval of checks whether this node should follow the log.
-const FOLLOW_POLL_PERIOD: Duration = Duration::from_millis(500);
+const FOLLOW_POLL_PERIOD: Duration = Duration::from_millis(250);
+
+/// Checks in a row that must show too few followers, for a node that others come before.
+///
+/// In the time between two checks it hears from those that begin to follow.
+const CHECKS_BEHIND_OTHERS: u32 = 2;
 
 /// Maximum time between reads of a node that does not follow the log, in µs.
 ///
@@ -72,7 +77,7 @@
                         serde_json::json!({"part": "operator log", "error": error.to_string()}),
                     );
                 }
-                host.follows_log.store(false, Ordering::Relaxed);
+                set_follows(host, false);
                 ReadOutcome::Failed
             }
         };
@@ -168,32 +173,61 @@
 async fn wait_for_follow_role(host: &Host) -> bool {
     let hosts_known_at = host.clock.instant_at(HOSTS_KNOWN_AFTER_US);
     tokio::time::sleep_until(hosts_known_at.into()).await;
-    let follows = should_follow(host);
-    host.follows_log.store(follows, Ordering::Relaxed);
+    let followed = host.follows_log.load(Ordering::Relaxed);
+    let follows = should_follow(host) && (followed || is_among_first(host));
+    set_follows(host, follows);
     if follows {
         return true;
     }
     let started_us = host.now_us();
-    while !should_follow(host) {
+    let mut checks_in_need = 0;
+    while checks_in_need < checks_before_takeover(host) {
         if host.now_us() - started_us > READ_INTERVAL_MAX_US {
             // An occasional read, in case the hosts that follow the log relay nothing.
             return true;
         }
         tokio::time::sleep(FOLLOW_POLL_PERIOD).await;
+        checks_in_need = if should_follow(host) {
+            checks_in_need + 1
+        } else {
+            0
+        };
     }
+    set_follows(host, true);
     false
 }
 
+/// Number of checks that must show too few followers before this node follows the log.
+fn checks_before_takeover(host: &Host) -> u32 {
+    if is_among_first(host) {
+        1
+    } else {
+        CHECKS_BEHIND_OTHERS
+    }
+}
+
+/// Sets whether this node follows the log; the other hosts of its zone hear of a change at once.
+fn set_follows(host: &Host, follows: bool) {
+    if host.follows_log.swap(follows, Ordering::Relaxed) != follows {
+        host.gate.same_zone_change.notify_one();
+    }
+}
+
 /// Returns how this node reads the log after a failure.
 fn read_role(host: &Host) -> ReadRole {
-    let own = &host.settings.host;
-    if lock(&host.peers).is_among_lowest_addresses(own.ip, &own.zone, host.now_us()) {
+    if is_among_first(host) {
         ReadRole::Direct
     } else {
         ReadRole::Relayed
     }
 }
 
+/// Returns whether this node is among the first of its zone in order of address.
+fn is_among_first(host: &Host) -> bool {
+    let own = &host.settings.host;
+    lock(&host.peers).is_among_lowest_addresses(own.ip, &own.zone, host.now_us())
+}
+
 fn should_follow(host: &Host) -> bool {
     let own = &host.settings.host;
     lock(&host.peers).should_follow_log(own.ip, &own.zone, host.now_us())
--- a/tests/host/peers.rs
+++ b/tests/host/peers.rs
@@ -183,6 +183,65 @@
     assert_eq!(turns.collect::<Vec<_>>(), expected.collect::<Vec<_>>());
 }
 
+/// Guards against polls that end together since their hosts began to follow the log together.
+#[test]
+fn hosts_that_do_not_know_yet_who_follows_have_turns_of_their_own() {
+    let zone = introduction().zone;
+    let address = |last| IpAddr::V4(Ipv4Addr::new(10, 0, 0, last));
+    let turns = (1..=3).map(|own| {
+        let mut peers = Peers::default();
+        for other in (1..=3).filter(|other| *other != own) {
+            let other = Introduction {
+                address: address(other),
+                ..introduction()
+            };
+            peers.introduce(other, true, 10 * MS);
+        }
+        peers.follower_turn(address(own), &zone, 20 * MS)
+    });
+    let expected = (0..3).map(|index| FollowerTurn { index, count: 3 });
+    assert_eq!(turns.collect::<Vec<_>>(), expected.collect::<Vec<_>>());
+}
+
+/// Guards against polls that end too seldom since lost hosts have turns.
+#[test]
+fn lost_hosts_have_no_turn() {
+    let mut peers = Peers::default();
+    let own = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 9));
+    let mut lost = introduction();
+    lost.zone = ZoneName::new("another").expect("valid name");
+    peers.introduce(lost, true, 10 * MS);
+    let turn = |now_us| peers.follower_turn(own, &introduction().zone, now_us);
+    assert_eq!(turn(20 * MS).count, 2);
+    assert_eq!(turn(6_000 * MS), FollowerTurn { index: 0, count: 1 });
+}
+
+/// Guards against a configuration that is late since lost hosts count as those that read the log.
+///
+/// A configuration must be in force after 2 s, also where the hosts that read the log are lost.
+#[test]
+fn hosts_that_are_not_heard_do_not_follow_the_log_for_others() {
+    let mut peers = Peers::default();
+    let own = IpAddr::V4(Ipv4Addr::new(10, 0, 0, 9));
+    let zone = introduction().zone;
+    for last in 1..=3 {
+        let address = IpAddr::V4(Ipv4Addr::new(10, 0, 0, last));
+        let other = Introduction {
+            address,
+            ..introduction()
+        };
+        peers.introduce(other, true, 10 * MS);
+        peers.set_log_view(address, view(true));
+    }
+    assert!(
+        !peers.should_follow_log(own, &zone, 500 * MS),
+        "two reports may be lost"
+    );
+    assert!(peers.should_follow_log(own, &zone, 1_250 * MS));
+    assert!(peers.is_among_lowest_addresses(own, &zone, 1_250 * MS));
+    assert_eq!(candidates(&peers, 1_250 * MS), 3, "they may get requests");
+}
+
 /// Guards against requests that go on to a host whose node was restarted with another service.
 #[test]
 fn a_host_that_refuses_a_service_gets_no_requests_for_it_until_it_introduces_itself() {
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -12,6 +12,7 @@
 mod log_copy;
 #[path = "../support/loopback.rs"]
 mod loopback;
+mod lost_readers;
 mod operator;
 mod path;
 mod poison_requests;
