Work at a stopping host makes its calls until it has ended

Work that a stopping node had accepted failed when it called another service: from 2.7 s after SIGTERM on, connections to the node were refused, also those of the backend server beside it, which runs on if its node alone is stopped.

Cause: callers' connections closed with the acceptance of work, whoever the callers were. Now they close once nothing runs at the backend server. Until then the node serves requests with the deadline of running work, and refuses others that come after the close as not run, at once.

The test of a request whose body comes after the close passes as before.

--- a/src/decision/host/nested_calls.rs
+++ b/src/decision/host/nested_calls.rs
@@ -51,6 +51,11 @@
 }
 
 impl Run {
+    /// Whether a call with this deadline has that of this run.
+    fn has_deadline(&self, deadline_us: u64) -> bool {
+        self.deadline_us.abs_diff(deadline_us) < DEADLINE_TOLERANCE_US
+    }
+
     /// Whether a call that was read late may be one of this run.
     fn may_have_called(&self, deadline_us: u64) -> bool {
         let earliest_us = deadline_us.saturating_sub(READ_DELAY_MAX_US);
@@ -124,6 +129,12 @@
         });
     }
 
+    /// Whether work that runs now may make a call with this deadline.
+    pub fn may_be_call(&self, deadline_us: u64) -> bool {
+        let mut running = self.runs.values().filter(|run| run.stage == Stage::Running);
+        running.any(|run| run.has_deadline(deadline_us))
+    }
+
     /// Records a call with this deadline, and returns what is known about its origin.
     ///
     /// Each run whose deadline matches may have made the call. For retries the match is wide, since
@@ -135,7 +146,7 @@
             .values_mut()
             .filter(|run| run.stage != Stage::Waiting);
         for run in sent {
-            let has_same_deadline = run.deadline_us.abs_diff(deadline_us) < DEADLINE_TOLERANCE_US;
+            let has_same_deadline = run.has_deadline(deadline_us);
             let may_be_retry = run.is_retry && run.may_have_called(deadline_us);
             if !(has_same_deadline || may_be_retry) {
                 continue;
--- a/src/decision/stop_plan.rs
+++ b/src/decision/stop_plan.rs
@@ -11,6 +11,9 @@
 /// Maximum part of the grace time before the close; the rest is for requests accepted until then.
 const CLOSE_FRACTION_MAX: f64 = 0.45;
 
+/// Time after the close in which a request becomes whole that had begun to arrive before, in µs.
+const REST_PERIOD_US: u64 = 300 * US_PER_MS;
+
 /// Part of the grace time that the process needs to end after its last byte, in µs.
 const END_RESERVE_US: u64 = 100 * US_PER_MS;
 
@@ -48,6 +51,11 @@
         }
     }
 
+    /// Whether a request that became whole at `arrived_us` came after the close.
+    pub fn is_after_close(&self, arrived_us: u64) -> bool {
+        arrived_us > self.closes_at_us + REST_PERIOD_US
+    }
+
     /// Latest time at which work may start that is expected to take `expected_us`, in µs.
     pub fn start_limit_us(&self, expected_us: f64) -> u64 {
         let needed_us = (expected_us * FINISH_SAFETY_FACTOR) as u64;
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -67,6 +67,8 @@
     pub peer_connections: Connections,
     /// Stages of the graceful shutdown.
     pub stop: Stop,
+    /// Stages for callers: their listener closes once the backend server makes no more calls.
+    pub callers_stop: Stop,
     /// Plan of the graceful shutdown, once it has begun.
     pub stop_plan: ArcSwapOption<StopPlan>,
     /// Structured log and metrics.
@@ -166,6 +168,7 @@
             incarnation,
             clock,
             stop: Stop::default(),
+            callers_stop: Stop::default(),
             stop_plan: ArcSwapOption::empty(),
             config: ArcSwapOption::empty(),
             config_changes: watch::Sender::new(0),
--- a/src/host/entry/callers.rs
+++ b/src/host/entry/callers.rs
@@ -152,11 +152,11 @@
         return refused.response(&RequestFailure::not_sent(RefusalReason::NoServer));
     };
     refused.service = Some(&service);
-    if is_too_late_for_stop(host, &route) {
-        return refused.response(&RequestFailure::not_sent(RefusalReason::Leaving));
-    }
     let rank = branch.as_ref().and_then(|branch| branch.rank);
     let times = CallerTimes::of(host, &route, request.wait_ms, arrived_us);
+    if is_refused_by_stop(host, &route, &times) {
+        return refused.response(&RequestFailure::not_sent(RefusalReason::Leaving));
+    }
     let mut work = host_work(host, request, &route, &service, &times);
     work.rank = rank.unwrap_or(work.rank);
     let timing = work.timing;
@@ -197,11 +197,18 @@
     }
 }
 
-/// Returns whether this node stops before the answer to a request on a route is expected.
-fn is_too_late_for_stop(host: &Host, route: &Route) -> bool {
+/// Returns whether this node stops, and has closed or ends before the answer is expected.
+///
+/// Calls of the work that runs at the backend server are served after the close, since the work would
+/// fail without them.
+fn is_refused_by_stop(host: &Host, route: &Route, times: &CallerTimes) -> bool {
     let Some(stop) = host.stop_plan.load_full() else {
         return false;
     };
+    let is_call = || lock(&host.nested_calls).may_be_call(times.deadline_us);
+    if stop.is_after_close(times.arrived_us) && !is_call() {
+        return true;
+    }
     let answer_us = lock(&host.run_times).answer_us(&route.name);
     answer_us.is_some_and(|answer_us| host.now_us() > stop.start_limit_us(answer_us))
 }
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -96,24 +96,23 @@
         .saturating_sub(FILES_RESERVED) as usize
         / 2;
     let tasks = &host.tasks;
-    let small_max = SMALL_LISTENER_CONNECTIONS_MAX;
     let callers_max = connections_max.max(CALLER_CONNECTIONS_MIN);
     let small = Connections {
         tasks: tasks.clone(),
         ..Connections::default()
     };
     let handler = CallerHandler(Arc::clone(host));
-    serve(
-        host,
-        handler,
+    tasks.spawn(server::serve(
+        Arc::new(handler),
         callers,
         callers_max,
-        &host.caller_connections,
-    );
+        host.caller_connections.clone(),
+        host.callers_stop.clone(),
+    ));
     let handler = ReadyHandler(Arc::clone(host));
-    serve(host, handler, ready, small_max, &small);
+    serve_platform(host, handler, ready, &small);
     let handler = AnnouncementHandler(Arc::clone(host));
-    serve(host, handler, announcements, small_max, &small);
+    serve_platform(host, handler, announcements, &small);
     tasks.spawn(peer_server::serve(Arc::clone(host), peers));
     tasks.spawn(load_reports::run(Arc::clone(host), reports));
     tasks.spawn(directory::join(Arc::clone(host)));
@@ -137,18 +136,17 @@
     );
 }
 
-/// Serves HTTP on a listener until the node stops.
-fn serve(
+/// Serves HTTP for the platform on a listener until the node closes.
+fn serve_platform(
     host: &Host,
     handler: impl Handler,
     listener: TcpListener,
-    connections_max: usize,
     connections: &Connections,
 ) {
     host.tasks.spawn(server::serve(
         Arc::new(handler),
         listener,
-        connections_max,
+        SMALL_LISTENER_CONNECTIONS_MAX,
         connections.clone(),
         host.stop.clone(),
     ));
@@ -165,8 +163,19 @@
     host.events.open_requests() > 0 || host.gate.load().in_flight > 0
 }
 
-/// Waits until no request is open, and callers and other nodes have received all answers.
+/// Waits until nothing runs at the backend server, which may make calls meanwhile.
+async fn finish_runs(host: &Host) {
+    while host.gate.load().in_flight > 0 {
+        tokio::time::sleep(DRAIN_POLL_PERIOD).await;
+    }
+}
+
+/// Closes callers' connections, and waits until no request is open, and callers and other nodes have received all answers.
 async fn finish_requests(host: &Host) {
+    finish_runs(host).await;
+    host.callers_stop.close();
+    // The first pause is for the requests on connections that were accepted at the close.
+    tokio::time::sleep(DRAIN_POLL_PERIOD).await;
     while is_busy(host) {
         tokio::time::sleep(DRAIN_POLL_PERIOD).await;
     }
@@ -190,8 +199,6 @@
     tokio::time::sleep_until(host.clock.instant_at(plan.closes_at_us).into()).await;
     // Connections end one by one, so that a request that lasts takes no time from answers that wait.
     host.stop.drain();
-    // The first pause is for the requests on connections that were accepted at the close.
-    tokio::time::sleep(DRAIN_POLL_PERIOD).await;
     let ends_at = host.clock.instant_at(plan.ends_at_us);
     let finished = tokio::time::timeout_at(ends_at.into(), finish_requests(host));
     if finished.await.is_err() {
@@ -206,6 +213,7 @@
         }),
     );
     host.stop.stop();
+    host.callers_stop.stop();
     host.peer_clients.clear();
     let ended = async {
         tokio::join!(
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -3,6 +3,7 @@
 mod addresses;
 mod branches;
 mod callers;
+mod calls_during_stop;
 mod endless_answers;
 #[path = "../support/eventually.rs"]
 mod eventually;
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -222,6 +222,11 @@
         (!ended_well).then_some(exit)
     }
 
+    /// Sends SIGTERM to the node, and goes on.
+    pub fn terminate_node(&self) {
+        self.node.signal(Signal::Terminate);
+    }
+
     /// Sends SIGHUP; tells how the node ended if it did not handle the signal yet.
     pub async fn hang_up(&mut self) -> Option<ExitStatus> {
         let starting = self.is_starting();
