A request that a stop refuses gets back what it took of its branch's quota

Found by reading the change before: the refusal of a stopping node comes after the quota was taken, and other refusals as not run give it back. No test failed; the path has none of its own.

--- a/src/host/entry/callers.rs
+++ b/src/host/entry/callers.rs
@@ -155,6 +155,9 @@
     let rank = branch.as_ref().and_then(|branch| branch.rank);
     let times = CallerTimes::of(host, &route, request.wait_ms, arrived_us);
     if is_refused_by_stop(host, &route, &times) {
+        if let Some(branch) = &branch {
+            quotas::refund(host, branch);
+        }
         return refused.response(&RequestFailure::not_sent(RefusalReason::Leaving));
     }
     let mut work = host_work(host, request, &route, &service, &times);
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -170,7 +170,8 @@
     }
 }
 
-/// Closes callers' connections, and waits until no request is open, and callers and other nodes have received all answers.
+/// Closes callers' connections once nothing runs, and waits until no request is open, and callers and
+/// other nodes have received all answers.
 async fn finish_requests(host: &Host) {
     finish_runs(host).await;
     host.callers_stop.close();
