--- a/src/decision/host/work.rs
+++ b/src/decision/host/work.rs
@@ -18,6 +18,8 @@
     pub rank: u8,
     /// Whether running work made the request; a refusal would waste that work.
     pub nested_call: bool,
+    /// Whether a caller of this node sent it, so that its answer passes this node wherever it runs.
+    pub entered_here: bool,
     /// Expected run time, objective and deadline.
     pub timing: Timing,
 }
--- a/src/host/entry/callers.rs
+++ b/src/host/entry/callers.rs
@@ -266,6 +266,7 @@
         effect: route.effect,
         rank: route.rank,
         nested_call: origin.nested,
+        entered_here: true,
         is_retry: origin.of_retry,
         timing: Timing {
             usual_run_us: lock(&host.run_times).usual_us(&route.name, route.objective_us),
--- a/src/host/peers/peer_rpc.rs
+++ b/src/host/peers/peer_rpc.rs
@@ -123,6 +123,7 @@
             effect: self.effect,
             rank: self.rank,
             nested_call: self.invested,
+            entered_here: false,
             is_retry: self.is_retry,
             timing: Timing {
                 usual_run_us: f64::from(self.usual_run_us),
--- a/src/host/server/executor.rs
+++ b/src/host/server/executor.rs
@@ -55,6 +55,7 @@
     let admitted = host.gate.admit(Work {
         rank: work.rank,
         nested_call: work.nested_call,
+        entered_here: work.entered_here,
         timing: work.timing,
     });
     let admitted = tokio::select! {
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -66,6 +66,8 @@
     pub rank: u8,
     /// Whether a backend server sent it while handling another request.
     pub nested_call: bool,
+    /// Whether a caller of this node sent it, and not another node.
+    pub entered_here: bool,
     /// Whether it may have reached a backend server before, or a retry made it as a nested call.
     pub is_retry: bool,
     /// Expected run time and time limits.
--- a/tests/host/backend_answers.rs
+++ b/tests/host/backend_answers.rs
@@ -83,6 +83,7 @@
         effect: Effect::Idempotent,
         rank: 0,
         nested_call: false,
+        entered_here: false,
         is_retry: false,
         timing: Timing {
             usual_run_us: 1_000.0,
--- a/tests/host/cold_start.rs
+++ b/tests/host/cold_start.rs
@@ -80,6 +80,7 @@
     Work {
         rank: 1,
         nested_call: false,
+        entered_here: false,
         timing: Timing {
             objective_at_us: now_us + timing.objective_at_us,
             deadline_us: now_us + timing.deadline_us,
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -58,6 +58,7 @@
     Work {
         rank,
         nested_call: false,
+        entered_here: false,
         timing: Timing {
             deadline_us: 10 * S,
             ..timing(100.0 * MS as f64)
@@ -337,7 +338,15 @@
     let other_us = 200.0 * MS as f64;
     let (_id, verdict) = offer(&mut gate, until(7 * S, other_us), S);
     assert_eq!(refusal(verdict), Some(RefusalReason::Leaving));
-    for accepted in [until(5 * S, other_us), until(7 * S, f64::INFINITY)] {
+    let of_own_caller = Work {
+        entered_here: true,
+        ..until(7 * S, other_us)
+    };
+    for accepted in [
+        until(5 * S, other_us),
+        until(7 * S, f64::INFINITY),
+        of_own_caller,
+    ] {
         let (_id, verdict) = offer(&mut gate, accepted, S);
         assert_eq!(verdict, Some(Verdict::Run));
     }
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -164,6 +164,7 @@
         effect: Effect::NonIdempotent,
         rank: 0,
         nested_call: false,
+        entered_here: false,
         is_retry: false,
         timing: Timing {
             usual_run_us: 1_000.0,
--- a/tests/host/server_limit.rs
+++ b/tests/host/server_limit.rs
@@ -82,6 +82,7 @@
     Work {
         rank,
         nested_call: false,
+        entered_here: false,
         timing: Timing {
             usual_run_us: 50.0 * MS as f64,
             objective_at_us: now_us + within_us,
