--- a/standins/src/http/listener.rs
+++ b/standins/src/http/listener.rs
@@ -1,6 +1,7 @@
 //! Accepts connections and serves each until the listener stops.
 
 use std::future::pending;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -23,6 +24,27 @@
 /// Pause after a failed accept, such as one for want of file descriptors.
 const ACCEPT_RETRY_MS: u64 = 10;
 
+/// Time in which the address of a listener that has stopped becomes free.
+const FREE_WITHIN: Duration = Duration::from_secs(5);
+/// Pause between two tries to bind an address that is in use.
+const BIND_RETRY: Duration = Duration::from_millis(20);
+
+/// Binds an address, which may be in use for a moment after the listener before has stopped.
+///
+/// # Errors
+/// The system's error when the address cannot be bound.
+pub async fn bind_when_free(listen: SocketAddr) -> std::io::Result<TcpListener> {
+    let give_up_at = Instant::now() + FREE_WITHIN;
+    loop {
+        match TcpListener::bind(listen).await {
+            Err(error) if error.kind() == ErrorKind::AddrInUse && Instant::now() < give_up_at => {
+                tokio::time::sleep(BIND_RETRY).await;
+            }
+            bound => return bound,
+        }
+    }
+}
+
 /// What a stand-in does with connections and requests.
 pub trait Handler: Send + Sync + 'static {
     /// State that lives as long as one connection.
@@ -67,7 +89,7 @@
         listen: SocketAddr,
         handler: Arc<H>,
     ) -> std::io::Result<HttpListener> {
-        let listener = TcpListener::bind(listen).await?;
+        let listener = bind_when_free(listen).await?;
         Self::start_on(listener, handler)
     }
 
