Show that kept connections lock out new clients (RECOVER)

Seen: with 1,850 kept connections a node with 4,100 descriptors reads no request of a new connection for 10 s, and says that it is ready. Cause as far as known: the listener waits for a free place without a limit of time and closes no idle connection.

--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod cold_unnoticed;
 mod http;
+mod kept_connections;
 mod large_upload;
 mod leave_unapplied;
 mod node;
@@ -52,6 +53,7 @@
         }
         "earlier-start-time" => leave_unapplied::earlier_start_time(&case),
         "large-upload" => large_upload::run(&case),
+        "kept-connections" => kept_connections::run(&case),
         _ => Found::CannotRun("no such case".to_owned()),
     };
     let (code, text) = match found {
