--- a/review/cases-2/src/backend.rs
+++ b/review/cases-2/src/backend.rs
@@ -154,12 +154,17 @@
         if cold && self.is_overloaded() {
             self.end("crashes");
         }
-        std::thread::sleep(Duration::from_millis(self.work_ms));
+        let (work_ms, body_bytes) = asked_for(message).unwrap_or((self.work_ms, 0));
+        std::thread::sleep(Duration::from_millis(work_ms));
+        self.record
+            .note("run-ends", &format!("{} request={id}", self.place.name));
         self.running.fetch_sub(1, Ordering::Relaxed);
         headers.clone_from(&self.headers());
         headers.push(("Bronzelock-Request-Id", id.clone()));
         headers.push(("Bronzelock-Server-Signature", format!("signed.{id}")));
-        response(200, &headers, id.as_bytes())
+        let mut body = id.into_bytes();
+        body.resize(body.len().max(body_bytes), b'.');
+        response(200, &headers, &body)
     }
 
     fn headers(&self) -> Vec<(&'static str, String)> {
@@ -293,6 +298,14 @@
     }
 }
 
+/// Run time in ms and length of the answer's body that a target of the form `/NAME/MS/BYTES` asks for.
+fn asked_for(message: &crate::http::Message) -> Option<(u64, usize)> {
+    let (_method, target) = message.method_and_target();
+    let mut parts = target.rsplit('/');
+    let (bytes, ms) = (parts.next()?.parse().ok()?, parts.next()?.parse().ok()?);
+    Some((ms, bytes))
+}
+
 /// A heartbeat, or a last word, that was built and may be on its way for a while.
 pub struct Heartbeat {
     control: String,
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -6,11 +6,12 @@
 mod client;
 mod cold_unnoticed;
 mod http;
-mod kept_connections;
 mod large_upload;
 mod leave_unapplied;
+mod narrow_link;
 mod node;
 mod record;
+mod stop_behind_link;
 mod store;
 
 use std::process::ExitCode;
@@ -53,7 +54,7 @@
         }
         "earlier-start-time" => leave_unapplied::earlier_start_time(&case),
         "large-upload" => large_upload::run(&case),
-        "kept-connections" => kept_connections::run(&case),
+        "stop-behind-link" => stop_behind_link::run(&case),
         _ => Found::CannotRun("no such case".to_owned()),
     };
     let (code, text) = match found {
--- a/review/cases-2/src/node.rs
+++ b/review/cases-2/src/node.rs
@@ -17,6 +17,7 @@
 }
 
 const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 
 /// Option of `prctl`: the signal that a process gets when the one that started it ends.
 const PR_SET_PDEATHSIG: i32 = 1;
@@ -129,6 +130,13 @@
         }
     }
 
+    pub fn signal(&self, signal: i32) {
+        self.record
+            .note("signal", &format!("{} {signal}", self.machine.name));
+        // SAFETY: `kill` takes two numbers; the process is a child of this one that was not reaped.
+        unsafe { kill(self.child.id() as i32, signal) };
+    }
+
     /// Kills the process as the platform does when it exceeds its memory; runs until then or `stop`.
     pub fn limit_memory(&self, bytes: u64, stop: &Arc<AtomicBool>) -> JoinHandle<u64> {
         let (pid, name, record, stop) = (
