--- a/review/cases-2/src/leave_unapplied.rs
+++ b/review/cases-2/src/leave_unapplied.rs
@@ -41,8 +41,20 @@
     }
 }
 
+/// Starts a backend that sends heartbeats.
+fn start_beating(place: &Place, born: u64, record: &Record) -> Arc<Backend> {
+    let backend = Backend::start(place, "i-1", born, WORK_MS, record);
+    backend.beat(HEARTBEAT);
+    backend
+}
+
 /// Two machines of `herd`, each with a node and a backend; clients send `gate-command` to both.
-fn set_up(case: &Case<'_>, born: u64) -> Result<(Setting, Arc<Backend>), String> {
+///
+/// `start_first` starts the backend of the first one.
+fn set_up(
+    case: &Case<'_>,
+    start_first: impl FnOnce(&Place) -> Arc<Backend>,
+) -> Result<(Setting, Arc<Backend>), String> {
     let (machines, shared_port, store) = machines(&[
         ("herd-1", "herd", "ratchaburi"),
         ("herd-2", "herd", "saraburi"),
@@ -77,8 +89,7 @@
         return Err("a node did not get ready".to_owned());
     }
     let place = place_of(&machines[0]);
-    let first = Backend::start(&place, "i-1", born, WORK_MS, case.record);
-    first.beat(HEARTBEAT);
+    let first = start_first(&place);
     let other = Backend::start(
         &place_of(&machines[1]),
         "i-2",
@@ -186,7 +197,8 @@
 /// A backend crashes and starts again under its id. Its heartbeats arrive some seconds late; before
 /// the first one does, it is taken away, and says so with its last word alone.
 pub fn deregistration_before_heartbeat(case: &Case<'_>) -> Found {
-    let (setting, first) = match set_up(case, time_of_day_ms()) {
+    let usual = |place: &Place| start_beating(place, time_of_day_ms(), case.record);
+    let (setting, first) = match set_up(case, usual) {
         Ok(set_up) => set_up,
         Err(error) => return Found::CannotRun(error),
     };
@@ -226,41 +238,23 @@
     judge(case.record, "herd-1", acknowledged_ms)
 }
 
-/// The clock of the machine is 2 s ahead while a backend starts there, and is set right again. The
+/// The clock of the machine is 2 s ahead when a backend starts there, and is set right again. The
 /// backend crashes and starts again under its id, and is taken away much later.
 pub fn earlier_start_time(case: &Case<'_>) -> Found {
     const AHEAD_MS: u64 = 2_000;
-    let (setting, first) = match set_up(case, time_of_day_ms()) {
-        Ok(set_up) => set_up,
-        Err(error) => return Found::CannotRun(error),
-    };
-    let backend = if case.trouble {
-        // The clock steps ahead; the backend goes down and up.
-        first.end("crashes");
-        std::thread::sleep(Duration::from_millis(500));
-        let ahead = Backend::start(
-            &setting.place,
-            "i-1",
-            time_of_day_ms() + AHEAD_MS,
-            WORK_MS,
-            case.record,
-        );
-        ahead.beat(HEARTBEAT);
+    let start = |place: &Place| {
+        if !case.trouble {
+            return start_beating(place, time_of_day_ms(), case.record);
+        }
+        let ahead = start_beating(place, time_of_day_ms() + AHEAD_MS, case.record);
         std::thread::sleep(Duration::from_millis(1_000));
-        // The clock is set right; the backend goes down and up once more.
         ahead.end("crashes");
-        std::thread::sleep(Duration::from_millis(500));
-        let last = Backend::start(
-            &setting.place,
-            "i-1",
-            time_of_day_ms(),
-            WORK_MS,
-            case.record,
-        );
-        last.beat(HEARTBEAT);
-        last
-    } else {
-        first
+        std::thread::sleep(Duration::from_millis(400));
+        start_beating(place, time_of_day_ms(), case.record)
+    };
+    let (setting, backend) = match set_up(case, start) {
+        Ok(set_up) => set_up,
+        Err(error) => return Found::CannotRun(error),
     };
     // Much longer than `contact-s`.
     std::thread::sleep(Duration::from_secs(12));
--- a/review/cases-2/src/main.rs
+++ b/review/cases-2/src/main.rs
@@ -6,7 +6,9 @@
 mod client;
 mod cold_unnoticed;
 mod http;
+mod kept_connections;
 mod large_upload;
+mod last_readers;
 mod leave_unapplied;
 mod narrow_link;
 mod node;
@@ -53,7 +55,9 @@
             leave_unapplied::deregistration_before_heartbeat(&case)
         }
         "earlier-start-time" => leave_unapplied::earlier_start_time(&case),
+        "kept-connections" => kept_connections::run(&case),
         "large-upload" => large_upload::run(&case),
+        "last-readers" => last_readers::run(&case),
         "stop-behind-link" => stop_behind_link::run(&case),
         _ => Found::CannotRun("no such case".to_owned()),
     };
--- a/review/cases-2/src/node.rs
+++ b/review/cases-2/src/node.rs
@@ -16,7 +16,7 @@
     fn prctl(option: i32, value: u64, unused: u64, unused_too: u64, unused_as_well: u64) -> i32;
 }
 
-const SIGKILL: i32 = 9;
+pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
 /// Option of `prctl`: the signal that a process gets when the one that started it ends.
--- a/review/cases-2/src/store.rs
+++ b/review/cases-2/src/store.rs
@@ -1,8 +1,9 @@
 //! Stand-in for the platform's metadata store: keyed topics with one partition, as the page
-//! `PROTOCOL.md` tells them. It is never disturbed in these cases.
+//! `PROTOCOL.md` tells them. Its open connections can fall silent.
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::TcpListener;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,6 +19,8 @@
 #[derive(Clone)]
 pub struct Store {
     topics: Arc<(Mutex<HashMap<String, Topic>>, Condvar)>,
+    /// Number of times that it has fallen silent.
+    silences: Arc<AtomicU64>,
     pub address: String,
 }
 
@@ -27,6 +30,7 @@
         let address = listener.local_addr().expect("an address").to_string();
         let store = Self {
             topics: Arc::default(),
+            silences: Arc::default(),
             address,
         };
         let served = store.clone();
@@ -47,6 +51,11 @@
         self.append(topic, vec![record]);
     }
 
+    /// Answers nothing more on the connections that are open now; new ones work.
+    pub fn fall_silent(&self) {
+        self.silences.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn append(&self, topic: &str, records: Vec<Vec<u8>>) -> (usize, usize) {
         let (topics, changed) = &*self.topics;
         let mut topics = topics.lock().unwrap();
@@ -69,6 +78,7 @@
     }
 
     fn serve(&self, mut connection: Connection) {
+        let opened = self.silences.load(Ordering::Relaxed);
         while let Ok(Some(call)) = connection.read() {
             let (method, target) = call.method_and_target();
             let (path, query) = target.split_once('?').unwrap_or((target, ""));
@@ -94,6 +104,10 @@
                 }
                 _ => json(404, "{}"),
             };
+            if self.silences.load(Ordering::Relaxed) != opened {
+                // What is sent is still read, until the other side closes.
+                continue;
+            }
             if connection.write(&answer).is_err() {
                 return;
             }
