--- a/review/cases-2/src/last_readers.rs
+++ b/review/cases-2/src/last_readers.rs
@@ -1,4 +1,6 @@
 //! The machines that are left after a loss of others wait on polls of the store that were lost.
+//!
+//! `TROUBLE=loss` and `TROUBLE=silence` bring about one half of the disruption alone.
 
 use std::collections::HashSet;
 use std::sync::Arc;
@@ -116,12 +118,14 @@
         }
     }
     let disrupted_ms = case.record.note("disruption", &format!("{}", case.trouble));
-    if case.trouble {
+    let half = std::env::var("TROUBLE").unwrap_or_default();
+    if case.trouble && half != "silence" {
         for (node, backend) in nodes.iter().zip(&backends).take(LOST) {
             node.signal(SIGKILL);
             backend.end("is-lost");
         }
-        // Only those of the machines that are left are still open.
+    }
+    if case.trouble && half != "loss" {
         store.fall_silent();
     }
     let since = Duration::from_millis(case.record.now_ms() - disrupted_ms);
