--- a/review/cases-2/src/leave_unapplied.rs
+++ b/review/cases-2/src/leave_unapplied.rs
@@ -22,8 +22,8 @@
 
 struct Setting {
     nodes: Vec<Node>,
-    /// Backend beside the second node, which the case does not touch.
-    other: Arc<Backend>,
+    /// Backends of the other machines, which the case does not touch.
+    others: Vec<Arc<Backend>>,
     place: Place,
     stop: Arc<AtomicBool>,
     clients: Vec<std::thread::JoinHandle<()>>,
@@ -43,12 +43,13 @@
 
 /// Starts a backend that sends heartbeats.
 fn start_beating(place: &Place, born: u64, record: &Record) -> Arc<Backend> {
-    let backend = Backend::start(place, "i-1", born, WORK_MS, record);
+    let id = format!("i-{}", place.name);
+    let backend = Backend::start(place, &id, born, WORK_MS, record);
     backend.beat(HEARTBEAT);
     backend
 }
 
-/// Two machines of `herd`, each with a node and a backend; clients send `gate-command` to both.
+/// Seven machines of `herd`, each with a node and a backend; clients send `gate-command` to all.
 ///
 /// `start_first` starts the backend of the first one.
 fn set_up(
@@ -58,6 +59,11 @@
     let (machines, shared_port, store) = machines(&[
         ("herd-1", "herd", "ratchaburi"),
         ("herd-2", "herd", "saraburi"),
+        ("herd-3", "herd", "nakhon-pathom"),
+        ("herd-4", "herd", "ratchaburi"),
+        ("herd-5", "herd", "saraburi"),
+        ("herd-6", "herd", "nakhon-pathom"),
+        ("herd-7", "herd", "ratchaburi"),
     ]);
     let store = Store::start(&store);
     let routes = [(
@@ -90,14 +96,9 @@
     }
     let place = place_of(&machines[0]);
     let first = start_first(&place);
-    let other = Backend::start(
-        &place_of(&machines[1]),
-        "i-2",
-        time_of_day_ms(),
-        WORK_MS,
-        case.record,
-    );
-    other.beat(HEARTBEAT);
+    let start =
+        |machine: &Machine| start_beating(&place_of(machine), time_of_day_ms(), case.record);
+    let others = machines[1..].iter().map(start).collect();
     std::thread::sleep(Duration::from_secs(3));
     let kind = Kind {
         name: "gate-command",
@@ -123,7 +124,7 @@
     Ok((
         Setting {
             nodes,
-            other,
+            others,
             place,
             stop,
             clients,
@@ -142,7 +143,9 @@
         for client in self.clients {
             let _ = client.join();
         }
-        self.other.end("exits");
+        for other in &self.others {
+            other.end("exits");
+        }
         drop(self.nodes);
     }
 }
@@ -207,7 +210,7 @@
         std::thread::sleep(Duration::from_secs(2));
         let second = Backend::start(
             &setting.place,
-            "i-1",
+            "i-herd-1",
             time_of_day_ms(),
             WORK_MS,
             case.record,
