A stopping node accepts what ends before it, whatever the answer is, and a bounded number of others

Nobody compared the time for which a request is awaited with the end.

Mend: decision/host/open_requests. What is awaited no longer than the node lasts is accepted whatever its answer will be. The rest is accepted if it fits when answers take six times as long as usual, or as long as the oldest open one of its kind shows, and come one after the other; where that leaves no room, one at a time. Further attempts of a request and work of other nodes pass the same decision. What still has no answer 50 ms before the end gets 502 (`node-ended`), counted apart from refusals at arrival.

--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -12,6 +12,7 @@
 pub mod known_server;
 pub mod log_reader;
 pub mod nested_calls;
+pub mod open_requests;
 pub mod peers;
 pub mod placement;
 pub mod poison_requests;
--- a/src/decision/host/run_times.rs
+++ b/src/decision/host/run_times.rs
@@ -11,6 +11,9 @@
 /// Operators leave room for waiting and for slow phases in the objective of a route.
 const OBJECTIVE_FRACTION: f64 = 1.0 / 3.0;
 
+/// Fraction of the objective that all the rest is assumed to take before the first answer.
+const TRANSFER_FRACTION: f64 = 1.0 / 6.0;
+
 /// Usual duration of a run that took `run_us` at `slowness`, in µs.
 pub fn usual_us(run_us: u64, slowness: f64) -> f64 {
     run_us as f64 / slowness.max(1.0)
@@ -45,6 +48,30 @@
     answer: AverageRun,
 }
 
+/// Usual parts of the time from the arrival of a request to its whole answer.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AnswerParts {
+    /// Run at the backend server, in µs.
+    pub run_us: f64,
+    /// All the rest, such as the transfer from another host, in µs.
+    pub transfer_us: f64,
+}
+
+impl AnswerParts {
+    /// Parts of an answer whose usual run is known, and of the rest only the objective.
+    pub fn of_run(run_us: f64, objective_us: u64) -> Self {
+        Self {
+            run_us,
+            transfer_us: objective_us as f64 * TRANSFER_FRACTION,
+        }
+    }
+
+    /// Time to the whole answer, in µs.
+    pub fn sum_us(self) -> f64 {
+        self.run_us + self.transfer_us
+    }
+}
+
 /// Average run and answer times by route.
 #[derive(Debug, Default)]
 pub struct RunTimes {
@@ -77,6 +104,18 @@
         self.routes.get(route).and_then(|times| times.answer.get())
     }
 
+    /// Parts of the usual time to a whole answer; before the first answer from the route's objective.
+    pub fn parts(&self, route: &str, objective_us: u64) -> AnswerParts {
+        let run_us = self.usual_us(route, objective_us);
+        match self.answer_us(route) {
+            Some(answer_us) => AnswerParts {
+                run_us: run_us.min(answer_us),
+                transfer_us: (answer_us - run_us).max(0.0),
+            },
+            None => AnswerParts::of_run(run_us, objective_us),
+        }
+    }
+
     /// Removes routes that are no longer configured.
     pub fn retain(&mut self, is_configured: impl Fn(&str) -> bool) {
         self.routes.retain(|route, _times| is_configured(route));
--- a/src/decision/host/start_limit.rs
+++ b/src/decision/host/start_limit.rs
@@ -68,8 +68,10 @@
 /// Work of another node whose answer may be awaited beyond the end is left to another host if there
 /// is one, since single runs take longer than usual.
 fn node_limit_us(stop: StopPlan, work: &Work, run_us: f64) -> u64 {
-    let may_outlast = work.timing.deadline_us > stop.ends_at_us;
-    if may_outlast && !work.entered_here && work.timing.has_other_host() {
+    if stop.may_outlast(work.timing.deadline_us)
+        && !work.entered_here
+        && work.timing.has_other_host()
+    {
         0
     } else {
         stop.start_limit_us(run_us)
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -13,6 +13,7 @@
 use crate::decision::host::freshness::Freshness;
 use crate::decision::host::keyed_state::KeyedState;
 use crate::decision::host::nested_calls::NestedCalls;
+use crate::decision::host::open_requests::OpenRequests;
 use crate::decision::host::peers::{Introduction, Peers};
 use crate::decision::host::poison_requests::{PoisonRequests, TRIAL_DELAY_MAX_US};
 use crate::decision::host::returning_callers::ReturningCallers;
@@ -127,6 +128,8 @@
     pub retry_budget: Mutex<SharedRetryBudget>,
     /// Nested calls of the work at the backend server.
     pub nested_calls: Mutex<NestedCalls>,
+    /// Requests that callers await.
+    pub open_requests: Mutex<OpenRequests>,
     /// Callers that may come back after a failure.
     pub returning_callers: Mutex<ReturningCallers>,
     /// Usual run time of each route.
@@ -200,6 +203,7 @@
             executions: Executions::default(),
             retry_budget: Mutex::new(SharedRetryBudget::new(budget_limits, clock.now_us())),
             nested_calls: Mutex::default(),
+            open_requests: Mutex::default(),
             returning_callers: Mutex::default(),
             run_times: Mutex::default(),
             traffic_split: Mutex::default(),
--- a/src/host/entry/attempts.rs
+++ b/src/host/entry/attempts.rs
@@ -12,6 +12,7 @@
 use crate::decision::host::placement::{self, Candidate, Placement, RequestTiming};
 use crate::decision::host::refusals::Refusals;
 use crate::decision::host::rollout::table::VersionFilter;
+use crate::host::awaited_request::AwaitedRequest;
 use crate::host::context::Host;
 use crate::host::entry::{forward, retries};
 use crate::host::observe::request_lines::TriedHosts;
@@ -40,6 +41,7 @@
     pub service: &'a ServiceName,
     /// The request to be sent.
     pub work: HostWork,
+    awaited: &'a AwaitedRequest<'a>,
     /// Hosts tried so far.
     tried_hosts: Mutex<TriedHosts>,
     /// Notified when nothing is heard of a host that was tried.
@@ -88,12 +90,14 @@
         route: &'a Route,
         service: &'a ServiceName,
         work: HostWork,
+        awaited: &'a AwaitedRequest<'a>,
     ) -> Self {
         Self {
             host,
             route,
             service,
             work,
+            awaited,
             tried_hosts: Mutex::default(),
             silent: Notify::new(),
         }
@@ -140,7 +144,7 @@
                 // Nothing is heard of a host; its answer is awaited beside the next attempt.
                 () = self.silent.notified() => (self.last_tried(), self.may_rerun(&progress)),
             };
-            if !retry || self.host.now_us() >= self.work.timing.deadline_us {
+            if !retry || self.is_too_late() {
                 continue;
             }
             if let Err(failure) = quarantine::check(self.host, &self.work) {
@@ -163,6 +167,11 @@
         }
     }
 
+    /// Whether an attempt that begins now gets no answer before the deadline or the node's end.
+    fn is_too_late(&self) -> bool {
+        self.host.now_us() >= self.work.timing.deadline_us || !self.awaited.is_answered_in_time()
+    }
+
     fn no_host() -> RequestFailure {
         RequestFailure::not_sent(RefusalReason::NoServer).retry_after(NO_HOST_RETRY_AFTER_US)
     }
--- a/src/host/entry/caller_times.rs
+++ b/src/host/entry/caller_times.rs
@@ -32,6 +32,11 @@
         }
     }
 
+    /// Time until which the answer is awaited: the caller's deadline or the timeout of the route.
+    pub fn awaited_until_us(&self, route: &Route) -> u64 {
+        self.deadline_us.min(self.arrived_us + route.timeout_us)
+    }
+
     /// Remembers that an attempt failed, since its caller may come back.
     pub fn record_failure(&self, host: &Host, route: &Route) {
         let mut returning = lock(&host.returning_callers);
--- a/src/host/entry/callers.rs
+++ b/src/host/entry/callers.rs
@@ -4,8 +4,10 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use crate::decision::host::open_requests::{OpenRequest, RequestKind};
 use crate::edge::http1::server::{Handler, RejectedRequest, ServerLimits};
 use crate::edge::http1::{MessageLimits, Request, Response};
+use crate::host::awaited_request::AwaitedRequest;
 use crate::host::branches::keys::{self, KeyRefusal};
 use crate::host::branches::quotas;
 use crate::host::context::Host;
@@ -154,7 +156,8 @@
     refused.service = Some(&service);
     let rank = branch.as_ref().and_then(|branch| branch.rank);
     let times = CallerTimes::of(host, &route, request.wait_ms, arrived_us);
-    if is_refused_by_stop(host, &route, &times) {
+    let awaited = AwaitedRequest::begin(host, open_request(host, &route, &times));
+    if is_after_close(host, &times) || !awaited.is_answered_in_time() {
         if let Some(branch) = &branch {
             quotas::refund(host, branch);
         }
@@ -163,7 +166,7 @@
     let mut work = host_work(host, request, &route, &service, &times);
     work.rank = rank.unwrap_or(work.rank);
     let timing = work.timing;
-    let (result, tried) = run(host, &route, &service, work).await;
+    let (result, tried) = run(host, &route, &service, work, &awaited).await;
     if result.as_ref().map_or(true, ServerAnswer::is_server_error) {
         times.record_failure(host, &route);
     }
@@ -200,20 +203,26 @@
     }
 }
 
-/// Returns whether this node stops, and has closed or ends before the answer is expected.
+/// Returns whether a request came after the close of a node that stops.
 ///
 /// Calls of the work that runs at the backend server are served after the close, since the work would
 /// fail without them.
-fn is_refused_by_stop(host: &Host, route: &Route, times: &CallerTimes) -> bool {
-    let Some(stop) = host.stop_plan.load_full() else {
-        return false;
-    };
-    let is_call = || lock(&host.nested_calls).may_be_call(times.deadline_us);
-    if stop.is_after_close(times.arrived_us) && !is_call() {
-        return true;
+fn is_after_close(host: &Host, times: &CallerTimes) -> bool {
+    let stop = host.stop_plan.load();
+    let has_closed = stop
+        .as_ref()
+        .is_some_and(|stop| stop.is_after_close(times.arrived_us));
+    has_closed && !lock(&host.nested_calls).may_be_call(times.deadline_us)
+}
+
+/// Describes a request to the decision on what a stop still accepts.
+fn open_request(host: &Host, route: &Route, times: &CallerTimes) -> OpenRequest {
+    OpenRequest {
+        kind: RequestKind::Route(Arc::clone(&route.name)),
+        usual: lock(&host.run_times).parts(&route.name, route.objective_us),
+        arrived_us: times.arrived_us,
+        awaited_until_us: times.awaited_until_us(route),
     }
-    let answer_us = lock(&host.run_times).answer_us(&route.name);
-    answer_us.is_some_and(|answer_us| host.now_us() > stop.start_limit_us(answer_us))
 }
 
 /// Returns the branch of a request, and names it to the backend server in place of the key.
@@ -271,7 +280,7 @@
         timing: Timing {
             usual_run_us: lock(&host.run_times).usual_us(&route.name, route.objective_us),
             objective_at_us: times.first_arrived_us + route.objective_us,
-            deadline_us: times.deadline_us.min(times.arrived_us + route.timeout_us),
+            deadline_us: times.awaited_until_us(route),
             other_finish_us: f64::INFINITY,
         },
         method: request.method,
@@ -282,21 +291,24 @@
     }
 }
 
-/// Runs the attempts until the deadline; also returns the hosts that were tried.
+/// Runs the attempts until the deadline, or until a stop of the node gives up; also returns the hosts
+/// that were tried.
 async fn run(
     host: &Arc<Host>,
     route: &Route,
     service: &ServiceName,
     work: HostWork,
+    awaited: &AwaitedRequest<'_>,
 ) -> (Result<ServerAnswer, RequestFailure>, TriedHosts) {
     let deadline = host.clock.instant_at(work.timing.deadline_us);
-    let attempts = Attempts::new(host, route, service, work);
-    let attempts_run = attempts.run();
-    let with_deadline = tokio::time::timeout_at(deadline.into(), attempts_run);
-    let result = with_deadline.await.unwrap_or_else(|_elapsed| {
-        Err(RequestFailure::unknown(
-            RefusalReason::DeadlinePassedRunning,
-        ))
-    });
+    let attempts = Attempts::new(host, route, service, work, awaited);
+    let result = tokio::select! {
+        biased;
+        result = attempts.run() => result,
+        () = tokio::time::sleep_until(deadline.into()) => {
+            Err(RequestFailure::unknown(RefusalReason::DeadlinePassedRunning))
+        }
+        () = host.stop.given_up() => Err(RequestFailure::unknown(RefusalReason::NodeEnded)),
+    };
     (result, attempts.into_tried_hosts())
 }
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -3,6 +3,7 @@
 //! A request passes through the rooms in this order: `entry` accepts it and chooses the hosts,
 //! `peers` forwards it between nodes, and `server` runs it beside the backend server.
 
+pub mod awaited_request;
 pub mod branches;
 pub mod context;
 pub mod entry;
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -183,6 +183,27 @@
     join_connections(host).await;
 }
 
+/// Waits until everything has ended; callers without an answer are told so shortly before the end.
+async fn finish_or_give_up(host: &Host, plan: StopPlan) {
+    let gives_up_at = host.clock.instant_at(plan.gives_up_at_us);
+    let finished = finish_requests(host);
+    tokio::pin!(finished);
+    if tokio::time::timeout_at(gives_up_at.into(), &mut finished)
+        .await
+        .is_err()
+    {
+        host.events.state_changed(
+            "gave-up",
+            serde_json::json!({
+                "open_requests": host.events.open_requests(),
+                "in_flight": host.gate.load().in_flight,
+            }),
+        );
+        host.stop.give_up();
+        finished.await;
+    }
+}
+
 async fn join_connections(host: &Host) {
     tokio::join!(
         host.caller_connections.tasks.join(),
@@ -201,7 +222,7 @@
     // Connections end one by one, so that a request that lasts takes no time from answers that wait.
     host.stop.drain();
     let ends_at = host.clock.instant_at(plan.ends_at_us);
-    let finished = tokio::time::timeout_at(ends_at.into(), finish_requests(host));
+    let finished = tokio::time::timeout_at(ends_at.into(), finish_or_give_up(host, plan));
     if finished.await.is_err() {
         log::warn!("node: requests or connections were still open when the grace time was over");
     }
--- a/src/host/server/executor.rs
+++ b/src/host/server/executor.rs
@@ -5,6 +5,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::decision::host::gate::Work;
+use crate::host::awaited_request::AwaitedRequest;
 use crate::host::context::Host;
 use crate::host::server::tracked_run::TrackedRun;
 
@@ -51,6 +52,16 @@
             return Outcome::failed(failure);
         }
     };
+    // A caller's own request is among the open ones since it arrived.
+    let passed_on = (!work.entered_here).then(|| AwaitedRequest::begin_passed_on(host, work));
+    if passed_on
+        .as_ref()
+        .is_some_and(|awaited| !awaited.is_answered_in_time())
+    {
+        let failure = RequestFailure::not_sent(RefusalReason::Leaving);
+        log_failure(host, work, Step::Admit, &failure);
+        return Outcome::failed(failure);
+    }
     let queued_since_us = host.now_us();
     let admitted = host.gate.admit(Work {
         rank: work.rank,
--- a/src/kernel/stop.rs
+++ b/src/kernel/stop.rs
@@ -2,12 +2,13 @@
 
 use tokio_util::sync::CancellationToken;
 
-/// Four successive signals: leave, close, drain, stop; each implies those before it.
+/// Five successive signals: leave, close, drain, give up, stop; each implies those before it.
 #[derive(Debug, Clone, Default)]
 pub struct Stop {
     leaving: CancellationToken,
     closed: CancellationToken,
     draining: CancellationToken,
+    given_up: CancellationToken,
     stopped: CancellationToken,
 }
 
@@ -29,9 +30,15 @@
         self.draining.cancel();
     }
 
+    /// Signals that answers are awaited no longer: callers are told so.
+    pub fn give_up(&self) {
+        self.drain();
+        self.given_up.cancel();
+    }
+
     /// Signals all background tasks to end.
     pub fn stop(&self) {
-        self.drain();
+        self.give_up();
         self.stopped.cancel();
     }
 
@@ -60,6 +67,11 @@
         self.draining.cancelled().await;
     }
 
+    /// Resolves once answers are awaited no longer.
+    pub async fn given_up(&self) {
+        self.given_up.cancelled().await;
+    }
+
     /// Resolves once background tasks must end.
     pub async fn stopped(&self) {
         self.stopped.cancelled().await;
--- a/src/model/reasons.rs
+++ b/src/model/reasons.rs
@@ -118,6 +118,8 @@
         VersionOut => "version-out",
         /// The branch has used its quota over all hosts.
         QuotaExceeded => "quota-exceeded",
+        /// The node that took the request ends before the answer has arrived.
+        NodeEnded => "node-ended",
     }
 }
 
--- a/src/request/problem.rs
+++ b/src/request/problem.rs
@@ -132,5 +132,6 @@
         R::AnswerBroken => "The answer was incomplete or not this request's",
         R::Cancelled => "The caller went away",
         R::PeerRejected => "The peer's message was refused",
+        R::NodeEnded => "The node that took the request ends before the answer has arrived",
     }
 }
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -25,6 +25,7 @@
 mod log_relay;
 mod nested_calls;
 mod odd_entries;
+mod open_requests;
 mod peer_client;
 mod peers;
 mod placement;
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -30,3 +30,4 @@
 mod stop_within_grace;
 mod stopping_hosts;
 mod system;
+mod unforeseen_answers;
--- a/tests/host_processes/stop_within_grace.rs
+++ b/tests/host_processes/stop_within_grace.rs
@@ -13,18 +13,18 @@
 use crate::system::{System, place};
 
 /// A host where callers are, and the only host of the service that they ask.
-const HOSTS: [Place; 2] = [
+pub const HOSTS: [Place; 2] = [
     place("parlour-1", "parlour", "ratchaburi"),
     place("herd-1", "herd", "saraburi"),
 ];
-const ENTRY: usize = 0;
-const PEER: usize = 1;
+pub const ENTRY: usize = 0;
+pub const PEER: usize = 1;
 
 /// Time after the start in which hosts learn of each other and backend servers warm up.
-const SETTLED_AFTER: Duration = Duration::from_secs(3);
+pub const SETTLED_AFTER: Duration = Duration::from_secs(3);
 
 /// Part of the grace time after which a backend server at work excuses the loss of its answer.
-const EXCUSED_FROM: f64 = 5.0 / 6.0;
+pub const EXCUSED_FROM: f64 = 5.0 / 6.0;
 
 /// Requests to hosts that stop, and the link that their answers pass.
 #[derive(Debug, Clone, Copy)]
@@ -44,6 +44,16 @@
     period_ms: u64,
 }
 
+impl Stop {
+    fn need(&self) -> Need {
+        Need {
+            kind: self.kind,
+            work_ms: self.work_ms,
+            body_bytes: self.body_bytes,
+        }
+    }
+}
+
 /// Four answers that take some 1.4 s together on their link.
 const BUNDLES: Stop = Stop {
     signals: &[(ENTRY, 0)],
@@ -85,17 +95,26 @@
 
 /// What became of one request.
 #[derive(Debug)]
-struct Asked {
-    id: String,
-    got: Got,
-    sent_ms: u64,
-    ended_ms: u64,
+pub struct Asked {
+    pub id: String,
+    pub got: Got,
+    pub sent_ms: u64,
+    pub ended_ms: u64,
+}
+
+/// A request's kind, and the work and the answer that it needs.
+#[derive(Debug, Clone, Copy)]
+pub struct Need {
+    pub kind: Kind,
+    pub work_ms: u64,
+    pub body_bytes: usize,
 }
 
-async fn ask(system: &System, node: SocketAddr, id: String, stop: Stop) -> Asked {
+/// Sends a request on a connection of its own.
+pub async fn ask(system: &System, node: SocketAddr, id: String, need: Need) -> Asked {
     let sent_ms = system.ledger.now_ms();
-    let answer = send_once(node, request(&id, stop.kind, stop.body_bytes, stop.work_ms)).await;
-    let got = answer.map_or(Got::Lost, |answer| judge(&answer, &id, stop.body_bytes));
+    let answer = send_once(node, request(&id, need.kind, need.body_bytes, need.work_ms)).await;
+    let got = answer.map_or(Got::Lost, |answer| judge(&answer, &id, need.body_bytes));
     let ended_ms = system.ledger.now_ms();
     Asked {
         id,
@@ -105,7 +124,8 @@
     }
 }
 
-async fn stop_node(system: &System, host: usize, after_ms: u64) -> u64 {
+/// Stops a node by a signal after a time, and returns when that was.
+pub async fn stop_node(system: &System, host: usize, after_ms: u64) -> u64 {
     tokio::time::sleep(Duration::from_millis(after_ms)).await;
     let signalled_ms = system.ledger.now_ms();
     let exit = system.sites[host].lock().await.shut_node_down().await;
@@ -138,7 +158,7 @@
     system.sites[PEER].lock().await.peer_link.set_state(link);
     let node = system.sites[ENTRY].lock().await.addresses.callers();
     for index in 0..stop.before {
-        let asked = ask(&system, node, format!("before-{index}"), stop).await;
+        let asked = ask(&system, node, format!("before-{index}"), stop.need()).await;
         assert_eq!(asked.got, Got::Whole);
     }
     let signals = stop
@@ -148,7 +168,7 @@
     let requests = (0..stop.requests).map(async |index| {
         let after_ms = stop.first_ms + stop.period_ms * index as u64;
         tokio::time::sleep(Duration::from_millis(after_ms)).await;
-        ask(&system, node, format!("late-{index}"), stop).await
+        ask(&system, node, format!("late-{index}"), stop.need()).await
     });
     let (signalled_ms, asked) = tokio::join!(
         futures::future::join_all(signals),
