A leave that is acknowledged binds, whichever start of the backend server it is of

Cause: a leave had an effect only if it named the start that the node took for the one at the address, and was acknowledged and forgotten otherwise.

Nothing in the node's log told of the last word; it has `leave-acknowledged` now.

The leave of another start than the known one closes when the drain time is over, unless a witness refutes it before: a healthy answer to a health check asked after it (earlier stated time), or announcements of the known start that go on for 10 s (later one). A draining heartbeat that was overtaken by a later one of its start applies.

Why it works: two processes do not serve one address at once, and the rule allows requests in the drain time, so the node need not know at once which of two starts it serves. A late last word of an ended start costs nothing then.

--- a/src/decision/host/close_reasons.rs
+++ b/src/decision/host/close_reasons.rs
@@ -7,6 +7,8 @@
 pub enum CloseReason {
     /// The backend server announced that it is leaving.
     ServerLeaving,
+    /// A start that may be that of the backend server announced that it is leaving.
+    LeaveContested,
     /// Operators took the availability zone out of service.
     ZoneOut,
     /// Its version gets no requests in a roll-out.
--- a/src/decision/host/gate/mod.rs
+++ b/src/decision/host/gate/mod.rs
@@ -11,7 +11,9 @@
 
 use super::close_reasons::CloseTimes;
 use super::cold_start::ColdAllowance;
+use super::contested_leave::ContestedLeave;
 use super::known_server::KnownServer;
+use super::leaves::Leaves;
 use super::run_times::AverageRun;
 use super::slowness::Slowness;
 use super::start_rate::StartRate;
@@ -43,6 +45,10 @@
     report_sequence: u64,
     server: KnownServer,
     close_times: CloseTimes,
+    /// Leaves that were acknowledged.
+    leaves: Leaves,
+    /// The last of them, if it may be of another process than the one at the address.
+    contested_leave: Option<ContestedLeave>,
     /// Plan of the node's stop, once it is leaving.
     node_stop: Option<StopPlan>,
     start_rate: StartRate,
@@ -77,6 +83,8 @@
             report_sequence: 0,
             server: KnownServer::new(service),
             close_times: CloseTimes::default(),
+            leaves: Leaves::default(),
+            contested_leave: None,
             node_stop: None,
             start_rate: StartRate::new(allowance),
             heard_not_leaving: false,
--- a/src/decision/host/gate/observe.rs
+++ b/src/decision/host/gate/observe.rs
@@ -1,8 +1,13 @@
 //! What the gate learns of its backend server, its node and its availability zone.
 
+use std::sync::Arc;
+
 use super::{HostGate, Running};
 use crate::decision::host::announcement::{AnnouncedState, Announcement, Departure, Freshness};
 use crate::decision::host::close_reasons::CloseReason;
+use crate::decision::host::contested_leave::{ContestedLeave, Witness};
+use crate::decision::host::known_server::{LATE_MAX_US, StartOrder};
+use crate::decision::host::leaves::Start;
 use crate::decision::host::server_limit::LimitChange;
 use crate::decision::host::slowness::Slowness;
 use crate::decision::host::work::{HealthCheckResult, ServerReport};
@@ -21,29 +26,54 @@
     }
 
     /// Applies an announcement of the backend server.
-    pub fn observe_announcement(&mut self, announcement: Announcement, now_us: u64) -> Freshness {
+    ///
+    /// A start that has left is not used again, whatever it announces later.
+    pub fn observe_announcement(
+        &mut self,
+        mut announcement: Announcement,
+        now_us: u64,
+    ) -> Freshness {
+        let start = Start::from(&announcement);
+        let mut is_new_leave = false;
+        if announcement.state != AnnouncedState::Ready {
+            is_new_leave = self.leaves.record(start.clone());
+        } else if self.leaves.contains(&start) {
+            announcement.state = AnnouncedState::Draining;
+        }
+        let order = self.server.order_of(&start);
         let (state, slots) = (announcement.state, announcement.slots);
         let cold_left_us = announcement.cold_left_us;
         let was_answering = self.server.is_unannounced(&announcement.instance);
         let freshness = self.server.apply(announcement, now_us);
         match freshness {
-            Freshness::Stale => return freshness,
+            Freshness::Stale => {
+                if is_new_leave {
+                    self.close_for_leave(order, now_us);
+                }
+                return freshness;
+            }
             Freshness::NewStart => {
+                self.set_contested(None);
                 if !was_answering {
                     self.forget_statements();
                 }
                 self.slowness = Slowness::default();
             }
-            Freshness::Newer => {}
+            Freshness::Newer => {
+                let is_refuted = self
+                    .contested_leave
+                    .is_some_and(|leave| leave.is_refuted_by_announcement(now_us, LATE_MAX_US));
+                if is_refuted {
+                    self.set_contested(None);
+                }
+            }
         }
-        // A process that announced that it is leaving is not used again, whatever it announces
-        // later.
         if state != AnnouncedState::Ready {
             let drain_left_us = if freshness == Freshness::NewStart {
                 // It may have started leaving long ago, for example if this node restarted since.
                 0
             } else {
-                self.drain_us.saturating_sub(DRAIN_MARGIN_US)
+                self.drain_left_us()
             };
             self.close_times
                 .close_at(CloseReason::ServerLeaving, now_us + drain_left_us);
@@ -56,17 +86,71 @@
         freshness
     }
 
-    /// Applies the last message of a backend server; returns it as an announcement if it counts.
+    /// Applies the last message of a backend server; returns it as an announcement if it is of the
+    /// known start.
+    ///
+    /// One of another start is remembered, and contested if that start may be at the address.
     pub fn observe_departure(
         &mut self,
         departure: Departure,
         now_us: u64,
     ) -> Option<(Announcement, Freshness)> {
-        let announcement = self.server.departure(departure)?;
+        let start = Start {
+            instance: Arc::clone(&departure.instance),
+            time_ms: departure.start_time_ms,
+        };
+        let Some(announcement) = self.server.departure(departure) else {
+            let order = self.server.order_of(&start);
+            if self.leaves.record(start) {
+                self.close_for_leave(order, now_us);
+            }
+            return None;
+        };
         let freshness = self.observe_announcement(announcement.clone(), now_us);
         Some((announcement, freshness))
     }
 
+    /// Remembers an acknowledged announcement of a process that has ended, if it tells a leave.
+    pub fn observe_ended(&mut self, announcement: &Announcement) {
+        if announcement.state != AnnouncedState::Ready {
+            self.leaves.record(Start::from(announcement));
+        }
+    }
+
+    /// Closes for a leave that was acknowledged now, unless its start is certainly not at the address.
+    fn close_for_leave(&mut self, order: StartOrder, now_us: u64) {
+        let witness = match order {
+            StartOrder::Unrelated => return,
+            StartOrder::Same => {
+                let closes_at_us = now_us + self.drain_left_us();
+                return self
+                    .close_times
+                    .close_at(CloseReason::ServerLeaving, closes_at_us);
+            }
+            StartOrder::Earlier => Witness::HealthCheck,
+            StartOrder::Later => Witness::Announcements,
+        };
+        self.set_contested(Some(ContestedLeave::new(witness, now_us)));
+        self.close_times
+            .close_at(CloseReason::LeaveContested, now_us + self.drain_left_us());
+    }
+
+    /// Sets the leave that is contested; without one the gate is not closed for it.
+    fn set_contested(&mut self, leave: Option<ContestedLeave>) {
+        self.contested_leave = leave;
+        self.close_times.set(CloseReason::LeaveContested, false);
+    }
+
+    /// Whether a leave was acknowledged that may be of an ended process.
+    pub fn is_leave_contested(&self) -> bool {
+        self.contested_leave.is_some()
+    }
+
+    /// Time in which a process that has just announced its leave still gets requests, in µs.
+    fn drain_left_us(&self) -> u64 {
+        self.drain_us.saturating_sub(DRAIN_MARGIN_US)
+    }
+
     /// Applies the load headers of an answer of the backend server.
     pub fn observe_report(&mut self, report: ServerReport, now_us: u64) {
         if let Some(slots) = report.slots {
@@ -107,7 +191,7 @@
             .closes_at_us(CloseReason::ServerLeaving)
             .is_none();
         let drain_left_us = if self.heard_not_leaving {
-            self.drain_us.saturating_sub(DRAIN_MARGIN_US)
+            self.drain_left_us()
         } else {
             0
         };
@@ -150,6 +234,13 @@
     /// A cold backend server says so in its health answers, so an answer of the known process
     /// determines whether it is cold.
     pub fn observe_health(&mut self, result: &HealthCheckResult<'_>, now_us: u64) {
+        let is_refuted = |leave: ContestedLeave| leave.is_refuted_by_health(result.asked_us);
+        if result.healthy
+            && self.server.is_known(result.instance)
+            && self.contested_leave.is_some_and(is_refuted)
+        {
+            self.set_contested(None);
+        }
         let is_known = self
             .server
             .observe_answer(result.instance, result.healthy, now_us);
--- a/src/decision/host/gate/report.rs
+++ b/src/decision/host/gate/report.rs
@@ -87,7 +87,14 @@
             ServerState::Absent
         } else if closed_for(CloseReason::ZoneOut) || closed_for(CloseReason::VersionOut) {
             ServerState::Out
-        } else if closed_for(CloseReason::ServerLeaving) || closed_for(CloseReason::NodeLeaving) {
+        } else if [
+            CloseReason::ServerLeaving,
+            CloseReason::LeaveContested,
+            CloseReason::NodeLeaving,
+        ]
+        .into_iter()
+        .any(closed_for)
+        {
             ServerState::Leaving
         } else if self.is_cold(now_us) {
             ServerState::Cold
--- a/src/decision/host/gate/waiting.rs
+++ b/src/decision/host/gate/waiting.rs
@@ -93,7 +93,10 @@
     pub(super) fn start_limits(&self, now_us: u64) -> StartLimits {
         StartLimits {
             slowness: self.slowness(now_us),
-            server_stops_at_us: self.close_times.closes_at_us(CloseReason::ServerLeaving),
+            server_stops_at_us: [CloseReason::ServerLeaving, CloseReason::LeaveContested]
+                .into_iter()
+                .filter_map(|reason| self.close_times.closes_at_us(reason))
+                .min(),
             node_stop: self.node_stop,
         }
     }
--- a/src/decision/host/known_server.rs
+++ b/src/decision/host/known_server.rs
@@ -7,17 +7,32 @@
 //! A node that was restarted does not know what the run before it acknowledged: a process may have
 //! announced that it is leaving, and an earlier announcement of it may arrive late. So an announced
 //! process that is older than the node gets no requests before it is confirmed: it answers a health
-//! check as healthy, or goes on announcing itself as ready for [`CONFIRMED_AFTER_US`].
+//! check as healthy, or goes on announcing itself as ready for [`LATE_MAX_US`].
 
 use std::sync::Arc;
 
 use super::announcement::{Announcement, Departure, Freshness};
+use super::leaves::Start;
+use super::rival_start::RivalStart;
 use crate::model::names::ServiceName;
 use crate::model::reasons::RefusalReason;
 use crate::model::units::US_PER_S;
 
 /// Time in which all announcements that were sent before a leave have arrived, in µs.
-const CONFIRMED_AFTER_US: u64 = 10 * US_PER_S;
+pub const LATE_MAX_US: u64 = 10 * US_PER_S;
+
+/// How a start of a backend server relates to the known one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StartOrder {
+    /// It is the known one.
+    Same,
+    /// It is of the same backend server and states an earlier time.
+    Earlier,
+    /// It is of the same backend server and states a later time.
+    Later,
+    /// It is of another backend server, or was replaced by the known one.
+    Unrelated,
+}
 
 /// An announced process, and what shows that it has not left.
 #[derive(Debug)]
@@ -65,8 +80,10 @@
     answering: Option<Answering>,
     /// Start time from which on all acknowledgements to a process are known here, in Unix ms.
     known_from_ms: u64,
-    /// Instance and start time of the announcement that was replaced by one of an earlier time.
-    replaced_by_earlier_start: Option<(Arc<str>, u64)>,
+    /// The start that was replaced by one that states an earlier time.
+    replaced_by_earlier_start: Option<Start>,
+    /// Another start under the same identifier that seems to be stale.
+    rival: Option<RivalStart>,
 }
 
 impl KnownServer {
@@ -79,6 +96,7 @@
             answering: None,
             known_from_ms: 0,
             replaced_by_earlier_start: None,
+            rival: None,
         }
     }
 
@@ -232,7 +250,11 @@
             Freshness::Stale if answers && !self.is_announced(&announcement.instance) => {
                 Freshness::NewStart
             }
-            Freshness::NewStart if !answers && self.was_replaced_by_earlier_start(announcement) => {
+            // An answer names no start, so it tells nothing of two starts of one instance.
+            Freshness::NewStart
+                if (!answers || self.is_announced(&announcement.instance))
+                    && self.was_replaced_by_earlier_start(&Start::from(announcement)) =>
+            {
                 Freshness::Stale
             }
             Freshness::NewStart | Freshness::Newer | Freshness::Stale => by_time,
@@ -261,28 +283,39 @@
 
     /// Applies an announcement and returns how it relates to what was known.
     pub fn apply(&mut self, announcement: Announcement, now_us: u64) -> Freshness {
-        let freshness = self.freshness(&announcement);
+        let by_times = self.freshness(&announcement);
+        let is_rival =
+            by_times == Freshness::Stale && self.is_replaced_by_rival(&announcement, now_us);
+        let freshness = if is_rival {
+            Freshness::NewStart
+        } else {
+            by_times
+        };
         let (since_us, is_confirmed) = match (freshness, &self.process) {
             (Freshness::Newer, Process::Announced(known)) => {
-                let is_continued = now_us.saturating_sub(known.since_us) >= CONFIRMED_AFTER_US;
+                let is_continued = now_us.saturating_sub(known.since_us) >= LATE_MAX_US;
                 (known.since_us, known.is_confirmed || is_continued)
             }
+            // The known start may have left, and this one be late all the same.
+            _ if is_rival => (now_us, false),
             _ => (now_us, self.is_confirmed_at_first(&announcement)),
         };
         match freshness {
             Freshness::Stale => return freshness,
             Freshness::Newer => {}
             Freshness::NewStart => {
-                let replaced_by_earlier_start = self
+                let replaced = self
                     .announcement()
                     .filter(|known| known.start_time_ms > announcement.start_time_ms)
-                    .map(|known| (Arc::clone(&known.instance), known.start_time_ms));
+                    .map(Start::from);
+                let earlier = self.replaced_by_earlier_start.take();
                 self.replaced_by_earlier_start =
-                    replaced_by_earlier_start.or(self.replaced_by_earlier_start.take());
+                    replaced.or(earlier.filter(|start| *start != Start::from(&announcement)));
                 // What answered before may have been another process.
                 self.answering = None;
             }
         }
+        self.rival = None;
         if self.service != announcement.service {
             self.service = announcement.service.clone();
             self.service_changes = self.service_changes.saturating_add(1);
@@ -295,6 +328,41 @@
         freshness
     }
 
+    /// Whether a start that seemed to be stale has taken the place of the known one.
+    fn is_replaced_by_rival(&mut self, announcement: &Announcement, now_us: u64) -> bool {
+        let start = Start::from(announcement);
+        if matches!(self.order_of(&start), StartOrder::Same) || !self.is_announced(&start.instance)
+        {
+            return false;
+        }
+        match &mut self.rival {
+            Some(rival) if rival.is(&start) => rival.observe(announcement, now_us),
+            _ => {
+                self.rival = Some(RivalStart::new(announcement, now_us));
+                false
+            }
+        }
+    }
+
+    /// How a start relates to the known one.
+    pub fn order_of(&self, start: &Start) -> StartOrder {
+        let Some(known) = self
+            .announcement()
+            .filter(|it| it.instance == start.instance)
+        else {
+            return StartOrder::Unrelated;
+        };
+        if start.time_ms == known.start_time_ms {
+            StartOrder::Same
+        } else if self.was_replaced_by_earlier_start(start) {
+            StartOrder::Unrelated
+        } else if start.time_ms > known.start_time_ms {
+            StartOrder::Later
+        } else {
+            StartOrder::Earlier
+        }
+    }
+
     /// Returns the announcement that a departure amounts to; `None` if it has no effect.
     pub fn departure(&self, departure: Departure) -> Option<Announcement> {
         match &self.process {
@@ -311,10 +379,7 @@
         known.is_some_and(|known| known.instance == *instance)
     }
 
-    fn was_replaced_by_earlier_start(&self, announcement: &Announcement) -> bool {
-        let replaced_by_earlier_start = self.replaced_by_earlier_start.as_ref();
-        replaced_by_earlier_start.is_some_and(|(instance, start_time_ms)| {
-            *instance == announcement.instance && *start_time_ms == announcement.start_time_ms
-        })
+    fn was_replaced_by_earlier_start(&self, start: &Start) -> bool {
+        self.replaced_by_earlier_start.as_ref() == Some(start)
     }
 }
--- a/src/decision/host/work.rs
+++ b/src/decision/host/work.rs
@@ -62,6 +62,8 @@
     pub healthy: bool,
     /// Remaining time of its cold start, in µs.
     pub cold_left_us: u64,
+    /// When it was asked, in µs.
+    pub asked_us: u64,
 }
 
 /// Coarse summary of the gate's load.
--- a/src/host/observe/server_lines.rs
+++ b/src/host/observe/server_lines.rs
@@ -120,6 +120,19 @@
         );
     }
 
+    /// Logs the last message of a backend server.
+    pub fn leave_acknowledged(&self, instance: &str, start_time_ms: u64, is_contested: bool) {
+        self.write(
+            LinePriority::Notable,
+            "leave-acknowledged",
+            serde_json::json!({
+                "instance": shortened(instance),
+                "start_time_ms": start_time_ms,
+                "contested": is_contested,
+            }),
+        );
+    }
+
     /// Logs and counts an announcement that was malformed or came from another sender.
     pub fn announcement_refused(&self, target: &str, error: &impl Display) {
         self.count("announcements_refused");
--- a/src/host/server/announcements.rs
+++ b/src/host/server/announcements.rs
@@ -57,6 +57,7 @@
                     server.is_of_ended_process(&announcement, asked_us)
                 });
                 if is_of_ended {
+                    host.gate.with(|gate| gate.observe_ended(&announcement));
                     let error = "another process answers at the address";
                     host.events
                         .announcement_refused(&request.head.target, &error);
@@ -78,7 +79,11 @@
                     received_ms: time_of_day_ms(),
                 };
                 let now_us = host.now_us();
+                let left = Arc::clone(&departure.instance);
                 apply(host, |gate| gate.observe_departure(departure, now_us));
+                let is_contested = host.gate.with(|gate| gate.is_leave_contested());
+                host.events
+                    .leave_acknowledged(&left, start_time_ms, is_contested);
             }
             Err(error) => {
                 host.events
--- a/src/host/server/probe.rs
+++ b/src/host/server/probe.rs
@@ -47,7 +47,9 @@
         }
         host.server_connections.close_idle();
         let now_us = host.now_us();
-        let is_due = lock(&host.crash_watch).is_waiting() || !is_load_fresh(&host, now_us);
+        let is_contested = host.gate.with(|gate| gate.is_leave_contested());
+        let is_due =
+            is_contested || lock(&host.crash_watch).is_waiting() || !is_load_fresh(&host, now_us);
         if now_us < next_us || !is_due {
             continue;
         }
@@ -143,6 +145,7 @@
             instance,
             healthy: response.head.status == 200,
             cold_left_us: facts.report.cold_left_us.unwrap_or(0),
+            asked_us: sent_us,
         };
         host.gate.with(|gate| gate.observe_health(&health, now_us));
         answer_checks::observe_statements(host, instance, &facts.statements, false);
--- a/tests/host/gate.rs
+++ b/tests/host/gate.rs
@@ -604,6 +604,7 @@
         instance,
         healthy: true,
         cold_left_us,
+        asked_us: 0,
     }
 }
 
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -3,6 +3,7 @@
 #[path = "../support/cases.rs"]
 mod cases;
 
+mod acknowledged_leaves;
 mod announcement;
 mod answer_transport;
 mod backend_answers;
--- a/tests/host/restarted_gate.rs
+++ b/tests/host/restarted_gate.rs
@@ -45,6 +45,7 @@
         instance,
         healthy,
         cold_left_us: 0,
+        asked_us: 0,
     }
 }
 
--- a/tests/host/server_limit.rs
+++ b/tests/host/server_limit.rs
@@ -315,6 +315,7 @@
         instance: INSTANCE,
         healthy,
         cold_left_us: 0,
+        asked_us: 0,
     }
 }
 
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -1,5 +1,6 @@
 //! Real node processes on stand-ins for the users' platform, calm and under faults.
 
+mod acknowledged_leaves;
 mod addresses;
 mod branches;
 mod callers;
--- a/tests/host_processes/restarted_nodes.rs
+++ b/tests/host_processes/restarted_nodes.rs
@@ -14,23 +14,23 @@
 use crate::system::{System, eventually, is_ready, place};
 
 /// Hosts of one service.
-const HOSTS: [Place; 3] = [
+pub const HOSTS: [Place; 3] = [
     place("herd-1", "herd", "ratchaburi"),
     place("herd-2", "herd", "ratchaburi"),
     place("herd-3", "herd", "saraburi"),
 ];
 
 /// The host whose backend server leaves.
-const LEAVING: usize = 1;
+pub const LEAVING: usize = 1;
 
 /// Identifier of the backend server that leaves.
-const INSTANCE: &str = "herd-2.leaving";
+pub const INSTANCE: &str = "herd-2.leaving";
 
 /// Seed of callers.
-const SEED: u64 = 4;
+pub const SEED: u64 = 4;
 
 /// Time in which callers are served before the leave.
-const CALM: Duration = Duration::from_secs(2);
+pub const CALM: Duration = Duration::from_secs(2);
 
 /// Time after a disruption from which the rules bind again: the users' `contact-s`, in ms.
 const CONTACT_MS: u64 = 3_000;
@@ -46,7 +46,7 @@
 
 /// How the backend server tells its leave.
 #[derive(Debug, Clone, Copy)]
-enum Told {
+pub enum Told {
     /// As its last word, without an announcement that it drains.
     Deregistered,
     /// As its state in a heartbeat.
@@ -64,7 +64,8 @@
     Repeated(usize),
 }
 
-fn status(draining: bool) -> ServerStatus {
+/// What a backend server announces.
+pub fn status(draining: bool) -> ServerStatus {
     ServerStatus {
         slots: 12,
         draining,
@@ -72,9 +73,8 @@
     }
 }
 
-/// Puts a backend server of this test in the place of the host's own.
-async fn replace_server(site: &mut Site) -> (BackendServer, Announcer) {
-    site.end_server(ServerEnd::Crash).await;
+/// Starts a backend server of this test at a host whose own has ended.
+pub async fn start_server(site: &Site) -> (BackendServer, Announcer) {
     let settings = BackendServerSettings {
         instance: INSTANCE.to_owned(),
         service: site.service.to_owned(),
@@ -89,14 +89,20 @@
         Arc::clone(&site.behaviour),
         Arc::clone(&site.statements),
     );
-    let mut announcer = Announcer::new(
+    let announcer = Announcer::new(
         site.addresses.announcements(),
         site.addresses.server(),
         INSTANCE.to_owned(),
         site.service.to_owned(),
         site.place.zone.to_owned(),
     );
-    let server = server.await.expect("the backend server starts");
+    (server.await.expect("the backend server starts"), announcer)
+}
+
+/// Puts a backend server of this test in the place of the host's own.
+async fn replace_server(site: &mut Site) -> (BackendServer, Announcer) {
+    site.end_server(ServerEnd::Crash).await;
+    let (server, mut announcer) = start_server(site).await;
     eventually("it is announced", async || {
         announcer.announce(status(false)).await
     })
