Responses that the product's node reads at once share one limit

What other operators reported: a faulty backend server sent bytes without end, and the machine that called it ran out of memory. `bronzelock host` has budgets for that. `bronzelock node` limited each body to 16 MiB and nothing else.

Cause: no limit on all bodies together.

Mend: edge/whole_response reads the responses of a pool, and all that are read at once share 64 MiB. What exceeds it is a broken answer, run unknown. It works since bytes are counted before they are kept. The module takes the reading out of server_pool.rs, which was long.

--- a/src/edge/mod.rs
+++ b/src/edge/mod.rs
@@ -19,4 +19,5 @@
 pub mod send_error;
 pub mod server_pool;
 pub mod shared_stream;
+pub mod whole_response;
 pub mod wire;
--- a/src/edge/server_pool.rs
+++ b/src/edge/server_pool.rs
@@ -8,9 +8,8 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
-use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Method, Request, Response};
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
@@ -18,13 +17,11 @@
 
 use super::disconnect_hook::DisconnectHook;
 use super::send_error::{EchoHeader, SendError, SendProgress};
+use super::whole_response::{ResponseMemory, read_whole};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::kernel::tasks::Tasks;
 
-/// Maximum length of a response body, in bytes.
-pub const RESPONSE_BYTES_MAX: usize = 16 << 20;
-
 /// Idle time after which a connection is closed instead of reused.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -65,6 +62,8 @@
     address: SocketAddr,
     connections_max: AtomicUsize,
     state: Mutex<State>,
+    /// Memory of the responses that are read.
+    memory: ResponseMemory,
     tasks: Tasks,
     on_disconnect: DisconnectHook,
 }
@@ -105,6 +104,7 @@
             address,
             connections_max: AtomicUsize::new(connections_max),
             state: Mutex::new(State::default()),
+            memory: ResponseMemory::default(),
             tasks,
             on_disconnect,
         }
@@ -155,9 +155,13 @@
             let cause = "the response belongs to another request";
             return Err(self.error(SendProgress::AnswerBroken, "answer", cause));
         }
-        let whole = self.read_full_response(response, head_only).await?;
-        lease.return_to_pool();
-        Ok(whole)
+        match read_whole(response, head_only, &self.memory).await {
+            Ok(whole) => {
+                lease.return_to_pool();
+                Ok(whole)
+            }
+            Err(error) => Err(self.error(SendProgress::AnswerBroken, "answer", error)),
+        }
     }
 
     /// Sends the request and waits for the response head.
@@ -214,25 +218,6 @@
         )
     }
 
-    async fn read_full_response(
-        &self,
-        response: Response<hyper::body::Incoming>,
-        head_only: bool,
-    ) -> Result<Response<Bytes>, SendError> {
-        let (parts, body) = response.into_parts();
-        let delimited = parts.headers.contains_key(CONTENT_LENGTH)
-            || parts.headers.contains_key(TRANSFER_ENCODING);
-        let bodiless = head_only || parts.status == 204 || parts.status == 304;
-        if !delimited && !bodiless {
-            let cause = "the response has no length, so truncation could not be detected";
-            return Err(self.error(SendProgress::AnswerBroken, "answer", cause));
-        }
-        match Limited::new(body, RESPONSE_BYTES_MAX).collect().await {
-            Ok(body) => Ok(Response::from_parts(parts, body.to_bytes())),
-            Err(error) => Err(self.error(SendProgress::AnswerBroken, "answer", error)),
-        }
-    }
-
     /// Takes an idle connection or opens a new one; the flag is true if it is reused.
     async fn lease(&self) -> Result<(Lease<'_>, bool), SendError> {
         if let Some(connection) = self.take_idle() {
