A status that HTTP does not define is no answer and no refusal

Cause: the status was checked after the refusal, and in one of three places that read answers only.

Evidence, on: backend_answers::a_status_of_no_refusal_says_nothing_of_a_run, an_answer_of_another_node_with_an_odd_status_is_none and server_pool::a_status_that_http_does_not_define_is_no_answer failed. A plain 000 was refused by `bronzelock host` already, and by hyper in `bronzelock node`.

Mend: model/host_request names the statuses of final answers and of refusals, and all three places ask it first. What fails is a broken answer, run unknown, which promises nothing.

--- a/src/edge/whole_response.rs
+++ b/src/edge/whole_response.rs
@@ -6,9 +6,11 @@
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use hyper::{Response, StatusCode};
+
+use crate::model::host_request::is_final_status;
 
 /// Maximum length of a response body, in bytes.
 pub const RESPONSE_BYTES_MAX: usize = 16 << 20;
@@ -19,6 +21,8 @@
 /// Why a response is not a whole answer.
 #[derive(Debug, Display)]
 pub enum ResponseError {
+    /// HTTP does not define the status {0}
+    Status(StatusCode),
     /// the response has no length, so truncation could not be detected
     NoLength,
     /// the body is too long
@@ -72,6 +76,9 @@
     memory: &ResponseMemory,
 ) -> Result<Response<Bytes>, ResponseError> {
     let (parts, mut body) = response.into_parts();
+    if !is_final_status(parts.status.as_u16()) {
+        return Err(ResponseError::Status(parts.status));
+    }
     let delimited =
         parts.headers.contains_key(CONTENT_LENGTH) || parts.headers.contains_key(TRANSFER_ENCODING);
     let bodiless = head_only || parts.status == 204 || parts.status == 304;
--- a/src/host/peers/peer_rpc.rs
+++ b/src/host/peers/peer_rpc.rs
@@ -13,7 +13,7 @@
 use crate::host::peers::relayed_values::ValueDigest;
 use crate::host::peers::relayed_values::WirePiece;
 use crate::model::header::Header;
-use crate::model::host_request::{HostWork, ServerAnswer, Timing};
+use crate::model::host_request::{HostWork, ServerAnswer, Timing, is_final_status};
 use crate::model::ids::Incarnation;
 use crate::model::load::HostLoad;
 use crate::model::names::{NameError, ServiceName, ZoneName};
@@ -188,12 +188,15 @@
 }
 
 impl From<WireOutcome> for Outcome {
+    /// An answer with a status that HTTP does not define is none.
     fn from(wire: WireOutcome) -> Self {
+        let result = match wire.result {
+            Ok(answer) if is_final_status(answer.status) => Ok(ServerAnswer::from(answer)),
+            Ok(_odd) => Err(RequestFailure::unknown(RefusalReason::AnswerBroken)),
+            Err(failure) => Err(RequestFailure::from(failure)),
+        };
         Self {
-            result: wire
-                .result
-                .map(ServerAnswer::from)
-                .map_err(RequestFailure::from),
+            result,
             measurement: RunMeasurement {
                 run_us: wire.run_us,
                 slowness: f64::from(wire.slowness_percent) / 100.0,
--- a/src/host/server/answer_checks.rs
+++ b/src/host/server/answer_checks.rs
@@ -1,17 +1,14 @@
 //! What an answer of the local backend server says, and whether it is one to the request.
 
-use std::ops::RangeInclusive;
-
 use crate::decision::host::server_limit::LimitChange;
 use crate::edge::http1::Response;
 use crate::host::context::Host;
 use crate::host::outcome::RequestFailure;
-use crate::model::host_request::{AnswerFacts, HostWork, LimitStatement, ServerStatements};
+use crate::model::host_request::{
+    AnswerFacts, HostWork, LimitStatement, ServerStatements, is_final_status, is_refusal_status,
+};
 use crate::model::reasons::RefusalReason;
 
-/// Status codes of final answers (RFC 9110, section 15).
-const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
-
 /// Passes the load report in an answer to the gate.
 pub fn observe_load_report(host: &Host, facts: &AnswerFacts) {
     let now_us = host.now_us();
@@ -59,7 +56,7 @@
 ///
 /// An answer needs a status that HTTP defines, the backend server's signature, the request
 /// identifier and a body without encoding, unless it says that the request was not run. A refusal
-/// needs the request identifier on a connection that is `reused`.
+/// needs the status of one, and the request identifier on a connection that is `reused`.
 pub fn check_answer(
     host: &Host,
     work: &HostWork,
@@ -67,7 +64,8 @@
     response: Response,
     reused: bool,
 ) -> Result<Response, RequestFailure> {
-    if facts.not_run && is_own_refusal(facts, reused) {
+    let status = response.head.status;
+    if facts.not_run && is_refusal_status(status) && is_own_refusal(facts, reused) {
         if let Some(instance) = &facts.instance {
             let now_us = host.now_us();
             host.gate
@@ -75,10 +73,9 @@
         }
         return Err(RequestFailure::shed());
     }
-    let status = response.head.status;
     let error = match facts {
-        AnswerFacts { not_run: true, .. } => "the refusal names no request",
-        _ if !FINAL_STATUSES.contains(&status) => "HTTP does not define the status",
+        _ if !is_final_status(status) => "HTTP does not define the status",
+        AnswerFacts { not_run: true, .. } => "the refusal has another status or names no request",
         AnswerFacts { signed: false, .. } => "the answer has no signature",
         AnswerFacts {
             request_id: None, ..
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -12,6 +12,16 @@
 /// Lowest status code of server errors.
 pub const SERVER_ERROR_MIN: u16 = 500;
 
+/// Whether a status is that of a final answer (RFC 9110, section 15).
+pub fn is_final_status(status: u16) -> bool {
+    (200..=599).contains(&status)
+}
+
+/// Whether a status can be that of a refusal.
+pub fn is_refusal_status(status: u16) -> bool {
+    (400..=599).contains(&status)
+}
+
 /// A caller's request.
 #[derive(Debug, Clone)]
 pub struct CallerRequest {
--- a/tests/host/backend_answers.rs
+++ b/tests/host/backend_answers.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bronzelock::host::context::Host;
-use bronzelock::host::outcome::Outcome;
+use bronzelock::host::outcome::{Outcome, RunMeasurement};
+use bronzelock::host::peers::peer_rpc::WireOutcome;
 use bronzelock::host::server::executor;
-use bronzelock::model::host_request::{HostWork, Timing};
+use bronzelock::model::host_request::{HostWork, ServerAnswer, Timing};
 use bronzelock::model::names::ServiceName;
 use bronzelock::model::request::Effect;
 use bronzelock::platform::announcements::{self, Message};
@@ -207,6 +208,40 @@
     }
 }
 
+/// Guards against a promise "not run" that is read from bytes which are no answer.
+#[tokio::test]
+async fn a_status_of_no_refusal_says_nothing_of_a_run() {
+    for status in ["000", "099", "600", "999", "200", "302"] {
+        for headers in [
+            format!("{}{}{}", *NOT_RUN, *SIGNED, *OWN_ID),
+            NOT_RUN.clone(),
+        ] {
+            let head = format!("HTTP/1.1 {status} Status\r\n{headers}");
+            check_unknown(format!("{head}Content-Length: 1\r\n\r\nx")).await;
+        }
+    }
+}
+
+/// Guards against a status that another node passes on although HTTP does not define it.
+#[tokio::test]
+async fn an_answer_of_another_node_with_an_odd_status_is_none() {
+    let load = host_beside(String::new()).await.gate.load();
+    for status in [0, 99, 100, 600, 999] {
+        let answer = ServerAnswer {
+            status,
+            headers: Vec::new(),
+            body: bytes::Bytes::new(),
+        };
+        let sent = Outcome {
+            result: Ok(answer),
+            measurement: RunMeasurement::default(),
+        };
+        let received = Outcome::from(WireOutcome::new(sent, load));
+        let failure = received.result.expect_err("no answer");
+        assert!(!failure.is_not_run(), "{status}: {failure:?}");
+    }
+}
+
 /// Callers ask for bodies without an encoding, so an encoded one is not the backend server's.
 #[tokio::test]
 async fn an_answer_with_an_encoded_body_is_no_answer() {
--- a/tests/server_pool.rs
+++ b/tests/server_pool.rs
@@ -87,6 +87,31 @@
     ))
 }
 
+/// Guards against a status that reaches a caller although HTTP does not define it.
+#[tokio::test]
+async fn a_status_that_http_does_not_define_is_no_answer() {
+    for status in [
+        "000", "001", "099", "600", "999", "20", "1000", "-20", "2x0",
+    ] {
+        let answer = format!("HTTP/1.1 {status} Status\r\nContent-Length: 1\r\n\r\nx");
+        let (address, _written) = faulty_server(answer, "").await;
+        let answered = send(&pool(address)).await;
+        assert!(answered.is_err(), "{status}: {answered:?}");
+    }
+}
+
+/// Guards against a check that refuses proper answers.
+#[tokio::test]
+async fn an_answer_with_a_defined_status_is_read_whole() {
+    for status in [200_u16, 404, 503, 599] {
+        let answer = format!("HTTP/1.1 {status} Status\r\nContent-Length: 1\r\n\r\nx");
+        let (address, _written) = faulty_server(answer, "").await;
+        let answered = send(&pool(address)).await.expect("an answer");
+        assert_eq!(answered.status().as_u16(), status);
+        assert_eq!(answered.body(), "x");
+    }
+}
+
 /// Asks several times at once for an answer without end; returns how much was taken at a time.
 async fn taken_of_endless(first: &str, repeated: &'static str) -> usize {
     let (address, taken) = faulty_server(first.to_owned(), repeated).await;
