The product's node tells callers of answers that do not arrive before its end

The pace of a case names the shutdown time now.

Left: this node has no record of how long answers take, so it accepts whatever comes in its notice.

--- a/src/kernel/node.rs
+++ b/src/kernel/node.rs
@@ -122,14 +122,17 @@
         // answers that wait.
         self.kernel.stop.drain();
         let finish_by = clock.instant_at(plan.ends_at_us).into();
-        if timeout_at(finish_by, self.kernel.work.join())
-            .await
-            .is_err()
-        {
+        let gives_up_at = clock.instant_at(plan.gives_up_at_us).into();
+        let work = &self.kernel.work;
+        if timeout_at(gives_up_at, work.join()).await.is_err() {
             log::error!(
                 "kernel: requests still running after {} ms",
                 settings.shutdown_ms
             );
+            self.kernel.stop.give_up();
+            if timeout_at(finish_by, work.join()).await.is_err() {
+                log::error!("kernel: callers without an answer were not told");
+            }
         }
         let peers = &self.kernel.peer_connections;
         if timeout_at(finish_by, peers.tasks.join()).await.is_err() {
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -8,14 +8,14 @@
 use warp::http::{HeaderName, HeaderValue, Response, StatusCode, header};
 
 use super::attempt::{self, CallOutcome};
-use super::call::{Answer, Call, Failure};
+use super::call::{Answer, Call, Failure, Step};
 use super::classify::{self, HttpRequest, refuse};
 use super::{headers, problem, ticketed};
 use crate::decision::ticket::with_unknown_run_state;
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::model::ids::RequestId;
-use crate::model::reasons::RefusalReason;
+use crate::model::reasons::{RefusalReason, RunState};
 use crate::model::request::Effect;
 
 /// Handles a request of a caller and returns the response.
@@ -32,7 +32,7 @@
     let parsed_id = classify::request_id(&request.headers, random_id);
     let id = parsed_id.as_ref().copied().unwrap_or(RequestId(random_id));
     let outcome = match parsed_id {
-        Ok(id) => serve(&kernel, &request, id, body).await,
+        Ok(id) => serve_until_end(&kernel, &request, id, body).await,
         Err(failure) => refused(&request, failure),
     };
     let mut response = match outcome.result {
@@ -65,6 +65,24 @@
     problem::response(failure, id)
 }
 
+/// Serves a request, unless the node ends before it has the answer.
+async fn serve_until_end<B: Buf>(
+    kernel: &Arc<Kernel>,
+    request: &HttpRequest,
+    id: RequestId,
+    body: impl Stream<Item = Result<B, warp::Error>> + Send,
+) -> CallOutcome {
+    tokio::select! {
+        biased;
+        outcome = serve(kernel, request, id, body) => outcome,
+        () = kernel.stop.given_up() => CallOutcome::refused(Failure::new(
+            RefusalReason::NodeEnded,
+            RunState::Unknown,
+            Step::Answer,
+        )),
+    }
+}
+
 async fn serve<B: Buf>(
     kernel: &Arc<Kernel>,
     request: &HttpRequest,
--- a/tests/processes/answers.rs
+++ b/tests/processes/answers.rs
@@ -11,7 +11,7 @@
 
 cases! {
     cold_restart_without_warning_bears_what_it_can => {
-        let pace = ServerPace { service_time_ms: 20 };
+        let pace = ServerPace { service_time_ms: 20, ..QUICK };
         let mut cluster = Cluster::start(&TWO, pace).await;
         let load = cluster.load_on(&[0, 1], 200.0, 6_000);
         let report = cluster.load(load, async |cluster| {
--- a/tests/processes/cluster.rs
+++ b/tests/processes/cluster.rs
@@ -25,15 +25,20 @@
 /// Length of a cold start, in ms.
 const COLD_MS: u64 = 1_000;
 
-/// What differs between the backend servers of two cases.
+/// What differs between the backend servers and the nodes of two cases.
 #[derive(Debug, Clone, Copy)]
 pub struct ServerPace {
     /// Time that one request runs, in ms.
     pub service_time_ms: u64,
+    /// Maximum duration of a node's shutdown, in ms.
+    pub shutdown_ms: u64,
 }
 
 /// Backend servers that answer in 2 ms.
-pub const QUICK: ServerPace = ServerPace { service_time_ms: 2 };
+pub const QUICK: ServerPace = ServerPace {
+    service_time_ms: 2,
+    shutdown_ms: 30_000,
+};
 
 /// A backend server and the node beside it.
 #[derive(Debug)]
@@ -95,7 +100,8 @@
     pub async fn join(&mut self, (name, service, zone): Place, pace: ServerPace) {
         let addresses = NodeAddresses::unused();
         let contact = self.pairs.first().map_or(addresses, |pair| pair.addresses);
-        let settings = addresses.settings(name, zone, self.log.address(), contact.gossip());
+        let mut settings = addresses.settings(name, zone, self.log.address(), contact.gossip());
+        settings["node"]["shutdown_ms"] = pace.shutdown_ms.into();
         let node = NodeProcess::start(name, &settings);
         let server = BackendServerSettings {
             name: name.to_owned(),
--- a/tests/processes/crash.rs
+++ b/tests/processes/crash.rs
@@ -13,6 +13,7 @@
 /// Backend servers that leave time to hit a request while it runs.
 const SLOW: ServerPace = ServerPace {
     service_time_ms: 1_500,
+    ..QUICK
 };
 const DEADLINE_MS: u64 = 8_000;
 /// A deadline that passes while a process is paused.
--- a/tests/processes/service_out.rs
+++ b/tests/processes/service_out.rs
@@ -14,6 +14,7 @@
 /// Longer than the bound, so that it runs on while its zone is out.
 const LONG: ServerPace = ServerPace {
     service_time_ms: 6_500,
+    ..QUICK
 };
 
 /// Runs of the first backend server before and after a time under load.
--- a/tests/processes/stop.rs
+++ b/tests/processes/stop.rs
@@ -174,8 +174,27 @@
         assert_all_answered(requests.collect()).await;
     }
 
+    // Guards against a connection that ends without an answer, since the work takes longer than the
+    // shutdown.
+    a_caller_is_told_of_an_answer_that_does_not_arrive_before_the_end => {
+        let pace = ServerPace { service_time_ms: 9_000, shutdown_ms: 3_000 };
+        let cluster = Cluster::start(&THREE[..1], pace).await;
+        let node = &cluster.pairs[0];
+        let mut connection = HttpConnection::open(node.caller()).await.expect("a connection");
+        let request = Request::get(HISTORY)
+            .header(HOST, "test")
+            .header("Bronzelock-Timeout-Ms", "20000")
+            .body(Full::<Bytes>::default())
+            .expect("a valid request");
+        let sent = tokio::spawn(async move { connection.send(request).await });
+        pause(POLL_MS).await;
+        node.node.signal(Signal::Terminate);
+        let answer = sent.await.expect("the request ended").expect("an answer");
+        assert_eq!(answer.status, 502, "{answer:?}");
+    }
+
     sigterm_in_a_flood_cuts_no_request => {
-        let pace = ServerPace { service_time_ms: 40 };
+        let pace = ServerPace { service_time_ms: 40, ..QUICK };
         let mut cluster = Cluster::start(&THREE[..2], pace).await;
         // Two warm backend servers bear 600 requests a second.
         let load = cluster.load_on(&[0, 1], 900.0, 4_000);
