--- a/src/host/observe/request_lines.rs
+++ b/src/host/observe/request_lines.rs
@@ -52,8 +52,6 @@
     Admit,
     /// Running at the backend server.
     Dispatch,
-    /// Resolving the outcome of a lost request.
-    Settle,
 }
 
 /// Values that a failed attempt was based on.
