A contested leave keeps its close when another one is acknowledged

Found by reading again: a second contested leave replaced the first. A late last word of an ended start, one second after the last word of a later start, put the close off beyond the drain time, and a healthy answer that only refutes the second one took it back.

Evidence: host acknowledged_leaves::a_late_last_word_of_an_ended_start_puts_no_other_leave_off, failed on (the gate took work 3 s after the first leave, drain time 2 s).

Mend: the earlier close stays, and what refutes both is the harder witness, after the later one. It errs on the closed side: such a gate opens after 10 s of announcements of the known start, or with a new start.

--- a/src/decision/host/contested_leave.rs
+++ b/src/decision/host/contested_leave.rs
@@ -3,8 +3,8 @@
 //! The node has acknowledged it, so it closes when the drain time is over, unless something shows
 //! before that the start which has left is another one than the one at the address.
 
-/// What shows that the process at the address has not left.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// What shows that the process at the address has not left; the later one is the harder to get.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Witness {
     /// It answers a health check that was asked after the leave as healthy; then it is not leaving.
     HealthCheck,
@@ -26,6 +26,15 @@
         Self { witness, since_us }
     }
 
+    /// Both leaves at once: what refutes them is whatever is harder to get, after the later one.
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        Self {
+            witness: self.witness.max(other.witness),
+            since_us: self.since_us.max(other.since_us),
+        }
+    }
+
     /// Whether a healthy answer to a health check that was asked at a time in µs refutes it.
     pub fn is_refuted_by_health(&self, asked_us: u64) -> bool {
         self.witness == Witness::HealthCheck && asked_us >= self.since_us
--- a/src/decision/host/gate/mod.rs
+++ b/src/decision/host/gate/mod.rs
@@ -47,7 +47,7 @@
     close_times: CloseTimes,
     /// Leaves that were acknowledged.
     leaves: Leaves,
-    /// The last of them, if it may be of another process than the one at the address.
+    /// Those of them that may be of another process than the one at the address.
     contested_leave: Option<ContestedLeave>,
     /// Plan of the node's stop, once it is leaving.
     node_stop: Option<StopPlan>,
--- a/src/decision/host/gate/observe.rs
+++ b/src/decision/host/gate/observe.rs
@@ -53,7 +53,7 @@
                 return freshness;
             }
             Freshness::NewStart => {
-                self.set_contested(None);
+                self.refute_contested();
                 if !was_answering {
                     self.forget_statements();
                 }
@@ -64,7 +64,7 @@
                     .contested_leave
                     .is_some_and(|leave| leave.is_refuted_by_announcement(now_us, LATE_MAX_US));
                 if is_refuted {
-                    self.set_contested(None);
+                    self.refute_contested();
                 }
             }
         }
@@ -130,14 +130,16 @@
             StartOrder::Earlier => Witness::HealthCheck,
             StartOrder::Later => Witness::Announcements,
         };
-        self.set_contested(Some(ContestedLeave::new(witness, now_us)));
+        let leave = ContestedLeave::new(witness, now_us);
+        let earlier = self.contested_leave;
+        self.contested_leave = Some(earlier.map_or(leave, |earlier| earlier.and(leave)));
         self.close_times
             .close_at(CloseReason::LeaveContested, now_us + self.drain_left_us());
     }
 
-    /// Sets the leave that is contested; without one the gate is not closed for it.
-    fn set_contested(&mut self, leave: Option<ContestedLeave>) {
-        self.contested_leave = leave;
+    /// Opens the gate again if it is closed for a contested leave.
+    fn refute_contested(&mut self) {
+        self.contested_leave = None;
         self.close_times.set(CloseReason::LeaveContested, false);
     }
 
@@ -239,7 +241,7 @@
             && self.server.is_known(result.instance)
             && self.contested_leave.is_some_and(is_refuted)
         {
-            self.set_contested(None);
+            self.refute_contested();
         }
         let is_known = self
             .server
--- a/tests/host/acknowledged_leaves.rs
+++ b/tests/host/acknowledged_leaves.rs
@@ -116,6 +116,19 @@
     check_open(&gate, 9, false);
 }
 
+/// Guards against a second leave that puts off the close of the first, or takes it back.
+#[test]
+fn a_late_last_word_of_an_ended_start_puts_no_other_leave_off() {
+    for others in [[LATER_MS, EARLIER_MS], [EARLIER_MS, LATER_MS]] {
+        let mut gate = open_gate();
+        depart(&mut gate, "i-1", others[0], S);
+        depart(&mut gate, "i-1", others[1], 2 * S);
+        answer(&mut gate, true, 2 * S + 1);
+        check_open(&gate, 1, true);
+        check_open(&gate, 3, false);
+    }
+}
+
 /// Guards against a start that leaves unheard, since it states an earlier time.
 #[test]
 fn a_draining_start_with_an_earlier_time_closes() {
