Responses of the product's node take their memory from a body budget

The reading of whole responses counted bytes by itself. The project has that: http1's BodyBudget and its reservations, which grow.

--- a/src/edge/server_pool.rs
+++ b/src/edge/server_pool.rs
@@ -16,8 +16,9 @@
 use tokio::task::AbortHandle;
 
 use super::disconnect_hook::DisconnectHook;
+use super::http1::BodyBudget;
 use super::send_error::{EchoHeader, SendError, SendProgress};
-use super::whole_response::{ResponseMemory, read_whole};
+use super::whole_response::{RESPONSES_BYTES_MAX, read_whole};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
 use crate::kernel::tasks::Tasks;
@@ -63,7 +64,7 @@
     connections_max: AtomicUsize,
     state: Mutex<State>,
     /// Memory of the responses that are read.
-    memory: ResponseMemory,
+    budget: Arc<BodyBudget>,
     tasks: Tasks,
     on_disconnect: DisconnectHook,
 }
@@ -104,7 +105,7 @@
             address,
             connections_max: AtomicUsize::new(connections_max),
             state: Mutex::new(State::default()),
-            memory: ResponseMemory::default(),
+            budget: Arc::new(BodyBudget::new(RESPONSES_BYTES_MAX)),
             tasks,
             on_disconnect,
         }
@@ -155,7 +156,7 @@
             let cause = "the response belongs to another request";
             return Err(self.error(SendProgress::AnswerBroken, "answer", cause));
         }
-        match read_whole(response, head_only, &self.memory).await {
+        match read_whole(response, head_only, &self.budget).await {
             Ok(whole) => {
                 lease.return_to_pool();
                 Ok(whole)
--- a/src/edge/whole_response.rs
+++ b/src/edge/whole_response.rs
@@ -1,15 +1,16 @@
 //! Whole responses of a backend server, within limits on each and on all that are read at once.
 
+use std::error::Error;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use displaydoc::Display;
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use hyper::{Response, StatusCode};
 
+use super::http1::BodyBudget;
 use crate::model::host_request::is_final_status;
 
 /// Maximum length of a response body, in bytes.
@@ -25,46 +26,13 @@
     Status(StatusCode),
     /// the response has no length, so truncation could not be detected
     NoLength,
-    /// the body is too long
-    Long,
     /// the bodies that are read at once are too long together
     NoMemory,
-    /// the body broke off: {0}
-    Body(hyper::Error),
+    /// the body is incomplete or too long: {0}
+    Body(Box<dyn Error + Send + Sync>),
 }
 
-impl std::error::Error for ResponseError {}
-
-/// Bytes of the response bodies that are read at once.
-#[derive(Debug, Clone, Default)]
-pub struct ResponseMemory(Arc<AtomicUsize>);
-
-/// Bytes of one body, which count until it is dropped.
-#[derive(Debug)]
-struct BodyBytes {
-    memory: ResponseMemory,
-    count: usize,
-}
-
-impl BodyBytes {
-    fn add(&mut self, more: usize) -> Result<(), ResponseError> {
-        self.count += more;
-        let total = self.memory.0.fetch_add(more, Ordering::Relaxed) + more;
-        if self.count > RESPONSE_BYTES_MAX {
-            Err(ResponseError::Long)
-        } else if total > RESPONSES_BYTES_MAX {
-            Err(ResponseError::NoMemory)
-        } else {
-            Ok(())
-        }
-    }
-}
-
-impl Drop for BodyBytes {
-    fn drop(&mut self) {
-        self.memory.0.fetch_sub(self.count, Ordering::Relaxed);
-    }
-}
+impl Error for ResponseError {}
 
 /// Reads the rest of a response; that to a HEAD request has no body.
 ///
@@ -73,9 +41,9 @@
 pub async fn read_whole(
     response: Response<Incoming>,
     head_only: bool,
-    memory: &ResponseMemory,
+    budget: &Arc<BodyBudget>,
 ) -> Result<Response<Bytes>, ResponseError> {
-    let (parts, mut body) = response.into_parts();
+    let (parts, body) = response.into_parts();
     if !is_final_status(parts.status.as_u16()) {
         return Err(ResponseError::Status(parts.status));
     }
@@ -85,14 +53,14 @@
     if !delimited && !bodiless {
         return Err(ResponseError::NoLength);
     }
-    let mut bytes = BodyBytes {
-        memory: memory.clone(),
-        count: 0,
-    };
+    let mut body = Limited::new(body, RESPONSE_BYTES_MAX);
+    let mut memory = budget.reserve(0).ok_or(ResponseError::NoMemory)?;
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame.map_err(ResponseError::Body)?.into_data() {
-            bytes.add(data.len())?;
+            if !memory.grow(data.len()) {
+                return Err(ResponseError::NoMemory);
+            }
             whole.extend_from_slice(&data);
         }
     }
