One place for a leaving backend server's stop, a node's end and the tests' set-ups

- The gate's state and its start limits each listed the two reasons for which a backend server leaves.
- The product's node passed all arguments of a request through a second function to await its end; it wraps the future.
- The time for which announcements are late was passed to where it is known.
- The tests of leaves built the gate and the announcements of restarted_gate anew; the two of stops each joined signals and requests by themselves.
No assertion changed.

--- a/src/decision/host/contested_leave.rs
+++ b/src/decision/host/contested_leave.rs
@@ -3,6 +3,8 @@
 //! The node has acknowledged it, so it closes when the drain time is over, unless something shows
 //! before that the start which has left is another one than the one at the address.
 
+use super::known_server::LATE_MAX_US;
+
 /// What shows that the process at the address has not left; the later one is the harder to get.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Witness {
@@ -41,7 +43,7 @@
     }
 
     /// Whether an announcement of the known start, a time after the acknowledgement, refutes it.
-    pub fn is_refuted_by_announcement(&self, now_us: u64, late_max_us: u64) -> bool {
-        now_us.saturating_sub(self.since_us) >= late_max_us
+    pub fn is_refuted_by_announcement(&self, now_us: u64) -> bool {
+        now_us.saturating_sub(self.since_us) >= LATE_MAX_US
     }
 }
--- a/src/decision/host/gate/observe.rs
+++ b/src/decision/host/gate/observe.rs
@@ -6,7 +6,7 @@
 use crate::decision::host::announcement::{AnnouncedState, Announcement, Departure, Freshness};
 use crate::decision::host::close_reasons::CloseReason;
 use crate::decision::host::contested_leave::{ContestedLeave, Witness};
-use crate::decision::host::known_server::{LATE_MAX_US, StartOrder};
+use crate::decision::host::known_server::StartOrder;
 use crate::decision::host::leaves::Start;
 use crate::decision::host::server_limit::LimitChange;
 use crate::decision::host::slowness::Slowness;
@@ -62,7 +62,7 @@
             Freshness::Newer => {
                 let is_refuted = self
                     .contested_leave
-                    .is_some_and(|leave| leave.is_refuted_by_announcement(now_us, LATE_MAX_US));
+                    .is_some_and(|leave| leave.is_refuted_by_announcement(now_us));
                 if is_refuted {
                     self.refute_contested();
                 }
--- a/src/decision/host/gate/report.rs
+++ b/src/decision/host/gate/report.rs
@@ -87,14 +87,7 @@
             ServerState::Absent
         } else if closed_for(CloseReason::ZoneOut) || closed_for(CloseReason::VersionOut) {
             ServerState::Out
-        } else if [
-            CloseReason::ServerLeaving,
-            CloseReason::LeaveContested,
-            CloseReason::NodeLeaving,
-        ]
-        .into_iter()
-        .any(closed_for)
-        {
+        } else if self.has_server_left(now_us) || closed_for(CloseReason::NodeLeaving) {
             ServerState::Leaving
         } else if self.is_cold(now_us) {
             ServerState::Cold
@@ -103,6 +96,19 @@
         }
     }
 
+    fn has_server_left(&self, now_us: u64) -> bool {
+        self.server_stops_at_us()
+            .is_some_and(|at_us| at_us <= now_us)
+    }
+
+    /// When the backend server gets no more requests since it leaves, or may leave, in µs.
+    pub(super) fn server_stops_at_us(&self) -> Option<u64> {
+        [CloseReason::ServerLeaving, CloseReason::LeaveContested]
+            .into_iter()
+            .filter_map(|reason| self.close_times.closes_at_us(reason))
+            .min()
+    }
+
     pub(super) fn refusal_reason(&self, now_us: u64) -> Option<RefusalReason> {
         match self.state(now_us) {
             ServerState::Absent => Some(RefusalReason::ServerAbsent),
--- a/src/decision/host/gate/waiting.rs
+++ b/src/decision/host/gate/waiting.rs
@@ -1,7 +1,6 @@
 //! Requests that wait at the gate: how long, in which order, and until when.
 
 use super::HostGate;
-use crate::decision::host::close_reasons::CloseReason;
 use crate::decision::host::start_limit::StartLimits;
 use crate::decision::host::wait_queue::{QueueOrder, WaitingRequest};
 use crate::decision::host::work::{GateRefusal, Verdict, Work, WorkId};
@@ -93,10 +92,7 @@
     pub(super) fn start_limits(&self, now_us: u64) -> StartLimits {
         StartLimits {
             slowness: self.slowness(now_us),
-            server_stops_at_us: [CloseReason::ServerLeaving, CloseReason::LeaveContested]
-                .into_iter()
-                .filter_map(|reason| self.close_times.closes_at_us(reason))
-                .min(),
+            server_stops_at_us: self.server_stops_at_us(),
             node_stop: self.node_stop,
         }
     }
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -128,7 +128,7 @@
     pub retry_budget: Mutex<SharedRetryBudget>,
     /// Nested calls of the work at the backend server.
     pub nested_calls: Mutex<NestedCalls>,
-    /// Requests that callers await.
+    /// Requests that callers or other nodes await.
     pub open_requests: Mutex<OpenRequests>,
     /// Callers that may come back after a failure.
     pub returning_callers: Mutex<ReturningCallers>,
--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -32,7 +32,7 @@
     let parsed_id = classify::request_id(&request.headers, random_id);
     let id = parsed_id.as_ref().copied().unwrap_or(RequestId(random_id));
     let outcome = match parsed_id {
-        Ok(id) => serve_until_end(&kernel, &request, id, body).await,
+        Ok(id) => until_end(&kernel, serve(&kernel, &request, id, body)).await,
         Err(failure) => refused(&request, failure),
     };
     let mut response = match outcome.result {
@@ -65,16 +65,11 @@
     problem::response(failure, id)
 }
 
-/// Serves a request, unless the node ends before it has the answer.
-async fn serve_until_end<B: Buf>(
-    kernel: &Arc<Kernel>,
-    request: &HttpRequest,
-    id: RequestId,
-    body: impl Stream<Item = Result<B, warp::Error>> + Send,
-) -> CallOutcome {
+/// Awaits the outcome of a request, unless the node ends before.
+async fn until_end(kernel: &Kernel, served: impl Future<Output = CallOutcome>) -> CallOutcome {
     tokio::select! {
         biased;
-        outcome = serve(kernel, request, id, body) => outcome,
+        outcome = served => outcome,
         () = kernel.stop.given_up() => CallOutcome::refused(Failure::new(
             RefusalReason::NodeEnded,
             RunState::Unknown,
--- a/tests/host/acknowledged_leaves.rs
+++ b/tests/host/acknowledged_leaves.rs
@@ -1,11 +1,10 @@
 //! The gate after a leave that it acknowledged of a start which it may not know.
 
 use bronzelock::decision::host::announcement::{AnnouncedState, Announcement, Departure};
-use bronzelock::decision::host::cold_start::ColdAllowance;
 use bronzelock::decision::host::gate::{HealthCheckResult, HostGate};
-use bronzelock::model::ids::Incarnation;
 use bronzelock::model::load::ServerState;
-use bronzelock::model::names::ServiceName;
+
+use crate::restarted_gate::{announcement, health, new_gate};
 
 const S: u64 = 1_000_000;
 
@@ -14,27 +13,9 @@
 const EARLIER_MS: u64 = 48_000;
 const LATER_MS: u64 = 53_000;
 
-fn announcement(start_time_ms: u64, sequence: u64, state: AnnouncedState) -> Announcement {
-    Announcement {
-        instance: "i-1".into(),
-        service: ServiceName::new("herd").expect("valid name"),
-        version: None,
-        start_time_ms,
-        sequence,
-        slots: 12,
-        state,
-        cold_left_us: 0,
-    }
-}
-
 /// A gate with a drain time of 2 s that knows one start.
 fn open_gate() -> HostGate {
-    let allowance = ColdAllowance {
-        overage: 1.5,
-        slack: 5.0,
-    };
-    let service = ServiceName::new("herd").expect("valid name");
-    let mut gate = HostGate::new(Incarnation(1), service, 2 * S, allowance);
+    let mut gate = new_gate();
     beat(&mut gate, KNOWN_MS, 7, 0);
     gate
 }
@@ -60,10 +41,8 @@
 
 fn answer(gate: &mut HostGate, healthy: bool, asked_us: u64) {
     let result = HealthCheckResult {
-        instance: "i-1",
-        healthy,
-        cold_left_us: 0,
         asked_us,
+        ..health("i-1", healthy)
     };
     gate.observe_health(&result, asked_us);
 }
--- a/tests/host/restarted_gate.rs
+++ b/tests/host/restarted_gate.rs
@@ -16,18 +16,24 @@
 const OLDER_MS: u64 = 10_000;
 const YOUNGER_MS: u64 = 60_000;
 
-fn restarted_gate() -> HostGate {
+/// The gate of a node that starts for the first time, with a drain time of 2 s.
+pub fn new_gate() -> HostGate {
     let allowance = ColdAllowance {
         overage: 1.5,
         slack: 5.0,
     };
     let service = ServiceName::new("herd").expect("valid name");
-    let mut gate = HostGate::new(Incarnation(2), service, 2 * S, allowance);
+    HostGate::new(Incarnation(2), service, 2 * S, allowance)
+}
+
+fn restarted_gate() -> HostGate {
+    let mut gate = new_gate();
     gate.set_restarted(RESTARTED_MS);
     gate
 }
 
-fn announcement(start_time_ms: u64, sequence: u64, state: AnnouncedState) -> Announcement {
+/// An announcement of the backend server `i-1`.
+pub fn announcement(start_time_ms: u64, sequence: u64, state: AnnouncedState) -> Announcement {
     Announcement {
         instance: "i-1".into(),
         service: ServiceName::new("herd").expect("valid name"),
@@ -40,7 +46,8 @@
     }
 }
 
-fn health(instance: &str, healthy: bool) -> HealthCheckResult<'_> {
+/// Answer to a health check that was asked at the start of the clock.
+pub fn health(instance: &str, healthy: bool) -> HealthCheckResult<'_> {
     HealthCheckResult {
         instance,
         healthy,
--- a/tests/host_processes/stop_within_grace.rs
+++ b/tests/host_processes/stop_within_grace.rs
@@ -124,8 +124,35 @@
     }
 }
 
+/// Sends requests to a node while hosts get SIGTERM; returns when they got it, and what became of the
+/// requests.
+///
+/// - `signals`: the hosts, and when, in ms after the first.
+/// - `first_ms`, `period_ms`: time of the first request after the first signal, and time between two.
+pub async fn ask_during_stop(
+    system: &System,
+    node: SocketAddr,
+    signals: &[(usize, u64)],
+    need: Need,
+    requests: usize,
+    (first_ms, period_ms): (u64, u64),
+) -> (Vec<u64>, Vec<Asked>) {
+    let signals = signals
+        .iter()
+        .map(|(host, after_ms)| stop_node(system, *host, *after_ms));
+    let requests = (0..requests).map(async |index| {
+        let after_ms = first_ms + period_ms * index as u64;
+        tokio::time::sleep(Duration::from_millis(after_ms)).await;
+        ask(system, node, format!("late-{index}"), need).await
+    });
+    tokio::join!(
+        futures::future::join_all(signals),
+        futures::future::join_all(requests)
+    )
+}
+
 /// Stops a node by a signal after a time, and returns when that was.
-pub async fn stop_node(system: &System, host: usize, after_ms: u64) -> u64 {
+async fn stop_node(system: &System, host: usize, after_ms: u64) -> u64 {
     tokio::time::sleep(Duration::from_millis(after_ms)).await;
     let signalled_ms = system.ledger.now_ms();
     let exit = system.sites[host].lock().await.shut_node_down().await;
@@ -161,19 +188,16 @@
         let asked = ask(&system, node, format!("before-{index}"), stop.need()).await;
         assert_eq!(asked.got, Got::Whole);
     }
-    let signals = stop
-        .signals
-        .iter()
-        .map(|(host, after_ms)| stop_node(&system, *host, *after_ms));
-    let requests = (0..stop.requests).map(async |index| {
-        let after_ms = stop.first_ms + stop.period_ms * index as u64;
-        tokio::time::sleep(Duration::from_millis(after_ms)).await;
-        ask(&system, node, format!("late-{index}"), stop.need()).await
-    });
-    let (signalled_ms, asked) = tokio::join!(
-        futures::future::join_all(signals),
-        futures::future::join_all(requests)
-    );
+    let pace = (stop.first_ms, stop.period_ms);
+    let (signalled_ms, asked) = ask_during_stop(
+        &system,
+        node,
+        stop.signals,
+        stop.need(),
+        stop.requests,
+        pace,
+    )
+    .await;
     let last_signal_ms = signalled_ms.into_iter().max().expect("a signal was sent");
     let has_run = |asked: &&Asked| {
         let runs = system.ledger.runs();
--- a/tests/host_processes/unforeseen_answers.rs
+++ b/tests/host_processes/unforeseen_answers.rs
@@ -1,14 +1,12 @@
 //! Answers that turn out longer than a stopping node could know when it accepted their requests.
 
-use std::time::Duration;
-
 use standins::proxy::LinkState;
 
 use crate::callers::Kind;
 use crate::operator::route_timeout_ms;
 use crate::site::GRACE_S;
 use crate::stop_within_grace::{
-    Asked, ENTRY, EXCUSED_FROM, HOSTS, Need, PEER, SETTLED_AFTER, ask, stop_node,
+    Asked, ENTRY, EXCUSED_FROM, HOSTS, Need, PEER, SETTLED_AFTER, ask, ask_during_stop,
 };
 use crate::stopping_hosts::Got;
 use crate::system::System;
@@ -16,8 +14,8 @@
 /// Requests to a stopping node, and what the node saw of such requests before.
 #[derive(Debug, Clone, Copy)]
 struct Late {
-    /// Hosts that get SIGTERM at one moment.
-    stopping: &'static [usize],
+    /// Hosts that get SIGTERM, and when, in ms after the first.
+    signals: &'static [(usize, u64)],
     link_bytes_per_s: u64,
     /// Requests before the stop, one after the other.
     usual: Need,
@@ -40,7 +38,7 @@
 
 /// More answers than the link passes before the node ends, each ten times as long at work as usual.
 const DOWNLOADS: Late = Late {
-    stopping: &[ENTRY],
+    signals: &[(ENTRY, 0)],
     link_bytes_per_s: 1_250_000,
     usual: USUAL,
     usual_requests: 6,
@@ -87,19 +85,9 @@
         let asked = ask(&system, node, format!("usual-{index}"), late.usual).await;
         assert_eq!(asked.got, Got::Whole);
     }
-    let signals = late
-        .stopping
-        .iter()
-        .map(|host| stop_node(&system, *host, 0));
-    let requests = (0..late.requests).map(async |index| {
-        let after_ms = late.first_ms + late.period_ms * index as u64;
-        tokio::time::sleep(Duration::from_millis(after_ms)).await;
-        ask(&system, node, format!("late-{index}"), late.after).await
-    });
-    let (signalled_ms, asked) = tokio::join!(
-        futures::future::join_all(signals),
-        futures::future::join_all(requests)
-    );
+    let pace = (late.first_ms, late.period_ms);
+    let (signalled_ms, asked) =
+        ask_during_stop(&system, node, late.signals, late.after, late.requests, pace).await;
     let signalled_ms = signalled_ms[0];
     let lost = asked
         .iter()
@@ -129,9 +117,9 @@
     /// Guards against the same for requests that come at one moment.
     longer_answers_asked_for_at_once_arrive: Late { period_ms: 0, ..DOWNLOADS };
     /// Guards against the same where both hosts stop.
-    longer_answers_between_stopping_hosts_arrive: Late { stopping: &[ENTRY, PEER], ..DOWNLOADS };
+    longer_answers_between_stopping_hosts_arrive: Late { signals: &[(ENTRY, 0), (PEER, 0)], ..DOWNLOADS };
     /// Guards against the same where only the host stops that answers, which is the only one.
-    longer_answers_of_a_stopping_host_arrive: Late { stopping: &[PEER], ..DOWNLOADS };
+    longer_answers_of_a_stopping_host_arrive: Late { signals: &[(PEER, 0)], ..DOWNLOADS };
     /// Guards against the same on a route that was never answered.
     answers_of_a_route_that_was_never_answered_arrive: Late {
         usual_requests: 0, whole_min: 1, ..DOWNLOADS
@@ -151,5 +139,5 @@
     /// Guards against a stop that refuses what it could serve.
     requests_as_usual_are_answered_until_the_close: EARLY;
     /// Guards against the same where both hosts stop.
-    requests_as_usual_are_answered_by_stopping_hosts: Late { stopping: &[ENTRY, PEER], ..EARLY };
+    requests_as_usual_are_answered_by_stopping_hosts: Late { signals: &[(ENTRY, 0), (PEER, 0)], ..EARLY };
 }
