Crowds of clients that keep to no limit, against real nodes (red)

Clients of eighteen forms come to one of two nodes that may use 64 MB, 4 to 400 at a time: bodies short of their end (whole, in pieces, in large, single and tiny chunks), over the limit, slow, small, whole, pipelined without reading, answers that nobody reads, heads short of their end, idle connections, and many forms at once. Two more tests send one body of 64,000,000 bytes over one node and over two of 160 MB. Checked are: the processes live, stay within their memory and descriptors, answer ordinary requests while the crowd stays and afterwards, return the memory, serve a body of the longest length then, and have not run what they refused as not run. No times and no shares.

--- a/tests/host_processes/operator.rs
+++ b/tests/host_processes/operator.rs
@@ -29,9 +29,30 @@
 /// Step between two versions.
 const VERSION_STEP: u64 = 7;
 
+/// Limits on callers' requests in the configuration.
+#[derive(Debug, Clone, Copy)]
+pub struct CallerLimits {
+    pub body_bytes_max: usize,
+    pub idle_timeout_ms: u64,
+    /// Timeout of all routes, in ms; by default each kind has its own.
+    pub route_timeout_ms: Option<u64>,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes_max: 65_536,
+            idle_timeout_ms: 10_000,
+            route_timeout_ms: None,
+        }
+    }
+}
+
 /// The operator of a system.
 #[derive(Debug, Default)]
 pub struct Operator {
+    /// Limits on callers' requests.
+    pub limits: CallerLimits,
     moves: usize,
     /// Branches of the configuration, if it names any.
     pub branches: Option<Value>,
@@ -125,21 +146,36 @@
         let changes = changes as u64;
         let of_kinds = Kind::ALL.into_iter().filter_map(|kind| {
             let service = self.target(kind)?;
-            Some(route(kind.path_prefix(), kind, service))
+            Some(self.route(kind.path_prefix(), kind, service))
         });
         let added = (1..=self.routes_added)
-            .map(|number| route(&added_prefix(number), Kind::History, SERVICES[0]));
+            .map(|number| self.route(&added_prefix(number), Kind::History, SERVICES[0]));
         json!({
             "version": 1 + changes * VERSION_STEP,
             "routes": of_kinds.chain(added).collect::<Vec<_>>(),
             "services": SERVICES.map(service),
             "branches": self.branches,
             "limits": {
-                "head_bytes_max": 16_384, "body_bytes_max": 65_536,
-                "head_timeout_ms": 5_000, "idle_timeout_ms": 10_000,
+                "head_bytes_max": 16_384, "body_bytes_max": self.limits.body_bytes_max,
+                "head_timeout_ms": 5_000, "idle_timeout_ms": self.limits.idle_timeout_ms,
             },
         })
     }
+
+    /// A route whose requests are treated as those of a kind.
+    fn route(&self, path_prefix: &str, kind: Kind, service: &str) -> Value {
+        let effect = if kind.is_idempotent() {
+            "idempotent"
+        } else {
+            "non-idempotent"
+        };
+        let timeout_ms = self.limits.route_timeout_ms;
+        json!({
+            "name": path_prefix, "host": HOST_NAME, "path_prefix": path_prefix, "effect": effect,
+            "timeout_ms": timeout_ms.unwrap_or(route_timeout_ms(kind)), "objective_ms": 600,
+            "rank": 1, "service": service, "servers_max": kind.servers_max(),
+        })
+    }
 }
 
 /// Prefix of the paths of a route that was added later; most of it is random.
@@ -148,20 +184,6 @@
     format!("/added-{number}-{random:016x}/")
 }
 
-/// A route whose requests are treated as those of a kind.
-fn route(path_prefix: &str, kind: Kind, service: &str) -> Value {
-    let effect = if kind.is_idempotent() {
-        "idempotent"
-    } else {
-        "non-idempotent"
-    };
-    json!({
-        "name": path_prefix, "host": HOST_NAME, "path_prefix": path_prefix,
-        "effect": effect, "timeout_ms": route_timeout_ms(kind), "objective_ms": 600, "rank": 1,
-        "service": service, "servers_max": kind.servers_max(),
-    })
-}
-
 fn service(name: &str) -> Value {
     json!({
         "name": name, "health_path": HEALTH_PATH, "connections_max": 200,
--- a/tests/host_processes/site.rs
+++ b/tests/host_processes/site.rs
@@ -48,6 +48,12 @@
 const SIGHUP: i32 = 1;
 const SIGTERM: i32 = 15;
 
+/// Descriptors that a node's process may have.
+pub const FILES_MAX: usize = 1_024;
+
+/// Memory of the smallest host, in MB.
+pub const MEMORY_MB: u64 = 160;
+
 /// Slots of one backend server.
 const SLOTS: u32 = 12;
 
@@ -78,6 +84,8 @@
     pub version: &'static str,
     /// Time between SIGTERM and the end of its node's process, in s.
     pub grace_s: f64,
+    /// Memory that its node's process may use, in MB.
+    pub memory_mb: u64,
 }
 
 impl Place {
@@ -91,6 +99,11 @@
         Self { grace_s, ..self }
     }
 
+    /// The same place with another limit of its node's memory.
+    pub const fn with_memory(self, memory_mb: u64) -> Self {
+        Self { memory_mb, ..self }
+    }
+
     /// Identifier of the backend server that was started as the `start`-th, from 1.
     pub fn instance(self, start: usize) -> String {
         format!("{}.{start}", self.name)
@@ -403,7 +416,7 @@
         },
         "contacts": contact.into_iter().collect::<Vec<_>>(),
         "store": {"address": addresses.store()},
-        "limits": {"files_max": 1_024},
+        "limits": {"files_max": FILES_MAX, "memory_mb": place.memory_mb},
         "bounds": {
             "drain_ms": DRAIN_MS, "grace_s": place.grace_s,
             "retry_ratio": RETRY_RATIO, "retry_window_s": RETRY_WINDOW_S, "retry_slack": RETRY_SLACK,
--- a/tests/host_processes/system.rs
+++ b/tests/host_processes/system.rs
@@ -20,7 +20,7 @@
 };
 use crate::eventually::eventually_within;
 use crate::operator::Operator;
-use crate::site::{GRACE_S, Place, Site};
+use crate::site::{GRACE_S, MEMORY_MB, Place, Site};
 
 /// Callers of one host.
 const CALLERS_PER_HOST: usize = 3;
@@ -48,6 +48,7 @@
         zone,
         version: DEFAULT_VERSION,
         grace_s: GRACE_S,
+        memory_mb: MEMORY_MB,
     }
 }
 
@@ -68,9 +69,13 @@
 
     /// Starts hosts at these places at once; the configuration is there before.
     pub async fn start_at(places: &[Place]) -> Self {
+        Self::start_with(Operator::default(), places).await
+    }
+
+    /// Starts hosts at these places at once, under an operator's configuration.
+    pub async fn start_with(operator: Operator, places: &[Place]) -> Self {
         let loopback = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let store = Store::start(loopback).await.expect("the store starts");
-        let operator = Operator::default();
         operator.write_config(&store);
         let ledger = Ledger::default();
         let mut sites: Vec<Mutex<Site>> = Vec::new();
--- a/tests/support/program.rs
+++ b/tests/support/program.rs
@@ -91,6 +91,13 @@
         kib.expect("a size").parse::<u64>().expect("a number") << 10
     }
 
+    /// Number of open descriptors.
+    #[allow(dead_code, reason = "some test programs count them")]
+    pub fn open_files(&self) -> usize {
+        let files = std::fs::read_dir(format!("/proc/{}/fd", self.child.id()));
+        files.expect("the process runs").count()
+    }
+
     /// How the process ended; none while it runs.
     pub fn exit(&mut self) -> Option<ExitStatus> {
         self.child.try_wait().expect("a child of this process")
