--- a/src/decision/host/peers/mod.rs
+++ b/src/decision/host/peers/mod.rs
@@ -90,6 +90,8 @@
     pub introduction: Introduction,
     /// What it knows of the operators' log.
     pub log_view: LogView,
+    /// Whether it takes long bodies in pieces, which depends on its release.
+    pub takes_pieces: bool,
     /// Whether the host has changed its service and has not introduced itself since.
     service_changed: bool,
     /// Version of its backend server, if it has said so.
@@ -167,6 +169,7 @@
                 let peer = Peer {
                     introduction,
                     log_view: LogView::default(),
+                    takes_pieces: false,
                     service_changed: false,
                     known_since_us: now_us,
                     version: None,
@@ -271,6 +274,13 @@
         }
     }
 
+    /// Records whether a host takes long bodies in pieces.
+    pub fn set_takes_pieces(&mut self, address: IpAddr, takes_pieces: bool) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.takes_pieces = takes_pieces;
+        }
+    }
+
     /// Hosts that were heard from within the liveness timeout.
     fn live(&self, now_us: u64) -> impl Iterator<Item = &Peer> {
         let peers = self.peers.values();
--- a/src/decision/mod.rs
+++ b/src/decision/mod.rs
@@ -8,6 +8,7 @@
 pub mod knowledge;
 pub mod log_readers;
 pub mod membership;
+pub mod memory;
 pub mod probe_budget;
 pub mod retry;
 pub mod routing;
--- a/src/edge/answer_transport.rs
+++ b/src/edge/answer_transport.rs
@@ -4,6 +4,8 @@
 use std::fmt;
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Instant;
 
@@ -32,6 +34,8 @@
     open: HashMap<u64, OpenCall>,
     /// Answers in the write buffer.
     buffered: Vec<UnwrittenAnswer>,
+    /// Number of answers of which the caller still asks for the rest.
+    unread_count: Arc<AtomicUsize>,
     /// Resolves when the connection is to end; `None` afterwards.
     drain_signal: Option<BoxFuture<'static, ()>>,
     /// Cancelled when nothing more is read, or the transport is dropped.
@@ -62,11 +66,19 @@
             unwritten,
             open: HashMap::new(),
             buffered: Vec::new(),
+            unread_count: Arc::default(),
             drain_signal: Some(drain_signal.boxed()),
             ended: ended.drop_guard(),
         }
     }
 
+    /// Keeps the connection as long as `unread_count` is above zero.
+    #[must_use]
+    pub fn while_unread(mut self, unread_count: Arc<AtomicUsize>) -> Self {
+        self.unread_count = unread_count;
+        self
+    }
+
     fn received<Req>(&mut self, message: &ClientMessage<Req>) {
         match message {
             ClientMessage::Request(request) => {
@@ -100,7 +112,9 @@
     }
 
     fn owes_answers(&self) -> bool {
-        !self.open.is_empty() || !self.buffered.is_empty()
+        !self.open.is_empty()
+            || !self.buffered.is_empty()
+            || self.unread_count.load(Ordering::Relaxed) > 0
     }
 
     fn end(&self) {
--- a/src/edge/http1/body.rs
+++ b/src/edge/http1/body.rs
@@ -1,12 +1,11 @@
-//! Framing and reading of HTTP/1.1 message bodies (RFC 9112, section 6).
-
-use std::sync::Arc;
+//! Reading of HTTP/1.1 message bodies (RFC 9112, sections 6 and 7).
 
 use bytes::{Buf, Bytes, BytesMut};
-use displaydoc::Display;
 
-use super::budget::{BodyBudget, Reservation};
-use crate::model::header::Header;
+use super::budget::{Reservation, Transfer};
+use super::framing::{BodyError, Framing};
+use super::memory::{MessageMemory, SMALL_BODY_BYTES, Shortage, reserve};
+use crate::model::body::Body;
 
 /// Maximum length of a chunk size line or a trailer line, in bytes.
 const LINE_BYTES_MAX: usize = 4_096;
@@ -14,91 +13,22 @@
 /// Maximum length of all trailer lines of a body, in bytes.
 const TRAILER_BYTES_MAX: usize = 16 << 10;
 
-/// Memory that each body has without a reservation, in bytes.
-///
-/// Bodies that need more do not take it from them.
-const UNRESERVED_BYTES: usize = 64 << 10;
-
-/// Length of the further segments of a body, in bytes.
+/// Lengths of the segments of a body, in bytes.
 ///
-/// Segments of one length take no more memory than was received, unlike a buffer that is moved to
-/// a longer one again and again.
-const SEGMENT_BYTES: usize = 256 << 10;
-
-/// Why a body was rejected.
-#[derive(Debug, Clone, PartialEq, Eq, Display)]
-pub enum BodyError {
-    /// the body's length is stated twice or not as a number
-    BadLength,
-    /// the transfer coding is not known
-    UnknownCoding,
-    /// a chunk is malformed
-    BadChunk,
-    /// the body is longer than {0} bytes
-    TooLong(usize),
-    /// the trailers are longer than {0} bytes
-    LongTrailers(usize),
-    /// no memory is left for a body of {0} bytes
-    NoMemory(usize),
-}
-
-impl std::error::Error for BodyError {}
-
-/// How the end of a body is determined.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Framing {
-    /// By a length in bytes.
-    Length(u64),
-    /// By the last chunk.
-    Chunked,
-    /// By the close of the connection.
-    UntilClose,
-}
-
-impl Framing {
-    pub(super) fn of_request(headers: &[Header]) -> Result<Self, BodyError> {
-        Ok(Self::from_headers(headers)?.unwrap_or(Self::Length(0)))
-    }
-
-    pub(super) fn of_response(status: u16, headers: &[Header]) -> Result<Self, BodyError> {
-        if matches!(status, 100..=199 | 204 | 304) {
-            return Ok(Self::Length(0));
-        }
-        Ok(Self::from_headers(headers)?.unwrap_or(Self::UntilClose))
-    }
-
-    /// Framing that the headers specify, if any. Conflicting headers are rejected, since two
-    /// recipients could disagree on where the body ends.
-    fn from_headers(headers: &[Header]) -> Result<Option<Self>, BodyError> {
-        let mut codings = headers.iter().filter(|h| h.is_named("transfer-encoding"));
-        let mut lengths = headers.iter().filter(|h| h.is_named("content-length"));
-        match (codings.next(), lengths.next()) {
-            (None, None) => Ok(None),
-            (Some(_coding), Some(_length)) => Err(BodyError::BadLength),
-            (Some(coding), None) => {
-                let chunked = coding.value.trim_ascii().eq_ignore_ascii_case(b"chunked");
-                if chunked && codings.next().is_none() {
-                    Ok(Some(Self::Chunked))
-                } else {
-                    Err(BodyError::UnknownCoding)
-                }
-            }
-            (None, Some(length)) => {
-                if lengths.any(|other| other.value != length.value) {
-                    return Err(BodyError::BadLength);
-                }
-                parse_length(&length.value).map(|bytes| Some(Self::Length(bytes)))
-            }
-        }
-    }
-}
+/// Segments take no more memory than was received, unlike a buffer that is moved to a longer one
+/// again and again. Those of a body without a known length grow with it.
+const SEGMENT_BYTES_MIN: usize = 4 << 10;
+const SEGMENT_BYTES_MAX: usize = 256 << 10;
 
-fn parse_length(value: &[u8]) -> Result<u64, BodyError> {
-    let digits = std::str::from_utf8(value.trim_ascii()).map_err(|_utf8| BodyError::BadLength)?;
-    if digits.is_empty() || !digits.bytes().all(|b| b.is_ascii_digit()) {
-        return Err(BodyError::BadLength);
-    }
-    digits.parse().map_err(|_parse| BodyError::BadLength)
+/// How far the reading of a body has got.
+#[derive(Debug)]
+pub enum Feed {
+    /// The body is complete.
+    Complete,
+    /// More bytes are needed.
+    Incomplete,
+    /// Memory is needed.
+    Shortage(Shortage),
 }
 
 /// Incremental parser that collects one body from the received bytes.
@@ -109,26 +39,60 @@
     trailer_bytes: usize,
     /// Number of body bytes received so far, without framing.
     length: usize,
-    /// First bytes of the body, up to [`UNRESERVED_BYTES`].
-    start: Vec<u8>,
-    /// Bytes after them.
-    segments: Vec<Vec<u8>>,
-    budget: Option<Arc<BodyBudget>>,
-    reservation: Option<Reservation>,
+    segments: Vec<Segment>,
+    memory: MessageMemory,
+    /// Memory for the rest of a body whose length is known.
+    reserved_ahead: Option<Reservation>,
+    /// Memory that the body holds of the budgets for short and for long ones, in bytes.
+    held_small_bytes: usize,
+    held_large_bytes: usize,
+    /// Registrations in the budgets that it uses, once it has to wait for more bytes.
+    transfers: Vec<Transfer>,
 }
 
-/// A complete body that keeps its reservation until it is dropped.
-struct ReservedBody {
+/// Part of a body that never grows beyond its capacity.
+#[derive(Debug)]
+struct Segment {
     bytes: Vec<u8>,
-    _reservation: Reservation,
+    memory: Option<Reservation>,
 }
 
-impl AsRef<[u8]> for ReservedBody {
+impl Segment {
+    fn room(&self) -> usize {
+        self.bytes.capacity() - self.bytes.len()
+    }
+
+    fn into_bytes(self) -> Bytes {
+        match self.memory {
+            None => Bytes::from(self.bytes),
+            Some(memory) => Bytes::from_owner(ReservedBytes {
+                bytes: self.bytes,
+                _memory: memory,
+            }),
+        }
+    }
+}
+
+/// Bytes that keep their reservation until they are dropped.
+struct ReservedBytes<B> {
+    bytes: B,
+    _memory: Reservation,
+}
+
+impl<B: AsRef<[u8]>> AsRef<[u8]> for ReservedBytes<B> {
     fn as_ref(&self) -> &[u8] {
-        &self.bytes
+        self.bytes.as_ref()
     }
 }
 
+/// Returns bytes that keep a reservation until they are dropped.
+pub fn with_reservation(bytes: Bytes, memory: Reservation) -> Bytes {
+    Bytes::from_owner(ReservedBytes {
+        bytes,
+        _memory: memory,
+    })
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
     Length(u64),
@@ -141,14 +105,14 @@
 }
 
 impl BodyCollector {
-    /// Starts a body with the given framing, whose memory is taken from `budget` if there is one.
+    /// Starts a body with the given framing.
     ///
     /// # Errors
     /// [`BodyError::TooLong`] if the specified length exceeds `bytes_max`.
     pub fn new(
         framing: Framing,
         bytes_max: usize,
-        budget: Option<Arc<BodyBudget>>,
+        memory: MessageMemory,
     ) -> Result<Self, BodyError> {
         let state = match framing {
             Framing::Length(0) => State::Done,
@@ -164,28 +128,19 @@
             bytes_max,
             trailer_bytes: 0,
             length: 0,
-            start: Vec::new(),
             segments: Vec::new(),
-            budget,
-            reservation: None,
+            memory,
+            reserved_ahead: None,
+            held_small_bytes: 0,
+            held_large_bytes: 0,
+            transfers: Vec::new(),
         })
     }
 
     /// Returns the bytes of the body received so far.
-    pub fn into_bytes(self) -> Bytes {
-        let mut bytes = self.start;
-        bytes.reserve_exact(self.length - bytes.len());
-        for segment in self.segments {
-            // Each segment is freed after it was copied, so the body is not held twice.
-            bytes.extend_from_slice(&segment);
-        }
-        match self.reservation {
-            None => Bytes::from(bytes),
-            Some(reservation) => Bytes::from_owner(ReservedBody {
-                bytes,
-                _reservation: reservation,
-            }),
-        }
+    pub fn into_body(self) -> Body {
+        let segments = self.segments.into_iter().map(Segment::into_bytes);
+        Body::from_segments(segments.collect())
     }
 
     /// Whether the body ends when the connection closes.
@@ -193,41 +148,45 @@
         self.state == State::UntilClose
     }
 
-    /// Whether many bytes have been received, so that more are likely to follow.
-    pub fn is_long(&self) -> bool {
-        self.length >= UNRESERVED_BYTES
-    }
-
-    /// Consumes the bytes of the body from `buffer`; returns true once the body is complete.
+    /// Consumes the bytes of the body from `buffer`.
     ///
     /// # Errors
     /// [`BodyError`] if a chunk is malformed or the body is too long.
-    pub fn feed(&mut self, buffer: &mut BytesMut) -> Result<bool, BodyError> {
+    pub fn feed(&mut self, buffer: &mut BytesMut) -> Result<Feed, BodyError> {
+        if let Err(shortage) = self.reserve_ahead() {
+            return Ok(Feed::Shortage(shortage));
+        }
+        let before = self.length;
+        let fed = self.consume(buffer)?;
+        if matches!(fed, Feed::Incomplete) {
+            self.record_progress(self.length - before);
+        }
+        Ok(fed)
+    }
+
+    fn consume(&mut self, buffer: &mut BytesMut) -> Result<Feed, BodyError> {
         loop {
             match self.state {
-                State::Done => return Ok(true),
+                State::Done => return Ok(Feed::Complete),
                 State::UntilClose => {
-                    let available = buffer.len() as u64;
-                    self.take(buffer, available)?;
-                    return Ok(false);
+                    if let Taken::Shortage(shortage) = self.take(buffer, u64::MAX)? {
+                        return Ok(Feed::Shortage(shortage));
+                    }
+                    return Ok(Feed::Incomplete);
                 }
                 State::Length(remaining) => match self.take(buffer, remaining)? {
-                    0 => self.state = State::Done,
-                    remaining => {
-                        self.state = State::Length(remaining);
-                        return Ok(false);
-                    }
+                    Taken::Shortage(shortage) => return Ok(Feed::Shortage(shortage)),
+                    Taken::Missing(0) => self.state = State::Done,
+                    Taken::Missing(_) => return Ok(Feed::Incomplete),
                 },
                 State::ChunkData(remaining) => match self.take(buffer, remaining)? {
-                    0 => self.state = State::ChunkEnd,
-                    remaining => {
-                        self.state = State::ChunkData(remaining);
-                        return Ok(false);
-                    }
+                    Taken::Shortage(shortage) => return Ok(Feed::Shortage(shortage)),
+                    Taken::Missing(0) => self.state = State::ChunkEnd,
+                    Taken::Missing(_) => return Ok(Feed::Incomplete),
                 },
                 State::ChunkEnd => {
                     if buffer.len() < 2 {
-                        return Ok(false);
+                        return Ok(Feed::Incomplete);
                     }
                     if &buffer[..2] != b"\r\n" {
                         return Err(BodyError::BadChunk);
@@ -237,6 +196,9 @@
                 }
                 State::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((length, size))) => {
+                        if size > (self.bytes_max - self.length) as u64 {
+                            return Err(BodyError::TooLong(self.bytes_max));
+                        }
                         buffer.advance(length);
                         self.state = match size {
                             0 => State::Trailers,
@@ -244,7 +206,7 @@
                         };
                     }
                     Ok(httparse::Status::Partial) if buffer.len() < LINE_BYTES_MAX => {
-                        return Ok(false);
+                        return Ok(Feed::Incomplete);
                     }
                     _ => return Err(BodyError::BadChunk),
                 },
@@ -260,65 +222,140 @@
                             self.state = State::Done;
                         }
                     }
-                    None if buffer.len() < LINE_BYTES_MAX => return Ok(false),
+                    None if buffer.len() < LINE_BYTES_MAX => return Ok(Feed::Incomplete),
                     None => return Err(BodyError::BadChunk),
                 },
             }
         }
     }
 
-    /// Collects up to `count_max` bytes and returns how many of them have not arrived yet.
-    fn take(&mut self, buffer: &mut BytesMut, count_max: u64) -> Result<u64, BodyError> {
-        let count = count_max.min(buffer.len() as u64) as usize;
-        if self.length + count > self.bytes_max {
-            return Err(BodyError::TooLong(self.bytes_max));
+    /// Collects up to `count_max` bytes of the buffer.
+    fn take(&mut self, buffer: &mut BytesMut, count_max: u64) -> Result<Taken, BodyError> {
+        let mut missing = count_max;
+        while !buffer.is_empty() && missing > 0 {
+            if self.length == self.bytes_max {
+                return Err(BodyError::TooLong(self.bytes_max));
+            }
+            let allowed = self.bytes_max - self.length;
+            let segment = match self.segment_with_room(missing) {
+                Ok(segment) => segment,
+                Err(shortage) => return Ok(Taken::Shortage(shortage)),
+            };
+            let count = (buffer.len().min(segment.room()).min(allowed) as u64).min(missing);
+            segment.bytes.extend_from_slice(&buffer[..count as usize]);
+            buffer.advance(count as usize);
+            missing -= count;
+            self.received(count);
         }
-        self.store(&buffer[..count])?;
-        buffer.advance(count);
-        Ok(count_max - count as u64)
+        Ok(Taken::Missing(missing))
     }
 
-    /// Appends bytes to the start or the last segment, and adds segments as needed.
-    fn store(&mut self, bytes: &[u8]) -> Result<(), BodyError> {
-        let room = UNRESERVED_BYTES - self.start.len();
-        let (to_start, mut rest) = bytes.split_at(room.min(bytes.len()));
-        self.start.extend_from_slice(to_start);
-        while !rest.is_empty() {
-            let segment = self.segment_with_room()?;
-            let room = SEGMENT_BYTES - segment.len();
-            let (to_segment, after) = rest.split_at(room.min(rest.len()));
-            segment.extend_from_slice(to_segment);
-            rest = after;
+    /// Records that bytes of the body were received.
+    fn received(&mut self, count: u64) {
+        self.length += count as usize;
+        match &mut self.state {
+            State::Length(remaining) | State::ChunkData(remaining) => *remaining -= count,
+            _ => {}
         }
-        self.length += bytes.len();
-        Ok(())
     }
 
-    fn segment_with_room(&mut self) -> Result<&mut Vec<u8>, BodyError> {
-        let is_full = |segment: &Vec<u8>| segment.len() == SEGMENT_BYTES;
-        if self.segments.last().is_none_or(is_full) {
-            self.reserve_segment()?;
-            self.segments.push(Vec::with_capacity(SEGMENT_BYTES));
+    /// Returns where the next bytes of the body can be received without a copy, and how many.
+    pub fn direct_room(&mut self) -> Option<(&mut Vec<u8>, usize)> {
+        let (State::Length(remaining) | State::ChunkData(remaining)) = self.state else {
+            return None;
+        };
+        if self.length == 0 || remaining == 0 {
+            return None;
+        }
+        let allowed = (remaining as usize).min(self.bytes_max - self.length);
+        let segment = self.segment_with_room(remaining).ok()?;
+        let room = segment.room().min(allowed);
+        (room > 0).then_some((&mut segment.bytes, room))
+    }
+
+    /// Records bytes that were received without a copy.
+    pub fn received_directly(&mut self, count: usize) {
+        self.received(count as u64);
+        self.record_progress(count);
+    }
+
+    /// Returns the last segment if it has room, or adds one; `remaining` bytes are expected.
+    fn segment_with_room(&mut self, remaining: u64) -> Result<&mut Segment, Shortage> {
+        if self
+            .segments
+            .last()
+            .is_none_or(|segment| segment.room() == 0)
+        {
+            let segment = self.new_segment(remaining)?;
+            self.segments.push(segment);
         }
         let last = self.segments.len() - 1;
         Ok(&mut self.segments[last])
     }
 
-    fn reserve_segment(&mut self) -> Result<(), BodyError> {
-        let Some(budget) = &self.budget else {
-            return Ok(());
+    fn new_segment(&mut self, remaining: u64) -> Result<Segment, Shortage> {
+        let length = match &self.state {
+            State::Length(_) => remaining.min(SEGMENT_BYTES_MAX as u64) as usize,
+            _ => self.length.clamp(SEGMENT_BYTES_MIN, SEGMENT_BYTES_MAX),
         };
-        let reserved = match &mut self.reservation {
-            Some(reservation) => reservation.grow(SEGMENT_BYTES),
-            none => {
-                *none = budget.reserve(SEGMENT_BYTES);
-                none.is_some()
-            }
+        let memory = match &mut self.reserved_ahead {
+            Some(ahead) => Some(ahead.split(length)),
+            None => self.reserve(length)?,
+        };
+        Ok(Segment {
+            bytes: Vec::with_capacity(length),
+            memory,
+        })
+    }
+
+    /// Reserves the memory for a body whose length is known before it is read.
+    fn reserve_ahead(&mut self) -> Result<(), Shortage> {
+        let State::Length(length) = self.state else {
+            return Ok(());
         };
-        if reserved {
-            Ok(())
+        if self.length > 0 || self.reserved_ahead.is_some() {
+            return Ok(());
+        }
+        self.reserved_ahead = self.reserve(length as usize)?;
+        Ok(())
+    }
+
+    fn reserve(&mut self, bytes: usize) -> Result<Option<Reservation>, Shortage> {
+        let is_small = self.length + bytes <= SMALL_BODY_BYTES;
+        let (budget, held_bytes) = if is_small {
+            (&self.memory.small, &mut self.held_small_bytes)
         } else {
-            Err(BodyError::NoMemory(self.length + SEGMENT_BYTES))
+            (&self.memory.large, &mut self.held_large_bytes)
+        };
+        let reserved = reserve(budget.as_ref(), bytes, self.length == 0)?;
+        *held_bytes += reserved.as_ref().map_or(0, Reservation::bytes);
+        Ok(reserved)
+    }
+
+    /// Tells the budgets how the body gets on; first registers it in them.
+    fn record_progress(&mut self, moved_bytes: usize) {
+        let used = [
+            (&self.memory.small, self.held_small_bytes),
+            (&self.memory.large, self.held_large_bytes),
+        ];
+        for (budget, held_bytes) in used {
+            let Some(budget) = budget.as_ref().filter(|_budget| held_bytes > 0) else {
+                continue;
+            };
+            let known = self.transfers.iter().position(|known| known.is_of(budget));
+            let index = known.unwrap_or_else(|| {
+                let give_way = self.memory.give_way.clone();
+                self.transfers.push(budget.transfer(give_way));
+                self.transfers.len() - 1
+            });
+            self.transfers[index].advance(moved_bytes, held_bytes);
         }
     }
 }
+
+/// Result of collecting bytes.
+enum Taken {
+    /// So many bytes are still expected.
+    Missing(u64),
+    Shortage(Shortage),
+}
--- a/src/edge/http1/client.rs
+++ b/src/edge/http1/client.rs
@@ -5,14 +5,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::BytesMut;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
 use super::reader::{LastReceipt, MessageLimits, MessageReader, ReadError, Received};
-use super::{BodyBudget, Response, ResponseHead};
+use super::{BodyBudget, MessageMemory, Response, ResponseHead, SegmentQueue, WhenFull};
 
 /// How soon a dead peer is detected on a connection on which this side sends nothing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -129,9 +128,15 @@
     }
 
     /// Takes the memory for bodies of responses from a budget.
+    ///
+    /// A response whose length is known waits for memory for a moment.
     #[must_use]
     pub fn with_body_budget(mut self, budget: Arc<BodyBudget>) -> Self {
-        self.reader.body_budget = Some(budget);
+        self.reader.memory = MessageMemory {
+            large: Some(budget),
+            when_full: WhenFull::WaitBriefly,
+            ..MessageMemory::default()
+        };
         self
     }
 
@@ -158,14 +163,15 @@
     /// [`ExchangeError`] if no response was accepted; the connection must not be reused.
     pub async fn exchange(
         &mut self,
-        request: &[u8],
+        request: SegmentQueue,
         head_only: bool,
         limits: MessageLimits,
         accept: impl Fn(&Response) -> bool,
     ) -> Result<Response, ExchangeError> {
         self.reusable = false;
         self.reader.bodiless = head_only;
-        let mut unwritten = BytesMut::from(request);
+        let request_bytes = request.len();
+        let mut unwritten = request;
         let (mut input, mut output) = self.stream.split();
         let mut discarded_count = 0;
         loop {
@@ -176,7 +182,7 @@
                     // After a partial write fails, the server may still have sent a response
                     // that says why, so reading goes on.
                     if let Err(error) = written {
-                        if unwritten.len() == request.len() {
+                        if unwritten.len() == request_bytes {
                             return Err(ExchangeError { nothing_written: true, cause: ReadError::Io(error) });
                         }
                         unwritten.clear();
@@ -191,7 +197,7 @@
                 Ok(Received::Message(head, body)) => Response { head, body },
                 Ok(Received::ContinueExpected) => continue,
                 Err(cause) => {
-                    let nothing_written = unwritten.len() == request.len();
+                    let nothing_written = unwritten.len() == request_bytes;
                     return Err(ExchangeError {
                         nothing_written,
                         cause,
@@ -202,7 +208,7 @@
                 discarded_count += 1;
                 if discarded_count > DISCARDED_RESPONSES_MAX {
                     return Err(ExchangeError {
-                        nothing_written: unwritten.len() == request.len(),
+                        nothing_written: unwritten.len() == request_bytes,
                         cause: ReadError::Unrequested(DISCARDED_RESPONSES_MAX),
                     });
                 }
--- a/src/edge/http1/head.rs
+++ b/src/edge/http1/head.rs
@@ -3,7 +3,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 use displaydoc::Display;
 
-use super::body::{BodyError, Framing};
+use super::framing::{BodyError, Framing};
 use crate::model::header::{Header, text_of};
 
 /// Number of headers up to which a head is parsed without an allocation.
@@ -90,6 +90,9 @@
 
     /// Whether the sender waits for `100 Continue` before sending the body.
     fn expects_continue(&self) -> bool;
+
+    /// Memory that the head takes, in bytes.
+    fn memory_bytes(&self) -> usize;
 }
 
 impl Head for RequestHead {
@@ -124,6 +127,10 @@
     fn expects_continue(&self) -> bool {
         text_of(&self.headers, "expect").is_some_and(|v| v.eq_ignore_ascii_case("100-continue"))
     }
+
+    fn memory_bytes(&self) -> usize {
+        self.method.len() + self.target.len() + headers_memory_bytes(&self.headers)
+    }
 }
 
 impl Head for ResponseHead {
@@ -157,6 +164,14 @@
     fn expects_continue(&self) -> bool {
         false
     }
+
+    fn memory_bytes(&self) -> usize {
+        headers_memory_bytes(&self.headers)
+    }
+}
+
+fn headers_memory_bytes(headers: &[Header]) -> usize {
+    headers.iter().map(Header::memory_bytes).sum()
 }
 
 /// Returns room for all headers that a head of `head_bytes` can contain.
@@ -217,32 +232,31 @@
     kept.cloned().collect()
 }
 
-/// Writes a request, with `Content-Length` if it has or may have a body.
-pub fn write_request(
+/// Writes the head of a request, with `Content-Length` if it has or may have a body.
+pub fn write_request_head(
     out: &mut BytesMut,
     method: &str,
     target: &str,
     headers: &[Header],
-    body: &[u8],
+    body_bytes: usize,
 ) {
     for part in [method, " ", target, " HTTP/1.1\r\n"] {
         out.extend_from_slice(part.as_bytes());
     }
     write_headers(out, headers);
-    if !body.is_empty() || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
-        write_content_length(out, body.len());
+    if body_bytes > 0 || !matches!(method, "GET" | "HEAD" | "DELETE" | "OPTIONS") {
+        write_content_length(out, body_bytes);
     }
     out.extend_from_slice(b"\r\n");
-    out.extend_from_slice(body);
 }
 
-/// Writes a response with its length; `close` announces that the connection closes after it.
-pub fn write_response(
+/// Writes the head of a response with the length of its body; `close` announces that the connection
+/// closes after it.
+pub fn write_response_head(
     out: &mut BytesMut,
     status: u16,
     headers: &[Header],
-    body: &[u8],
-    head_only: bool,
+    body_bytes: usize,
     close: bool,
 ) {
     let line = format!("HTTP/1.1 {status} {}\r\n", reason_phrase(status));
@@ -252,12 +266,9 @@
         out.extend_from_slice(b"Connection: close\r\n");
     }
     if !matches!(status, 204 | 304) {
-        write_content_length(out, body.len());
+        write_content_length(out, body_bytes);
     }
     out.extend_from_slice(b"\r\n");
-    if !head_only {
-        out.extend_from_slice(body);
-    }
 }
 
 fn write_headers(out: &mut BytesMut, headers: &[Header]) {
--- a/src/edge/http1/mod.rs
+++ b/src/edge/http1/mod.rs
@@ -8,16 +8,24 @@
 mod body;
 mod budget;
 pub mod client;
+mod framing;
 mod head;
+mod memory;
 mod reader;
+mod segments;
 pub mod server;
 
-pub use body::BodyError;
-pub use budget::BodyBudget;
-pub use head::{RequestHead, ResponseHead, end_to_end_headers, write_request, write_response};
+pub use body::with_reservation;
+pub use budget::{BodyBudget, Reservation, Transfer};
+pub use framing::BodyError;
+pub use head::{
+    RequestHead, ResponseHead, end_to_end_headers, write_request_head, write_response_head,
+};
+pub use memory::{MessageMemory, SMALL_BODY_BYTES, WhenFull};
 pub use reader::{LastReceipt, MessageLimits, MessageReader, ReadError, Received};
+pub use segments::SegmentQueue;
 
-use bytes::Bytes;
+use crate::model::body::Body;
 
 /// A request with its complete body.
 #[derive(Debug, Clone)]
@@ -25,7 +33,7 @@
     /// Request line and headers.
     pub head: RequestHead,
     /// Complete body, without framing.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 /// A response with its complete body.
@@ -34,5 +42,5 @@
     /// Status line and headers.
     pub head: ResponseHead,
     /// Complete body, without framing.
-    pub body: Bytes,
+    pub body: Body,
 }
--- a/src/host/context.rs
+++ b/src/host/context.rs
@@ -1,8 +1,8 @@
 //! State shared by the parts of a host's node.
 
 use std::net::{IpAddr, SocketAddr};
-use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::{Arc, Mutex};
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::{Notify, watch};
@@ -24,6 +24,7 @@
 use crate::edge::connections::Connections;
 use crate::host::branches::state::Quotas;
 use crate::host::log_service::quarantine_records::QuarantineRecords;
+use crate::host::memory::Memory;
 use crate::host::observe::events::{EventLog, time_of_day_ms};
 use crate::host::observe::knowledge::{ConfigAge, LearnTimes};
 use crate::host::observe::log_writer::StandardOutput;
@@ -72,6 +73,8 @@
     pub callers_stop: Stop,
     /// Plan of the graceful shutdown, once it has begun.
     pub stop_plan: ArcSwapOption<StopPlan>,
+    /// Memory of requests and answers.
+    pub memory: Memory,
     /// Structured log and metrics.
     pub events: EventLog,
     /// Configuration in force; none until one has been received.
@@ -166,6 +169,8 @@
         if !settings.host.first_start {
             gate.with(|gate| gate.set_restarted(time_of_day_ms()));
         }
+        let memory = Memory::new(settings.limits.memory_mb);
+        let answer_memory = Arc::clone(&memory.large_answers);
         let events = EventLog::start(&settings.host.name, clock, Box::new(StandardOutput));
         Self {
             incarnation,
@@ -198,7 +203,7 @@
             crash_news: Notify::new(),
             datagrams: Datagrams::new(settings.listen.shared_port_first),
             rollouts: settings.bounds.expose_share.map(Rollouts::new),
-            server_connections: ConnectionPool::new(settings.backend_server.address),
+            server_connections: ConnectionPool::new(settings.backend_server.address, answer_memory),
             claims: Mutex::new(Claims::new(CLAIMS_MAX, CLAIM_RETENTION_US)),
             executions: Executions::default(),
             retry_budget: Mutex::new(SharedRetryBudget::new(budget_limits, clock.now_us())),
@@ -211,6 +216,7 @@
             caller_connections: Connections::default(),
             peer_connections: Connections::default(),
             tasks,
+            memory,
             events,
             settings,
         }
--- a/src/host/entry/callers.rs
+++ b/src/host/entry/callers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use crate::decision::host::open_requests::{OpenRequest, RequestKind};
-use crate::edge::http1::server::{Handler, RejectedRequest, ServerLimits};
+use crate::edge::http1::server::{Handler, RejectReason, RejectedRequest, ServerLimits};
 use crate::edge::http1::{MessageLimits, Request, Response};
 use crate::host::awaited_request::AwaitedRequest;
 use crate::host::branches::keys::{self, KeyRefusal};
@@ -15,10 +15,12 @@
 use crate::host::entry::caller_times::CallerTimes;
 use crate::host::entry::refusal::Refusal;
 use crate::host::entry::retries;
+use crate::host::jitter::with_jitter;
 use crate::host::observe::request_lines::{Completed, Rejected, TriedHosts, shortened};
 use crate::host::outcome::RequestFailure;
 use crate::kernel::shards::lock;
 use crate::model::branch::Branch;
+use crate::model::header::Header;
 use crate::model::host_config::{CallerBounds, HostConfig, Route};
 use crate::model::host_request::{CallerRequest, HostWork, ServerAnswer, Timing};
 use crate::model::names::ServiceName;
@@ -31,6 +33,9 @@
 /// Retry-After while another configuration may be in force, in µs.
 const NO_PROOF_RETRY_AFTER_US: u64 = 300_000;
 
+/// Retry-After while no memory is left for a request, in µs.
+const NO_MEMORY_RETRY_AFTER_US: u64 = 250_000;
+
 /// Handles requests from callers on this host and from its backend server.
 #[derive(Debug)]
 pub struct CallerHandler(pub Arc<Host>);
@@ -60,7 +65,7 @@
         }
     }
 
-    fn rejected(&self, rejected: &RejectedRequest<'_>) {
+    fn rejected(&self, rejected: &RejectedRequest<'_>) -> Vec<Header> {
         let id = match rejected.head {
             Some(head) => requests::id_of(head),
             None => requests::id_in_bytes(rejected.unread),
@@ -76,6 +81,16 @@
             answered: rejected.answered,
             config: self.0.config_age(),
         });
+        let mut headers = Vec::new();
+        headers.extend(id.map(answers::request_id_header));
+        if matches!(
+            rejected.reason,
+            RejectReason::NoMemory | RejectReason::Stalled
+        ) {
+            let after_us = with_jitter(NO_MEMORY_RETRY_AFTER_US);
+            headers.push(answers::retry_after_header(after_us));
+        }
+        headers
     }
 
     fn is_closing(&self) -> bool {
--- a/src/host/entry/forward.rs
+++ b/src/host/entry/forward.rs
@@ -12,6 +12,7 @@
 use crate::host::observe::request_lines::{FailedAttempt, FailureInputs, Step};
 use crate::host::outcome::{Outcome, RequestFailure};
 use crate::host::peers::awaited_call::{PeerRequest, Silence};
+use crate::host::peers::body_exchange::{InPieces, PeerOutcome};
 use crate::host::peers::peer_client::PeerError;
 use crate::host::peers::peer_rpc::WireWork;
 use crate::kernel::shards::lock;
@@ -75,13 +76,14 @@
     let on_silence = |silence: Silence| sent.record_silence(&silence, silent);
     let failure = match host.peer_clients.run(request, on_silence).await {
         Ok(reply) => {
-            let load = reply.load;
-            let outcome = Outcome::from(reply);
+            let PeerOutcome { outcome, load } = reply;
             let took_us = host.now_us() - now_us;
             host.events.latencies.add(Stage::PeerRoundTrip, took_us);
             {
                 let mut peers = lock(&host.peers);
-                peers.record_load(ip, load, host.now_us());
+                if let Some(load) = load {
+                    peers.record_load(ip, load, host.now_us());
+                }
                 if is_of_other_service(&outcome) {
                     peers.record_other_service(ip, &sent.service);
                 }
@@ -109,10 +111,14 @@
 }
 
 /// Creates what is sent to a peer at time `now_us`.
-fn peer_request(host: &Host, ip: IpAddr, work: HostWork, now_us: u64) -> PeerRequest {
-    let incarnation = lock(&host.peers)
-        .get(ip)
-        .map(|peer| peer.introduction.incarnation);
+fn peer_request(host: &Host, ip: IpAddr, mut work: HostWork, now_us: u64) -> PeerRequest {
+    let (incarnation, takes_pieces) = {
+        let peers = lock(&host.peers);
+        let peer = peers.get(ip);
+        let incarnation = peer.map(|peer| peer.introduction.incarnation);
+        (incarnation, peer.is_some_and(|peer| peer.takes_pieces))
+    };
+    let in_pieces = takes_pieces.then(|| InPieces::new(&mut work.body, &host.memory.large_answers));
     PeerRequest {
         address: host.peer_address(ip),
         incarnation: incarnation.unwrap_or_default(),
@@ -120,6 +126,7 @@
         effect: work.effect,
         time_left: Duration::from_micros(work.timing.deadline_us.saturating_sub(now_us)),
         work: WireWork::new(work, now_us),
+        in_pieces,
     }
 }
 
--- a/src/host/mod.rs
+++ b/src/host/mod.rs
@@ -9,6 +9,7 @@
 pub mod entry;
 mod jitter;
 pub mod log_service;
+pub mod memory;
 pub mod node;
 pub mod observe;
 pub mod outcome;
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -9,7 +9,7 @@
 
 use crate::decision::stop_plan::StopPlan;
 use crate::edge::connections::Connections;
-use crate::edge::http1::server::{self, Handler};
+use crate::edge::http1::server::{self, Handler, Listener};
 use crate::edge::listen::{BACKLOG, bind};
 use crate::host::branches::{proofs, quotas};
 use crate::host::context::Host;
@@ -96,7 +96,9 @@
         .saturating_sub(FILES_RESERVED) as usize
         / 2;
     let tasks = &host.tasks;
-    let callers_max = connections_max.max(CALLER_CONNECTIONS_MIN);
+    let callers_max = connections_max
+        .max(CALLER_CONNECTIONS_MIN)
+        .min(host.memory.split.connections_max());
     let small = Connections {
         tasks: tasks.clone(),
         ..Connections::default()
@@ -104,8 +106,7 @@
     let handler = CallerHandler(Arc::clone(host));
     tasks.spawn(server::serve(
         Arc::new(handler),
-        callers,
-        callers_max,
+        Listener::new(callers, callers_max).with_memory(host.memory.of_callers()),
         host.caller_connections.clone(),
         host.callers_stop.clone(),
     ));
@@ -145,8 +146,7 @@
 ) {
     host.tasks.spawn(server::serve(
         Arc::new(handler),
-        listener,
-        SMALL_LISTENER_CONNECTIONS_MAX,
+        Listener::new(listener, SMALL_LISTENER_CONNECTIONS_MAX),
         connections.clone(),
         host.stop.clone(),
     ));
--- a/src/host/observe/metrics.rs
+++ b/src/host/observe/metrics.rs
@@ -22,10 +22,13 @@
         "server_connections_opened",
         host.server_connections.opened_count(),
     );
-    line(
-        "answer_memory_bytes",
-        host.server_connections.answer_memory_bytes() as u64,
-    );
+    for (name, budget) in host.memory.budgets() {
+        let reserved_bytes = budget.reserved_bytes() as u64;
+        line(
+            &format!("memory_reserved_bytes{{for=\"{name}\"}}"),
+            reserved_bytes,
+        );
+    }
     line(
         "config_version",
         host.config
--- a/src/host/peers/awaited_call.rs
+++ b/src/host/peers/awaited_call.rs
@@ -10,10 +10,10 @@
 use tokio::time::Instant;
 
 use crate::decision::host::settlement::{FirstConnection, Settlement};
-use crate::host::outcome::RequestFailure;
+use crate::host::peers::body_exchange::{Exchange, InPieces, PeerOutcome};
 use crate::host::peers::peer_client::{PeerClients, PeerError};
-use crate::host::peers::peer_connection::context;
-use crate::host::peers::peer_rpc::{WireOutcome, WireWork};
+use crate::host::peers::peer_connection::Connection;
+use crate::host::peers::peer_rpc::WireWork;
 use crate::kernel::StepError;
 use crate::model::ids::Incarnation;
 use crate::model::request::Effect;
@@ -43,6 +43,8 @@
     pub effect: Effect,
     /// Wire form of the request.
     pub work: WireWork,
+    /// How long bodies pass; as a whole to a node of an earlier release.
+    pub in_pieces: Option<InPieces>,
     /// Time until its deadline.
     pub time_left: Duration,
 }
@@ -86,11 +88,15 @@
         &self,
         request: PeerRequest,
         on_silence: impl Fn(Silence),
-    ) -> Result<WireOutcome, PeerError> {
+    ) -> Result<PeerOutcome, PeerError> {
         let address = request.address;
         let connection = self.checked_connection(address).await?;
         let time_left = request.time_left + REPLY_GRACE;
-        let call = connection.client.run(context(time_left), request.work);
+        let mut exchange = self.exchange(&connection, request.in_pieces, time_left);
+        if let Some(refusal) = self.send_body(address, &connection, &mut exchange).await? {
+            return Ok(refusal);
+        }
+        let call = exchange.execute(request.work);
         tokio::pin!(call);
         let sent = Sent {
             clients: self,
@@ -123,12 +129,45 @@
     }
 }
 
+impl PeerClients {
+    /// Sends a long body ahead of its request; returns the outcome if there is no memory for it.
+    ///
+    /// # Errors
+    /// Returns [`PeerError`], which says that the request was not sent.
+    async fn send_body(
+        &self,
+        address: SocketAddr,
+        connection: &Connection,
+        exchange: &mut Exchange,
+    ) -> Result<Option<PeerOutcome>, PeerError> {
+        let sent = tokio::select! {
+            biased;
+            sent = exchange.send_body() => sent,
+            error = self.until_silent(connection) => {
+                self.drop_silent(address, connection);
+                Err(error)
+            }
+        };
+        match sent {
+            Ok(true) => Ok(None),
+            Ok(false) => Ok(Some(PeerOutcome::no_memory())),
+            Err(error) => Err(
+                match self.finish(address, connection, Err::<(), _>(error)) {
+                    Err(PeerError::Lost(error)) => PeerError::NotSent(error),
+                    Err(other) => other,
+                    Ok(()) => PeerError::Deadline,
+                },
+            ),
+        }
+    }
+}
+
 impl<F: Fn(Silence)> Sent<'_, F> {
     /// Returns the answer, or settles the request over another connection if the first has ended.
     async fn answer_or_settle(
         &self,
-        finished: Result<WireOutcome, PeerError>,
-    ) -> Result<WireOutcome, PeerError> {
+        finished: Result<PeerOutcome, PeerError>,
+    ) -> Result<PeerOutcome, PeerError> {
         let Err(PeerError::Lost(error)) = finished else {
             return finished;
         };
@@ -149,7 +188,7 @@
     }
 
     /// Asks for the outcome over another connection until it is certain.
-    async fn ask_until_certain(&self) -> Result<WireOutcome, PeerError> {
+    async fn ask_until_certain(&self) -> Result<PeerOutcome, PeerError> {
         let mut is_reported = false;
         loop {
             match self.settle().await {
@@ -173,18 +212,19 @@
     }
 
     /// Asks the peer once, if it can be reached.
-    async fn settle(&self) -> Result<WireOutcome, PeerError> {
+    async fn settle(&self) -> Result<PeerOutcome, PeerError> {
         self.clients.reach(self.address, REACH_TIMEOUT).await?;
         let time_left = self.deadline.saturating_duration_since(Instant::now());
         self.clients
             .settle(self.address, &self.id, self.incarnation, time_left)
             .await
+            .map(PeerOutcome::from)
     }
 
-    fn judge(&self, outcome: &WireOutcome, first: FirstConnection) -> Settlement {
-        match outcome.failure().map(RequestFailure::from) {
-            None => Settlement::Final,
-            Some(failure) => {
+    fn judge(&self, outcome: &PeerOutcome, first: FirstConnection) -> Settlement {
+        match &outcome.outcome.result {
+            Ok(_answer) => Settlement::Final,
+            Err(failure) => {
                 Settlement::of_failure(self.effect, first, failure.reason, failure.run_state)
             }
         }
--- a/src/host/peers/load_reports.rs
+++ b/src/host/peers/load_reports.rs
@@ -70,15 +70,18 @@
 
 /// What follows the extension; earlier releases send nothing and pass over it.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct RelayExtension {
-    /// Version of the calls with which the sender relays the operators' log.
-    relay_version: u8,
+struct CallsExtension {
+    /// Version of the calls that the sender takes.
+    calls_version: u8,
 }
 
-/// Version of the calls that relay an index and large values in pieces.
-const RELAY_VERSION_INDEX: u8 = 1;
+/// Version of the calls that relay an index of the operators' log and large values in pieces.
+const CALLS_VERSION_INDEX: u8 = 1;
 
-/// What follows the relay extension: the pace of the sender's backend server, if it names a limit.
+/// Version of the calls that also pass long bodies in pieces.
+const CALLS_VERSION_PIECES: u8 = 2;
+
+/// What follows the calls extension: the pace of the sender's backend server, if it names a limit.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 struct PaceExtension(Option<StartPace>);
 
@@ -90,6 +93,7 @@
 struct Report {
     datagram: Datagram,
     log_view: LogView,
+    takes_pieces: bool,
     pace: Option<StartPace>,
     version: Option<Version>,
 }
@@ -101,7 +105,8 @@
         return None;
     }
     let extension = take::<DatagramExtension>(&mut rest);
-    let relay = take::<RelayExtension>(&mut rest);
+    let calls = take::<CallsExtension>(&mut rest);
+    let calls_version = calls.map(|calls| calls.calls_version);
     let pace = take::<PaceExtension>(&mut rest);
     let version = take::<VersionExtension>(&mut rest);
     let era = extension.map_or(0, |extension| extension.operator_era);
@@ -109,17 +114,16 @@
         end: LogPosition::new(era, datagram.operator_end),
         follows: datagram.follows_log,
         has_lost_records: extension.is_some_and(|extension| extension.has_lost_records),
-        protocol: match (extension, relay) {
+        protocol: match (extension, calls_version) {
             (None, _) => RelayProtocol::Records,
-            (Some(_), Some(relay)) if relay.relay_version >= RELAY_VERSION_INDEX => {
-                RelayProtocol::Index
-            }
+            (Some(_), Some(CALLS_VERSION_INDEX..)) => RelayProtocol::Index,
             (Some(_), _) => RelayProtocol::Log,
         },
     };
     Some(Report {
         datagram,
         log_view,
+        takes_pieces: calls_version.is_some_and(|version| version >= CALLS_VERSION_PIECES),
         pace: pace.and_then(|pace| pace.0),
         version: version.and_then(|version| version.0),
     })
@@ -239,12 +243,12 @@
             operator_era: end.era,
             has_lost_records,
         };
-        let relay = RelayExtension {
-            relay_version: RELAY_VERSION_INDEX,
+        let calls = CallsExtension {
+            calls_version: CALLS_VERSION_PIECES,
         };
         let pace = PaceExtension(self.host.gate.with(|gate| gate.pace(self.host.now_us())));
         let mut bytes =
-            postcard::to_stdvec(&(datagram, extension, relay, pace)).unwrap_or_default();
+            postcard::to_stdvec(&(datagram, extension, calls, pace)).unwrap_or_default();
         if self.host.rollouts.is_some() {
             let version = VersionExtension(own_version(&self.host));
             bytes.extend(postcard::to_stdvec(&version).unwrap_or_default());
@@ -312,6 +316,7 @@
         let Report {
             datagram,
             log_view,
+            takes_pieces,
             pace,
             version,
         } = report;
@@ -351,6 +356,7 @@
             let mut peers = lock(&host.peers);
             peers.record_load(from, datagram.load, now_us);
             peers.set_log_view(from, log_view);
+            peers.set_takes_pieces(from, takes_pieces);
             peers.set_pace(from, pace, now_us);
             if version.is_some() {
                 peers.set_version(from, version);
--- a/src/host/peers/mod.rs
+++ b/src/host/peers/mod.rs
@@ -1,6 +1,8 @@
 //! What the nodes on different hosts tell each other, and how.
 
 pub mod awaited_call;
+pub mod body_exchange;
+pub mod body_store;
 pub mod crash_reports;
 pub mod datagrams;
 pub mod directory;
--- a/src/host/peers/peer_client.rs
+++ b/src/host/peers/peer_client.rs
@@ -4,6 +4,7 @@
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use displaydoc::Display;
@@ -13,6 +14,7 @@
 
 use crate::decision::host::keyed_state::Snapshot;
 use crate::decision::host::peers::RelayProtocol;
+use crate::host::peers::body_exchange::{Exchange, InPieces};
 use crate::host::peers::peer_connection::{Connection, context};
 use crate::host::peers::peer_rpc::{WireIntroduction, WireOutcome};
 use crate::kernel::StepError;
@@ -102,6 +104,8 @@
     slots: Mutex<HashMap<SocketAddr, Slot>>,
     /// Cancelled when all connections are dropped.
     cleared: CancellationToken,
+    /// Number of exchanges so far.
+    exchanges: AtomicU64,
 }
 
 impl PeerClients {
@@ -111,6 +115,7 @@
             tasks,
             slots: Mutex::default(),
             cleared: CancellationToken::new(),
+            exchanges: AtomicU64::new(0),
         }
     }
 
@@ -207,6 +212,18 @@
         self.finish(address, &connection, call.await)
     }
 
+    /// Creates the exchange of a request over a connection.
+    pub(super) fn exchange(
+        &self,
+        connection: &Connection,
+        in_pieces: Option<InPieces>,
+        time_left: Duration,
+    ) -> Exchange {
+        let number = self.exchanges.fetch_add(1, Ordering::Relaxed);
+        let tasks = self.tasks.clone();
+        Exchange::new(connection.clone(), number, in_pieces, time_left, tasks)
+    }
+
     /// Drops all connections, at the end of the process.
     pub fn clear(&self) {
         self.cleared.cancel();
--- a/src/host/peers/peer_rpc.rs
+++ b/src/host/peers/peer_rpc.rs
@@ -8,6 +8,7 @@
 
 use crate::decision::host::peers::Introduction;
 use crate::host::outcome::{Outcome, RequestFailure, RunMeasurement};
+use crate::host::peers::body_store::BodyNumber;
 use crate::host::peers::log_rpc::{WireOperatorLog, WireOperatorRecords};
 use crate::host::peers::relay_rpc::{WireLogIndex, WireLogPosition};
 use crate::host::peers::relayed_values::ValueDigest;
@@ -41,6 +42,41 @@
     async fn log_index(known: WireLogPosition) -> WireLogIndex;
     /// Returns a piece of a large value that an index named.
     async fn value_piece(digest: ValueDigest, offset: u64) -> WirePiece;
+    /// Reserves memory for the body of a request; returns whether there is enough.
+    async fn begin_body(number: BodyNumber, length_bytes: u64) -> bool;
+    /// Sends a piece of a body whose memory is reserved.
+    async fn add_to_body(number: BodyNumber, offset_bytes: u64, piece: Bytes);
+    /// Runs a request whose body was sent before if `body_sent`.
+    ///
+    /// A longer body of the answer than `inline_bytes_max` is kept for [`PeerHost::answer_piece`].
+    async fn execute(
+        number: BodyNumber,
+        work: WireWork,
+        body_sent: bool,
+        inline_bytes_max: u32,
+    ) -> WireExecuted;
+    /// Returns a piece of the body of an answer; `None` if it is not kept any more.
+    async fn answer_piece(number: BodyNumber, index: u32) -> Option<Bytes>;
+    /// Drops what is kept of a body.
+    async fn discard_body(number: BodyNumber);
+}
+
+/// Wire form of an outcome whose answer may lack its body.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct WireExecuted {
+    /// The outcome; the body of its answer is empty if it is kept.
+    pub outcome: WireOutcome,
+    /// Body of the answer that is kept.
+    pub kept: Option<WireKept>,
+}
+
+/// Size of a body that is kept.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct WireKept {
+    /// Length in bytes.
+    pub length_bytes: u64,
+    /// Number of pieces.
+    pub pieces: u32,
 }
 
 /// Wire form of a header.
@@ -108,7 +144,7 @@
             method: work.method,
             target: work.target,
             headers: headers_to_wire(work.headers),
-            body: work.body,
+            body: work.body.to_bytes(),
         }
     }
 
@@ -134,7 +170,7 @@
             method: self.method,
             target: self.target,
             headers: headers_from_wire(self.headers),
-            body: self.body,
+            body: self.body.into(),
             digest: OnceLock::new(),
         })
     }
@@ -210,7 +246,7 @@
         Self {
             status: answer.status,
             headers: headers_to_wire(answer.headers),
-            body: answer.body,
+            body: answer.body.to_bytes(),
         }
     }
 }
@@ -220,7 +256,7 @@
         Self {
             status: wire.status,
             headers: headers_from_wire(wire.headers),
-            body: wire.body,
+            body: wire.body.into(),
         }
     }
 }
--- a/src/host/peers/peer_server.rs
+++ b/src/host/peers/peer_server.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -13,14 +14,18 @@
 
 use crate::edge::answer_transport::AnswerTransport;
 use crate::edge::http1::client::{KeepAlive, enable_dead_peer_detection};
+use crate::edge::http1::with_reservation;
 use crate::edge::peer_client::frame_codec;
 use crate::edge::peer_drain;
 use crate::edge::shared_stream::SharedStream;
 use crate::host::context::Host;
 use crate::host::outcome::{Outcome, RequestFailure};
+use crate::host::peers::body_store::{BodyNumber, BodyStore};
 use crate::host::peers::log_rpc::{WireOperatorLog, WireOperatorRecords};
 use crate::host::peers::peer_connection::MESSAGE_BYTES_MAX;
-use crate::host::peers::peer_rpc::{PeerHost, WireIntroduction, WireOutcome, WireWork};
+use crate::host::peers::peer_rpc::{
+    PeerHost, WireExecuted, WireIntroduction, WireKept, WireOutcome, WireWork,
+};
 use crate::host::peers::relay_rpc::{WireLogIndex, WireLogPosition};
 use crate::host::peers::relayed_values::ValueDigest;
 use crate::host::peers::relayed_values::WirePiece;
@@ -71,16 +76,19 @@
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let connection_ended = CancellationToken::new();
     let unwritten = host.peer_connections.unwritten.clone();
+    let bodies = Arc::new(BodyStore::default());
     let transport = AnswerTransport::new(
         transport,
         unwritten,
         connection_ended.clone(),
         peer_drain::drain_signal(host.stop.clone()),
-    );
+    )
+    .while_unread(bodies.kept_count());
     let channel = BaseChannel::with_defaults(transport);
     let service = Service {
         host: Arc::clone(&host),
         peer,
+        bodies,
         connection_ended: connection_ended.clone(),
     };
     let requests = channel.execute(service.serve());
@@ -99,23 +107,109 @@
     host: Arc<Host>,
     /// Address from which the peer has connected.
     peer: SocketAddr,
+    /// Long bodies that pass over the connection.
+    bodies: Arc<BodyStore>,
     /// Cancelled once nothing more is read from the peer, before its open calls are dropped; a call
     /// that the peer cancels ends without it.
     connection_ended: CancellationToken,
 }
 
-impl PeerHost for Service {
-    async fn run(self, _context: Context, work: WireWork) -> WireOutcome {
-        let outcome = match work.into_work(self.host.now_us()) {
-            Ok(work) => detached::run(&self.host, work, &self.connection_ended).await,
+impl Service {
+    /// Runs a request, whose body was sent before if `sent` names it.
+    async fn run_work(&self, work: WireWork, sent: Option<BodyNumber>) -> Outcome {
+        let mut work = match work.into_work(self.host.now_us()) {
+            Ok(work) => work,
             Err(error) => {
                 log::warn!("peer server: rejected a request: {error}");
-                Outcome::failed(RequestFailure::not_sent(RefusalReason::PeerRejected))
+                return Outcome::failed(RequestFailure::not_sent(RefusalReason::PeerRejected));
             }
         };
+        let memory = &self.host.memory;
+        let body_bytes = work.body.len();
+        let (Some(_head_memory), Some(body_memory)) = (
+            memory.small_bodies.reserve(work.head_bytes()),
+            memory.body_budget(body_bytes).reserve(body_bytes),
+        ) else {
+            return Outcome::failed(RequestFailure::not_sent(RefusalReason::NoMemory));
+        };
+        match sent {
+            None if body_bytes > 0 => {
+                work.body = with_reservation(work.body.to_bytes(), body_memory).into();
+            }
+            None => {}
+            Some(number) => match self.bodies.take(number).await {
+                Some(body) => work.body = body,
+                None => {
+                    return Outcome::failed(RequestFailure::not_sent(RefusalReason::NoMemory));
+                }
+            },
+        }
+        detached::run(&self.host, work, &self.connection_ended).await
+    }
+}
+
+impl PeerHost for Service {
+    async fn run(self, _context: Context, work: WireWork) -> WireOutcome {
+        let outcome = self.run_work(work, None).await;
         WireOutcome::new(outcome, self.host.gate.load())
     }
 
+    async fn begin_body(self, _context: Context, number: BodyNumber, length_bytes: u64) -> bool {
+        let Ok(length_bytes) = usize::try_from(length_bytes) else {
+            return false;
+        };
+        self.bodies.begin(&self.host, number, length_bytes).await
+    }
+
+    async fn add_to_body(
+        self,
+        _context: Context,
+        number: BodyNumber,
+        offset_bytes: u64,
+        piece: Bytes,
+    ) {
+        self.bodies.add(number, offset_bytes as usize, piece);
+    }
+
+    async fn execute(
+        self,
+        _context: Context,
+        number: BodyNumber,
+        work: WireWork,
+        body_sent: bool,
+        inline_bytes_max: u32,
+    ) -> WireExecuted {
+        let mut outcome = self.run_work(work, body_sent.then_some(number)).await;
+        let mut kept = None;
+        if let Ok(answer) = &mut outcome.result
+            && answer.body.len() > inline_bytes_max as usize
+        {
+            let body = std::mem::take(&mut answer.body);
+            let pieces = self.bodies.keep(&self.host, number, &body);
+            kept = Some(WireKept {
+                length_bytes: body.len() as u64,
+                pieces,
+            });
+        }
+        WireExecuted {
+            outcome: WireOutcome::new(outcome, self.host.gate.load()),
+            kept,
+        }
+    }
+
+    async fn answer_piece(
+        self,
+        _context: Context,
+        number: BodyNumber,
+        index: u32,
+    ) -> Option<Bytes> {
+        self.bodies.piece(number, index)
+    }
+
+    async fn discard_body(self, _context: Context, number: BodyNumber) {
+        self.bodies.discard(number);
+    }
+
     async fn settle(self, _context: Context, id: String, incarnation: u64) -> WireOutcome {
         let outcome = if Incarnation(incarnation).is_same_run(self.host.incarnation) {
             detached::settle(&self.host, &id.into(), &self.connection_ended).await
--- a/src/host/server/announcements.rs
+++ b/src/host/server/announcements.rs
@@ -39,7 +39,8 @@
     async fn answer(self: Arc<Self>, request: Request, _caller: SocketAddr) -> Response {
         let host = &self.0;
         let own_address = host.settings.backend_server.address;
-        match announcements::decode(&request.head.target, &request.body, own_address) {
+        let body = request.body.to_bytes();
+        match announcements::decode(&request.head.target, &body, own_address) {
             Ok(Message::Heartbeat(announcement)) if !is_known(host, &announcement.service) => {
                 let error =
                     format_args!("the service {} is unknown", announcement.service.as_str());
--- a/src/host/server/connection_pool.rs
+++ b/src/host/server/connection_pool.rs
@@ -42,11 +42,6 @@
     body_bytes_max: 64 << 10,
 };
 
-/// Memory for the bodies of all answers, in bytes: a fifth of the smallest host.
-///
-/// The node passes an answer on when it is complete.
-const ANSWER_MEMORY_BYTES: usize = 32 << 20;
-
 /// Pool of idle connections to one backend server.
 #[derive(Debug)]
 pub struct ConnectionPool {
@@ -69,14 +64,14 @@
 }
 
 impl ConnectionPool {
-    /// Creates an empty pool.
-    pub fn new(address: SocketAddr) -> Self {
+    /// Creates an empty pool; long bodies of answers take their memory from `answer_memory`.
+    pub fn new(address: SocketAddr, answer_memory: Arc<BodyBudget>) -> Self {
         Self {
             address,
             idle: Mutex::default(),
             generation: AtomicU64::new(0),
             opened_count: AtomicU64::new(0),
-            answer_memory: Arc::new(BodyBudget::new(ANSWER_MEMORY_BYTES)),
+            answer_memory,
         }
     }
 
@@ -90,11 +85,6 @@
         self.opened_count.load(Ordering::Relaxed)
     }
 
-    /// Returns the memory that the bodies of answers take, in bytes.
-    pub fn answer_memory_bytes(&self) -> usize {
-        self.answer_memory.reserved_bytes()
-    }
-
     /// Takes an idle connection that suits the request's effect, or opens one.
     ///
     /// # Errors
--- a/src/host/server/dispatch.rs
+++ b/src/host/server/dispatch.rs
@@ -200,7 +200,7 @@
     let head_only = work.method == "HEAD";
     let exchange = pooled
         .connection
-        .exchange(&request, head_only, ANSWER_LIMITS, answers_request);
+        .exchange(request, head_only, ANSWER_LIMITS, answers_request);
     let deadline = host.clock.instant_at(work.timing.deadline_us);
     match tokio::time::timeout_at(deadline.into(), exchange).await {
         Ok(Ok(response)) => Ok(response),
--- a/src/host/server/probe.rs
+++ b/src/host/server/probe.rs
@@ -123,7 +123,7 @@
     // An answer with a request identifier belongs to an earlier request.
     let exchange = pooled
         .connection
-        .exchange(&request, false, HEALTH_ANSWER_LIMITS, |response| {
+        .exchange(request, false, HEALTH_ANSWER_LIMITS, |response| {
             answers::request_id_of(response).is_none()
         });
     let sent_us = host.now_us();
--- a/src/model/header.rs
+++ b/src/model/header.rs
@@ -2,6 +2,9 @@
 
 use bytes::Bytes;
 
+/// Memory of one header beside its name and value, in bytes.
+const HEADER_BYTES: usize = 128;
+
 /// One HTTP header.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Header {
@@ -20,6 +23,11 @@
         }
     }
 
+    /// Returns the memory that the header takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        HEADER_BYTES + self.name.len() + self.value.len()
+    }
+
     /// Whether the header has this name, ignoring case.
     pub fn is_named(&self, name: &str) -> bool {
         self.name.eq_ignore_ascii_case(name)
--- a/src/model/host_request.rs
+++ b/src/model/host_request.rs
@@ -2,8 +2,7 @@
 
 use std::sync::{Arc, OnceLock};
 
-use bytes::Bytes;
-
+use super::body::Body;
 use super::header::Header;
 use super::names::ServiceName;
 use super::request::Effect;
@@ -38,7 +37,7 @@
     /// Headers to forward.
     pub headers: Vec<Header>,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 /// Expected run time of a request and its time limits.
@@ -89,11 +88,19 @@
     /// Headers to forward.
     pub headers: Vec<Header>,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Body,
     /// Digest of the content, computed when it is first needed.
     pub digest: OnceLock<RequestDigest>,
 }
 
+impl HostWork {
+    /// Returns the memory that the request takes without its body, in bytes.
+    pub fn head_bytes(&self) -> usize {
+        let header_bytes = self.headers.iter().map(Header::memory_bytes);
+        self.target.len() + header_bytes.sum::<usize>()
+    }
+}
+
 /// A complete answer of a backend server.
 #[derive(Debug, Clone)]
 pub struct ServerAnswer {
@@ -102,7 +109,7 @@
     /// Headers to forward.
     pub headers: Vec<Header>,
     /// Complete body.
-    pub body: Bytes,
+    pub body: Body,
 }
 
 impl ServerAnswer {
--- a/src/model/mod.rs
+++ b/src/model/mod.rs
@@ -1,6 +1,7 @@
 //! Shared types: names, identifiers, reasons, load reports, answers and configuration.
 
 pub mod answers;
+pub mod body;
 pub mod branch;
 pub mod config;
 pub mod header;
--- a/src/model/reasons.rs
+++ b/src/model/reasons.rs
@@ -120,6 +120,8 @@
         QuotaExceeded => "quota-exceeded",
         /// The node that took the request ends before the answer has arrived.
         NodeEnded => "node-ended",
+        /// No memory is left for the request.
+        NoMemory => "no-memory",
     }
 }
 
--- a/src/model/request_digest.rs
+++ b/src/model/request_digest.rs
@@ -4,6 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::body::Body;
+
 /// What makes two requests the same, whatever their identifiers and the hosts at which they arrive.
 #[derive(Debug, Clone, Copy)]
 pub struct RequestContent<'a> {
@@ -16,7 +18,7 @@
     /// Path and query.
     pub target: &'a [u8],
     /// Complete body.
-    pub body: &'a [u8],
+    pub body: &'a Body,
 }
 
 /// Digest of a request's content (BLAKE3, first 16 bytes).
@@ -34,12 +36,15 @@
             content.host,
             content.method,
             content.target,
-            content.body,
         ];
         for part in parts {
             hasher.update(&(part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
+        hasher.update(&(content.body.len() as u64).to_le_bytes());
+        for segment in content.body.segments() {
+            hasher.update(segment);
+        }
         let mut digest = [0; 16];
         hasher.finalize_xof().fill(&mut digest);
         Self(digest)
--- a/src/request/problem.rs
+++ b/src/request/problem.rs
@@ -132,6 +132,7 @@
         R::AnswerBroken => "The answer was incomplete or not this request's",
         R::Cancelled => "The caller went away",
         R::PeerRejected => "The peer's message was refused",
+        R::NoMemory => "No memory is left for the request",
         R::NodeEnded => "The node that took the request ends before the answer has arrived",
     }
 }
--- a/src/settings/host.rs
+++ b/src/settings/host.rs
@@ -81,6 +81,14 @@
 pub struct HostLimits {
     /// Maximum number of open files and sockets.
     pub files_max: u64,
+    /// Memory that the process may use, in MB.
+    #[serde(default = "memory_mb_default")]
+    pub memory_mb: u64,
+}
+
+/// Memory of the smallest host, in MB.
+fn memory_mb_default() -> u64 {
+    160
 }
 
 /// Limits that operators set for the whole system.
@@ -141,6 +149,9 @@
 /// Fewest open files and sockets that a node needs.
 const FILES_MIN: u64 = 256;
 
+/// Least memory that a node needs, in MB.
+const MEMORY_MB_MIN: u64 = 48;
+
 impl HostSettings {
     /// Finds values outside their allowed ranges.
     fn check(&self) -> Problems {
@@ -170,6 +181,11 @@
             self.limits.files_max,
             FILES_MIN..=u64::MAX,
         );
+        problems.check_range(
+            "limits.memory_mb",
+            self.limits.memory_mb,
+            MEMORY_MB_MIN..=u64::MAX,
+        );
         if let Some(share) = self.bounds.expose_share
             && !(share > 0.0 && share <= 1.0)
         {
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -252,8 +252,14 @@
         };
         hold_while_cut(from.as_ref(), &mut state, way).await;
         let current = *state.borrow();
-        tokio::time::sleep(current.lateness()).await;
-        tokio::time::sleep_until(occupancy.enqueue(current.transfer_time(count))).await;
+        // Timers are rounded up to a millisecond, which would make every link narrow.
+        if !current.lateness().is_zero() {
+            tokio::time::sleep(current.lateness()).await;
+        }
+        let passed_at = occupancy.enqueue(current.transfer_time(count));
+        if passed_at > Instant::now() {
+            tokio::time::sleep_until(passed_at).await;
+        }
         if count == 0 {
             return to.shutdown().await;
         }
--- a/tests/client_crowds/crowd.rs
+++ b/tests/client_crowds/crowd.rs
@@ -126,11 +126,11 @@
                 read_until_close(input, received).await;
             } else {
                 let _kept_open = input;
-                std::future::pending().await
+                std::future::pending::<()>().await;
             }
         };
         tokio::join!(send, receive);
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     fn has_sent(&self) {
--- a/tests/host/backend_answers.rs
+++ b/tests/host/backend_answers.rs
@@ -8,6 +8,7 @@
 use bronzelock::host::outcome::{Outcome, RunMeasurement};
 use bronzelock::host::peers::peer_rpc::WireOutcome;
 use bronzelock::host::server::executor;
+use bronzelock::model::body::Body;
 use bronzelock::model::host_request::{HostWork, ServerAnswer, Timing};
 use bronzelock::model::names::ServiceName;
 use bronzelock::model::request::Effect;
@@ -95,7 +96,7 @@
         method: "GET".to_owned(),
         target: "/a".to_owned(),
         headers: Vec::new(),
-        body: bytes::Bytes::new(),
+        body: Body::default(),
         digest: OnceLock::new(),
     }
 }
@@ -230,7 +231,7 @@
         let answer = ServerAnswer {
             status,
             headers: Vec::new(),
-            body: bytes::Bytes::new(),
+            body: Body::default(),
         };
         let sent = Outcome {
             result: Ok(answer),
@@ -290,7 +291,7 @@
             .is_ok_and(|answer| answer.body.len() == length)
     );
     let limit = tokio::time::Instant::now() + Duration::from_secs(1);
-    while host.server_connections.answer_memory_bytes() > 0 {
+    while host.memory.large_answers.reserved_bytes() > 0 {
         assert!(
             tokio::time::Instant::now() < limit,
             "the memory is still held"
--- a/tests/host/branches.rs
+++ b/tests/host/branches.rs
@@ -1,6 +1,7 @@
 //! Keys of branches: what is read of a configuration and of requests, and what is never passed on.
 
 use bronzelock::edge::http1::{Request, RequestHead};
+use bronzelock::model::body::Body;
 use bronzelock::model::branch::{ApiKey, Credentials};
 use bronzelock::model::header::Header;
 use bronzelock::platform::operator::decode_config;
@@ -83,7 +84,7 @@
                 .collect(),
             keep_alive: true,
         },
-        body: bytes::Bytes::new(),
+        body: Body::default(),
     };
     let mut request = decode(request).expect("a request");
     assert_eq!(take_credentials(&mut request.headers), *credentials);
--- a/tests/host/connection_pool.rs
+++ b/tests/host/connection_pool.rs
@@ -1,13 +1,19 @@
 //! Connections to the backend server that are kept for reuse.
 
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::Arc;
 use std::time::Duration;
 
+use bronzelock::edge::http1::BodyBudget;
 use bronzelock::host::server::connection_pool::ConnectionPool;
 use bronzelock::model::request::Effect;
 use standins::proxy::{ConnectionFault, Proxy};
 use tokio::net::TcpListener;
 
+fn budget() -> Arc<BodyBudget> {
+    Arc::new(BodyBudget::new(1 << 20))
+}
+
 /// Time after a disruption from which hosts are in touch again: the users' `contact-s`.
 const CONTACT: Duration = Duration::from_secs(3);
 
@@ -15,7 +21,7 @@
 #[tokio::test]
 async fn a_connection_in_use_while_all_are_closed_is_not_reused() {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
-    let pool = ConnectionPool::new(listener.local_addr().expect("an address"));
+    let pool = ConnectionPool::new(listener.local_addr().expect("an address"), budget());
     let mut accepted = Vec::new();
     for (closes_all, expected_reuse) in [(false, true), (true, false)] {
         let in_use = pool.open().await.expect("a connection");
@@ -36,7 +42,7 @@
     let server = TcpListener::bind(loopback).await.expect("a listener");
     let address = server.local_addr().expect("an address");
     let proxy = Proxy::start(loopback, address).await.expect("a proxy");
-    let pool = ConnectionPool::new(proxy.address());
+    let pool = ConnectionPool::new(proxy.address(), budget());
     let (opened, accepted) = tokio::join!(pool.acquire(Effect::Idempotent), server.accept());
     let _open = accepted.expect("a connection");
     pool.release(opened.expect("a connection"));
--- a/tests/host/crash_watch.rs
+++ b/tests/host/crash_watch.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bronzelock::decision::host::crash_watch::{CrashId, CrashWatch, LostRun};
+use bronzelock::model::body::Body;
 use bronzelock::model::request_digest::{RequestContent, RequestDigest};
 
 const FIRST: CrashId = CrashId(1);
@@ -86,12 +87,13 @@
 /// Another caller's request must not get the digest of a harmful one.
 #[test]
 fn each_part_of_a_request_counts_for_its_digest() {
+    let (body, other_body, empty) = (Body::from("x"), Body::from("y"), Body::default());
     let content = RequestContent {
         caller_service: b"herd",
         host: b"h",
         method: b"GET",
         target: b"/a",
-        body: b"x",
+        body: &body,
     };
     let others = [
         RequestContent {
@@ -108,7 +110,7 @@
         },
         RequestContent {
             target: b"/ax",
-            body: b"",
+            body: &empty,
             ..content
         },
         RequestContent {
@@ -116,7 +118,7 @@
             ..content
         },
         RequestContent {
-            body: b"y",
+            body: &other_body,
             ..content
         },
     ];
--- a/tests/host/cut_answers.rs
+++ b/tests/host/cut_answers.rs
@@ -69,7 +69,7 @@
     let stream = TcpStream::connect(server).await.expect("a connection");
     let mut connection = ClientConnection::new(stream);
     connection
-        .exchange(request, head_only, LIMITS, |_any| true)
+        .exchange(request.into(), head_only, LIMITS, |_any| true)
         .await
 }
 
--- a/tests/host/event_log.rs
+++ b/tests/host/event_log.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bronzelock::edge::connections::Connections;
-use bronzelock::edge::http1::server::{self, Handler, RejectedRequest, ServerLimits};
+use bronzelock::edge::http1::server::{self, Handler, Listener, RejectedRequest, ServerLimits};
 use bronzelock::edge::http1::{MessageLimits, Request, Response};
 use bronzelock::host::context::Host;
 use bronzelock::host::entry::callers::CallerHandler;
@@ -15,6 +15,7 @@
 use bronzelock::host::observe::request_lines::{Completed, Run};
 use bronzelock::kernel::clock::Clock;
 use bronzelock::kernel::stop::Stop;
+use bronzelock::model::header::Header;
 use bronzelock::model::names::ServiceName;
 use bronzelock::platform::names;
 use serde_json::{Value, json};
@@ -234,7 +235,7 @@
         Response::new(200, Vec::new(), "")
     }
 
-    fn rejected(&self, rejected: &RejectedRequest<'_>) {
+    fn rejected(&self, rejected: &RejectedRequest<'_>) -> Vec<Header> {
         let target = rejected.head.map(|head| head.target.clone());
         self.0.lock().expect("no panic").push(Told {
             status: rejected.reason.status(),
@@ -242,6 +243,7 @@
             target,
             answered: rejected.answered,
         });
+        Vec::new()
     }
 }
 
@@ -251,8 +253,7 @@
     let stop = Stop::default();
     tokio::spawn(server::serve(
         Arc::clone(handler),
-        listener,
-        8,
+        Listener::new(listener, 8),
         Connections::default(),
         stop.clone(),
     ));
--- a/tests/host/http1.rs
+++ b/tests/host/http1.rs
@@ -6,7 +6,7 @@
 
 use bronzelock::edge::connections::Connections;
 use bronzelock::edge::http1::client::ClientConnection;
-use bronzelock::edge::http1::server::{self, Handler, ServerLimits};
+use bronzelock::edge::http1::server::{self, Handler, Listener, ServerLimits};
 use bronzelock::edge::http1::{
     MessageLimits, MessageReader, ReadError, Received, Request, RequestHead, Response,
 };
@@ -31,7 +31,7 @@
 async fn read(text: &str) -> Result<(RequestHead, Bytes), ReadError> {
     let mut reader = MessageReader::<RequestHead>::default();
     match reader.next(&mut text.as_bytes(), LIMITS).await? {
-        Received::Message(head, body) => Ok((head, body)),
+        Received::Message(head, body) => Ok((head, body.to_bytes())),
         Received::ContinueExpected => panic!("no Expect header was sent"),
     }
 }
@@ -97,8 +97,7 @@
     let stop = Stop::default();
     tokio::spawn(server::serve(
         Arc::new(handler),
-        listener,
-        8,
+        Listener::new(listener, 8),
         Connections::default(),
         stop.clone(),
     ));
@@ -194,7 +193,12 @@
     let mut connection = ClientConnection::new(scripted_server(answer).await);
     let belongs = |response: &Response| text_of(&response.head.headers, "id") == Some("7");
     let result = connection
-        .exchange(b"GET / HTTP/1.1\r\n\r\n", false, LIMITS, belongs)
+        .exchange(
+            b"GET / HTTP/1.1\r\n\r\n".as_slice().into(),
+            false,
+            LIMITS,
+            belongs,
+        )
         .await;
     (connection, result.map_err(|error| error.cause))
 }
@@ -204,7 +208,7 @@
 async fn an_answer_to_another_request_is_skipped() {
     let script = b"HTTP/1.1 200 OK\r\nid: 6\r\nContent-Length: 1\r\n\r\nxHTTP/1.1 200 OK\r\nid: 7\r\nContent-Length: 1\r\n\r\ny";
     let (_connection, result) = exchange(script).await;
-    assert_eq!(result.expect("an answer").body, "y");
+    assert_eq!(result.expect("an answer").body.to_bytes(), "y");
 }
 
 #[tokio::test]
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -24,6 +24,8 @@
 mod log_eras;
 mod log_reader;
 mod log_relay;
+mod memory;
+mod memory_limits;
 mod nested_calls;
 mod odd_entries;
 mod open_requests;
--- a/tests/host/odd_entries.rs
+++ b/tests/host/odd_entries.rs
@@ -119,7 +119,7 @@
     for text in ["1e300", "1e400", "inf", "NaN", "-1", "x"] {
         let mut head = ResponseHead::new(200);
         head.headers = vec![Header::new(names::COLD_LEFT_MS, text.to_owned())];
-        let body = bytes::Bytes::new();
+        let body = bronzelock::model::body::Body::default();
         let report = answers::decode_facts(&Response { head, body }).report;
         let host = announced_host(server());
         host.gate
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -11,6 +11,7 @@
 use bronzelock::host::peers::peer_rpc::WireWork;
 use bronzelock::host::peers::relay_connection::RelayConnection;
 use bronzelock::kernel::tasks::Tasks;
+use bronzelock::model::body::Body;
 use bronzelock::model::host_request::{HostWork, Timing};
 use bronzelock::model::ids::Incarnation;
 use bronzelock::model::names::ServiceName;
@@ -153,6 +154,7 @@
         id: "7".into(),
         effect: Effect::NonIdempotent,
         work: work(),
+        in_pieces: None,
         time_left,
     }
 }
@@ -175,7 +177,7 @@
         method: "POST".to_owned(),
         target: "/gate/7".to_owned(),
         headers: Vec::new(),
-        body: bytes::Bytes::new(),
+        body: Body::default(),
         digest: OnceLock::new(),
     };
     WireWork::new(work, 0)
--- a/tests/host/platform.rs
+++ b/tests/host/platform.rs
@@ -2,13 +2,13 @@
 
 use bronzelock::decision::host::announcement::AnnouncedState;
 use bronzelock::edge::http1::{Request, RequestHead, Response, ResponseHead};
+use bronzelock::model::body::Body;
 use bronzelock::model::header::Header;
 use bronzelock::model::names::ZoneName;
 use bronzelock::model::request::Effect;
 use bronzelock::platform::announcements::{self, Message};
 use bronzelock::platform::operator::{self, Subject};
 use bronzelock::platform::{answers, requests};
-use bytes::Bytes;
 
 const OWN: &str = "10.0.0.1:8080";
 
@@ -93,7 +93,7 @@
             headers,
             keep_alive: true,
         },
-        body: Bytes::new(),
+        body: Body::default(),
     }
 }
 
@@ -137,7 +137,7 @@
     ];
     let facts = answers::decode_facts(&Response {
         head,
-        body: Bytes::new(),
+        body: Body::default(),
     });
     assert!(facts.not_run && !facts.signed);
     assert_eq!(facts.report.slots, Some(12));
--- a/tests/host/request_reading.rs
+++ b/tests/host/request_reading.rs
@@ -5,9 +5,10 @@
 use std::time::Duration;
 
 use bronzelock::edge::connections::Connections;
-use bronzelock::edge::http1::server::{self, Handler, RejectedRequest, ServerLimits};
+use bronzelock::edge::http1::server::{self, Handler, Listener, RejectedRequest, ServerLimits};
 use bronzelock::edge::http1::{MessageLimits, Request, Response};
 use bronzelock::kernel::stop::Stop;
+use bronzelock::model::header::Header;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWriteExt};
@@ -52,13 +53,14 @@
         tokio::time::sleep(Duration::from_millis(pause_ms.unwrap_or(0))).await;
         let mut body = target.into_bytes();
         body.push(b' ');
-        body.extend_from_slice(&request.body);
+        body.extend_from_slice(&request.body.to_bytes());
         Response::new(200, Vec::new(), body)
     }
 
-    fn rejected(&self, rejected: &RejectedRequest<'_>) {
+    fn rejected(&self, rejected: &RejectedRequest<'_>) -> Vec<Header> {
         let mut all = self.rejected.lock().expect("no panic");
         all.push(format!("{:?}: {}", rejected.reason, rejected.detail));
+        Vec::new()
     }
 }
 
@@ -78,8 +80,7 @@
     let stop = Stop::default();
     tokio::spawn(server::serve(
         Arc::clone(&handler),
-        listener,
-        16,
+        Listener::new(listener, 16),
         Connections::default(),
         stop.clone(),
     ));
--- a/tests/host/server_limit.rs
+++ b/tests/host/server_limit.rs
@@ -7,6 +7,7 @@
 };
 use bronzelock::decision::host::server_limit::LimitChange;
 use bronzelock::edge::http1::{Response, ResponseHead};
+use bronzelock::model::body::Body;
 use bronzelock::model::header::Header;
 use bronzelock::model::host_request::LimitStatement;
 use bronzelock::model::ids::Incarnation;
@@ -367,7 +368,7 @@
             headers: headers.collect(),
             ..ResponseHead::new(200)
         },
-        body: bytes::Bytes::new(),
+        body: Body::default(),
     };
     assert_eq!(answers::decode_facts(&response).statements.limit, *expected);
 }
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -25,6 +25,7 @@
 mod rollouts;
 mod server_statements;
 mod silent_links;
+#[allow(dead_code, reason = "shared with other test programs")]
 mod site;
 mod soak;
 mod starting;
