Requests go on while their caller reads no answers

Cause: beyond 256 KiB of unwritten answers a connection stopped to poll its other requests. Those that had been sent to the backend server kept their slots until the caller left: in a trace nine of nine slots were taken by such requests all the while, 21 waited, and ordinary ones were refused as deadline-unreachable.

Change: requests are driven on whether their answers are read or not. What bounded the answers before is the number of requests of a connection that run or whose answers are unwritten, and the memory that each answer has reserved.

--- a/src/edge/http1/server/connection.rs
+++ b/src/edge/http1/server/connection.rs
@@ -24,10 +24,7 @@
 use crate::model::body::Body;
 use crate::model::header::Header;
 
-/// Unwritten response bytes above which no further responses are awaited.
-const UNWRITTEN_BYTES_MAX: usize = 256 << 10;
-
-/// Maximum number of concurrent requests per connection.
+/// Maximum number of requests per connection that run or whose responses are unwritten.
 const PIPELINED_REQUESTS_MAX: usize = 32;
 
 /// Memory that is reserved for the answer to each request, in bytes.
@@ -157,7 +154,7 @@
                 return self.linger().await;
             }
             let may_read = if reading.accepts_bytes() {
-                pending.len() < self.pipelined_requests_max()
+                pending.len() + self.unwritten_held.len() < self.pipelined_requests_max()
             } else {
                 !pending.is_empty()
             };
@@ -178,7 +175,6 @@
                 Reading::Current { .. } => true,
                 Reading::Nothing => !self.unwritten.is_empty(),
             };
-            let take_responses = !pending.is_empty() && self.unwritten.len() < UNWRITTEN_BYTES_MAX;
             let message_gives_way = self.reader.memory.give_way.clone();
             tokio::select! {
                 biased;
@@ -188,7 +184,8 @@
                         Err(_broken) => return,
                     }
                 }
-                Some(outgoing) = pending.next(), if take_responses => {
+                // Also while the caller does not read: what runs occupies the backend server.
+                Some(outgoing) = pending.next(), if !pending.is_empty() => {
                     let last = pending.is_empty() && !self.reader.is_within_message();
                     if self.write(outgoing, last) {
                         reading = Reading::Nothing;
