Idle and stalled connections give way to new ones

Cause: the listener waited for a place before it accepted, and nothing gave one up.

Change: each connection says what it does (edge/http1/server/occupancy). When a new one finds all places taken, the one that has been idle for the longest time closes, else the one whose transfer has stalled for the longest time; running requests never end for it (decision/memory/places).

Evidence: idle_connections, short_heads, the_oldest_idle_connection_closes_for_a_new_one, a_stalled_head_closes_for_a_new_connection.

--- a/src/edge/http1/server/occupancy.rs
+++ b/src/edge/http1/server/occupancy.rs
@@ -76,6 +76,7 @@
             if let Some(place) = self.try_take_place() {
                 return place;
             }
+            self.make_way();
             tokio::select! {
                 () = freed => {}
                 () = tokio::time::sleep(RETRY_PERIOD) => {}
--- a/tests/host/memory_limits.rs
+++ b/tests/host/memory_limits.rs
@@ -203,3 +203,33 @@
         assert_eq!(budget.reserved_bytes(), 0);
     }
 }
+
+/// Nobody was answered for as long as idle connections occupied the limit.
+#[tokio::test]
+async fn the_oldest_idle_connection_closes_for_a_new_one() {
+    let served = serve().await;
+    let mut idle = Vec::new();
+    for _ in 0..CONNECTIONS_MAX {
+        let mut stream = served.send(GET).await;
+        assert!(first_line(&mut stream).await.contains(" 200 "));
+        idle.push(stream);
+    }
+    assert!(served.ask(GET).await.contains(" 200 "));
+    let mut rest = Vec::new();
+    let closed = idle[0].read_to_end(&mut rest).await;
+    assert!(closed.is_ok(), "closed without a reset: {closed:?}");
+    idle[3].write_all(GET).await.expect("still open");
+    assert!(!first_line(&mut idle[3]).await.is_empty());
+}
+
+/// Heads short of their end occupied the limit until they timed out.
+#[tokio::test]
+async fn a_stalled_head_closes_for_a_new_connection() {
+    let served = serve().await;
+    let mut stalled = Vec::new();
+    for _ in 0..CONNECTIONS_MAX {
+        stalled.push(served.send(b"GET /a HTTP/1.1\r\nX: ").await);
+    }
+    let answer = tokio::time::timeout(Duration::from_secs(10), served.ask(GET)).await;
+    assert!(answer.expect("an answer").contains(" 200 "));
+}
