Bodies of the product's node take their memory before they are read, and give way when they stall

Found by reading, not by a run: two callers that send bodies without their last byte fill caller.bodies_bytes_max, and a proper request gets 429 until their deadlines pass.

Cause: the count of bodies grew as bytes arrived, whatever became of them; several bodies could each hold a part. While a body was moved to a longer buffer, both existed and one was counted.

Change: the count is a BodyBudget. The announced length is reserved before the body is read; one in chunks reserves the longer buffer before it is moved. A body that stalls while another needs its memory is refused as not run (no-memory, 503).

--- a/src/request/entry.rs
+++ b/src/request/entry.rs
@@ -1,17 +1,18 @@
 //! Handles a caller's HTTP request, from reading it to writing the response.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use bytes::{Buf, Bytes, BytesMut};
 use futures::{Stream, StreamExt};
-use warp::http::{HeaderName, HeaderValue, Response, StatusCode, header};
+use tokio_util::sync::CancellationToken;
+use warp::http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header};
 
 use super::attempt::{self, CallOutcome};
 use super::call::{Answer, Call, Failure, Step};
 use super::classify::{self, HttpRequest, refuse};
 use super::{headers, problem, ticketed};
 use crate::decision::ticket::with_unknown_run_state;
+use crate::edge::http1::{BodyBudget, Reservation};
 use crate::kernel::Kernel;
 use crate::kernel::metrics::Event;
 use crate::model::ids::RequestId;
@@ -116,7 +117,7 @@
 /// The body counts towards the node's limit until the call ends.
 struct AcceptedCall {
     call: Call,
-    _buffered: BufferedBytes,
+    _memory: Reservation,
 }
 
 async fn accept<B: Buf>(
@@ -136,70 +137,74 @@
         .map_or(0, |service| service.body_bytes_max)
         .min(kernel.settings.caller.body_bytes_max);
     let deadline = kernel.clock.instant_at(call.deadline_us);
-    let mut buffered = BufferedBytes {
-        kernel: Arc::clone(kernel),
-        count: 0,
-    };
-    let reading = read_body(&mut buffered, body, body_bytes_max);
-    call.body = match tokio::time::timeout_at(deadline.into(), reading).await {
-        Ok(body) => body?,
+    let reading = read_body(kernel, &request.headers, body, body_bytes_max as usize);
+    let (body, memory) = match tokio::time::timeout_at(deadline.into(), reading).await {
+        Ok(read) => read?,
         Err(_elapsed) => return Err(refuse(RefusalReason::DeadlineLapsed)),
     };
+    call.body = body;
     Ok(AcceptedCall {
         call,
-        _buffered: buffered,
+        _memory: memory,
     })
 }
 
+/// Reads a body, whose memory is reserved before it is read if its length is announced.
+///
+/// A body that stalls while others need its memory is refused.
 async fn read_body<B: Buf>(
-    buffered: &mut BufferedBytes,
+    kernel: &Kernel,
+    fields: &HeaderMap,
     body: impl Stream<Item = Result<B, warp::Error>> + Send,
-    bytes_max: u64,
-) -> Result<Bytes, Failure> {
-    let mut whole = BytesMut::new();
+    bytes_max: usize,
+) -> Result<(Bytes, Reservation), Failure> {
+    let budget = &kernel.state.bodies;
+    let announced = fields.get(header::CONTENT_LENGTH);
+    let announced = announced.and_then(|length| length.to_str().ok()?.parse::<usize>().ok());
+    let announced_bytes = announced.unwrap_or(0);
+    if announced_bytes > bytes_max {
+        return Err(refuse(RefusalReason::BodyTooLarge));
+    }
+    let mut memory = reserve_body(budget, announced_bytes).await?;
+    let mut whole = BytesMut::with_capacity(announced_bytes);
+    let give_way = CancellationToken::new();
+    let transfer = budget.transfer(give_way.clone());
     tokio::pin!(body);
-    while let Some(part) = body.next().await {
+    loop {
+        let next = tokio::select! {
+            next = body.next() => next,
+            () = give_way.cancelled() => return Err(refuse(RefusalReason::NoMemory)),
+        };
+        let Some(part) = next else {
+            return Ok((whole.freeze(), memory));
+        };
         let mut part = part.map_err(|_broken| refuse(RefusalReason::BadRequest))?;
-        let part_bytes = part.remaining() as u64;
-        if whole.len() as u64 + part_bytes > bytes_max {
+        let part_bytes = part.remaining();
+        let length = whole.len() + part_bytes;
+        if length > bytes_max {
             return Err(refuse(RefusalReason::BodyTooLarge));
         }
-        buffered.add(part_bytes)?;
-        whole.extend_from_slice(&part.copy_to_bytes(part.remaining()));
+        if length > whole.capacity() {
+            // The bytes are moved to a longer buffer, and both exist meanwhile.
+            let longer_bytes = length.max(2 * whole.capacity()).min(bytes_max);
+            let longer_memory = reserve_body(budget, longer_bytes).await?;
+            let mut longer = BytesMut::with_capacity(longer_bytes);
+            longer.extend_from_slice(&whole);
+            (whole, memory) = (longer, longer_memory);
+        }
+        whole.extend_from_slice(&part.copy_to_bytes(part_bytes));
+        transfer.advance(part_bytes, memory.bytes());
     }
-    Ok(whole.freeze())
 }
 
-/// Number of body bytes that a request keeps in memory.
-struct BufferedBytes {
-    kernel: Arc<Kernel>,
-    count: u64,
-}
-
-impl BufferedBytes {
-    fn total(&self) -> &AtomicU64 {
-        &self.kernel.state.bodies_bytes
-    }
-
-    fn add(&mut self, more: u64) -> Result<(), Failure> {
-        let total = self.total().fetch_add(more, Ordering::Relaxed) + more;
-        self.count += more;
-        if total > self.kernel.settings.caller.bodies_bytes_max {
-            return Err(refuse(RefusalReason::QueueFull).retry_after(BODIES_RETRY_AFTER_MS));
-        }
-        Ok(())
-    }
+async fn reserve_body(budget: &Arc<BodyBudget>, bytes: usize) -> Result<Reservation, Failure> {
+    let reserved = budget.reserve_or_make_room(bytes).await;
+    reserved.ok_or_else(|| refuse(RefusalReason::QueueFull).retry_after(BODIES_RETRY_AFTER_MS))
 }
 
 /// Retry-after time while request bodies use up the node's limit, in ms.
 const BODIES_RETRY_AFTER_MS: u64 = 100;
 
-impl Drop for BufferedBytes {
-    fn drop(&mut self) {
-        self.total().fetch_sub(self.count, Ordering::Relaxed);
-    }
-}
-
 fn answer_response(answer: Answer) -> Response<Bytes> {
     let failed = answer.is_server_error();
     let mut response = Response::new(answer.body);
--- a/src/request/state.rs
+++ b/src/request/state.rs
@@ -16,6 +16,7 @@
 use crate::decision::retry::RetryBudget;
 use crate::decision::routing::Router;
 use crate::decision::ticket::TicketKey;
+use crate::edge::http1::BodyBudget;
 use crate::edge::peer_client::PeerPool;
 use crate::edge::server_pool::ServerPool;
 use crate::kernel::clock::Clock;
@@ -107,8 +108,8 @@
     pub peers: Shards<HashMap<ServerName, PeerInfo>>,
     /// Connections to peer nodes.
     pub peer_pool: PeerPool,
-    /// Total size of request bodies in memory, in bytes.
-    pub bodies_bytes: AtomicU64,
+    /// Memory for the bodies of requests.
+    pub bodies: Arc<BodyBudget>,
     /// When the last complete answer of the backend server arrived, in µs.
     pub last_answer_us: AtomicU64,
 }
@@ -144,7 +145,7 @@
             retry_budget: Mutex::new(RetryBudget::new(retry)),
             peers: Shards::new(SHARD_COUNT, HashMap::new),
             peer_pool: PeerPool::new(settings.peer.clone(), tasks.clone()),
-            bodies_bytes: AtomicU64::new(0),
+            bodies: Arc::new(BodyBudget::new(settings.caller.bodies_bytes_max as usize)),
             last_answer_us: AtomicU64::new(0),
         }
     }
--- a/tests/bad_input/caller_body.rs
+++ b/tests/bad_input/caller_body.rs
@@ -1,6 +1,6 @@
 //! Bodies of callers' requests that are too long, cut or slow.
 
-use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use tokio::io::AsyncWriteExt;
 
@@ -8,6 +8,9 @@
     BODIES_BYTES_MAX, BODY_BYTES_MAX, TestNode, cases, eventually, problem_of, read_to_end, start,
 };
 
+/// Time after which a body without progress has stalled.
+const STALLED: Duration = Duration::from_millis(1_200);
+
 /// Requests whose bodies together exceed what the node holds.
 const MANY: usize = 6;
 
@@ -86,8 +89,30 @@
         }
         let whole = BODIES_BYTES_MAX / BODY_BYTES_MAX;
         node.wait_for_counter("refused.queue-full", (MANY - whole) as u64).await;
-        let held = node.kernel().state.bodies_bytes.load(Ordering::Relaxed);
-        assert!(held <= BODIES_BYTES_MAX as u64, "{held} bytes");
+        let held = node.kernel().state.bodies.reserved_bytes();
+        assert!(held <= BODIES_BYTES_MAX, "{held} bytes");
+        drop(streams);
+        node.assert_unharmed().await;
+    }
+
+    // Bodies short of their end kept all others out until their deadlines.
+    bodies_that_stall_give_way_to_others => {
+        let node = start().await;
+        let part = "x".repeat(BODY_BYTES_MAX - 1);
+        let begun = head(&format!("content-length: {BODY_BYTES_MAX}"), 60_000) + &part;
+        let mut streams = Vec::new();
+        for _ in 0..BODIES_BYTES_MAX / BODY_BYTES_MAX {
+            let mut stream = node.connect().await.expect("a connection");
+            stream.write_all(begun.as_bytes()).await.expect("written");
+            streams.push(stream);
+        }
+        tokio::time::sleep(STALLED).await;
+        let whole = begun.clone() + "x";
+        let answer = node.exchange(whole.as_bytes()).await.expect("a connection");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
+        let given_up = read_to_end(&mut streams[0]).await;
+        let (code, problem) = problem_of(&given_up);
+        assert_eq!((code, problem["not_run"].as_bool()), (503, Some(true)), "{given_up}");
         drop(streams);
         node.assert_unharmed().await;
     }
--- a/tests/bad_input/support.rs
+++ b/tests/bad_input/support.rs
@@ -177,8 +177,8 @@
         let request = b"GET /herd/after HTTP/1.1\r\nhost: t\r\nconnection: close\r\n\r\n";
         let answer = self.exchange(request).await.expect("a connection");
         assert!(answer.starts_with("HTTP/1.1 200"), "{answer}");
-        let held = &self.kernel().state.bodies_bytes;
-        eventually("no body is held", || held.load(Ordering::Relaxed) == 0).await;
+        let bodies = &self.kernel().state.bodies;
+        eventually("no body is held", || bodies.reserved_bytes() == 0).await;
     }
 }
 
