The time that a long body took is not handed to the backend server

A body above 64 KiB goes ahead of its request, whose time left was computed before. On a link that takes half a second for it the backend server was handed that much more than was left (BUDGET); a whole frame had the same gap. Found by reading. The time is taken off when the request is sent, and the calls of one request share its deadline.

tests/host/peer_client: time_that_a_body_took_is_not_handed_on.

--- a/src/host/peers/awaited_call.rs
+++ b/src/host/peers/awaited_call.rs
@@ -91,12 +91,15 @@
     ) -> Result<PeerOutcome, PeerError> {
         let address = request.address;
         let connection = self.checked_connection(address).await?;
-        let time_left = request.time_left + REPLY_GRACE;
-        let mut exchange = self.exchange(&connection, request.in_pieces, time_left);
+        let deadline = Instant::now() + request.time_left + REPLY_GRACE;
+        let mut exchange = self.exchange(&connection, request.in_pieces, deadline);
+        let mut work = request.work;
+        let began = Instant::now();
         if let Some(refusal) = self.send_body(address, &connection, &mut exchange).await? {
             return Ok(refusal);
         }
-        let call = exchange.execute(request.work);
+        work.spend(began.elapsed());
+        let call = exchange.execute(work);
         tokio::pin!(call);
         let sent = Sent {
             clients: self,
@@ -104,7 +107,7 @@
             incarnation: request.incarnation,
             id: request.id,
             effect: request.effect,
-            deadline: Instant::now() + time_left,
+            deadline,
             on_silence,
         };
         let error = tokio::select! {
--- a/src/host/peers/body_exchange.rs
+++ b/src/host/peers/body_exchange.rs
@@ -7,6 +7,8 @@
 use futures::stream::FuturesOrdered;
 use futures::{StreamExt, TryStreamExt, stream};
 use tarpc::client::RpcError;
+use tarpc::context::Context;
+use tokio::time::Instant;
 
 use crate::edge::http1::server::ANSWER_RESERVED_BYTES;
 use crate::edge::http1::{BodyBudget, SMALL_BODY_BYTES, with_reservation};
@@ -81,7 +83,7 @@
     in_pieces: Option<InPieces>,
     /// Pieces that were not sent ahead, with their offsets.
     last_pieces: Vec<(u64, Bytes)>,
-    time_left: Duration,
+    deadline: Instant,
     tasks: Tasks,
     /// Whether the other node may keep something of a body.
     is_body_kept: bool,
@@ -93,7 +95,7 @@
         connection: Connection,
         number: BodyNumber,
         in_pieces: Option<InPieces>,
-        time_left: Duration,
+        deadline: Instant,
         tasks: Tasks,
     ) -> Self {
         Self {
@@ -101,12 +103,16 @@
             number,
             in_pieces,
             last_pieces: Vec::new(),
-            time_left,
+            deadline,
             tasks,
             is_body_kept: false,
         }
     }
 
+    fn context(&self) -> Context {
+        context(self.deadline.saturating_duration_since(Instant::now()))
+    }
+
     /// Sends a long body ahead of the request, but for its last pieces, which need no answer before
     /// the request; returns false if the other node has no memory for it.
     ///
@@ -121,7 +127,7 @@
             return Ok(true);
         };
         let client = &self.connection.client;
-        let deadline = context(self.time_left);
+        let deadline = self.context();
         self.is_body_kept = true;
         if !client
             .begin_body(deadline, self.number, body.len() as u64)
@@ -159,7 +165,7 @@
     /// [`RpcError`] if the connection fails or the deadline passes.
     pub(super) async fn execute(&mut self, work: WireWork) -> Result<PeerOutcome, RpcError> {
         let client = &self.connection.client;
-        let deadline = context(self.time_left);
+        let deadline = self.context();
         let Some(in_pieces) = &self.in_pieces else {
             return Ok(client.run(deadline, work).await?.into());
         };
@@ -207,7 +213,7 @@
             return Ok(None);
         };
         let client = &self.connection.client;
-        let (deadline, number) = (context(self.time_left), self.number);
+        let (deadline, number) = (self.context(), self.number);
         let calls = (0..kept.pieces).map(|index| client.answer_piece(deadline, number, index));
         let pieces = stream::iter(calls).buffered(PIECES_IN_FLIGHT_MAX);
         let pieces: Vec<Option<Bytes>> = pieces.try_collect().await?;
--- a/src/host/peers/peer_client.rs
+++ b/src/host/peers/peer_client.rs
@@ -10,6 +10,7 @@
 use displaydoc::Display;
 use tarpc::client::RpcError;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::decision::host::keyed_state::Snapshot;
@@ -217,11 +218,11 @@
         &self,
         connection: &Connection,
         in_pieces: Option<InPieces>,
-        time_left: Duration,
+        deadline: Instant,
     ) -> Exchange {
         let number = self.exchanges.fetch_add(1, Ordering::Relaxed);
         let tasks = self.tasks.clone();
-        Exchange::new(connection.clone(), number, in_pieces, time_left, tasks)
+        Exchange::new(connection.clone(), number, in_pieces, deadline, tasks)
     }
 
     /// Drops all connections, at the end of the process.
--- a/src/host/peers/peer_rpc.rs
+++ b/src/host/peers/peer_rpc.rs
@@ -2,6 +2,7 @@
 
 use std::net::IpAddr;
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -148,6 +149,13 @@
         }
     }
 
+    /// Takes time off that has passed since the wire form was created.
+    pub fn spend(&mut self, passed: Duration) {
+        let passed_us = passed.as_micros() as u64;
+        self.left_us = self.left_us.saturating_sub(passed_us);
+        self.objective_left_us = self.objective_left_us.saturating_sub(passed_us);
+    }
+
     /// Converts to a request at time `now_us` of the receiver's clock.
     ///
     /// # Errors
--- a/tests/host/peer_client.rs
+++ b/tests/host/peer_client.rs
@@ -182,3 +182,14 @@
     };
     WireWork::new(work, 0)
 }
+
+/// Guards against backend servers that are handed more time than is left, after a long body that was
+/// sent ahead of its request.
+#[test]
+fn time_that_a_body_took_is_not_handed_on() {
+    let mut work = work();
+    work.spend(Duration::from_millis(300));
+    let received = work.into_work(0).expect("a valid name");
+    assert_eq!(received.timing.deadline_us, 700_000);
+    assert_eq!(received.timing.objective_at_us, 200_000);
+}
