review: case 12, a configuration that the last readers of the log learn late

Seen: six of eight machines are lost while the open connections to the store fall silent. The two that are left answer by the configuration before until 6.5 s after the acknowledgement of the next one.

Cause: the length of a poll is chosen when it begins, for the number of nodes that follow the log then; those that are left wait in polls that are never answered.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -5,5 +5,5 @@
 cd "$folder/../.." || exit 2
 temporary=$(mktemp -d) || exit 2
 trap 'rm -rf "$temporary"' EXIT
-[ -x target/review-3/held_order ] || exit 2
-target/review-3/held_order "$folder" "$temporary"
+[ -x target/review-3/last_readers ] || exit 2
+target/review-3/last_readers "$folder" "$temporary"
--- a/review/cases-3/lab.rs
+++ b/review/cases-3/lab.rs
@@ -187,17 +187,21 @@
 pub struct Store {
     topics: Arc<(Mutex<HashMap<String, Topic>>, Condvar)>,
     pub address: SocketAddr,
-    /// Calls are answered so much later.
-    pub delay_ms: Arc<AtomicU64>,
+    /// Number of times that the open connections fell silent.
+    silences: Arc<AtomicU64>,
 }
 impl Store {
     pub fn start(address: SocketAddr) -> Self {
         let listener = TcpListener::bind(address).expect("the store's address is free");
-        let store = Self { topics: Arc::default(), address, delay_ms: Arc::default() };
+        let store = Self { topics: Arc::default(), address, silences: Arc::default() };
         let served = store.clone();
         serve(listener, move |stream| served.connection(stream));
         store
     }
+    /// Answers nothing more on the connections that are open now; new ones work.
+    pub fn fall_silent(&self) {
+        self.silences.fetch_add(1, SeqCst);
+    }
     /// Writes a record as the operator does; an empty value deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: &[u8]) {
         let mut record = vec![key.len() as u8];
@@ -227,9 +231,13 @@
     fn connection(&self, stream: TcpStream) {
         let mut output = stream.try_clone().unwrap();
         let mut reader = Reader::new(stream);
+        let silences = self.silences.load(SeqCst);
         while let Ok(Some(call)) = reader.next() {
-            sleep_ms(2 + self.delay_ms.load(SeqCst));
+            sleep_ms(2);
             let (status, body) = self.answer(&call);
+            if self.silences.load(SeqCst) != silences {
+                continue;
+            }
             let head = format!("HTTP/1.1 {status} -");
             let kind = ("Content-Type", "application/json".to_owned());
             let answer = encode(&head, &[kind, ("Store-Era", "0".to_owned())], &body);
@@ -336,7 +344,7 @@
                 b: (seed >> 16) as u8 % 200 + 20,
                 port: 20_000 + (seed % 10_000) as u16,
             };
-            let free = (1..6).all(|m| {
+            let free = (1..9).all(|m| {
                 (0..6).all(|p| TcpListener::bind(net.at(m, p)).is_ok())
                     && UdpSocket::bind(net.at(m, 6)).is_ok()
             });
@@ -478,6 +486,8 @@
     control: SocketAddr,
     pub draining: Arc<AtomicBool>,
     pub silent: Arc<AtomicBool>,
+    /// Whether it has ended: it answers nothing and accepts no connections.
+    pub ended: Arc<AtomicBool>,
     pub healthy: Arc<AtomicBool>,
     /// How long work takes now, in percent of the usual time.
     pub slowness: Arc<AtomicU64>,
@@ -502,6 +512,7 @@
             control: net.at(machine, CONTROL),
             draining: Arc::default(),
             silent: Arc::default(),
+            ended: Arc::default(),
             healthy: Arc::new(AtomicBool::new(true)),
             slowness: Arc::new(AtomicU64::new(100)),
             slots: 12,
@@ -521,6 +532,11 @@
         });
         backend
     }
+    /// Ends it for good, without a word.
+    pub fn end(&self) {
+        self.silent.store(true, SeqCst);
+        self.ended.store(true, SeqCst);
+    }
     pub fn announce(&self, record: &Record) {
         let draining = self.draining.load(SeqCst);
         let state = if draining { "draining" } else { "ready" };
@@ -549,6 +565,9 @@
         let mut output = stream.try_clone().unwrap();
         let mut reader = Reader::new(stream);
         while let Ok(Some(request)) = reader.next() {
+            if self.ended.load(SeqCst) {
+                return;
+            }
             if request.target() == "/health" {
                 let good = self.healthy.load(SeqCst) && !self.draining.load(SeqCst);
                 let status = if good { "200 OK" } else { "503 Service Unavailable" };
@@ -638,7 +657,7 @@
     std::env::var("TROUBLE").map_or(true, |trouble| trouble != "0")
 }
 
-/// A small deployment: one node and one backend server a machine, all in one availability zone.
+/// A small deployment: one node and one backend server a machine.
 pub struct Deployment {
     pub net: Net,
     pub store: Store,
@@ -647,22 +666,30 @@
 }
 
 impl Deployment {
-    /// Starts machines with these services, from machine 1 on, and waits until all are in touch.
+    /// Starts machines with these services in one availability zone; see [`Self::start_in`].
     pub fn start(
         services: &[&str], config: &[u8], record: &Record, folder: &Path, handler: Arc<Handler>,
+    ) -> Self {
+        let places: Vec<_> = services.iter().map(|service| (*service, "jyl-a")).collect();
+        Self::start_in(&places, config, record, folder, handler)
+    }
+    /// Starts machines with these services and availability zones, from machine 1 on, and waits until
+    /// all are in touch.
+    pub fn start_in(
+        places: &[(&str, &str)], config: &[u8], record: &Record, folder: &Path,
+        handler: Arc<Handler>,
     ) -> Self {
         let net = Net::free();
         let store = Store::start(net.at(1, STORE));
         store.put("keyed.op", "config", config);
-        let zone = "ratchaburi";
-        let machines = || (1u8..).zip(services);
+        let machines = || (1u8..).zip(places);
         let mut nodes: Vec<Node> = machines()
-            .map(|(machine, service)| Node::new(net, machine, service, zone, folder))
+            .map(|(machine, (service, zone))| Node::new(net, machine, service, zone, folder))
             .collect();
         for node in &mut nodes {
             node.start(true);
         }
-        let backends = machines().map(|(machine, service)| {
+        let backends = machines().map(|(machine, (service, zone))| {
             let instance = format!("i-{service}-{machine}");
             Backend::start(net, machine, &instance, service, zone, record, Arc::clone(&handler))
         });
