--- a/review/cases-3/lab.rs
+++ b/review/cases-3/lab.rs
@@ -491,6 +491,8 @@
     pub healthy: Arc<AtomicBool>,
     /// How long work takes now, in percent of the usual time.
     pub slowness: Arc<AtomicU64>,
+    /// Whether its health answers tell its load, and with it the slowness.
+    pub tells_load: Arc<AtomicBool>,
     pub slots: usize,
     sequence: AtomicU64,
     /// Time of the first acknowledged `draining`, in ms of the record.
@@ -515,6 +517,7 @@
             ended: Arc::default(),
             healthy: Arc::new(AtomicBool::new(true)),
             slowness: Arc::new(AtomicU64::new(100)),
+            tells_load: Arc::new(AtomicBool::new(true)),
             slots: 12,
             sequence: AtomicU64::new(0),
             drain_acked_ms: Arc::new(AtomicU64::new(0)),
@@ -571,10 +574,10 @@
             if request.target() == "/health" {
                 let good = self.healthy.load(SeqCst) && !self.draining.load(SeqCst);
                 let status = if good { "200 OK" } else { "503 Service Unavailable" };
-                let headers = [
-                    ("Bronzelock-Instance-Id", self.instance.clone()),
-                    ("Bronzelock-Server-Load", self.load()),
-                ];
+                let mut headers = vec![("Bronzelock-Instance-Id", self.instance.clone())];
+                if self.tells_load.load(SeqCst) {
+                    headers.push(("Bronzelock-Server-Load", self.load()));
+                }
                 let answer = encode(&format!("HTTP/1.1 {status}"), &headers, b"");
                 if output.write_all(&answer).is_err() {
                     return;
