--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. Writes record.txt;
+# TROUBLE=0 leaves out the disruption.
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
