An order is withdrawn until its first byte once nobody awaits it

Cause: such a request runs in a task of its own. The token that tells of its caller's end was watched in the queue of the gate alone, not in the hold after it nor while a connection is opened. Ruled out: a close that is not noticed (idempotent requests are withdrawn in the same test), and one that is lost on the second hop (the same at the node that the callers had reached).

Change: "sent" and "withdrawn" are events of one state, of which the first holds; a byte that was not written after all gives the other its turn. server/unsent.rs ends each wait before that byte and asks everything anew right before it. A quarantine, a zone that goes out, a stop and an unreachable backend server end the hold as well, in place of being found at its end. While a node whose connection was lost may come back, its requests are not sent. Why it works: no wait before the first byte is left that does not look, and looking and sending are one step.

The stand-in of a backend server can say that it is slow.

--- a/src/decision/host/gate/mod.rs
+++ b/src/decision/host/gate/mod.rs
@@ -186,6 +186,15 @@
         self.server.check_service(service)
     }
 
+    /// Checks that requests for a service are let through.
+    ///
+    /// # Errors
+    /// The reason why none may be sent.
+    pub fn check_open(&self, service: &ServiceName, now_us: u64) -> Result<(), RefusalReason> {
+        self.check_service(service)?;
+        self.refusal_reason(now_us).map_or(Ok(()), Err)
+    }
+
     /// Checks right before the first byte whether a dispatched request may still be sent.
     ///
     /// Returns the identifier of the backend server that the request is meant for.
@@ -199,10 +208,7 @@
         deadline_us: u64,
         now_us: u64,
     ) -> Result<Arc<str>, RefusalReason> {
-        self.check_service(service)?;
-        if let Some(reason) = self.refusal_reason(now_us) {
-            return Err(reason);
-        }
+        self.check_open(service, now_us)?;
         let target = self.server.target().map(Arc::clone);
         let target = target.ok_or(RefusalReason::ServerAbsent)?;
         if deadline_us <= now_us {
--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -32,6 +32,7 @@
 pub mod rollout;
 pub mod run_table;
 pub mod run_times;
+pub mod send_state;
 pub mod server_limit;
 pub mod settlement;
 pub mod shared_retry_budget;
--- a/src/host/server/detached.rs
+++ b/src/host/server/detached.rs
@@ -28,8 +28,8 @@
 /// If the connection is lost, `connection_ended` is cancelled before the returned future is dropped.
 ///
 /// A non-idempotent request is claimed first. If it is already claimed here, the outcome of that
-/// run is returned. Dropping the future ends an idempotent run, and removes a non-idempotent one
-/// that still waits, unless the outcome is asked for over another connection.
+/// run is returned. Dropping the future ends an idempotent run, and withdraws a non-idempotent one
+/// of which no byte was written, unless the outcome is asked for over another connection.
 pub async fn run(
     host: &Arc<Host>,
     work: HostWork,
@@ -106,10 +106,9 @@
 
 /// Runs a request to its end, unless it is abandoned before.
 async fn carry_out(host: &Arc<Host>, work: &HostWork, number: RunNumber, execution: &Execution) {
-    let never_cancelled = CancellationToken::new();
     let outcome = match work.effect {
         Effect::Idempotent => tokio::select! {
-            outcome = execute(host, work, &never_cancelled) => outcome,
+            outcome = execute(host, work, Some(execution)) => outcome,
             () = execution.abandoned() => {
                 Outcome::failed(RequestFailure::unknown(RefusalReason::Cancelled))
             }
@@ -123,15 +122,14 @@
 
 /// Runs a non-idempotent request; once it was sent, it is not interrupted.
 async fn run_to_end(host: &Arc<Host>, work: &HostWork, execution: &Execution) -> Outcome {
-    let caller_gone = CancellationToken::new();
-    let cancel_when_abandoned = async {
+    let withdraw_when_abandoned = async {
         execution.abandoned().await;
-        caller_gone.cancel();
+        execution.withdraw();
         std::future::pending().await
     };
     let outcome = tokio::select! {
-        outcome = execute(host, work, &caller_gone) => outcome,
-        outcome = cancel_when_abandoned => outcome,
+        outcome = execute(host, work, Some(execution)) => outcome,
+        outcome = withdraw_when_abandoned => outcome,
     };
     let was_not_sent = |failure: &RequestFailure| failure.is_not_run() && !failure.arrived;
     if outcome.result.as_ref().is_err_and(was_not_sent) {
--- a/src/host/server/dispatch.rs
+++ b/src/host/server/dispatch.rs
@@ -16,8 +16,9 @@
 use crate::host::server::connection_pool::{ANSWER_LIMITS, PooledConnection};
 use crate::host::server::crashes;
 use crate::host::server::quarantine;
-use crate::host::server::run_lines::{Destination, log_run};
+use crate::host::server::run_lines::log_run;
 use crate::host::server::shared_gate::Admitted;
+use crate::host::server::unsent::Unsent;
 use crate::host::server::{probe, reachability};
 use crate::model::host_request::{HostWork, SERVER_ERROR_MIN};
 use crate::model::reasons::RefusalReason;
@@ -35,40 +36,24 @@
 /// once more over a new one.
 pub async fn send(
     host: &Arc<Host>,
-    work: &HostWork,
+    unsent: Unsent<'_>,
     tracked: &TrackedRun<'_>,
     admitted: &mut Admitted<'_>,
     measurement: &mut RunMeasurement,
 ) -> Result<Response, RequestFailure> {
-    await_slow_phase(host, work).await?;
-    let mut pooled =
-        connection_or_failure(host, host.server_connections.acquire(work.effect).await)?;
+    let work = unsent.work;
+    let mut pooled = unsent
+        .wait_for(ready_connection(host, unsent))
+        .await
+        .flatten()?;
     loop {
-        if let Err(failure) = quarantine::check(host, work) {
-            host.server_connections.release(pooled);
-            return Err(failure);
-        }
         let started_us = host.now_us();
-        let clearance = host.gate.with(|gate| {
-            measurement.slowness = gate.slowness(started_us);
-            let service = gate.server().service().clone();
-            gate.clear_to_send(
-                admitted.id,
-                &work.service,
-                work.timing.deadline_us,
-                started_us,
-            )
-            .map(|instance| Destination {
-                service,
-                instance,
-                announcement_age_us: host.learn_times.announcement.age_us(started_us),
-            })
-        });
-        let destination = match clearance {
+        measurement.slowness = host.gate.with(|gate| gate.slowness(started_us));
+        let destination = match unsent.clear_to_send(admitted.id, started_us) {
             Ok(destination) => destination,
-            Err(reason) => {
+            Err(failure) => {
                 host.server_connections.release(pooled);
-                return Err(RequestFailure::not_sent(reason));
+                return Err(failure);
             }
         };
         tracked.sent();
@@ -106,7 +91,9 @@
                 return Ok(answer);
             }
             Err(ExchangeFailure::Connection(error)) if error.nothing_written && pooled.reused => {
-                pooled = self::connection_or_failure(host, host.server_connections.open().await)?;
+                unsent.nothing_written();
+                let opened = unsent.wait_for(host.server_connections.open()).await?;
+                pooled = connection_or_failure(host, opened)?;
             }
             Err(ExchangeFailure::Connection(error)) => {
                 log::debug!(
@@ -146,18 +133,30 @@
     }
 }
 
+/// Waits until an admitted request should be sent; returns the connection for it.
+async fn ready_connection(
+    host: &Arc<Host>,
+    unsent: Unsent<'_>,
+) -> Result<PooledConnection, RequestFailure> {
+    await_slow_phase(host, unsent).await?;
+    unsent.until_awaited().await;
+    let acquired = host.server_connections.acquire(unsent.work.effect).await;
+    connection_or_failure(host, acquired)
+}
+
 /// Delays an admitted request during a slow phase of the backend server.
 ///
 /// The gate decides whether to send it, to hold it, or to let another host run it.
-async fn await_slow_phase(host: &Arc<Host>, work: &HostWork) -> Result<(), RequestFailure> {
+async fn await_slow_phase(host: &Arc<Host>, unsent: Unsent<'_>) -> Result<(), RequestFailure> {
     loop {
+        unsent.check_gate()?;
         if host.gate.with(|gate| gate.slowness_age_us(host.now_us())) > SLOWNESS_AGE_MAX_US {
             probe::refresh(host).await;
         }
         let now_us = host.now_us();
         let action = host
             .gate
-            .with(|gate| gate.slow_phase_action(&work.timing, now_us));
+            .with(|gate| gate.slow_phase_action(&unsent.work.timing, now_us));
         match action {
             SlowPhaseAction::Send => return Ok(()),
             SlowPhaseAction::Reroute => {
--- a/src/host/server/executions.rs
+++ b/src/host/server/executions.rs
@@ -7,6 +7,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::decision::host::run_table::RunTable;
+use crate::decision::host::send_state::SendState;
 use crate::host::outcome::{Outcome, RequestFailure};
 use crate::model::reasons::RefusalReason;
 use crate::model::units::US_PER_S;
@@ -48,6 +49,7 @@
 pub struct Execution {
     outcome: watch::Sender<Option<Outcome>>,
     awaited: watch::Sender<Awaited>,
+    send_state: watch::Sender<SendState>,
 }
 
 impl Default for Execution {
@@ -55,6 +57,7 @@
         Self {
             outcome: watch::Sender::new(None),
             awaited: watch::Sender::default(),
+            send_state: watch::Sender::default(),
         }
     }
 }
@@ -102,6 +105,40 @@
     }
 }
 
+/// The first byte, and who may withdraw the request before it.
+impl Execution {
+    /// Resolves while a node awaits the outcome.
+    pub async fn until_awaited(&self) {
+        let mut awaited = self.awaited.subscribe();
+        // The sender lives as long as the run.
+        let _awaited = awaited.wait_for(|awaited| awaited.has_waiter).await;
+    }
+
+    /// Withdraws the request, unless its first byte may have been written.
+    pub fn withdraw(&self) {
+        self.send_state.send_modify(SendState::abandon);
+    }
+
+    /// Resolves once the request is withdrawn.
+    pub async fn withdrawn(&self) {
+        let mut state = self.send_state.subscribe();
+        let _state = state.wait_for(SendState::is_withdrawn).await;
+    }
+
+    /// Records that the first byte is about to be written; returns false if it must not be.
+    pub fn begin_send(&self) -> bool {
+        let mut may_send = false;
+        self.send_state
+            .send_modify(|state| may_send = state.begin_send());
+        may_send
+    }
+
+    /// Records that no byte was written after all.
+    pub fn nothing_written(&self) {
+        self.send_state.send_modify(SendState::nothing_written);
+    }
+}
+
 /// Guard of the node that awaits a run.
 #[derive(Debug)]
 struct Waiter {
--- a/src/host/server/executor.rs
+++ b/src/host/server/executor.rs
@@ -13,8 +13,10 @@
 use crate::host::observe::request_lines::Step;
 use crate::host::outcome::{Outcome, RequestFailure, RunMeasurement};
 use crate::host::rollouts::requests as rollouts;
+use crate::host::server::executions::Execution;
 use crate::host::server::quarantine;
 use crate::host::server::run_lines::{log_failure, log_late_run};
+use crate::host::server::unsent::Unsent;
 use crate::host::server::{detached, dispatch};
 use crate::model::host_request::HostWork;
 use crate::model::reasons::RefusalReason;
@@ -23,18 +25,19 @@
 
 /// Runs a request that a caller of this node sent.
 pub async fn run(host: &Arc<Host>, work: HostWork) -> Outcome {
-    let never_cancelled = CancellationToken::new();
     match work.effect {
-        Effect::Idempotent => execute(host, &work, &never_cancelled).await,
-        Effect::NonIdempotent => detached::run(host, work, &never_cancelled).await,
+        Effect::Idempotent => execute(host, &work, None).await,
+        Effect::NonIdempotent => detached::run(host, work, &CancellationToken::new()).await,
     }
 }
 
-/// Runs one request; `caller_gone` removes it from the queue but never interrupts a sent request.
+/// Runs one request.
+///
+/// The one who awaits a detached run (`execution`) may withdraw it until its first byte.
 pub(super) async fn execute(
     host: &Arc<Host>,
     work: &HostWork,
-    caller_gone: &CancellationToken,
+    execution: Option<&Execution>,
 ) -> Outcome {
     if let Err(reason) = host.gate.with(|gate| gate.check_service(&work.service)) {
         let failure = RequestFailure::not_sent(reason);
@@ -62,19 +65,19 @@
         log_failure(host, work, Step::Admit, &failure);
         return Outcome::failed(failure);
     }
+    let unsent = Unsent {
+        host,
+        work,
+        execution,
+    };
     let queued_since_us = host.now_us();
-    let admitted = host.gate.admit(Work {
+    let admitted = unsent.wait_for(host.gate.admit(Work {
         rank: work.rank,
         nested_call: work.nested_call,
         entered_here: work.entered_here,
         timing: work.timing,
-    });
-    let admitted = tokio::select! {
-        admitted = admitted => admitted,
-        () = caller_gone.cancelled() => Err(RequestFailure::not_sent(RefusalReason::Cancelled)),
-        refusal = quarantine::refusal(host, work) => Err(refusal),
-    };
-    let mut admitted = match admitted {
+    }));
+    let mut admitted = match admitted.await.flatten() {
         Ok(admitted) => admitted,
         Err(failure) => {
             log_failure(host, work, Step::Admit, &failure);
@@ -84,7 +87,7 @@
     let waited_us = host.now_us() - queued_since_us;
     host.events.latencies.add(Stage::GateWait, waited_us);
     let mut measurement = RunMeasurement::default();
-    let result = dispatch::send(host, work, &tracked, &mut admitted, &mut measurement).await;
+    let result = dispatch::send(host, unsent, &tracked, &mut admitted, &mut measurement).await;
     let status = result.as_ref().map(|response| response.head.status);
     rollouts::record_run(host, work, status, measurement);
     match &result {
--- a/src/host/server/mod.rs
+++ b/src/host/server/mod.rs
@@ -14,3 +14,4 @@
 pub mod run_lines;
 pub mod shared_gate;
 pub mod tracked_run;
+pub mod unsent;
--- a/tests/host/executions.rs
+++ b/tests/host/executions.rs
@@ -65,3 +65,46 @@
     drop(silent);
     assert!(is_abandoned(&execution));
 }
+
+/// Guards against a request that is sent though a caller was told that it has not run.
+#[test]
+fn a_request_that_was_withdrawn_is_not_sent() {
+    let execution = Execution::default();
+    execution.withdraw();
+    assert!(execution.withdrawn().now_or_never().is_some());
+    assert!(!execution.begin_send());
+}
+
+/// Guards against "not run" for a request whose first byte was written before.
+#[test]
+fn a_request_that_was_sent_is_not_withdrawn() {
+    let execution = Execution::default();
+    assert!(execution.begin_send());
+    execution.withdraw();
+    assert!(execution.withdrawn().now_or_never().is_none());
+}
+
+/// Guards against a withdrawal that is forgotten while the request is sent in vain.
+#[test]
+fn a_request_is_withdrawn_if_no_byte_of_it_was_written() {
+    let execution = Execution::default();
+    assert!(execution.begin_send());
+    execution.withdraw();
+    execution.nothing_written();
+    assert!(execution.withdrawn().now_or_never().is_some());
+    assert!(!execution.begin_send());
+}
+
+/// Guards against a request that is sent for a node that has just been lost.
+#[tokio::test]
+async fn a_request_is_sent_while_a_node_awaits_it() {
+    let execution = Arc::new(Execution::default());
+    let lost = CancellationToken::new();
+    let awaited = execution.outcome(&lost);
+    assert!(execution.until_awaited().now_or_never().is_some());
+    lost.cancel();
+    drop(awaited);
+    assert!(execution.until_awaited().now_or_never().is_none());
+    let _asked_for = execution.outcome(&CancellationToken::new());
+    assert!(execution.until_awaited().now_or_never().is_some());
+}
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -14,6 +14,8 @@
 mod crash_watch;
 mod cut_answers;
 mod event_log;
+#[path = "../support/eventually.rs"]
+mod eventually;
 mod executions;
 mod facts;
 mod freshness;
@@ -54,3 +56,4 @@
 mod settlement;
 mod shared_retry_budget;
 mod store_client;
+mod unsent_requests;
--- a/tests/host_processes/main.rs
+++ b/tests/host_processes/main.rs
@@ -8,6 +8,7 @@
 mod endless_answers;
 #[path = "../support/eventually.rs"]
 mod eventually;
+mod held_orders;
 mod large_configuration;
 mod late_bodies;
 mod late_links;
--- a/tests/host_processes/server_statements.rs
+++ b/tests/host_processes/server_statements.rs
@@ -71,7 +71,7 @@
         &system,
         Statements {
             limit_per_s: Some(LIMIT_PER_S),
-            leaving: false,
+            ..Statements::default()
         },
     )
     .await;
@@ -123,8 +123,8 @@
     say(
         &system,
         Statements {
-            limit_per_s: None,
             leaving: true,
+            ..Statements::default()
         },
     )
     .await;
--- a/tests/host_processes/soak/server_faults.rs
+++ b/tests/host_processes/soak/server_faults.rs
@@ -125,7 +125,7 @@
     pub async fn limit(&self, host: usize, per_s: u32, length: Duration) {
         let said = Statements {
             limit_per_s: Some(f64::from(per_s)),
-            leaving: false,
+            ..Statements::default()
         };
         let index = self.say(host, said).await;
         tokio::time::sleep(length).await;
@@ -141,8 +141,8 @@
     /// Lets the backend server say in its answers alone that it leaves, and replaces it later.
     pub async fn leave_unannounced(&self, host: usize) {
         let said = Statements {
-            limit_per_s: None,
             leaving: true,
+            ..Statements::default()
         };
         self.say(host, said).await;
         tokio::time::sleep(Duration::from_millis(DRAIN_MS) + LEAVES_AFTER).await;
