Calls of a node that has closed its connection are given up

What callers saw: nothing; they had left with their node, which was killed, and other nodes ran their requests all the same, 0.67 s later (held_orders, both cases of a killed node; idempotent ones as well).

Cause: an orderly end of the connection left its calls running, as the RPC library finishes what it has before it drops them. A reset dropped them, so that they ended 1 s later unless the node came back.

Change: the end of a connection with open calls reads as an error. No node closes its half of a connection while it awaits answers. Why it works: an error drops the calls at once, which tells each run that the node that awaited it is away.

--- a/src/edge/answer_transport.rs
+++ b/src/edge/answer_transport.rs
@@ -26,7 +26,8 @@
 
 /// Server side of a transport, with the calls whose answers are not written yet.
 ///
-/// Once it drains and all calls are answered, it reads as if the peer had closed the connection.
+/// Once it drains and all calls are answered, it reads as if the peer had closed the connection. A peer
+/// that closes it before is gone: nobody reads the answers, so reading fails as after a reset.
 /// Calls that the peer cancels and calls past their deadline get no answer and are not counted.
 pub struct AnswerTransport<T> {
     inner: T,
@@ -132,6 +133,9 @@
         self.forget_expired();
         let is_draining = self.is_draining(context);
         let received = match Pin::new(&mut self.inner).poll_next(context) {
+            Poll::Ready(None) if !self.open.is_empty() => {
+                Some(Err(io::ErrorKind::ConnectionAborted.into()))
+            }
             Poll::Ready(received) => received,
             Poll::Pending if is_draining && !self.owes_answers() => None,
             Poll::Pending => return Poll::Pending,
--- a/tests/host/answer_transport.rs
+++ b/tests/host/answer_transport.rs
@@ -116,6 +116,17 @@
     }
 }
 
+/// Guards against work for a node that has closed its connection before the answer.
+#[test]
+fn a_peer_that_closes_with_an_open_call_is_gone() {
+    let mut draining = Draining::new(true);
+    draining.receive_call(1, LONG);
+    draining.peer.close_channel();
+    let received = draining.transport.next().now_or_never();
+    assert!(matches!(received, Some(Some(Err(_gone)))));
+    assert!(draining.ended.is_cancelled());
+}
+
 /// Guards against a stop that drops a connection on which a request runs.
 #[test]
 fn a_draining_connection_stays_open_until_its_call_is_answered() {
--- a/tests/host_processes/held_orders.rs
+++ b/tests/host_processes/held_orders.rs
@@ -12,6 +12,7 @@
 use tokio::time::sleep;
 
 use crate::operator::{CallerLimits, HOST_NAME, Operator};
+use crate::program::Signal;
 use crate::site::Place;
 use crate::system::{System, place};
 
@@ -62,6 +63,8 @@
     Reset,
     /// One closes a connection with all requests on it.
     ClosePipeline,
+    /// Their node is killed.
+    NodeKilled,
 }
 
 /// Which requests are sent.
@@ -168,6 +171,11 @@
                 reset.expect("the option is set");
             }
         }
+        Leave::NodeKilled => system.sites[case.entry]
+            .lock()
+            .await
+            .node
+            .signal(Signal::Kill),
     }
     drop(connections);
     let left_ms = system.ledger.now_ms();
@@ -224,10 +232,18 @@
     orders_on_one_connection_at_the_same_node_are_withdrawn: Case {
         leave: Leave::ClosePipeline, entry: EXECUTOR, ..CLOSED
     };
+    /// Guards against orders that are run for the callers of a node that is gone.
+    an_order_whose_entry_node_is_killed_is_withdrawn: Case {
+        leave: Leave::NodeKilled, ..CLOSED
+    };
     /// Guards against the same with two backend servers that are slow at once.
     orders_held_at_two_nodes_are_withdrawn: Case { servers: 2, ..CLOSED };
     /// Guards against the same for idempotent requests.
     an_idempotent_request_is_withdrawn_when_its_caller_leaves: Case {
         order: Order::Idempotent, ..CLOSED
     };
+    /// Guards against idempotent requests that are run for the callers of a node that is gone.
+    an_idempotent_request_whose_entry_node_is_killed_is_withdrawn: Case {
+        order: Order::Idempotent, leave: Leave::NodeKilled, ..CLOSED
+    };
 }
