--- a/src/host/branches/proofs.rs
+++ b/src/host/branches/proofs.rs
@@ -10,7 +10,7 @@
 use super::wire::{WireProof, WireQuestion};
 use crate::decision::host::freshness::{Freshness, QuestionNumber, ReaderRole, Refresh};
 use crate::host::context::Host;
-use crate::host::log_service::operator_log;
+use crate::host::log_service::log_follower;
 use crate::host::peers::fact_datagrams::{self, WireFacts};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
@@ -145,7 +145,7 @@
 /// Reads the log, which proves what the node holds as of the beginning of the read.
 async fn read(host: &Host) -> Result<(), StepError> {
     let mut store = StoreClient::new(host.settings.store.address);
-    operator_log::read_now(host, &mut store).await
+    log_follower::read_now(host, &mut store).await
 }
 
 /// Answers a question, if this node has a proof.
--- a/src/host/log_service/mod.rs
+++ b/src/host/log_service/mod.rs
@@ -1,5 +1,6 @@
 //! What the node reads from the log service and writes to it.
 
+pub mod log_follower;
 pub mod log_relay;
 pub mod operator_log;
 pub mod quarantine_log;
--- a/src/host/node.rs
+++ b/src/host/node.rs
@@ -15,7 +15,7 @@
 use crate::host::context::Host;
 use crate::host::entry::callers::CallerHandler;
 use crate::host::log_service::quarantine_log;
-use crate::host::log_service::{log_relay, operator_log};
+use crate::host::log_service::{log_follower, log_relay};
 use crate::host::observe::ready::ReadyHandler;
 use crate::host::peers::directory;
 use crate::host::peers::load_reports;
@@ -132,7 +132,7 @@
     let is_read = quarantine_log::read_first(&host).await;
     tokio::join!(
         quarantine_log::keep(&host, is_read),
-        operator_log::follow(Arc::clone(&host)),
+        log_follower::follow(Arc::clone(&host)),
         log_relay::receive(Arc::clone(&host)),
     );
 }
