The age of what a follower of the log knows is bounded, whatever its poll waits for

Cause: the length of a poll is chosen for the followers at its begin. A poll that is never answered looks like one that waits, and nothing else was read until its end. Ruled out: membership alone (hosts of other zones count as live for 5 s, and a poll that has begun was not looked at again); links that drop everything, which TCP's probes show within 2 s (the same tests passed with them).

Change: followers tell each other of polls that ended without records. A follower that has heard of none for 1.7 to 2.1 s, in turn, reads over a new connection beside its poll, and goes on over that. Why it works: it needs no other host and no list that is right; a wrong view costs a read.

--- a/src/decision/host/mod.rs
+++ b/src/decision/host/mod.rs
@@ -15,6 +15,7 @@
 pub mod log_reader;
 pub mod nested_calls;
 pub mod open_requests;
+pub mod overdue_read;
 pub mod peers;
 pub mod placement;
 pub mod poison_requests;
--- a/src/decision/host/peers/log_followers.rs
+++ b/src/decision/host/peers/log_followers.rs
@@ -53,6 +53,30 @@
         }
     }
 
+    /// Hosts that are told when the host in `zone` finds that the operators' log has nothing new.
+    ///
+    /// In the own availability zone they are those that follow the log. Of other zones only some
+    /// hosts are heard; their first ones follow the log, as long as they live.
+    pub fn log_proof_receivers(&self, zone: &ZoneName, now_us: u64) -> Vec<IpAddr> {
+        let mut receivers = Vec::new();
+        let mut known: BTreeMap<&ZoneName, usize> = BTreeMap::new();
+        let mut live = known.clone();
+        for peer in self.peers.values() {
+            let of_zone = &peer.introduction.zone;
+            let is_receiver = if of_zone == zone {
+                peer.log_view.follows && peer.is_heard_within(FOLLOWER_SILENCE_MAX_US, now_us)
+            } else {
+                let is_first = is_among_first(&mut known, of_zone);
+                let is_first_live = peer.is_live(now_us) && is_among_first(&mut live, of_zone);
+                is_first || is_first_live
+            };
+            if is_receiver {
+                receivers.push(peer.introduction.address);
+            }
+        }
+        receivers
+    }
+
     /// Hosts of an availability zone that are heard and whose addresses come before `own`.
     fn heard_before<'a>(
         &'a self,
@@ -66,3 +90,10 @@
         })
     }
 }
+
+/// Counts a host of a zone; whether it is among the first ones.
+fn is_among_first<'a>(counts: &mut BTreeMap<&'a ZoneName, usize>, zone: &'a ZoneName) -> bool {
+    let count = counts.entry(zone).or_insert(0);
+    *count += 1;
+    *count <= FOLLOWERS_PER_ZONE
+}
--- a/src/host/log_service/log_follower.rs
+++ b/src/host/log_service/log_follower.rs
@@ -5,9 +5,11 @@
 use std::time::Duration;
 
 use crate::decision::host::log_reader::{LogReader, NextRead, ReadOutcome, ReadRole};
-use crate::decision::host::poll_schedule::PollSchedule;
+use crate::decision::host::overdue_read::OverdueRead;
+use crate::decision::host::poll_schedule::{FollowerTurn, PollSchedule};
 use crate::host::branches::proven_reads;
 use crate::host::context::Host;
+use crate::host::log_service::log_proofs;
 use crate::host::log_service::operator_log::{self, Update};
 use crate::kernel::StepError;
 use crate::kernel::shards::lock;
@@ -107,10 +109,62 @@
     if !wait_for_follow_role(host).await {
         return Ok(ReadOutcome::Empty);
     }
+    let wait = Duration::from_millis(polls.wait_ms(follower_turn(host), wait_ms));
+    let outcome = poll(host, store, wait).await?;
+    if outcome == ReadOutcome::Empty {
+        log_proofs::tell(host).await;
+    }
+    Ok(outcome)
+}
+
+/// Waits for records; reads beside the poll once this node has heard too long of no answer to any.
+async fn poll(
+    host: &Host,
+    store: &mut StoreClient,
+    wait: Duration,
+) -> Result<ReadOutcome, StepError> {
+    let (other, outcome) = tokio::select! {
+        biased;
+        polled = read_following(host, store, wait) => return polled,
+        read = read_when_overdue(host) => read,
+    };
+    // The answer to the poll may be lost, so the next one takes the connection that works.
+    *store = other;
+    Ok(outcome)
+}
+
+/// Reads over a new connection once the last proof is too old; returns the one that was answered.
+async fn read_when_overdue(host: &Host) -> (StoreClient, ReadOutcome) {
+    let mut overdue = OverdueRead::beside_poll(host.now_us());
+    loop {
+        let due_us = overdue.due_us(host.learn_times.log_proof.at_us(), follower_turn(host));
+        let now_us = host.now_us();
+        if now_us < due_us {
+            tokio::time::sleep_until(host.clock.instant_at(due_us).into()).await;
+            continue;
+        }
+        let proof_age_us = host.learn_times.log_proof.age_us(now_us);
+        let mut store = StoreClient::new(host.settings.store.address);
+        match read_following(host, &mut store, Duration::ZERO).await {
+            Ok(outcome) => {
+                host.events.state_changed(
+                    "log-poll-replaced",
+                    serde_json::json!({"proof_age_ms": proof_age_us.map(|us| us / US_PER_MS)}),
+                );
+                return (store, outcome);
+            }
+            Err(error) => {
+                log::debug!("log follower: read beside a poll: {error}");
+                overdue.record_failure(host.now_us());
+            }
+        }
+    }
+}
+
+/// Turn of this node among those that follow the log.
+fn follower_turn(host: &Host) -> FollowerTurn {
     let own = &host.settings.host;
-    let turn = lock(&host.peers).follower_turn(own.ip, &own.zone, host.now_us());
-    let wait = Duration::from_millis(polls.wait_ms(turn, wait_ms));
-    read_following(host, store, wait).await
+    lock(&host.peers).follower_turn(own.ip, &own.zone, host.now_us())
 }
 
 /// Reads the records that follow the known ones without waiting for any.
@@ -143,11 +197,15 @@
     match page {
         LogPage::Records { end, .. } if end < from => Ok(ReadOutcome::StaleReplica),
         LogPage::Records { next, end, .. } if next == from => {
+            host.learn_times.log_proof.record(host.now_us());
             proven_reads::record_read(host, began_us, end);
             Ok(ReadOutcome::Empty)
         }
         LogPage::Records { records, next, end } => {
             operator_log::apply(host, Update::Records { records, next });
+            if next == end {
+                host.learn_times.log_proof.record(host.now_us());
+            }
             proven_reads::record_read(host, began_us, end);
             Ok(ReadOutcome::Records)
         }
--- a/src/host/observe/knowledge.rs
+++ b/src/host/observe/knowledge.rs
@@ -15,12 +15,14 @@
         self.0.store(now_us.max(1), Ordering::Relaxed);
     }
 
+    /// Returns the time of the event in µs, or `None` before the first one.
+    pub fn at_us(&self) -> Option<u64> {
+        Some(self.0.load(Ordering::Relaxed)).filter(|at_us| *at_us > 0)
+    }
+
     /// Returns the time since the event in µs, or `None` before the first one.
     pub fn age_us(&self, now_us: u64) -> Option<u64> {
-        match self.0.load(Ordering::Relaxed) {
-            0 => None,
-            at_us => Some(now_us.saturating_sub(at_us)),
-        }
+        self.at_us().map(|at_us| now_us.saturating_sub(at_us))
     }
 }
 
@@ -31,6 +33,8 @@
     pub config: LastTime,
     /// The operators' log was read, or records of it were received from another node.
     pub operator_log: LastTime,
+    /// The operators' log was known to have nothing that this node does not have.
+    pub log_proof: LastTime,
     /// An announcement of the backend server was applied.
     pub announcement: LastTime,
 }
--- a/src/host/peers/load_reports.rs
+++ b/src/host/peers/load_reports.rs
@@ -18,6 +18,7 @@
 use crate::decision::host::report_targets::{Introductions, KnownHost, ReportTargets};
 use crate::host::branches::{proofs, quotas};
 use crate::host::context::Host;
+use crate::host::log_service::log_proofs;
 use crate::host::peers::crash_reports;
 use crate::host::peers::fact_datagrams::{self, WireFacts};
 use crate::host::peers::peer_rpc::WireIntroduction;
@@ -306,6 +307,7 @@
             Some(WireFacts::TokensGranted(granted)) => {
                 quotas::receive_granted(&self.host, from, granted);
             }
+            Some(WireFacts::LogProof(proof)) => log_proofs::receive(&self.host, from, proof),
             None => self.host.events.count("datagrams_refused"),
         }
     }
--- a/standins/src/proxy.rs
+++ b/standins/src/proxy.rs
@@ -99,6 +99,8 @@
     Reset,
     /// They go silent, and nothing is acknowledged; new ones work.
     Silence,
+    /// Nothing passes on them any more, and what is sent is acknowledged; new ones work.
+    Stall,
 }
 
 /// Running proxy in front of one address.
@@ -223,6 +225,7 @@
             }
             std::future::pending::<()>().await;
         }
+        Some(ConnectionFault::Stall) => std::future::pending().await,
         Some(ConnectionFault::Reset) => {
             reset(from_opener.as_ref());
             reset(from_acceptor.as_ref());
--- a/tests/host/main.rs
+++ b/tests/host/main.rs
@@ -31,6 +31,7 @@
 mod nested_calls;
 mod odd_entries;
 mod open_requests;
+mod overdue_read;
 mod peer_client;
 mod peers;
 mod placement;
--- a/tests/host/peers.rs
+++ b/tests/host/peers.rs
@@ -154,16 +154,22 @@
     );
 }
 
-/// View of one host of two availability zones with four hosts each, where three follow the log.
-fn turn_of(zone: usize, host: usize) -> FollowerTurn {
-    let address = |zone, host| IpAddr::V4(Ipv4Addr::new(10, 0, zone as u8, host as u8));
-    let zone_name = |zone| ZoneName::new(&format!("z{zone}")).expect("valid name");
+fn address_in(zone: usize, host: usize) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(10, 0, zone as u8, host as u8))
+}
+
+fn zone_name(zone: usize) -> ZoneName {
+    ZoneName::new(&format!("z{zone}")).expect("valid name")
+}
+
+/// What one host knows of two availability zones with four hosts each, where three follow the log.
+fn known_to(zone: usize, host: usize) -> Peers {
     let mut peers = Peers::default();
     for other in (0..2).flat_map(|zone| (0..4).map(move |host| (zone, host))) {
         if other == (zone, host) {
             continue;
         }
-        let other_address = address(other.0, other.1);
+        let other_address = address_in(other.0, other.1);
         let other_host = Introduction {
             address: other_address,
             zone: zone_name(other.0),
@@ -172,7 +178,34 @@
         peers.introduce(other_host, true, 10 * MS);
         peers.set_log_view(other_address, view(other.1 < 3));
     }
-    peers.follower_turn(address(zone, host), &zone_name(zone), 20 * MS)
+    peers
+}
+
+fn turn_of(zone: usize, host: usize) -> FollowerTurn {
+    known_to(zone, host).follower_turn(address_in(zone, host), &zone_name(zone), 20 * MS)
+}
+
+/// Guards against followers that read the log since they do not hear of each other's reads.
+#[test]
+fn those_that_follow_the_log_are_told_that_it_has_nothing_new() {
+    let receivers = known_to(0, 1).log_proof_receivers(&zone_name(0), 20 * MS);
+    let others = [(0, 0), (0, 2), (1, 0), (1, 1), (1, 2)];
+    assert_eq!(receivers, others.map(|(zone, host)| address_in(zone, host)));
+}
+
+/// Guards against the same after the loss of those that followed the log in another zone.
+#[test]
+fn the_first_live_hosts_of_another_zone_are_told_as_well() {
+    let mut peers = known_to(0, 1);
+    let heard_us = 10_000 * MS;
+    let alive = Introduction {
+        address: address_in(1, 3),
+        zone: zone_name(1),
+        ..introduction()
+    };
+    peers.introduce(alive, true, heard_us);
+    let receivers = peers.log_proof_receivers(&zone_name(0), heard_us);
+    assert!(receivers.contains(&address_in(1, 3)));
 }
 
 /// Guards against polls that all end together; see `poll_schedule`.
--- a/tests/host_processes/lost_readers.rs
+++ b/tests/host_processes/lost_readers.rs
@@ -4,15 +4,16 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use standins::proxy::ConnectionFault;
+use tokio::time::{Instant, sleep, sleep_until};
 
 use crate::callers::{Kind, ask_target};
 use crate::program::Signal;
 use crate::site::{Place, ServerEnd};
 use crate::system::{System, place};
 
-/// Two availability zones of four hosts each.
-const HOSTS: [Place; 8] = [
+/// Two availability zones of four hosts each, of which three read the log.
+const TWO_ZONES: [Place; 8] = [
     place("herd-1", "herd", "ratchaburi"),
     place("herd-2", "herd", "ratchaburi"),
     place("herd-3", "herd", "ratchaburi"),
@@ -23,12 +24,30 @@
     place("herd-8", "herd", "saraburi"),
 ];
 
+/// Three availability zones in which all hosts read the log.
+const THREE_ZONES: [Place; 8] = [
+    place("herd-1", "herd", "nakhon-pathom"),
+    place("herd-2", "herd", "nakhon-pathom"),
+    place("parlour-1", "parlour", "ratchaburi"),
+    place("herd-3", "herd", "ratchaburi"),
+    place("parlour-2", "parlour", "ratchaburi"),
+    place("parlour-3", "parlour", "saraburi"),
+    place("herd-4", "herd", "saraburi"),
+    place("herd-5", "herd", "saraburi"),
+];
+
 /// Time after the start in which hosts learn of each other, and which of them read the log.
 const SETTLED_AFTER: Duration = Duration::from_secs(5);
 
 /// Time after which a configuration is in force: the users' `config-apply-s`.
 const CONFIG_APPLY: Duration = Duration::from_secs(2);
 
+/// Time after a disruption from which hosts are in touch again: the users' `contact-s`.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Time from a change to a disruption which comes while the polls that follow it have just begun.
+const CHANGED_BEFORE: Duration = Duration::from_millis(400);
+
 /// Times for which the hosts that are left are asked after it, and pause between two rounds.
 const ROUNDS: usize = 6;
 const ROUND_PERIOD: Duration = Duration::from_millis(500);
@@ -42,24 +61,64 @@
     Frozen,
 }
 
+/// Hosts that are left of their availability zones, the last ones in order of address.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Left {
+    /// So many of each.
+    Each(usize),
+    /// So many of the first, and all of the others.
+    First(usize),
+    /// So many of the last, and none of the others.
+    Last(usize),
+}
+
+impl Left {
+    /// Number of hosts that are left of one of `zones`.
+    fn count(self, zone: usize, zones: usize, hosts: usize) -> usize {
+        match self {
+            Self::Each(left) => left,
+            Self::First(left) if zone == 0 => left,
+            Self::First(_) => hosts,
+            Self::Last(left) if zone + 1 == zones => left,
+            Self::Last(_) => 0,
+        }
+    }
+}
+
+/// When all open connections to the log service go silent; new ones work.
+///
+/// The service's machine lives on, so that the probes of TCP are answered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Silence {
+    /// They do not.
+    Never,
+    /// So many ms before the loss.
+    Before(u64),
+    /// At the loss.
+    AtOnce,
+    /// So many ms after it.
+    After(u64),
+    /// At the loss, and those that are open so many ms later.
+    Again(u64),
+}
+
 /// What is lost, and when the configuration changes.
 #[derive(Debug, Clone, Copy)]
 struct Case {
+    places: &'static [Place],
     loss: Loss,
-    /// Hosts that are left in each zone, the last ones in order of address.
-    left_per_zone: usize,
-    /// Whether both zones lose hosts.
-    both_zones: bool,
+    left: Left,
+    silence: Silence,
     /// Time from the loss to the change, in ms.
     change_after_ms: u64,
 }
 
 /// Indexes of hosts by zone, in order of address.
-async fn hosts_by_zone(system: &System) -> BTreeMap<&'static str, Vec<usize>> {
+async fn hosts_by_zone(system: &System, places: &[Place]) -> BTreeMap<&'static str, Vec<usize>> {
     let mut zones: BTreeMap<_, Vec<_>> = BTreeMap::new();
     for (index, site) in system.sites.iter().enumerate() {
         let address = site.lock().await.addresses.public;
-        let hosts = zones.entry(HOSTS[index].zone).or_default();
+        let hosts = zones.entry(places[index].zone).or_default();
         hosts.push((address, index));
     }
     let in_order = |mut hosts: Vec<_>| {
@@ -76,15 +135,12 @@
 async fn lose(system: &System, case: Case) -> Vec<SocketAddr> {
     let mut left: Vec<usize> = Vec::new();
     let mut lost: Vec<usize> = Vec::new();
-    for (number, hosts) in hosts_by_zone(system).await.into_values().enumerate() {
-        let keeps_all = number > 0 && !case.both_zones;
-        let lost_count = if keeps_all {
-            0
-        } else {
-            hosts.len() - case.left_per_zone
-        };
-        lost.extend(&hosts[..lost_count]);
-        left.extend(&hosts[lost_count..]);
+    let zones = hosts_by_zone(system, case.places).await;
+    for (zone, hosts) in zones.values().enumerate() {
+        let left_count = case.left.count(zone, zones.len(), hosts.len());
+        let (of_lost, of_left) = hosts.split_at(hosts.len() - left_count);
+        lost.extend(of_lost);
+        left.extend(of_left);
     }
     for index in lost {
         let mut site = system.sites[index].lock().await;
@@ -103,18 +159,56 @@
     addresses
 }
 
+/// Makes the open connections of all hosts to the log service go silent.
+async fn silence(system: &System) {
+    for site in &system.sites {
+        site.lock().await.store_link.inject(ConnectionFault::Stall);
+    }
+}
+
+/// Plays both disruptions in their order; returns where callers reach the hosts that are left.
+async fn disrupt(system: &System, case: Case) -> Vec<SocketAddr> {
+    let pause = |ms| sleep(Duration::from_millis(ms));
+    if let Silence::Before(ms) = case.silence {
+        silence(system).await;
+        pause(ms).await;
+    }
+    let left = lose(system, case).await;
+    match case.silence {
+        Silence::Never | Silence::Before(_) => {}
+        Silence::AtOnce => silence(system).await,
+        Silence::After(ms) => {
+            pause(ms).await;
+            silence(system).await;
+        }
+        Silence::Again(ms) => {
+            silence(system).await;
+            pause(ms).await;
+            silence(system).await;
+        }
+    }
+    left
+}
+
 async fn assert_change_is_in_force_in_time(case: Case) {
-    let system = System::start_at(&HOSTS).await;
+    let system = System::start_at(case.places).await;
     system.wait_until_ready().await;
-    tokio::time::sleep(SETTLED_AFTER).await;
-    let left = lose(&system, case).await;
-    tokio::time::sleep(Duration::from_millis(case.change_after_ms)).await;
+    sleep(SETTLED_AFTER).await;
     let mut operator = system.operator.lock().await;
+    operator.add_route(&system.store);
+    sleep(CHANGED_BEFORE).await;
+    let left = disrupt(&system, case).await;
+    let in_touch = Instant::now() + CONTACT;
+    sleep(Duration::from_millis(case.change_after_ms)).await;
     let prefix = operator.add_route(&system.store);
-    let mut next_round = Instant::now() + CONFIG_APPLY;
+    let in_force = Instant::now() + CONFIG_APPLY;
+    let mut next_round = match case.silence {
+        Silence::Never => in_force,
+        _ => in_force.max(in_touch),
+    };
     let mut unknown = Vec::new();
     for round in 0..ROUNDS {
-        tokio::time::sleep_until(next_round).await;
+        sleep_until(next_round).await;
         next_round += ROUND_PERIOD;
         for (index, node) in left.iter().enumerate() {
             let id = format!("look-{round}-{index}");
@@ -138,12 +232,22 @@
 }
 
 const LOST: Case = Case {
+    places: &TWO_ZONES,
     loss: Loss::Gone,
-    left_per_zone: 1,
-    both_zones: true,
+    left: Left::Each(1),
+    silence: Silence::Never,
     change_after_ms: 300,
 };
 
+/// Two of the hosts whose polls end last, which are not answered.
+const SILENT: Case = Case {
+    places: &THREE_ZONES,
+    left: Left::Last(2),
+    silence: Silence::AtOnce,
+    change_after_ms: 500,
+    ..LOST
+};
+
 losses! {
     /// Guards against a late configuration where all hosts that read the log are lost.
     a_change_after_the_loss_of_all_readers_is_in_force_in_time: LOST;
@@ -153,14 +257,52 @@
     };
     /// Guards against the same where one zone loses its readers.
     a_change_after_the_loss_of_the_readers_of_a_zone_is_in_force_in_time: Case {
-        both_zones: false, ..LOST
+        left: Left::First(1), ..LOST
     };
     /// Guards against the same where the hosts that are left come after one that is lost.
     a_change_after_the_loss_of_two_readers_is_in_force_in_time: Case {
-        left_per_zone: 2, ..LOST
+        left: Left::Each(2), ..LOST
     };
     /// Guards against the same where the readers are suspended.
     a_change_while_the_readers_are_suspended_is_in_force_in_time: Case {
         loss: Loss::Frozen, ..LOST
     };
+    /// Guards against a late configuration where the polls of those that are left are never answered.
+    a_change_after_a_silence_at_the_loss_is_in_force_in_time: SILENT;
+    /// Guards against the same where the silence comes first.
+    a_change_after_a_silence_before_the_loss_is_in_force_in_time: Case {
+        silence: Silence::Before(300), ..SILENT
+    };
+    /// Guards against the same where the loss comes first.
+    a_change_after_a_silence_after_the_loss_is_in_force_in_time: Case {
+        silence: Silence::After(700), ..SILENT
+    };
+    /// Guards against the same where the connections that are opened then go silent as well.
+    a_change_after_two_silences_is_in_force_in_time: Case {
+        silence: Silence::Again(2_500), ..SILENT
+    };
+    /// Guards against the same with a change right at the disruption.
+    a_change_at_a_silence_and_a_loss_is_in_force_in_time: Case {
+        change_after_ms: 0, ..SILENT
+    };
+    /// Guards against the same with a change once hosts are in touch again.
+    a_change_long_after_a_silence_and_a_loss_is_in_force_in_time: Case {
+        change_after_ms: 2_900, ..SILENT
+    };
+    /// Guards against the same where the other hosts are suspended.
+    a_change_after_a_silence_while_the_others_are_suspended_is_in_force_in_time: Case {
+        loss: Loss::Frozen, ..SILENT
+    };
+    /// Guards against the same where one host is left.
+    a_change_after_a_silence_and_the_loss_of_all_others_is_in_force_in_time: Case {
+        left: Left::Last(1), ..SILENT
+    };
+    /// Guards against the same where one host is left in each zone.
+    a_change_after_a_silence_and_the_loss_of_most_of_each_zone_is_in_force_in_time: Case {
+        left: Left::Each(1), ..SILENT
+    };
+    /// Guards against the same where those that are left did not read the log before.
+    a_change_after_a_silence_and_the_loss_of_all_readers_is_in_force_in_time: Case {
+        places: &TWO_ZONES, left: Left::Each(1), ..SILENT
+    };
 }
