A quarantine by crashes at the same moment has a record

What callers saw: after a kill of all nodes a request that had ended two backend servers was sent to two more.

Cause: the node beside a backend server that ends writes the record once it knows of two crashes. The first two runs began 32 ms apart and took as long, so both nodes recorded their own crash before they heard of the other's. Hearing of it put the request in quarantine and wrote no record.

Change: a node whose backend server ended under a request writes its record also when it hears of the crash that puts the request in quarantine. Others still write none. Why it works: whoever hears last has both.

--- a/src/host/log_service/quarantine_records.rs
+++ b/src/host/log_service/quarantine_records.rs
@@ -1,6 +1,6 @@
 //! Which records of quarantines this node has to write to the log service.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, VecDeque};
 use std::sync::Mutex;
 
 use tokio::sync::Notify;
@@ -8,7 +8,7 @@
 use crate::kernel::shards::lock;
 use crate::model::request_digest::RequestDigest;
 
-/// Maximum number of requests whose records this node keeps up to date.
+/// Maximum number of requests whose records this node keeps up to date, and of those that it remembers.
 const WRITTEN_MAX: usize = 256;
 
 /// Requests whose records this node writes.
@@ -25,6 +25,8 @@
     due: BTreeSet<RequestDigest>,
     /// Requests whose record this node has written.
     written: BTreeSet<RequestDigest>,
+    /// Requests under which the local backend server ended; the first ones are forgotten.
+    crashed_here: VecDeque<RequestDigest>,
     /// Era of the log in which they were written.
     era: u64,
 }
@@ -40,6 +42,25 @@
         self.changed.notify_one();
     }
 
+    /// Records that the local backend server ended under a request.
+    pub fn record_crash(&self, digest: RequestDigest) {
+        let crashed_here = &mut lock(&self.requests).crashed_here;
+        crashed_here.retain(|known| *known != digest);
+        if crashed_here.len() >= WRITTEN_MAX {
+            crashed_here.pop_front();
+        }
+        crashed_here.push_back(digest);
+    }
+
+    /// Makes the record of a request due if the local backend server ended under it.
+    ///
+    /// Others may have noticed their crashes at the same moment, when none of them knew enough of them.
+    pub fn update_if_crashed_here(&self, digest: RequestDigest) {
+        if lock(&self.requests).crashed_here.contains(&digest) {
+            self.update(digest);
+        }
+    }
+
     /// Makes all records due that an older copy of the log may lack.
     pub fn observe_era(&self, era: u64) {
         let mut records = lock(&self.requests);
--- a/src/host/server/quarantine.rs
+++ b/src/host/server/quarantine.rs
@@ -50,6 +50,7 @@
 pub fn record_crash(host: &Host, crash: &Crash) {
     let now_us = host.now_us();
     for run in &crash.runs {
+        host.quarantine_records.record_crash(run.digest);
         let quarantine = {
             let mut requests = lock(&host.poison_requests);
             requests.record_crash(run.digest, crash.id, run.at_us, now_us);
@@ -99,6 +100,7 @@
     if let Some(quarantine) = quarantine.filter(|_quarantine| is_new) {
         host.events.quarantined(heard.digest, quarantine);
         host.quarantine_began.notify_waiters();
+        host.quarantine_records.update_if_crashed_here(heard.digest);
     }
     if is_new || lock(&host.poison_requests).has_news() {
         host.crash_news.notify_one();
--- a/tests/host/quarantine.rs
+++ b/tests/host/quarantine.rs
@@ -4,10 +4,11 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use bronzelock::decision::host::crash_watch::{Crash, CrashId, LostRun};
 use bronzelock::decision::host::peers::Introduction;
 use bronzelock::host::context::Host;
 use bronzelock::host::peers::crash_reports;
-use bronzelock::host::server::executor;
+use bronzelock::host::server::{executor, quarantine};
 use bronzelock::kernel::shards::lock;
 use bronzelock::model::header::Header;
 use bronzelock::model::host_request::HostWork;
@@ -105,6 +106,40 @@
     assert_eq!(failure.reason, RefusalReason::PoisonRequest);
 }
 
+/// Guards against a quarantine without a record, which ends with all nodes: two backend servers ended
+/// at the same moment, and each node knew of one crash alone.
+#[tokio::test]
+async fn a_quarantine_by_crashes_at_the_same_moment_has_a_record() {
+    let (host, _listener) = host_with_peer().await;
+    let work = work(&host);
+    let digest = requests::digest_of(&work);
+    let lost = LostRun {
+        id: Arc::clone(&work.id),
+        digest,
+        instance: "i-1".into(),
+        at_us: host.now_us(),
+    };
+    let crash = Crash {
+        id: CrashId(1),
+        instance: "i-1".into(),
+        runs: vec![lost],
+    };
+    quarantine::record_crash(&host, &crash);
+    assert_eq!(host.quarantine_records.next_due(), None, "one crash");
+    crash_reports::receive(&host, peer(), &report(&work, &[(2, 10, false)]));
+    assert_eq!(host.quarantine_records.next_due(), Some(digest));
+}
+
+/// Guards against records that all nodes write.
+#[tokio::test]
+async fn a_node_whose_backend_server_did_not_end_writes_no_record() {
+    let (host, _listener) = host_with_peer().await;
+    let work = work(&host);
+    let crashes = [(1, 900, false), (2, 10, false)];
+    crash_reports::receive(&host, peer(), &report(&work, &crashes));
+    assert_eq!(host.quarantine_records.next_due(), None);
+}
+
 /// Another caller's request was refused for what one caller's request did.
 #[tokio::test]
 async fn the_same_request_of_another_caller_is_not_refused() {
@@ -119,8 +154,8 @@
     other.digest = OnceLock::new();
     let caller = requests::caller_service_header(&ServiceName::new("other").expect("a name"));
     other.headers.push(caller);
-    assert!(bronzelock::host::server::quarantine::check(&host, &harmful).is_err());
-    assert!(bronzelock::host::server::quarantine::check(&host, &other).is_ok());
+    assert!(quarantine::check(&host, &harmful).is_err());
+    assert!(quarantine::check(&host, &other).is_ok());
 }
 
 /// Identifiers and deadlines differ from one repeat to the next.
@@ -141,7 +176,7 @@
     let work = work(&host);
     let datagram = report(&work, &[(1, 0, false), (2, 0, false)]);
     crash_reports::receive(&host, IpAddr::from([10, 0, 0, 3]), &datagram);
-    assert!(bronzelock::host::server::quarantine::check(&host, &work).is_ok());
+    assert!(quarantine::check(&host, &work).is_ok());
 }
 
 /// One malformed datagram ended the process.
@@ -168,5 +203,5 @@
     }
     let many: Vec<_> = (0..500).map(|crash| (crash, 0, false)).collect();
     crash_reports::receive(&host, peer(), &report(&work, &many));
-    assert!(bronzelock::host::server::quarantine::check(&host, &work).is_err());
+    assert!(quarantine::check(&host, &work).is_err());
 }
