A proof of the log has the wire form that a position already has

WireLogProof was WireLogPosition once more; the bytes are the same. The two arms of a page that was read say in one place what it proves: that it ends where the log ends. A page without records that ends before the log, which the log service does not send, proves nothing any more.

--- a/src/decision/host/peers/log_followers.rs
+++ b/src/decision/host/peers/log_followers.rs
@@ -59,8 +59,7 @@
     /// hosts are heard; their first ones follow the log, as long as they live.
     pub fn log_proof_receivers(&self, zone: &ZoneName, now_us: u64) -> Vec<IpAddr> {
         let mut receivers = Vec::new();
-        let mut known: BTreeMap<&ZoneName, usize> = BTreeMap::new();
-        let mut live = known.clone();
+        let (mut known, mut live) = (BTreeMap::new(), BTreeMap::new());
         for peer in self.peers.values() {
             let of_zone = &peer.introduction.zone;
             let is_receiver = if of_zone == zone {
--- a/src/host/log_service/log_follower.rs
+++ b/src/host/log_service/log_follower.rs
@@ -117,7 +117,7 @@
     Ok(outcome)
 }
 
-/// Waits for records; reads beside the poll once this node has heard too long of no answer to any.
+/// Waits for records, and reads beside the poll once this node's last proof is too old.
 async fn poll(
     host: &Host,
     store: &mut StoreClient,
@@ -196,18 +196,18 @@
     host.learn_times.operator_log.record(host.now_us());
     match page {
         LogPage::Records { end, .. } if end < from => Ok(ReadOutcome::StaleReplica),
-        LogPage::Records { next, end, .. } if next == from => {
-            host.learn_times.log_proof.record(host.now_us());
-            proven_reads::record_read(host, began_us, end);
-            Ok(ReadOutcome::Empty)
-        }
         LogPage::Records { records, next, end } => {
-            operator_log::apply(host, Update::Records { records, next });
+            let outcome = if next == from {
+                ReadOutcome::Empty
+            } else {
+                operator_log::apply(host, Update::Records { records, next });
+                ReadOutcome::Records
+            };
             if next == end {
                 host.learn_times.log_proof.record(host.now_us());
             }
             proven_reads::record_read(host, began_us, end);
-            Ok(ReadOutcome::Records)
+            Ok(outcome)
         }
         LogPage::Deleted => Ok(ReadOutcome::Deleted),
         LogPage::NewEra => Ok(ReadOutcome::NewEra),
--- a/src/host/log_service/log_proofs.rs
+++ b/src/host/log_service/log_proofs.rs
@@ -2,35 +2,12 @@
 
 use std::net::IpAddr;
 
-use serde::{Deserialize, Serialize};
-
 use crate::host::context::Host;
 use crate::host::peers::fact_datagrams::{self, WireFacts};
+use crate::host::peers::relay_rpc::WireLogPosition;
 use crate::kernel::shards::lock;
 use crate::model::log_position::LogPosition;
 
-/// Wire form of the position at which the log ended when its sender had an answer.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-pub struct WireLogProof {
-    era: u64,
-    end: u64,
-}
-
-impl From<LogPosition> for WireLogProof {
-    fn from(end: LogPosition) -> Self {
-        Self {
-            era: end.era,
-            end: end.offset,
-        }
-    }
-}
-
-impl From<WireLogProof> for LogPosition {
-    fn from(wire: WireLogProof) -> Self {
-        Self::new(wire.era, wire.end)
-    }
-}
-
 /// Tells the other nodes that follow the log that it ends where this node has read it.
 pub async fn tell(host: &Host) {
     let end = lock(&host.operator_state).end();
@@ -43,12 +20,12 @@
 }
 
 /// Applies what a known node tells; a position that this node has not reached is no proof for it.
-pub fn receive(host: &Host, from: IpAddr, proof: WireLogProof) {
+pub fn receive(host: &Host, from: IpAddr, proven_end: WireLogPosition) {
     if lock(&host.peers).get(from).is_none() {
         return host.events.count("datagrams_refused");
     }
     let own_end = lock(&host.operator_state).end();
-    let end = LogPosition::from(proof);
+    let end = LogPosition::from(proven_end);
     if end == own_end {
         host.learn_times.log_proof.record(host.now_us());
     } else if end > own_end {
--- a/src/host/peers/fact_datagrams.rs
+++ b/src/host/peers/fact_datagrams.rs
@@ -5,7 +5,7 @@
 use crate::host::branches::wire::{
     WireAsk, WireCollect, WireGiven, WireGranted, WireProof, WireQuestion,
 };
-use crate::host::log_service::log_proofs::WireLogProof;
+use crate::host::peers::relay_rpc::WireLogPosition;
 use crate::host::rollouts::wire::WireRolloutFacts;
 
 /// Version of the format, in the first byte; load reports and crash reports have others.
@@ -28,8 +28,8 @@
     TokensAsk(WireAsk),
     /// Answers it.
     TokensGranted(WireGranted),
-    /// The operators' log has nothing new.
-    LogProof(WireLogProof),
+    /// The operators' log ended here when the sender had an answer.
+    LogProof(WireLogPosition),
 }
 
 /// Encodes a datagram.
