The gate is locked as often as before for a request that is sent

The change that withdraws requests added two locks of the gate to each request: to ask whether it is open, and for the slowness. Each is now part of the one beside it, and functions that have the request do not get its host again.

--- a/src/host/server/dispatch.rs
+++ b/src/host/server/dispatch.rs
@@ -1,6 +1,5 @@
 //! Sends admitted requests to the local backend server and awaits the answers.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use crate::decision::host::gate::{HostGate, SlowPhaseAction};
@@ -35,20 +34,15 @@
 /// If a pooled connection turns out to be closed before any byte was written, the request is sent
 /// once more over a new one.
 pub async fn send(
-    host: &Arc<Host>,
     unsent: Unsent<'_>,
     tracked: &TrackedRun<'_>,
     admitted: &mut Admitted<'_>,
     measurement: &mut RunMeasurement,
 ) -> Result<Response, RequestFailure> {
-    let work = unsent.work;
-    let mut pooled = unsent
-        .wait_for(ready_connection(host, unsent))
-        .await
-        .flatten()?;
+    let Unsent { host, work, .. } = unsent;
+    let mut pooled = unsent.wait_for(ready_connection(unsent)).await.flatten()?;
     loop {
         let started_us = host.now_us();
-        measurement.slowness = host.gate.with(|gate| gate.slowness(started_us));
         let destination = match unsent.clear_to_send(admitted.id, started_us) {
             Ok(destination) => destination,
             Err(failure) => {
@@ -56,6 +50,7 @@
                 return Err(failure);
             }
         };
+        measurement.slowness = destination.slowness;
         tracked.sent();
         let instance = &destination.instance;
         let exchanged = exchange(host, work, &mut pooled, instance, started_us).await;
@@ -134,30 +129,24 @@
 }
 
 /// Waits until an admitted request should be sent; returns the connection for it.
-async fn ready_connection(
-    host: &Arc<Host>,
-    unsent: Unsent<'_>,
-) -> Result<PooledConnection, RequestFailure> {
-    await_slow_phase(host, unsent).await?;
+async fn ready_connection(unsent: Unsent<'_>) -> Result<PooledConnection, RequestFailure> {
+    await_slow_phase(unsent).await?;
     unsent.until_awaited().await;
-    let acquired = host.server_connections.acquire(unsent.work.effect).await;
+    let Unsent { host, work, .. } = unsent;
+    let acquired = host.server_connections.acquire(work.effect).await;
     connection_or_failure(host, acquired)
 }
 
 /// Delays an admitted request during a slow phase of the backend server.
 ///
 /// The gate decides whether to send it, to hold it, or to let another host run it.
-async fn await_slow_phase(host: &Arc<Host>, unsent: Unsent<'_>) -> Result<(), RequestFailure> {
+async fn await_slow_phase(unsent: Unsent<'_>) -> Result<(), RequestFailure> {
+    let host = unsent.host;
     loop {
-        unsent.check_gate()?;
         if host.gate.with(|gate| gate.slowness_age_us(host.now_us())) > SLOWNESS_AGE_MAX_US {
             probe::refresh(host).await;
         }
-        let now_us = host.now_us();
-        let action = host
-            .gate
-            .with(|gate| gate.slow_phase_action(&unsent.work.timing, now_us));
-        match action {
+        match unsent.slow_phase_action()? {
             SlowPhaseAction::Send => return Ok(()),
             SlowPhaseAction::Reroute => {
                 return Err(RequestFailure::not_sent(RefusalReason::ServerSlow));
--- a/src/host/server/executor.rs
+++ b/src/host/server/executor.rs
@@ -87,7 +87,7 @@
     let waited_us = host.now_us() - queued_since_us;
     host.events.latencies.add(Stage::GateWait, waited_us);
     let mut measurement = RunMeasurement::default();
-    let result = dispatch::send(host, unsent, &tracked, &mut admitted, &mut measurement).await;
+    let result = dispatch::send(unsent, &tracked, &mut admitted, &mut measurement).await;
     let status = result.as_ref().map(|response| response.head.status);
     rollouts::record_run(host, work, status, measurement);
     match &result {
--- a/src/host/server/probe.rs
+++ b/src/host/server/probe.rs
@@ -99,7 +99,7 @@
 }
 
 /// Refreshes the load figures right before a request is sent, with a short timeout.
-pub async fn refresh(host: &Arc<Host>) {
+pub async fn refresh(host: &Host) {
     // The age of the load figures shows whether the answer came in time.
     let _probed = tokio::time::timeout(REFRESH_TIMEOUT, check_health(host)).await;
 }
--- a/src/host/server/run_lines.rs
+++ b/src/host/server/run_lines.rs
@@ -20,6 +20,8 @@
     pub instance: Arc<str>,
     /// Time since its last announcement, in µs.
     pub announcement_age_us: Option<u64>,
+    /// How long work took there, relative to its usual time.
+    pub slowness: f64,
 }
 
 /// Logs a run that ended after the objective of its request, and where the time went.
--- a/src/host/server/unsent.rs
+++ b/src/host/server/unsent.rs
@@ -3,7 +3,7 @@
 use super::executions::Execution;
 use super::quarantine;
 use super::run_lines::Destination;
-use crate::decision::host::gate::WorkId;
+use crate::decision::host::gate::{SlowPhaseAction, WorkId};
 use crate::host::context::Host;
 use crate::host::outcome::RequestFailure;
 use crate::model::host_request::HostWork;
@@ -41,17 +41,17 @@
         }
     }
 
-    /// Checks whether the gate still lets requests through; holding one back would be in vain.
+    /// What to do with the request while the backend server is slow.
     ///
     /// # Errors
-    /// The refusal; the request is not sent.
-    pub fn check_gate(&self) -> Result<(), RequestFailure> {
+    /// The refusal once holding it longer would be in vain; it is not sent.
+    pub fn slow_phase_action(&self) -> Result<SlowPhaseAction, RequestFailure> {
         let now_us = self.host.now_us();
-        let checked = self
-            .host
-            .gate
-            .with(|gate| gate.check_open(&self.work.service, now_us));
-        checked.map_err(RequestFailure::not_sent)
+        let action = self.host.gate.with(|gate| {
+            gate.check_open(&self.work.service, now_us)?;
+            Ok(gate.slow_phase_action(&self.work.timing, now_us))
+        });
+        action.map_err(RequestFailure::not_sent)
     }
 
     /// Decides right before the first byte whether it may be written, at time `now_us`.
@@ -85,6 +85,7 @@
                 service: gate.server().service().clone(),
                 instance,
                 announcement_age_us: host.learn_times.announcement.age_us(now_us),
+                slowness: gate.slowness(now_us),
             })
         })
     }
