--- a/tests/host/overdue_read.rs
+++ b/tests/host/overdue_read.rs
@@ -3,16 +3,13 @@
 use std::net::{IpAddr, SocketAddr};
 
 use bronzelock::decision::host::overdue_read::OverdueRead;
-use bronzelock::decision::host::peers::Introduction;
 use bronzelock::decision::host::poll_schedule::FollowerTurn;
 use bronzelock::host::log_service::log_proofs;
-use bronzelock::kernel::shards::lock;
-use bronzelock::model::ids::Incarnation;
 use bronzelock::model::log_position::LogPosition;
-use bronzelock::model::names::{ServiceName, ZoneName};
 use futures::FutureExt;
 
 use crate::event_log::host_with_server;
+use crate::quarantine::{introduce_peer, peer};
 
 const MS: u64 = 1_000;
 
@@ -79,20 +76,10 @@
     assert_eq!(pauses_ms, [500, 1_000, 2_000, 2_000, 2_000]);
 }
 
-fn peer() -> IpAddr {
-    IpAddr::from([10, 0, 0, 2])
-}
-
 /// Whether a node counts what it is told as a proof, and whether it looks for the records.
 fn told(from: IpAddr, end: LogPosition) -> (bool, bool) {
     let host = host_with_server(SocketAddr::from(([127, 0, 0, 1], 9)));
-    let introduction = Introduction {
-        address: peer(),
-        incarnation: Incarnation(1),
-        zone: ZoneName::new("z").expect("a name"),
-        service: ServiceName::new("milk").expect("a name"),
-    };
-    lock(&host.peers).introduce(introduction, true, host.now_us());
+    introduce_peer(&host);
     log_proofs::receive(&host, from, end.into());
     let is_proven = host.learn_times.log_proof.at_us().is_some();
     let is_behind = host.operator_log_behind.notified().now_or_never();
--- a/tests/host/quarantine.rs
+++ b/tests/host/quarantine.rs
@@ -26,7 +26,8 @@
 /// whether it is refuted.
 type Report = (u8, Vec<([u8; 16], Vec<(u64, u64, bool)>)>);
 
-fn peer() -> IpAddr {
+/// Address of the peer.
+pub fn peer() -> IpAddr {
     IpAddr::from([10, 0, 0, 2])
 }
 
@@ -35,6 +36,12 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address: SocketAddr = listener.local_addr().expect("an address");
     let host = announced_host(address);
+    introduce_peer(&host);
+    (host, listener)
+}
+
+/// Makes the peer known to a node.
+pub fn introduce_peer(host: &Host) {
     let introduction = Introduction {
         address: peer(),
         incarnation: Incarnation(1),
@@ -42,7 +49,6 @@
         service: ServiceName::new("milk").expect("a name"),
     };
     lock(&host.peers).introduce(introduction, true, host.now_us());
-    (host, listener)
 }
 
 fn report(work: &HostWork, crashes: &[(u64, u64, bool)]) -> Vec<u8> {
