--- a/tests/host/overdue_read.rs
+++ b/tests/host/overdue_read.rs
@@ -1,12 +1,16 @@
 //! Reads beside a poll that may never be answered.
 
+use std::collections::BTreeSet;
 use std::net::{IpAddr, SocketAddr};
+use std::ops::Range;
 
 use bronzelock::decision::host::overdue_read::OverdueRead;
 use bronzelock::decision::host::poll_schedule::FollowerTurn;
 use bronzelock::host::log_service::log_proofs;
 use bronzelock::model::log_position::LogPosition;
 use futures::FutureExt;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 use crate::event_log::host_with_server;
 use crate::quarantine::{introduce_peer, peer};
@@ -22,6 +26,16 @@
 /// Longest time between the ends of two polls, in ms.
 const POLL_END_INTERVAL_MS: u64 = 800;
 
+/// Time for which a fleet is observed, in ms, and how long the log service takes for an answer.
+const OBSERVED_MS: u64 = 12_000;
+const ANSWER_MS: Range<u64> = 4..40;
+
+/// Part of the datagrams that are lost.
+const LOST_DATAGRAMS: f64 = 0.05;
+
+/// Hosts that follow the log among 919 in seven availability zones.
+const FOLLOWERS_OF_919: usize = 21;
+
 fn turn(index: usize, count: usize) -> FollowerTurn {
     FollowerTurn { index, count }
 }
@@ -62,6 +76,54 @@
     assert!(gaps.min() >= Some(40 * MS), "{due_us:?}");
 }
 
+/// Reads of the followers of a fleet whose polls are all silent: when each began, in ms.
+fn reads_of_silent_fleet(followers: usize, seed: u64) -> Vec<u64> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut proven_us = vec![0; followers];
+    let mut reads_ms = Vec::new();
+    // Reads on their way: when each is answered, and whose it is.
+    let mut answers = BTreeSet::new();
+    for now_ms in 0..OBSERVED_MS {
+        while answers
+            .first()
+            .is_some_and(|(at_ms, _reader)| *at_ms <= now_ms)
+        {
+            let Some((answered_ms, reader)) = answers.pop_first() else {
+                break;
+            };
+            for (index, proven_us) in proven_us.iter_mut().enumerate() {
+                if index == reader || !random.random_bool(LOST_DATAGRAMS) {
+                    *proven_us = answered_ms * MS;
+                }
+            }
+        }
+        for (index, proven_us) in proven_us.iter().enumerate() {
+            let overdue = OverdueRead::beside_poll(0);
+            let due_us = overdue.due_us(Some(*proven_us), turn(index, followers));
+            let is_reading = answers.iter().any(|(_at_ms, reader)| *reader == index);
+            if due_us <= now_ms * MS && !is_reading {
+                reads_ms.push(now_ms);
+                answers.insert((now_ms + random.random_range(ANSWER_MS), index));
+            }
+        }
+    }
+    reads_ms
+}
+
+/// Guards against a fleet that reads all at once.
+#[test]
+fn a_silent_fleet_of_919_hosts_reads_a_few_times_a_second() {
+    for seed in 0..50 {
+        let reads_ms = reads_of_silent_fleet(FOLLOWERS_OF_919, seed);
+        let in_second = |from: &u64| {
+            let second = *from..*from + 1_000;
+            reads_ms.iter().filter(|at| second.contains(at)).count()
+        };
+        let most = reads_ms.iter().map(in_second).max();
+        assert!(most <= Some(FOLLOWERS_OF_919 / 3), "seed {seed}: {most:?}");
+    }
+}
+
 /// Guards against many calls while the log service is away.
 #[test]
 fn reads_that_fail_become_rare() {
--- a/tests/host_processes/branches.rs
+++ b/tests/host_processes/branches.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http_body_util::Full;
 use hyper::Request;
 use serde_json::json;
@@ -22,7 +23,8 @@
 use crate::site::{Place, QUOTA_WINDOW_S, REVOKE_MS};
 use crate::system::{System, place};
 
-const KEY: &str = "key-of-the-north";
+/// Key of the only branch, as long as it is not revoked.
+pub const KEY: &str = "key-of-the-north";
 
 /// Time that callers wait, in ms.
 const WAIT_MS: u64 = 1_500;
@@ -51,14 +53,19 @@
     }
 }
 
-async fn send(node: SocketAddr, id: String, ledger: Ledger, sent: Sent) {
-    let request = Request::get("/history/cow?work_ms=5")
+/// A short idempotent request with the key.
+pub fn request_with_key(id: &str) -> Request<Full<Bytes>> {
+    Request::get("/history/cow?work_ms=5")
         .header("host", HOST_NAME)
-        .header(names::REQUEST_ID, &id)
+        .header(names::REQUEST_ID, id)
         .header(names::WAIT_MS, WAIT_MS)
-        .header("X-Api-Key", KEY)
+        .header(names::API_KEY, KEY)
         .body(Full::default())
-        .expect("a valid request");
+        .expect("a valid request")
+}
+
+async fn send(node: SocketAddr, id: String, ledger: Ledger, sent: Sent) {
+    let request = request_with_key(&id);
     let sent_ms = ledger.now_ms();
     sent.all().insert(id.clone(), (sent_ms, 0));
     let answer = tokio::time::timeout(Duration::from_millis(WAIT_MS), send_once(node, request));
--- a/tests/host_processes/lost_readers.rs
+++ b/tests/host_processes/lost_readers.rs
@@ -4,12 +4,18 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use hyper::StatusCode;
+use serde_json::json;
+use standins::http::client::send_once;
+use standins::platform::store::Store;
 use standins::proxy::ConnectionFault;
 use tokio::time::{Instant, sleep, sleep_until};
 
+use crate::branches::{KEY, request_with_key};
 use crate::callers::{Kind, ask_target};
+use crate::operator::Operator;
 use crate::program::Signal;
-use crate::site::{Place, ServerEnd};
+use crate::site::{Place, REVOKE_MS, ServerEnd};
 use crate::system::{System, place};
 
 /// Two availability zones of four hosts each, of which three read the log.
@@ -102,9 +108,58 @@
     Again(u64),
 }
 
-/// What is lost, and when the configuration changes.
+/// How the configuration changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Change {
+    /// A route comes.
+    Route,
+    /// The key of the only branch is revoked.
+    RevokedKey,
+}
+
+impl Change {
+    /// Time after which it must be in force.
+    fn applies_after(self) -> Duration {
+        match self {
+            Self::Route => CONFIG_APPLY,
+            Self::RevokedKey => Duration::from_millis(REVOKE_MS),
+        }
+    }
+
+    /// Writes the change; returns the prefix of the paths that tell whether it is in force.
+    fn make(self, operator: &mut Operator, store: &Store) -> String {
+        match self {
+            Self::Route => operator.add_route(store),
+            Self::RevokedKey => {
+                set_key(operator, store, "another");
+                String::new()
+            }
+        }
+    }
+
+    /// Whether a node still handles requests as before the change.
+    async fn is_missing_at(self, node: SocketAddr, prefix: &str, id: &str) -> bool {
+        match self {
+            Self::Route => {
+                let target = format!("{prefix}{id}");
+                ask_target(node, Kind::History, &target, id).await == Some(404)
+            }
+            Self::RevokedKey => {
+                let answer = send_once(node, request_with_key(id)).await;
+                answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+            }
+        }
+    }
+}
+
+fn set_key(operator: &mut Operator, store: &Store, key: &str) {
+    operator.set_branches(store, json!([{"name": "north", "api_keys": [key]}]));
+}
+
+/// What is lost, and when and how the configuration changes.
 #[derive(Debug, Clone, Copy)]
 struct Case {
+    change: Change,
     places: &'static [Place],
     loss: Loss,
     left: Left,
@@ -193,32 +248,38 @@
 async fn assert_change_is_in_force_in_time(case: Case) {
     let system = System::start_at(case.places).await;
     system.wait_until_ready().await;
-    sleep(SETTLED_AFTER).await;
     let mut operator = system.operator.lock().await;
+    if case.change == Change::RevokedKey {
+        set_key(&mut operator, &system.store, KEY);
+    }
+    sleep(SETTLED_AFTER).await;
+    if case.change == Change::RevokedKey {
+        let node = system.sites[0].lock().await.addresses.callers();
+        assert!(case.change.is_missing_at(node, "", "usual").await);
+    }
     operator.add_route(&system.store);
     sleep(CHANGED_BEFORE).await;
     let left = disrupt(&system, case).await;
     let in_touch = Instant::now() + CONTACT;
     sleep(Duration::from_millis(case.change_after_ms)).await;
-    let prefix = operator.add_route(&system.store);
-    let in_force = Instant::now() + CONFIG_APPLY;
+    let prefix = case.change.make(&mut operator, &system.store);
+    let in_force = Instant::now() + case.change.applies_after();
     let mut next_round = match case.silence {
         Silence::Never => in_force,
         _ => in_force.max(in_touch),
     };
-    let mut unknown = Vec::new();
+    let mut late = Vec::new();
     for round in 0..ROUNDS {
         sleep_until(next_round).await;
         next_round += ROUND_PERIOD;
         for (index, node) in left.iter().enumerate() {
             let id = format!("look-{round}-{index}");
-            let target = format!("{prefix}{id}");
-            if ask_target(*node, Kind::History, &target, &id).await == Some(404) {
-                unknown.push(id);
+            if case.change.is_missing_at(*node, &prefix, &id).await {
+                late.push(id);
             }
         }
     }
-    assert!(unknown.is_empty(), "404 on the new route: {unknown:?}");
+    assert!(late.is_empty(), "handled as before: {late:?}");
 }
 
 macro_rules! losses {
@@ -232,6 +293,7 @@
 }
 
 const LOST: Case = Case {
+    change: Change::Route,
     places: &TWO_ZONES,
     loss: Loss::Gone,
     left: Left::Each(1),
@@ -301,6 +363,14 @@
     a_change_after_a_silence_and_the_loss_of_most_of_each_zone_is_in_force_in_time: Case {
         left: Left::Each(1), ..SILENT
     };
+    /// Guards against a key that is accepted after its revocation in such a disruption.
+    a_key_revoked_after_a_silence_at_the_loss_is_accepted_nowhere: Case {
+        change: Change::RevokedKey, ..SILENT
+    };
+    /// Guards against the same where one host is left.
+    a_key_revoked_after_a_silence_and_the_loss_of_all_others_is_accepted_nowhere: Case {
+        change: Change::RevokedKey, left: Left::Last(1), ..SILENT
+    };
     /// Guards against the same where those that are left did not read the log before.
     a_change_after_a_silence_and_the_loss_of_all_readers_is_in_force_in_time: Case {
         places: &TWO_ZONES, left: Left::Each(1), ..SILENT
